Build skeleton, protocol module and the layers' headers

Cause: the first build needs fixed interfaces before parts are written side by side. Holds the protocol module (ids, jobs, announcements, the closed list of error kinds with its table), checked settings and structured logs, and the public headers of transport, dispatcher and consensus.

--- /dev/null
+++ b/src/coordination/rules.h
@@ -0,0 +1,50 @@
+// The operators' rules in force, as the decision code reads them.
+#pragma once
+
+#include "protocol/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace jackdaw::coordination {
+
+using protocol::duration;
+
+enum class task_order {
+    fifo,
+    earliest_deadline,
+    fewest_remaining // the job with the least remaining work first
+};
+
+struct team_rule {
+    double weight = 1; // share of the upstreams against other teams; always positive
+    std::uint32_t maxTasks = 0; // queued and running at once in one zone; 0: no limit
+    double tasksPerSecond = 0; // 0: no limit
+    double burstTasks = 0; // bucket of the rate limit; 0: one second's worth
+};
+
+// Invariant: every ratio lies in [0, 1], every duration is positive.
+struct rules {
+    std::uint64_t version = 0; // only goes up
+    std::map<std::string, team_rule, std::less<>> teams;
+    team_rule defaultTeam;
+    task_order order = task_order::fewest_remaining;
+    std::uint32_t maxQueuedTasks = 200'000; // on one entry host
+    duration defaultDeadline = std::chrono::seconds(10);
+    double retryBudget = 0.1; // retries allowed for each start
+    bool retryIdempotentAfterLease = false; // start idempotent work again once its lease ran out unanswered
+    duration answerRetention = std::chrono::minutes(10);
+    double maxEjectedRatio = 0.5; // share of the upstreams that may be ejected at once
+    double slowUpstreamPenalty = 1.0; // how much faster a busy upstream must be for a task to wait for it; 0: never wait
+    bool spillBetweenZones = false;
+
+    const team_rule& teamRule(std::string_view team) const
+    {
+        const auto found = teams.find(team);
+        return found == teams.end() ? defaultTeam : found->second;
+    }
+};
+
+} // namespace jackdaw::coordination
--- /dev/null
+++ b/src/state/log.h
@@ -0,0 +1,40 @@
+// Structured logs by easylogging++: one line an event, key=value, on standard error.
+//   logEvent(log_level::info, "job_answered", { { "submission", id }, { "state", "complete" } });
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace jackdaw::state {
+
+enum class log_level {
+    debug,
+    info,
+    warning,
+    error
+};
+
+struct log_field {
+    std::string_view key;
+    std::string value;
+};
+
+struct log_settings {
+    log_level level = log_level::info;
+    std::string program;
+    std::string file; // empty: standard error
+};
+
+// To be called once, before the first logEvent.
+void configureLog(const log_settings& settings);
+
+bool isLogged(log_level level);
+
+// Values with spaces, quotes or control characters are quoted and escaped. Any thread.
+void logEvent(log_level level, std::string_view event, std::initializer_list<log_field> fields);
+
+// "debug", "info", "warning" or "error"; anything else yields info.
+log_level parseLogLevel(std::string_view name);
+
+} // namespace jackdaw::state
--- /dev/null
+++ b/src/transport/mesh.h
@@ -0,0 +1,60 @@
+// Links between the system's own processes: nng, one pull listener for each process and one push socket for each peer.
+// Sends never block; each peer has a bounded queue. A silent link is closed and dialled anew.
+#pragma once
+
+#include "protocol/result.h"
+#include "protocol/time.h"
+#include "transport/event_loop.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace jackdaw::transport {
+
+struct mesh_settings {
+    std::string host; // this process's name in the mesh
+    std::uint64_t incarnation = 0; // random for each start
+    std::string listenAddress; // "ip:port"
+    std::size_t maxQueuedBytes = 4 * 1024 * 1024; // for each peer; what is over it is dropped
+    std::size_t maxMessageBytes = 32 * 1024 * 1024;
+    protocol::duration silenceLimit = std::chrono::milliseconds(1500); // nothing heard for so long: dial anew
+};
+
+// A message as it arrived. The views hold during the hook only.
+struct mesh_delivery {
+    std::string_view sender;
+    std::uint64_t senderIncarnation = 0;
+    std::string_view body;
+};
+
+class mesh {
+public:
+    using delivery_hook = std::function<void(const mesh_delivery& delivery)>;
+
+    // The hook runs on the loop's thread.
+    mesh(event_loop& loop, mesh_settings settings, delivery_hook onDelivery);
+    ~mesh();
+
+    protocol::result<void> listen();
+
+    // Adds or moves a peer; links to it are opened in the background.
+    void setPeer(const std::string& host, const std::string& address);
+    void removePeer(const std::string& host);
+
+    // Queues a message. False when there is no such peer or its queue is full: the message is dropped.
+    bool send(std::string_view host, std::string_view body);
+
+    std::uint64_t sentMessages() const;
+    std::uint64_t sentBytes() const;
+    std::uint64_t droppedMessages() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace jackdaw::transport
