--- /dev/null
+++ b/src/apps/entry/entry_process.cpp
@@ -0,0 +1,269 @@
+// Wires the parts of one entry host. Threads: decisions (the main one), callers, operators (with the upstreams'
+// announcements), and the upstream gateway's own.
+#include "apps/entry/entry_process.h"
+
+#include "apps/entry/caller_api.h"
+#include "apps/entry/dispatch_driver.h"
+#include "apps/entry/entry_counters.h"
+#include "apps/entry/job_registry.h"
+#include "apps/entry/job_service.h"
+#include "apps/entry/loop_thread.h"
+#include "apps/entry/operator_api.h"
+#include "apps/entry/upstream_api.h"
+#include "apps/entry/upstream_gateway.h"
+#include "state/log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace jackdaw::entry {
+
+using protocol::result;
+using state::log_level;
+using state::logEvent;
+using transport::http_server;
+
+namespace {
+
+    constexpr protocol::duration tickInterval = std::chrono::milliseconds(100);
+    constexpr std::size_t maxSmallBodyBytes = 64 * 1024; // of upstreams' and operators' requests
+
+    std::uint64_t randomNumber()
+    {
+        std::random_device source;
+        return (static_cast<std::uint64_t>(source()) << 32) | source();
+    }
+
+    transport::http_server_limits callerLimits(const entry_settings& settings)
+    {
+        transport::http_server_limits limits;
+        limits.maxBodyBytes = settings.job.maxBodyBytes;
+        limits.maxConnections = settings.maxConnections;
+        return limits;
+    }
+
+    transport::http_server_limits smallBodyLimits()
+    {
+        transport::http_server_limits limits;
+        limits.maxBodyBytes = maxSmallBodyBytes;
+        return limits;
+    }
+
+    enum class serving_state {
+        serving,
+        leaving, // the balancer is told to go elsewhere; new work is still served
+        refusing // new work is refused; open jobs go on
+    };
+
+    std::string_view toText(serving_state state)
+    {
+        switch (state) {
+        case serving_state::serving:
+            return "serving";
+        case serving_state::leaving:
+            return "leaving";
+        case serving_state::refusing:
+            break;
+        }
+        return "refusing";
+    }
+
+} // namespace
+
+class entry_process::impl {
+public:
+    impl(entry_settings entrySettings, std::string file);
+    ~impl() { stopThreads(); }
+
+    result<void> listen(http_server& server, const transport::endpoint& place, std::string_view name);
+    result<void> openAll();
+    void run();
+
+private:
+    void onAnnouncement(protocol::time_point heardAt, const protocol::announcement& announcement);
+    std::string statusJson() const;
+    void startDrain();
+    void refuseNewJobs();
+    void endWhenDone();
+    void rereadLogLevel() const;
+    void stopThreads();
+
+    const entry_settings m_settings;
+    const std::string m_settingsFile;
+    serving_state m_state = serving_state::serving; // on the decision thread
+    entry_counters m_counters;
+
+    transport::event_loop m_decisions;
+    loop_thread m_callers;
+    loop_thread m_operators;
+
+    dispatch_driver m_dispatch;
+    job_registry m_registry;
+    job_service m_jobs;
+    upstream_gateway m_gateway;
+
+    caller_api m_callerApi;
+    upstream_api m_upstreamApi;
+    operator_api m_operatorApi;
+    http_server m_callerServer;
+    http_server m_upstreamServer;
+    http_server m_operatorServer;
+
+    std::unique_ptr<transport::event_loop::timer> m_tick;
+    std::unique_ptr<transport::event_loop::timer> m_drainTimer;
+};
+
+entry_process::impl::impl(entry_settings entrySettings, std::string file)
+    : m_settings(std::move(entrySettings))
+    , m_settingsFile(std::move(file))
+    , m_dispatch(m_decisions, { .seed = randomNumber() },
+          {
+              .onStart = [this](const auto& action) { m_gateway.start(action); },
+              .onSettle = [this](const auto& action) { m_gateway.settle(action); },
+              .onAnswer = [this](auto action) { m_jobs.onAnswer(std::move(action)); },
+          })
+    , m_registry({ .maxStoredBytes = m_settings.maxStoredAnswerBytes })
+    , m_jobs({ .abandonAfter = m_settings.abandonAfter }, m_dispatch, m_registry, m_counters)
+    , m_gateway(m_decisions, { .loops = m_settings.upstreamLoops, .maxConnections = m_settings.maxUpstreamConnections }, m_counters,
+          [this](coordination::task_report report) { m_dispatch.report(std::move(report)); })
+    , m_callerApi(m_callers.loop(), m_decisions, m_settings.job, m_jobs, m_counters)
+    , m_upstreamApi(m_counters, [this](protocol::time_point heardAt, protocol::announcement announcement) {
+        m_decisions.post([this, heardAt, announcement = std::move(announcement)] { onAnnouncement(heardAt, announcement); });
+    })
+    , m_operatorApi([this] { return m_counters.toPrometheus(); }, [this](std::function<void(std::string)> onStatus) { m_decisions.post([this, onStatus = std::move(onStatus)] {
+                                                                                                                          m_operators.loop().post([json = statusJson(), onStatus] { onStatus(json); });
+                                                                                                                      }); })
+    , m_callerServer(m_callers.loop(), callerLimits(m_settings), [this](auto request, auto responder) { m_callerApi.onRequest(std::move(request), std::move(responder)); })
+    , m_upstreamServer(m_operators.loop(), smallBodyLimits(), [this](const auto& request, const auto& responder) { m_upstreamApi.onRequest(request, *responder); })
+    , m_operatorServer(m_operators.loop(), smallBodyLimits(), [this](const auto& request, const auto& responder) { m_operatorApi.onRequest(request, responder); })
+{
+}
+
+result<void> entry_process::impl::listen(http_server& server, const transport::endpoint& place, std::string_view name)
+{
+    if (auto listening = server.listen(place.host, place.port); !listening)
+        return listening.error();
+    logEvent(log_level::info, "listening", { { "for", std::string(name) }, { "address", place.host }, { "port", std::to_string(server.port()) } });
+    return boost::outcome_v2::success();
+}
+
+result<void> entry_process::impl::openAll()
+{
+    if (auto opened = listen(m_upstreamServer, m_settings.upstreams, "upstreams"); !opened)
+        return opened;
+    if (auto opened = listen(m_operatorServer, m_settings.operators, "operators"); !opened)
+        return opened;
+    return listen(m_callerServer, m_settings.callers, "callers");
+}
+
+void entry_process::impl::run()
+{
+    auto firstRules = std::make_shared<coordination::rules>();
+    firstRules->maxQueuedTasks = m_settings.maxQueuedTasks;
+    m_dispatch.setRules(std::move(firstRules));
+    m_decisions.onSignal(SIGTERM, [this] { startDrain(); });
+    m_decisions.onSignal(SIGINT, [this] { startDrain(); });
+    m_decisions.onSignal(SIGHUP, [this] { rereadLogLevel(); });
+    m_tick = m_decisions.every(tickInterval, [this] { m_jobs.tick(); });
+    m_callers.start();
+    m_operators.start();
+    m_operatorApi.setReady(true);
+    logEvent(log_level::info, "started", { { "host", m_settings.host }, { "zone", m_settings.zone } });
+    m_decisions.run();
+    stopThreads();
+    logEvent(log_level::info, "stopped", { { "host", m_settings.host } });
+}
+
+void entry_process::impl::onAnnouncement(protocol::time_point heardAt, const protocol::announcement& announcement)
+{
+    if (announcement.zone == m_settings.zone)
+        m_dispatch.hear(heardAt, announcement);
+}
+
+std::string entry_process::impl::statusJson() const
+{
+    const coordination::dispatcher_status status = m_dispatch.status();
+    return nlohmann::json {
+        { "host", m_settings.host },
+        { "zone", m_settings.zone },
+        { "state", toText(m_state) },
+        { "jobs", m_jobs.openJobs() },
+        { "queued_tasks", status.queuedTasks },
+        { "running_tasks", status.runningTasks },
+        { "upstreams", status.upstreams },
+        { "ejected_upstreams", status.ejectedUpstreams },
+        { "starts", status.starts },
+        { "retries", status.retries },
+        { "settles", status.settles },
+        { "stored_answer_bytes", m_registry.storedBytes() },
+        { "known_submissions", m_registry.records() },
+    }
+        .dump();
+}
+
+void entry_process::impl::startDrain()
+{
+    if (m_state != serving_state::serving)
+        return;
+    m_state = serving_state::leaving;
+    m_operatorApi.setReady(false);
+    logEvent(log_level::info, "drain_started", { { "open_jobs", std::to_string(m_jobs.openJobs()) } });
+    m_drainTimer = m_decisions.after(m_settings.drainLag, [this] { refuseNewJobs(); });
+}
+
+void entry_process::impl::refuseNewJobs()
+{
+    m_state = serving_state::refusing;
+    m_jobs.refuseNewJobs();
+    m_decisions.post([this] {
+        m_drainTimer = m_decisions.every(tickInterval, [this] { endWhenDone(); });
+    });
+}
+
+void entry_process::impl::endWhenDone()
+{
+    if (m_jobs.openJobs() > 0)
+        return;
+    m_callers.loop().post([this] {
+        if (m_callerServer.openRequests() == 0)
+            m_decisions.stop();
+    });
+}
+
+void entry_process::impl::rereadLogLevel() const
+{
+    const auto settings = readEntrySettings(m_settingsFile);
+    if (!settings)
+        return logEvent(log_level::error, "settings_refused", { { "reason", settings.error().detail } });
+    state::configureLog({ settings.value().logLevel, "jackdaw-entry", settings.value().logFile });
+    logEvent(log_level::info, "settings_reread", {});
+}
+
+void entry_process::impl::stopThreads()
+{
+    m_gateway.stop();
+    m_callers.stop();
+    m_operators.stop();
+}
+
+entry_process::entry_process(entry_settings settings, std::string settingsFile)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(settingsFile)))
+{
+}
+
+entry_process::~entry_process() = default;
+
+result<void> entry_process::open()
+{
+    return m_impl->openAll();
+}
+
+void entry_process::run()
+{
+    m_impl->run();
+}
+
+} // namespace jackdaw::entry
--- /dev/null
+++ b/src/apps/entry/http_answers.cpp
@@ -0,0 +1,37 @@
+// HTTP answers that are not about one job.
+#include "apps/entry/http_answers.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace jackdaw::entry {
+
+using transport::http_response;
+
+http_response jsonResponse(std::string body)
+{
+    http_response response;
+    response.body = std::move(body);
+    return response;
+}
+
+http_response textResponse(int status, std::string body)
+{
+    http_response response;
+    response.status = status;
+    response.contentType = "text/plain; version=0.0.4";
+    response.body = std::move(body);
+    return response;
+}
+
+http_response failureResponse(protocol::error_kind kind, const std::string& detail)
+{
+    const protocol::error_answer& row = protocol::answerFor(kind);
+    const nlohmann::json json { { "error", row.name }, { "ran", toText(row.ran) }, { "text", row.text }, { "detail", detail } };
+    http_response response = jsonResponse(json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    response.status = row.httpStatus;
+    return response;
+}
+
+} // namespace jackdaw::entry
