--- a/cmake/JackdawTargets.cmake
+++ b/cmake/JackdawTargets.cmake
@@ -1,7 +1,7 @@
 # Helpers that give every library, program and test of the project the same build options.
 
 add_library(jackdaw_options INTERFACE)
-target_compile_options(jackdaw_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Werror)
+target_compile_options(jackdaw_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wzero-as-null-pointer-constant -Werror)
 target_include_directories(jackdaw_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
 if(JACKDAW_SANITIZE)
     target_compile_options(jackdaw_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all)
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -5,7 +5,7 @@
 #include "protocol/result.h"
 #include "protocol/time.h"
 #include "transport/event_loop.h"
-#include "transport/http_server.h"
+#include "transport/http_message.h"
 
 #include <cstdint>
 #include <functional>
--- /dev/null
+++ b/src/transport/http_server.cpp
@@ -0,0 +1,320 @@
+// HTTP server by libevhtp. A request that is not answered at once is paused and resumed with its reply.
+#include "transport/http_server.h"
+
+#include <evhtp/evhtp.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <set>
+
+namespace jackdaw::transport {
+namespace {
+
+    using protocol::error_kind;
+    using protocol::makeError;
+    using protocol::result;
+
+    constexpr int listenBacklog = 1024;
+
+    // The library takes hooks of all types as one function type.
+    template <typename Function>
+    evhtp_hook toHook(Function* function)
+    {
+        return reinterpret_cast<evhtp_hook>(reinterpret_cast<void (*)()>(function));
+    }
+
+    http_method toMethod(htp_method method)
+    {
+        switch (method) {
+        case htp_method_GET:
+            return http_method::get;
+        case htp_method_PUT:
+            return http_method::put;
+        case htp_method_POST:
+            return http_method::post;
+        case htp_method_DELETE:
+            return http_method::del;
+        default:
+            return http_method::other;
+        }
+    }
+
+    int collectHeader(evhtp_header_t* header, void* headers)
+    {
+        static_cast<std::vector<http_header>*>(headers)->push_back({ { header->key, header->klen }, { header->val, header->vlen } });
+        return 0;
+    }
+
+    http_request readRequest(evhtp_request_t* request)
+    {
+        http_request out;
+        out.method = toMethod(evhtp_request_get_method(request));
+        if (request->uri && request->uri->path && request->uri->path->full)
+            out.path = request->uri->path->full;
+        if (request->uri && request->uri->query_raw)
+            out.query = reinterpret_cast<const char*>(request->uri->query_raw);
+        const std::size_t length = evbuffer_get_length(request->buffer_in);
+        out.body.resize(length);
+        evbuffer_copyout(request->buffer_in, out.body.data(), length);
+        evhtp_headers_for_each(request->headers_in, &collectHeader, &out.headers);
+        return out;
+    }
+
+    void addHeader(evhtp_request_t* request, const std::string& name, const std::string& value)
+    {
+        evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
+    }
+
+    void sendResponse(evhtp_request_t* request, const http_response& response)
+    {
+        addHeader(request, "Content-Type", response.contentType);
+        for (const http_header& header : response.headers)
+            addHeader(request, header.name, header.value);
+        evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
+        evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
+    }
+
+    // Holds the library's request until it is answered or its connection is lost.
+    // The library's hooks keep a reference as long as the library's request lives.
+    class responder final : public http_responder {
+    public:
+        responder(evhtp_request_t* request, event_loop& loop, std::size_t& openRequests, timeval readTimeout)
+            : m_request(request)
+            , m_loop(loop)
+            , m_openRequests(openRequests)
+            , m_readTimeout(readTimeout)
+        {
+            ++m_openRequests;
+        }
+        ~responder() override = default;
+        responder(const responder&) = delete;
+        responder& operator=(const responder&) = delete;
+
+        void reply(http_response response) override
+        {
+            if (!m_request || m_hasReplied)
+                return;
+            m_hasReplied = true;
+            m_goneHook = nullptr;
+            if (!m_isPaused) {
+                sendResponse(m_request, response);
+                return;
+            }
+            evhtp_request_t* request = m_request;
+            evhtp_connection_unset_hook(evhtp_request_get_connection(request), evhtp_hook_on_event);
+            bufferevent_set_timeouts(evhtp_request_get_bev(request), &m_readTimeout, nullptr);
+            sendResponse(request, response);
+            evhtp_request_resume(request);
+        }
+
+        void onCallerGone(std::function<void()> hook) override { m_goneHook = std::move(hook); }
+
+        event_loop& loop() { return m_loop; }
+
+        bool hasReplied() const { return m_hasReplied; }
+
+        // Reading stays on while the request is paused, without a timeout, so that a closed connection is noticed.
+        void pause()
+        {
+            m_isPaused = true;
+            evhtp_request_pause(m_request);
+            bufferevent* buffer = evhtp_request_get_bev(m_request);
+            bufferevent_set_timeouts(buffer, nullptr, nullptr);
+            bufferevent_enable(buffer, EV_READ);
+        }
+
+        void onConnectionEvent(short events)
+        {
+            if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0 || !m_request || !m_isPaused)
+                return;
+            callGoneHook();
+        }
+
+        // Lets the library free a paused request whose connection was lost and that nobody answered.
+        void abandon()
+        {
+            if (!m_request || m_hasReplied)
+                return;
+            m_hasReplied = true;
+            evhtp_request_resume(m_request);
+        }
+
+        void onRequestFreed()
+        {
+            if (m_isPaused && !m_hasReplied)
+                evhtp_connection_unset_hook(evhtp_request_get_connection(m_request), evhtp_hook_on_event);
+            m_request = nullptr;
+            --m_openRequests;
+            callGoneHook();
+        }
+
+    private:
+        void callGoneHook()
+        {
+            if (m_hasReplied || !m_goneHook)
+                return;
+            const std::function<void()> hook = std::move(m_goneHook);
+            m_goneHook = nullptr;
+            hook();
+        }
+
+        evhtp_request_t* m_request; // null once the library freed it
+        event_loop& m_loop;
+        std::size_t& m_openRequests;
+        timeval m_readTimeout;
+        bool m_isPaused = false;
+        bool m_hasReplied = false;
+        std::function<void()> m_goneHook;
+    };
+
+    using responder_reference = std::shared_ptr<responder>;
+
+    evhtp_res onRequestFinished(evhtp_request_t*, void* argument)
+    {
+        const std::unique_ptr<responder_reference> reference(static_cast<responder_reference*>(argument));
+        (*reference)->onRequestFreed();
+        return EVHTP_RES_OK;
+    }
+
+    void onConnectionEvent(evhtp_connection_t*, short events, void* argument)
+    {
+        // A copy: the hook below may free the request and with it the reference.
+        const responder_reference held = *static_cast<responder_reference*>(argument);
+        held->onConnectionEvent(events);
+        held->loop().post([held] { held->abandon(); });
+    }
+
+} // namespace
+
+class http_server::impl {
+public:
+    impl(event_loop& eventLoop, http_server_limits serverLimits, handler requestHandler)
+        : loop(eventLoop)
+        , limits(serverLimits)
+        , onRequest(std::move(requestHandler))
+        , server(evhtp_new(eventLoop.base(), nullptr))
+        , readTimeout { std::chrono::duration_cast<std::chrono::seconds>(limits.readTimeout).count(), 0 }
+    {
+        evhtp_set_timeouts(server, &readTimeout, nullptr);
+        evhtp_set_max_body_size(server, limits.maxBodyBytes);
+        evhtp_set_gencb(server, &impl::onLibraryRequest, this);
+        evhtp_set_pre_accept_cb(server, &impl::onAccept, this);
+        evhtp_set_post_accept_cb(server, &impl::onAccepted, this);
+    }
+
+    ~impl()
+    {
+        stopAccepting();
+        const std::set<evhtp_connection_t*> open = std::move(connections);
+        for (evhtp_connection_t* connection : open)
+            evhtp_connection_free(connection);
+        evhtp_free(server);
+    }
+
+    impl(const impl&) = delete;
+    impl& operator=(const impl&) = delete;
+
+    void stopAccepting()
+    {
+        if (isListening)
+            evhtp_unbind_socket(server);
+        isListening = false;
+    }
+
+    static evhtp_res onAccept(evhtp_connection_t*, void* self)
+    {
+        const impl& server = *static_cast<impl*>(self);
+        return server.connections.size() < server.limits.maxConnections ? EVHTP_RES_OK : EVHTP_RES_ERROR;
+    }
+
+    static evhtp_res onAccepted(evhtp_connection_t* connection, void* self)
+    {
+        static_cast<impl*>(self)->connections.insert(connection);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, toHook(&impl::onConnectionClosed), self);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_headers, toHook(&impl::onHeaders), self);
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res onConnectionClosed(evhtp_connection_t* connection, void* self)
+    {
+        static_cast<impl*>(self)->connections.erase(connection);
+        return EVHTP_RES_OK;
+    }
+
+    static evhtp_res onHeaders(evhtp_request_t*, evhtp_headers_t* headers, void* self)
+    {
+        std::size_t bytes = 0;
+        const evhtp_header_t* header = nullptr;
+        TAILQ_FOREACH(header, headers, next)
+        {
+            bytes += header->klen + header->vlen;
+        }
+        return bytes <= static_cast<impl*>(self)->limits.maxHeaderBytes ? EVHTP_RES_OK : EVHTP_RES_BADREQ;
+    }
+
+    static void onLibraryRequest(evhtp_request_t* request, void* self) { static_cast<impl*>(self)->handle(request); }
+
+    void handle(evhtp_request_t* request)
+    {
+        auto held = std::make_shared<responder>(request, loop, openRequests, readTimeout);
+        // Owned by the library's request, released by onRequestFinished.
+        auto* reference = new responder_reference(held);
+        evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(&onRequestFinished), reference);
+        onRequest(readRequest(request), held);
+        if (held->hasReplied())
+            return;
+        evhtp_connection_set_hook(evhtp_request_get_connection(request), evhtp_hook_on_event, toHook(&onConnectionEvent), reference);
+        held->pause();
+    }
+
+    event_loop& loop;
+    http_server_limits limits;
+    handler onRequest;
+    evhtp_t* server;
+    timeval readTimeout;
+    std::set<evhtp_connection_t*> connections;
+    std::size_t openRequests = 0;
+    bool isListening = false;
+    std::uint16_t port = 0;
+};
+
+http_server::http_server(event_loop& loop, http_server_limits limits, handler onRequest)
+    : m_impl(std::make_unique<impl>(loop, limits, std::move(onRequest)))
+{
+}
+
+http_server::~http_server() = default;
+
+result<void> http_server::listen(const std::string& address, std::uint16_t port)
+{
+    if (evhtp_bind_socket(m_impl->server, address.c_str(), port, listenBacklog) != 0)
+        return makeError(error_kind::internal, "can't listen on " + address + ':' + std::to_string(port));
+    m_impl->isListening = true;
+    sockaddr_in bound {};
+    socklen_t length = sizeof(bound);
+    getsockname(evconnlistener_get_fd(m_impl->server->server), reinterpret_cast<sockaddr*>(&bound), &length);
+    m_impl->port = ntohs(bound.sin_port);
+    return boost::outcome_v2::success();
+}
+
+std::uint16_t http_server::port() const
+{
+    return m_impl->port;
+}
+
+void http_server::stopAccepting()
+{
+    m_impl->stopAccepting();
+}
+
+std::size_t http_server::openRequests() const
+{
+    return m_impl->openRequests;
+}
+
+} // namespace jackdaw::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -4,6 +4,7 @@
 #include "protocol/result.h"
 #include "protocol/time.h"
 #include "transport/event_loop.h"
+#include "transport/http_message.h"
 
 #include <cstdint>
 #include <functional>
@@ -14,40 +15,6 @@
 
 namespace jackdaw::transport {
 
-enum class http_method {
-    get,
-    put,
-    post,
-    del,
-    other
-};
-
-struct http_header {
-    std::string name;
-    std::string value;
-};
-
-struct http_request {
-    http_method method = http_method::other;
-    std::string path; // without the query
-    std::string query; // without the question mark
-    std::string body;
-    std::vector<http_header> headers;
-
-    // The value of the first header with this name, ignoring case; empty when there is none.
-    std::string_view header(std::string_view name) const;
-
-    // The value of a query parameter; empty when there is none.
-    std::string_view queryParameter(std::string_view name) const;
-};
-
-struct http_response {
-    int status = 200;
-    std::string contentType = "application/json";
-    std::string body;
-    std::vector<http_header> headers;
-};
-
 // Answers one request, once. It may outlive the caller's connection: a reply to a caller who went away is dropped.
 class http_responder {
 public:
--- /dev/null
+++ b/src/transport/tests/http_tests.cpp
@@ -0,0 +1,215 @@
+// Tests of the HTTP server and client against each other and against raw sockets.
+#include "transport/event_loop.h"
+#include "transport/http_client.h"
+#include "transport/http_server.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+using namespace jackdaw::transport;
+
+namespace {
+
+constexpr const char* loopback = "127.0.0.1";
+
+// A server and a client on one loop. run() ends by finish() or, as a failure, after a generous limit.
+struct http_fixture {
+    event_loop loop;
+    http_client client { loop, 2 };
+    std::unique_ptr<http_server> server;
+    std::unique_ptr<event_loop::timer> limit;
+    bool hasFinished = false;
+
+    void serve(http_server::handler handler, http_server_limits limits = {})
+    {
+        server = std::make_unique<http_server>(loop, limits, std::move(handler));
+        REQUIRE(server->listen(loopback, 0));
+    }
+
+    endpoint target() const { return { loopback, server->port() }; }
+
+    void finish()
+    {
+        hasFinished = true;
+        loop.stop();
+    }
+
+    void run()
+    {
+        limit = loop.after(std::chrono::seconds(20), [this] { loop.stop(); });
+        loop.run();
+        CHECK(hasFinished);
+    }
+
+    int connectRaw() const
+    {
+        const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(server->port());
+        inet_pton(AF_INET, loopback, &address.sin_addr);
+        REQUIRE(connect(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+        return descriptor;
+    }
+};
+
+http_call makePost(std::string body)
+{
+    http_call call;
+    call.method = http_method::post;
+    call.path = "/run?wait=0&x=1";
+    call.body = std::move(body);
+    call.headers = { { "Task-Id", "t1" } };
+    return call;
+}
+
+} // namespace
+
+TEST_CASE("a request arrives whole and its later reply comes back whole")
+{
+    http_fixture fixture;
+    std::unique_ptr<event_loop::timer> later;
+    fixture.serve([&](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+        CHECK(request.method == http_method::post);
+        CHECK(request.path == "/run");
+        CHECK(request.queryParameter("wait") == "0");
+        CHECK(request.queryParameter("x") == "1");
+        CHECK(request.queryParameter("absent").empty());
+        CHECK(request.header("task-id") == "t1");
+        later = fixture.loop.after(std::chrono::milliseconds(5), [responder, body = request.body] {
+            responder->reply({ 202, "text/plain", body + "!", { { "Upstream-State", "serving" } } });
+            responder->reply({ 500, "text/plain", "second", {} });
+        });
+    });
+    fixture.client.call(fixture.target(), makePost(std::string(100'000, 'x')), [&](const http_result& result) {
+        CHECK(result.outcome == request_outcome::answered);
+        CHECK(result.response.status == 202);
+        CHECK(result.response.body == std::string(100'000, 'x') + "!");
+        CHECK(result.response.header("upstream-state") == "serving");
+        fixture.finish();
+    });
+    fixture.run();
+    CHECK(fixture.server->openRequests() == 0);
+}
+
+TEST_CASE("calls over the pool's bound wait and are answered each with its own reply")
+{
+    constexpr int callCount = 50;
+    http_fixture fixture;
+    std::vector<std::unique_ptr<event_loop::timer>> timers;
+    std::size_t mostOpen = 0;
+    fixture.serve([&](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+        mostOpen = std::max(mostOpen, fixture.server->openRequests());
+        timers.push_back(fixture.loop.after(std::chrono::milliseconds(1), [responder, body = request.body] {
+            responder->reply({ 200, "text/plain", body, {} });
+        }));
+    });
+    int answered = 0;
+    for (int i = 0; i < callCount; ++i) {
+        fixture.client.call(fixture.target(), makePost(std::to_string(i)), [&, i](const http_result& result) {
+            CHECK(result.response.body == std::to_string(i));
+            if (++answered == callCount)
+                fixture.finish();
+        });
+    }
+    fixture.run();
+    CHECK(mostOpen <= 2);
+}
+
+TEST_CASE("a refused connection and a silent one are told apart, and the silent one is not used again")
+{
+    http_fixture fixture;
+    std::vector<std::shared_ptr<http_responder>> unanswered;
+    fixture.serve([&](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+        if (request.body == "silent")
+            unanswered.push_back(responder);
+        else
+            responder->reply({ 200, "text/plain", "late answers stay on their own connection", {} });
+    });
+    const int closed = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, loopback, &address.sin_addr);
+    REQUIRE(bind(closed, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    socklen_t length = sizeof(address);
+    getsockname(closed, reinterpret_cast<sockaddr*>(&address), &length);
+    fixture.client.call({ loopback, ntohs(address.sin_port) }, makePost("x"), [&](const http_result& refused) {
+        CHECK(refused.outcome == request_outcome::refused);
+        http_call call = makePost("silent");
+        call.timeout = std::chrono::milliseconds(50);
+        fixture.client.call(fixture.target(), call, [&](const http_result& silent) {
+            CHECK(silent.outcome == request_outcome::silent);
+            for (const auto& responder : unanswered)
+                responder->reply({ 200, "text/plain", "crossed", {} });
+            fixture.client.call(fixture.target(), makePost("next"), [&](const http_result& next) {
+                CHECK(next.outcome == request_outcome::answered);
+                CHECK(next.response.body == "late answers stay on their own connection");
+                fixture.finish();
+            });
+        });
+    });
+    fixture.run();
+    close(closed);
+}
+
+TEST_CASE("a caller that closes its connection is noticed while its request waits")
+{
+    http_fixture fixture;
+    std::shared_ptr<http_responder> kept;
+    fixture.serve([&](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        kept = responder;
+        responder->onCallerGone([&] { fixture.finish(); });
+    });
+    const int descriptor = fixture.connectRaw();
+    const std::string text = "PUT /v1/jobs/x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+    REQUIRE(write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    auto closing = fixture.loop.after(std::chrono::milliseconds(20), [&] { close(descriptor); });
+    fixture.run();
+    kept->reply({ 200, "text/plain", "nobody listens", {} });
+    kept.reset();
+    auto settle = fixture.loop.after(std::chrono::milliseconds(20), [&] { fixture.loop.stop(); });
+    fixture.loop.run();
+    CHECK(fixture.server->openRequests() == 0);
+}
+
+TEST_CASE("a request whose caller left is freed though nobody answers it")
+{
+    http_fixture fixture;
+    fixture.serve([&](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        responder->onCallerGone([&] { fixture.finish(); });
+    });
+    const int descriptor = fixture.connectRaw();
+    const std::string text = "GET /v1/jobs/x HTTP/1.1\r\nHost: x\r\n\r\n";
+    REQUIRE(write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    auto closing = fixture.loop.after(std::chrono::milliseconds(20), [&] { close(descriptor); });
+    fixture.run();
+    auto settle = fixture.loop.after(std::chrono::milliseconds(20), [&] { fixture.loop.stop(); });
+    fixture.loop.run();
+    CHECK(fixture.server->openRequests() == 0);
+}
+
+TEST_CASE("text that is no HTTP and bodies over the limit cost nothing to others")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxBodyBytes = 1000;
+    fixture.serve([](const http_request&, const std::shared_ptr<http_responder>& responder) { responder->reply({ 200, "text/plain", "fine", {} }); }, limits);
+    const int garbage = fixture.connectRaw();
+    REQUIRE(write(garbage, "\x01\x02 nonsense\r\n\r\n", 16) == 16);
+    fixture.client.call(fixture.target(), makePost(std::string(100'000, 'x')), [&](const http_result& tooLarge) {
+        CHECK((tooLarge.outcome == request_outcome::silent || tooLarge.response.status == 413));
+        fixture.client.call(fixture.target(), makePost("small"), [&](const http_result& small) {
+            CHECK(small.response.body == "fine");
+            fixture.finish();
+        });
+    });
+    fixture.run();
+    close(garbage);
+}
