Dispatcher baseline: FIFO order, round robin over free slots, one answer for each job

Silence leads to settle_task until the fate is known. A tombstone of a later incarnation proves nothing and is not taken for "not started".

--- /dev/null
+++ b/src/coordination/tests/dispatcher_tests.cpp
@@ -0,0 +1,154 @@
+// Tests of admission, starts, reports and answers.
+#include "coordination/tests/dispatch_fixture.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+using namespace jackdaw::coordination;
+using namespace jackdaw::coordination::tests;
+
+TEST_CASE("a job's answer holds every result in the order of its tasks")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1"));
+    REQUIRE_FALSE(fixture.core.submit(fixture.now, fixture.makeJob(1, 3)));
+    REQUIRE(fixture.starts.size() == 3);
+    for (std::size_t i = 3; i-- > 0;) {
+        const start_task& start = fixture.starts[i];
+        fixture.core.report(fixture.now, { start.task, start.upstream, task_outcome::finished, std::to_string(start.task.index), {} });
+    }
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(std::get<jackdaw::protocol::job_results>(fixture.answers[0].answer).bodies == std::vector<std::string> { "0", "1", "2" });
+}
+
+TEST_CASE("refusals name their reason and leave no trace")
+{
+    rules inForce;
+    inForce.maxQueuedTasks = 2;
+    dispatch_fixture fixture(inForce);
+    CHECK(fixture.core.submit(fixture.now, fixture.makeJob(1))->kind == error_kind::no_upstream);
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+    auto large = fixture.makeJob(2, 2);
+    large.tasks[1].needs.accelerators = 1;
+    CHECK(fixture.core.submit(fixture.now, large)->kind == error_kind::never_fits);
+    CHECK(fixture.core.submit(fixture.now, fixture.makeJob(3, 3))->kind == error_kind::queue_full);
+    CHECK_FALSE(fixture.core.submit(fixture.now, fixture.makeJob(4)));
+    CHECK(fixture.core.submit(fixture.now, fixture.makeJob(4))->kind == error_kind::submission_mismatch);
+    fixture.core.drain();
+    CHECK(fixture.core.submit(fixture.now, fixture.makeJob(5))->kind == error_kind::draining);
+    CHECK(fixture.starts.size() == 1);
+    fixture.reportLast(task_outcome::finished);
+    CHECK(fixture.answers.size() == 1);
+    CHECK(fixture.core.status().jobs == 0);
+}
+
+TEST_CASE("an upstream that leaves or is past its ttl gets nothing")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+    fixture.core.submit(fixture.now, fixture.makeJob(1, 2));
+    REQUIRE(fixture.starts.size() == 1);
+    SUBCASE("leaving, told by a reply")
+    {
+        fixture.core.report(fixture.now, { fixture.starts[0].task, fixture.starts[0].upstream, task_outcome::finished, "", jackdaw::protocol::upstream_state::leaving });
+        fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+        CHECK(fixture.starts.size() == 1);
+    }
+    SUBCASE("expired while its slot was busy, and a relayed announcement of another is older")
+    {
+        fixture.now += 4s;
+        fixture.reportLast(task_outcome::finished);
+        CHECK(fixture.starts.size() == 1);
+        fixture.core.hear(fixture.now - 3500ms, fixture.makeAnnouncement("u2", 1));
+        CHECK(fixture.starts.size() == 1);
+        CHECK(fixture.core.status().upstreams == 0);
+    }
+}
+
+TEST_CASE("a proof of not started leads to a start on another upstream")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1"));
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u2"));
+    fixture.core.submit(fixture.now, fixture.makeJob(1));
+    const start_task first = fixture.starts.back();
+    fixture.reportLast(task_outcome::not_started);
+    REQUIRE(fixture.starts.size() == 2);
+    CHECK(fixture.starts[1].upstream != first.upstream);
+    CHECK(fixture.starts[1].task.attempt == 1);
+    fixture.core.report(fixture.now, { first.task, first.upstream, task_outcome::finished, "crossed", {} });
+    CHECK(fixture.answers.empty());
+    fixture.reportLast(task_outcome::finished, "own");
+    CHECK(std::get<jackdaw::protocol::job_results>(fixture.answers.at(0).answer).bodies.at(0) == "own");
+}
+
+TEST_CASE("a silent start is settled before anything else happens to its task")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1"));
+    auto job = fixture.makeJob(1);
+    job.idempotent = true;
+    fixture.core.submit(fixture.now, job);
+    fixture.reportLast(task_outcome::silent);
+    REQUIRE(fixture.settles.size() == 1);
+    fixture.reportLast(task_outcome::silent);
+    CHECK(fixture.settles.size() == 1);
+    fixture.pass(200ms);
+    CHECK(fixture.settles.size() == 2);
+    CHECK(fixture.starts.size() == 1);
+    SUBCASE("the late answer counts")
+    {
+        fixture.reportLast(task_outcome::finished, "late");
+        CHECK(fixture.answers.size() == 1);
+    }
+    SUBCASE("the tombstone allows another start")
+    {
+        fixture.reportLast(task_outcome::not_started);
+        CHECK(fixture.starts.size() == 2);
+    }
+    SUBCASE("a tombstone of a later incarnation proves nothing")
+    {
+        auto next = fixture.makeAnnouncement("u1");
+        next.incarnation = 2;
+        fixture.core.hear(fixture.now, next);
+        CHECK(fixture.starts.size() == 1);
+        REQUIRE(fixture.answers.size() == 1);
+        CHECK(fixture.lastFailure() == error_kind::timed_out);
+    }
+    SUBCASE("no word until the deadline")
+    {
+        fixture.pass(20s);
+        CHECK(fixture.lastFailure() == error_kind::timed_out);
+    }
+}
+
+TEST_CASE("deadlines and cancellations tell whether anything was started")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+    fixture.core.submit(fixture.now, fixture.makeJob(1));
+    fixture.core.submit(fixture.now, fixture.makeJob(2));
+    fixture.core.submit(fixture.now, fixture.makeJob(3));
+    REQUIRE(fixture.starts.size() == 1);
+    fixture.core.cancel(fixture.now, fixture.submissionId(2));
+    CHECK(fixture.lastFailure() == error_kind::cancelled_before_start);
+    SUBCASE("deadlines")
+    {
+        fixture.pass(10s);
+        REQUIRE(fixture.answers.size() == 3);
+        CHECK(std::get<jackdaw::protocol::job_failure>(fixture.answers[1].answer).kind == error_kind::deadline_passed_after_start);
+        CHECK(std::get<jackdaw::protocol::job_failure>(fixture.answers[2].answer).kind == error_kind::deadline_passed_before_start);
+    }
+    SUBCASE("a cancelled job's running task holds its slot")
+    {
+        fixture.core.cancel(fixture.now, fixture.submissionId(1));
+        CHECK(fixture.lastFailure() == error_kind::cancelled_after_start);
+        CHECK(fixture.starts.size() == 1);
+        fixture.reportLast(task_outcome::finished);
+        CHECK(fixture.starts.size() == 2);
+        CHECK(fixture.answers.size() == 2);
+    }
+}
