--- a/src/apps/entry/upstream_answer.cpp
+++ b/src/apps/entry/upstream_answer.cpp
@@ -3,8 +3,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <strings.h>
-
 #include <string_view>
 
 namespace jackdaw::entry {
@@ -21,18 +19,9 @@
     constexpr int statusFailed = 500;
     constexpr int statusUnavailable = 503;
 
-    std::string_view header(const http_response& response, const char* name)
-    {
-        for (const transport::http_header& candidate : response.headers) {
-            if (strcasecmp(candidate.name.c_str(), name) == 0)
-                return candidate.value;
-        }
-        return {};
-    }
-
     std::optional<upstream_state> stateOf(const http_response& response)
     {
-        const std::string_view text = header(response, "Upstream-State");
+        const std::string_view text = transport::findHeader(response.headers, "Upstream-State");
         if (text == "serving")
             return upstream_state::serving;
         if (text == "leaving")
@@ -47,7 +36,7 @@
             return task_outcome::finished;
         if (response.status == statusFailed)
             return task_outcome::failed;
-        if (response.status == statusUnavailable && header(response, "Not-Started") == "true")
+        if (response.status == statusUnavailable && transport::findHeader(response.headers, "Not-Started") == "true")
             return task_outcome::not_started;
         return task_outcome::silent;
     }
@@ -82,7 +71,7 @@
         answer.outcome = task_outcome::not_started;
     if (result.outcome != request_outcome::answered)
         return answer;
-    answer.isCrossed = header(result.response, "Task-Id") != protocol::toText(task);
+    answer.isCrossed = transport::findHeader(result.response.headers, "Task-Id") != protocol::toText(task);
     if (answer.isCrossed)
         return answer;
     answer.outcome = runOutcome(result.response);
@@ -96,7 +85,7 @@
     run_answer answer;
     if (result.outcome != request_outcome::answered || result.response.status != statusOk)
         return answer;
-    const std::string_view echoed = header(result.response, "Task-Id");
+    const std::string_view echoed = transport::findHeader(result.response.headers, "Task-Id");
     if (!echoed.empty() && echoed != protocol::toText(task))
         return answer;
     const nlohmann::json json = nlohmann::json::parse(result.response.body, nullptr, false);
