--- a/src/apps/entry/upstream_answer.cpp
+++ b/src/apps/entry/upstream_answer.cpp
@@ -71,9 +71,11 @@
         answer.outcome = task_outcome::not_started;
     if (result.outcome != request_outcome::answered)
         return answer;
-    answer.isCrossed = transport::findHeader(result.response.headers, "Task-Id") != protocol::toText(task);
-    if (answer.isCrossed)
+    const std::string_view echoed = transport::findHeader(result.response.headers, "Task-Id");
+    if (echoed != protocol::toText(task)) {
+        answer.isCrossed = !echoed.empty();
         return answer;
+    }
     answer.outcome = runOutcome(result.response);
     answer.state = stateOf(result.response);
     answer.body = std::move(result.response.body);
