--- a/src/coordination/raft_node.h
+++ b/src/coordination/raft_node.h
@@ -1,17 +1,15 @@
 // One voter or learner of a replicated log: Raft (Ongaro and Ousterhout 2014) with pre-vote, check-quorum, learners,
-// one-at-a-time membership change, snapshots and log compaction. Pure decision code under a seed.
+// one-at-a-time membership change, snapshots, log compaction and leadership transfer. Pure decision code under a seed.
 #pragma once
 
-#include "protocol/error_kind.h"
+#include "protocol/raft_messages.h"
 #include "protocol/time.h"
 
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <span>
 #include <string>
 #include <string_view>
-#include <variant>
 #include <vector>
 
 namespace jackdaw::coordination {
@@ -19,88 +17,19 @@
 using protocol::duration;
 using protocol::time_point;
 
-// Names one incarnation of a member. A member that lost its state returns as a new incarnation.
-struct raft_member_id {
-    std::string host;
-    std::uint64_t incarnation = 0;
-
-    friend bool operator==(const raft_member_id&, const raft_member_id&) = default;
-    friend auto operator<=>(const raft_member_id&, const raft_member_id&) = default;
-};
-
-struct raft_membership {
-    std::vector<raft_member_id> voters;
-    std::vector<raft_member_id> learners;
-
-    friend bool operator==(const raft_membership&, const raft_membership&) = default;
-};
-
-enum class raft_entry_kind : std::uint8_t {
-    noop,
-    command,
-    membership
-};
-
-struct raft_entry {
-    std::uint64_t index = 0;
-    std::uint64_t term = 0;
-    raft_entry_kind kind = raft_entry_kind::noop;
-    std::string data; // the command's bytes
-    raft_membership membership; // for entries of kind membership
-
-    friend bool operator==(const raft_entry&, const raft_entry&) = default;
-};
-
-struct raft_snapshot {
-    std::uint64_t index = 0;
-    std::uint64_t term = 0;
-    raft_membership membership;
-    std::string data; // the state machine's bytes
-
-    friend bool operator==(const raft_snapshot&, const raft_snapshot&) = default;
-};
-
-// Must be on disk before messages that rest on it are sent (a no-op for groups in memory).
-struct raft_hard_state {
-    std::uint64_t term = 0;
-    std::optional<raft_member_id> vote;
-
-    friend bool operator==(const raft_hard_state&, const raft_hard_state&) = default;
-};
-
-struct vote_request {
-    bool preVote = false;
-    std::uint64_t lastIndex = 0;
-    std::uint64_t lastTerm = 0;
-};
-
-struct vote_reply {
-    bool preVote = false;
-    bool granted = false;
-};
-
-struct append_request {
-    std::uint64_t previousIndex = 0;
-    std::uint64_t previousTerm = 0;
-    std::uint64_t commit = 0;
-    std::vector<raft_entry> entries;
-};
-
-struct append_reply {
-    bool accepted = false;
-    std::uint64_t matchIndex = 0; // accepted: replicated up to here; else: try from here
-};
-
-struct snapshot_request {
-    raft_snapshot snapshot;
-};
-
-struct raft_message {
-    raft_member_id from;
-    raft_member_id to;
-    std::uint64_t term = 0;
-    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_request> body;
-};
+using protocol::append_reply;
+using protocol::append_request;
+using protocol::raft_entry;
+using protocol::raft_entry_kind;
+using protocol::raft_hard_state;
+using protocol::raft_member_id;
+using protocol::raft_membership;
+using protocol::raft_message;
+using protocol::raft_snapshot;
+using protocol::snapshot_request;
+using protocol::timeout_now_request;
+using protocol::vote_reply;
+using protocol::vote_request;
 
 struct raft_settings {
     raft_member_id self;
@@ -109,13 +38,14 @@
     duration minElectionTimeout = std::chrono::milliseconds(500);
     duration maxElectionTimeout = std::chrono::milliseconds(1000);
     std::size_t maxEntriesPerAppend = 256;
-    std::size_t maxBytesPerAppend = 1024 * 1024;
+    std::size_t maxBytesPerAppend = 1024 * 1024; // exceeded only by a single entry that is larger
+    std::size_t maxInflightAppends = 4; // for each peer; what comes meanwhile goes into the next append
 };
 
 // What a member starts from: nothing but a membership for a new group, or what was on disk.
 struct raft_initial_state {
     raft_hard_state hardState;
-    raft_snapshot snapshot; // its membership is the group's first one when nothing else is stored
+    raft_snapshot snapshot; // at index 0: the membership of a new group; empty for a member that is to be invited
     std::vector<raft_entry> entries; // those after the snapshot, without gaps
 };
 
@@ -135,9 +65,9 @@
 };
 
 enum class raft_role {
-    learner,
+    learner, // also a member that no known membership names
     follower,
-    candidate,
+    candidate, // also while it asks for pre-votes
     leader
 };
 
@@ -158,16 +88,19 @@
     // Only on the leader, else std::nullopt. The command is accepted once the entry comes back in committed.
     std::optional<raft_proposal> propose(time_point now, std::string_view command);
 
-    // Only on the leader, one at a time, at most one voter more or fewer: else std::nullopt.
+    // Only on the leader, one at a time, at most one voter more or fewer, never two incarnations of one host among the
+    // voters; a new voter must be a learner that has caught up. Else std::nullopt.
     std::optional<raft_proposal> proposeMembership(time_point now, const raft_membership& wanted);
 
     // Takes what there is to do. To be called after every step, advance and propose.
+    // Proposals made between two calls travel together.
     raft_ready takeReady();
 
     // Drops the log up to the index, which must be applied; the data is the state machine's at that index.
     void compact(std::uint64_t index, std::string data);
 
-    // Hands leadership to the most up-to-date voter; for a planned stop.
+    // Hands leadership to the most up-to-date voter, for a planned stop. Proposals are refused meanwhile; without success
+    // within maxElectionTimeout the leader goes on.
     void transferLeadership(time_point now);
 
     raft_role role() const;
@@ -178,6 +111,12 @@
     const raft_membership& membership() const;
     std::size_t storedEntries() const;
 
+    // On the leader: heard from within the last election timeout, and short of the commit index by one append at most.
+    bool isCaughtUp(time_point now, const raft_member_id& member) const;
+
+    // On the leader: heard from within the last election timeout.
+    bool isReachable(time_point now, const raft_member_id& member) const;
+
 private:
     class impl;
     std::unique_ptr<impl> m_impl;
