--- a/src/apps/entry/caller_api.cpp
+++ b/src/apps/entry/caller_api.cpp
@@ -85,7 +85,7 @@
             for (caller_message& message : batch)
                 handle(std::move(message));
         })
-        , replies(decisions, callers, [this](std::vector<caller_reply> batch) {
+        , replies(decisions, callers, [this](const std::vector<caller_reply>& batch) {
             for (const caller_reply& reply : batch)
                 send(reply);
         })
@@ -205,7 +205,7 @@
 
 caller_api::~caller_api() = default;
 
-void caller_api::onRequest(http_request request, std::shared_ptr<http_responder> responder)
+void caller_api::onRequest(const http_request& request, std::shared_ptr<http_responder> responder)
 {
     m_impl->receive(request, std::move(responder));
 }
--- a/src/apps/entry/caller_api.h
+++ b/src/apps/entry/caller_api.h
@@ -19,7 +19,7 @@
     ~caller_api();
 
     // The handler of the callers' HTTP server.
-    void onRequest(transport::http_request request, std::shared_ptr<transport::http_responder> responder);
+    void onRequest(const transport::http_request& request, std::shared_ptr<transport::http_responder> responder);
 
 private:
     class impl;
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -136,7 +136,7 @@
     , m_operatorApi([this] { return m_counters.toPrometheus(); }, [this](std::function<void(std::string)> onStatus) { m_decisions.post([this, onStatus = std::move(onStatus)] {
                                                                                                                           m_operators.loop().post([json = statusJson(), onStatus] { onStatus(json); });
                                                                                                                       }); })
-    , m_callerServer(m_callers.loop(), callerLimits(m_settings), [this](auto request, auto responder) { m_callerApi.onRequest(std::move(request), std::move(responder)); })
+    , m_callerServer(m_callers.loop(), callerLimits(m_settings), [this](const auto& request, auto responder) { m_callerApi.onRequest(request, std::move(responder)); })
     , m_upstreamServer(m_operators.loop(), smallBodyLimits(), [this](const auto& request, const auto& responder) { m_upstreamApi.onRequest(request, *responder); })
     , m_operatorServer(m_operators.loop(), smallBodyLimits(), [this](const auto& request, const auto& responder) { m_operatorApi.onRequest(request, responder); })
 {
--- a/src/apps/entry/job_service.cpp
+++ b/src/apps/entry/job_service.cpp
@@ -14,8 +14,8 @@
 using protocol::job_failure;
 using protocol::job_request;
 using protocol::submission_id;
-using protocol::toText;
 using protocol::time_point;
+using protocol::toText;
 using state::log_level;
 using state::logEvent;
 
