Mesh: links between processes over nng, batched, acknowledged, dialled anew when silent

Cause: a push socket's connection can go silent for good while a new one would work, and the sender can't see it, since push sockets get no answer. Frames therefore carry acknowledgements, and a link whose frames stay unacknowledged for the silence limit is dialled anew. Messages that queue behind a send go out as one frame. Ruled out: heartbeats heard as the sign of life (they come over the peer's own connection, which may work while ours does not); a second message only to acknowledge each frame (acknowledgements ride on frames, alone only when nothing else went out for a third of the limit).

--- /dev/null
+++ b/src/transport/mesh.cpp
@@ -0,0 +1,205 @@
+// Links between processes: batches messages into frames, counts acknowledgements, dials silent links anew.
+#include "transport/mesh.h"
+
+#include "transport/internal/mesh_frame.h"
+#include "transport/internal/mesh_link.h"
+#include "transport/internal/mesh_listener.h"
+
+#include <map>
+#include <vector>
+
+namespace jackdaw::transport {
+namespace {
+
+    using protocol::time_point;
+
+    constexpr int ticksPerSilenceLimit = 3;
+
+    struct peer {
+        std::string address;
+        std::unique_ptr<internal::mesh_link> link;
+        std::vector<std::string> queue; // goes out with the next frame
+        std::size_t queuedBytes = 0;
+        std::uint64_t lastSequence = 0; // of the frames with bodies that were sent
+        std::uint64_t ackedSequence = 0; // never over lastSequence
+        time_point unackedSince; // valid while ackedSequence < lastSequence
+        std::uint64_t heardIncarnation = 0;
+        std::uint64_t heardSequence = 0;
+        bool isFlushPosted = false;
+        bool owesAck = false; // heard a frame with bodies since the last frame to this peer
+    };
+
+} // namespace
+
+class mesh::impl {
+public:
+    impl(event_loop& eventLoop, mesh_settings meshSettings, delivery_hook hook)
+        : loop(eventLoop)
+        , settings(std::move(meshSettings))
+        , onDelivery(std::move(hook))
+        , listener(loop, settings.maxMessageBytes, [this](const std::string& bytes) { receive(bytes); })
+        , ticker(loop.every(settings.silenceLimit / ticksPerSilenceLimit, [this] { tick(); }))
+    {
+    }
+
+    void setPeer(const std::string& host, const std::string& address)
+    {
+        peer& peer = peers[host];
+        if (peer.address == address)
+            return;
+        peer.address = address;
+        dial(host, peer);
+    }
+
+    void dial(const std::string& host, peer& peer)
+    {
+        peer.link = std::make_unique<internal::mesh_link>(loop, peer.address, [this, host] { flush(host); });
+        peer.ackedSequence = peer.lastSequence;
+    }
+
+    bool send(std::string_view host, std::string_view body)
+    {
+        const auto found = peers.find(host);
+        if (found == peers.end() || found->second.queuedBytes + body.size() > settings.maxQueuedBytes) {
+            ++dropped;
+            return false;
+        }
+        peer& peer = found->second;
+        peer.queue.emplace_back(body);
+        peer.queuedBytes += body.size();
+        if (!peer.isFlushPosted && !peer.link->isSending()) {
+            peer.isFlushPosted = true;
+            loop.post([this, alive = std::weak_ptr<bool>(aliveToken), name = std::string(host)] {
+                if (!alive.expired())
+                    flush(name);
+            });
+        }
+        return true;
+    }
+
+    void flush(const std::string& host)
+    {
+        const auto found = peers.find(host);
+        if (found == peers.end())
+            return;
+        found->second.isFlushPosted = false;
+        if (!found->second.queue.empty() && !found->second.link->isSending())
+            sendFrame(found->second);
+    }
+
+    void sendFrame(peer& peer)
+    {
+        internal::mesh_frame frame;
+        frame.sender = settings.host;
+        frame.senderIncarnation = settings.incarnation;
+        frame.ackIncarnation = peer.heardIncarnation;
+        frame.ackSequence = peer.heardSequence;
+        frame.bodies.swap(peer.queue);
+        peer.queuedBytes = 0;
+        peer.owesAck = false;
+        if (!frame.bodies.empty()) {
+            if (peer.ackedSequence == peer.lastSequence)
+                peer.unackedSince = protocol::steadyNow();
+            ++peer.lastSequence;
+        }
+        frame.sequence = peer.lastSequence;
+        const std::string bytes = internal::encodeFrame(frame);
+        peer.link->send(bytes);
+        ++sentMessages;
+        sentBytes += bytes.size();
+    }
+
+    void receive(const std::string& bytes)
+    {
+        const auto frame = internal::decodeFrame(bytes);
+        if (!frame)
+            return;
+        note(frame.value());
+        for (const std::string& body : frame.value().bodies)
+            onDelivery({ frame.value().sender, frame.value().senderIncarnation, body });
+    }
+
+    void note(const internal::mesh_frame& frame)
+    {
+        const auto found = peers.find(frame.sender);
+        if (found == peers.end())
+            return;
+        peer& peer = found->second;
+        peer.owesAck = peer.owesAck || !frame.bodies.empty();
+        const bool isNewIncarnation = peer.heardIncarnation != frame.senderIncarnation;
+        peer.heardSequence = isNewIncarnation ? frame.sequence : std::max(peer.heardSequence, frame.sequence);
+        peer.heardIncarnation = frame.senderIncarnation;
+        if (frame.ackIncarnation != settings.incarnation || frame.ackSequence <= peer.ackedSequence)
+            return;
+        peer.ackedSequence = std::min(frame.ackSequence, peer.lastSequence);
+        peer.unackedSince = protocol::steadyNow();
+    }
+
+    // Sends the acknowledgements that no frame carried, and dials silent links anew.
+    void tick()
+    {
+        const time_point now = protocol::steadyNow();
+        for (auto& [host, peer] : peers) {
+            const bool isSilent = peer.ackedSequence < peer.lastSequence && now - peer.unackedSince >= settings.silenceLimit;
+            if (isSilent)
+                dial(host, peer);
+            if (peer.owesAck && !peer.link->isSending())
+                sendFrame(peer);
+        }
+    }
+
+    event_loop& loop;
+    mesh_settings settings;
+    delivery_hook onDelivery;
+    std::map<std::string, peer, std::less<>> peers;
+    std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
+    internal::mesh_listener listener;
+    std::unique_ptr<event_loop::timer> ticker;
+    std::uint64_t sentMessages = 0;
+    std::uint64_t sentBytes = 0;
+    std::uint64_t dropped = 0;
+};
+
+mesh::mesh(event_loop& loop, mesh_settings settings, delivery_hook onDelivery)
+    : m_impl(std::make_unique<impl>(loop, std::move(settings), std::move(onDelivery)))
+{
+}
+
+mesh::~mesh() = default;
+
+protocol::result<void> mesh::listen()
+{
+    return m_impl->listener.listen(m_impl->settings.listenAddress);
+}
+
+void mesh::setPeer(const std::string& host, const std::string& address)
+{
+    m_impl->setPeer(host, address);
+}
+
+void mesh::removePeer(const std::string& host)
+{
+    m_impl->peers.erase(host);
+}
+
+bool mesh::send(std::string_view host, std::string_view body)
+{
+    return m_impl->send(host, body);
+}
+
+std::uint64_t mesh::sentMessages() const
+{
+    return m_impl->sentMessages;
+}
+
+std::uint64_t mesh::sentBytes() const
+{
+    return m_impl->sentBytes;
+}
+
+std::uint64_t mesh::droppedMessages() const
+{
+    return m_impl->dropped;
+}
+
+} // namespace jackdaw::transport
--- /dev/null
+++ b/src/transport/tests/mesh_tests.cpp
@@ -0,0 +1,165 @@
+// Tests of the links between processes: delivery, batching, restart of a peer, and a link that goes silent.
+#include "transport/internal/mesh_frame.h"
+#include "transport/mesh.h"
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+using namespace jackdaw::transport;
+
+namespace {
+
+// A port that was free a moment ago.
+std::string freeAddress()
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    REQUIRE(bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    socklen_t length = sizeof(address);
+    getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length);
+    close(descriptor);
+    return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+}
+
+struct mesh_fixture {
+    event_loop loop;
+    bool hasFinished = false;
+
+    std::unique_ptr<mesh> start(const std::string& host, std::uint64_t incarnation, const std::string& address, mesh::delivery_hook hook)
+    {
+        mesh_settings settings;
+        settings.host = host;
+        settings.incarnation = incarnation;
+        settings.listenAddress = address;
+        settings.silenceLimit = std::chrono::milliseconds(300);
+        auto started = std::make_unique<mesh>(loop, settings, std::move(hook));
+        REQUIRE(started->listen());
+        return started;
+    }
+
+    // Runs until the condition holds, or, as a failure, for a generous limit.
+    void runUntil(const std::function<bool()>& condition)
+    {
+        hasFinished = false;
+        auto poll = loop.every(std::chrono::milliseconds(1), [&] {
+            hasFinished = condition();
+            if (hasFinished)
+                loop.stop();
+        });
+        auto limit = loop.after(std::chrono::seconds(20), [this] { loop.stop(); });
+        loop.run();
+        REQUIRE(hasFinished);
+    }
+};
+
+} // namespace
+
+TEST_CASE("messages arrive in order, batched, and a restarted peer is reached again")
+{
+    mesh_fixture fixture;
+    const std::string addressA = freeAddress();
+    const std::string addressB = freeAddress();
+    std::vector<std::string> heard;
+    std::uint64_t senderIncarnation = 0;
+    auto hear = [&](const mesh_delivery& delivery) {
+        CHECK(delivery.sender == "a");
+        senderIncarnation = delivery.senderIncarnation;
+        heard.emplace_back(delivery.body);
+    };
+    auto a = fixture.start("a", 7, addressA, {});
+    auto b = fixture.start("b", 8, addressB, hear);
+    a->setPeer("b", addressB);
+    b->setPeer("a", addressA);
+    for (int i = 0; i < 100; ++i)
+        CHECK(a->send("b", std::to_string(i)));
+    CHECK_FALSE(a->send("unknown", "x"));
+    fixture.runUntil([&] { return heard.size() == 100; });
+    CHECK(heard[42] == "42");
+    CHECK(senderIncarnation == 7);
+    CHECK(a->sentMessages() < 10);
+
+    b.reset();
+    heard.clear();
+    b = fixture.start("b", 9, addressB, hear);
+    fixture.runUntil([&] {
+        a->send("b", "again");
+        return !heard.empty();
+    });
+}
+
+TEST_CASE("a queue over its bound drops messages instead of growing")
+{
+    mesh_fixture fixture;
+    auto a = fixture.start("a", 1, freeAddress(), {});
+    a->setPeer("b", freeAddress());
+    const std::string body(1024 * 1024, 'x');
+    int accepted = 0;
+    for (int i = 0; i < 10; ++i)
+        accepted += a->send("b", body) ? 1 : 0;
+    CHECK(accepted == 4);
+    CHECK(a->droppedMessages() == 6);
+}
+
+TEST_CASE("a link that went silent is dialled anew")
+{
+    mesh_fixture fixture;
+    const std::string addressA = freeAddress();
+    const std::string addressB = freeAddress();
+    // A listener that takes connections and never reads: what is sent to it is lost without an error.
+    const int blackHole = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(addressB.substr(addressB.rfind(':') + 1))));
+    const int reuse = 1;
+    setsockopt(blackHole, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    REQUIRE(bind(blackHole, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
+    REQUIRE(listen(blackHole, 8) == 0);
+
+    auto a = fixture.start("a", 1, addressA, {});
+    a->setPeer("b", addressB);
+    a->send("b", "lost");
+    int held = -1;
+    fixture.runUntil([&] {
+        held = accept4(blackHole, nullptr, nullptr, SOCK_NONBLOCK);
+        return true;
+    });
+    close(blackHole);
+
+    std::vector<std::string> heard;
+    auto b = fixture.start("b", 2, addressB, [&](const mesh_delivery& delivery) { heard.emplace_back(delivery.body); });
+    b->setPeer("a", addressA);
+    fixture.runUntil([&] {
+        a->send("b", "after");
+        return !heard.empty();
+    });
+    close(held);
+}
+
+TEST_CASE("bytes that are no frame are refused, whatever they are")
+{
+    std::mt19937 random(1);
+    const std::string good = internal::encodeFrame({ 1, "a", 2, 3, 4, 5, { "body" } });
+    REQUIRE(internal::decodeFrame(good));
+    for (int i = 0; i < 20'000; ++i) {
+        std::string bytes = good;
+        const auto mutations = 1 + random() % 4;
+        for (unsigned m = 0; m < mutations; ++m)
+            bytes[random() % bytes.size()] = static_cast<char>(random());
+        bytes.resize(random() % (bytes.size() + 1));
+        (void)internal::decodeFrame(bytes);
+    }
+    CHECK_FALSE(internal::decodeFrame(""));
+}
