--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -1,6 +1,7 @@
 // Tests of the links between processes: delivery, batching, restart of a peer, and a link that goes silent.
 #include "transport/internal/mesh_frame.h"
 #include "transport/mesh.h"
+#include "transport/tests/tcp_relay.h"
 
 #include <doctest/doctest.h>
 
@@ -33,6 +34,11 @@
     return "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
 }
 
+std::uint16_t portOf(const std::string& address)
+{
+    return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
+}
+
 struct mesh_fixture {
     event_loop loop;
     bool hasFinished = false;
@@ -117,35 +123,20 @@
     mesh_fixture fixture;
     const std::string addressA = freeAddress();
     const std::string addressB = freeAddress();
-    // A listener that takes connections and never reads: what is sent to it is lost without an error.
-    const int blackHole = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address {};
-    address.sin_family = AF_INET;
-    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
-    address.sin_port = htons(static_cast<std::uint16_t>(std::stoi(addressB.substr(addressB.rfind(':') + 1))));
-    const int reuse = 1;
-    setsockopt(blackHole, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
-    REQUIRE(bind(blackHole, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    REQUIRE(listen(blackHole, 8) == 0);
-
-    auto a = fixture.start("a", 1, addressA, {});
-    a->setPeer("b", addressB);
-    a->send("b", "lost");
-    int held = -1;
-    fixture.runUntil([&] {
-        held = accept4(blackHole, nullptr, nullptr, SOCK_NONBLOCK);
-        return true;
-    });
-    close(blackHole);
-
     std::vector<std::string> heard;
+    auto a = fixture.start("a", 1, addressA, {});
     auto b = fixture.start("b", 2, addressB, [&](const mesh_delivery& delivery) { heard.emplace_back(delivery.body); });
+    tests::tcp_relay relay(fixture.loop, portOf(addressB));
+    a->setPeer("b", "127.0.0.1:" + std::to_string(relay.port()));
     b->setPeer("a", addressA);
+    a->send("b", "before");
+    fixture.runUntil([&] { return heard.size() == 1; });
+    relay.silencePresent();
     fixture.runUntil([&] {
         a->send("b", "after");
-        return !heard.empty();
+        return heard.size() > 1;
     });
-    close(held);
+    CHECK(heard.back() == "after");
 }
 
 TEST_CASE("bytes that are no frame are refused, whatever they are")
--- /dev/null
+++ b/src/transport/tests/tcp_relay.h
@@ -0,0 +1,33 @@
+// A relay between two processes under test. It can cut them off, or lose the state of its present connections, which
+// then stay open and silent while new ones work.
+#pragma once
+
+#include "transport/event_loop.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace jackdaw::transport::tests {
+
+class tcp_relay {
+public:
+    // Relays connections to its own port on 127.0.0.1 to the target port there.
+    tcp_relay(event_loop& loop, std::uint16_t targetPort);
+    ~tcp_relay();
+
+    std::uint16_t port() const;
+    std::size_t connections() const;
+
+    // From now on the present connections carry nothing, in both directions, and are not closed.
+    void silencePresent();
+
+    // While cut, present connections carry nothing and new ones are not taken.
+    void setCut(bool isCut);
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace jackdaw::transport::tests
