--- /dev/null
+++ b/bench/decision_cost.cpp
@@ -0,0 +1,103 @@
+// Drives one dispatcher with every slot taken and a queue of constant length.
+#include "decision_cost.h"
+
+#include "coordination/dispatcher.h"
+
+#include <chrono>
+#include <deque>
+#include <random>
+#include <string>
+
+namespace jackdaw::bench {
+namespace {
+
+    using namespace std::chrono_literals;
+    using namespace coordination;
+
+    constexpr std::uint32_t slots = 8;
+    constexpr std::size_t decisions = 100'000;
+    constexpr std::size_t tasksPerJob = 10;
+    constexpr std::size_t teams = 25;
+
+    using stopwatch = std::chrono::steady_clock;
+
+    double nanosecondsSince(stopwatch::time_point start)
+    {
+        return std::chrono::duration<double, std::nano>(stopwatch::now() - start).count();
+    }
+
+    class cost_run {
+    public:
+        explicit cost_run(std::size_t upstreams)
+            : m_dispatcher({}, [this](dispatch_action action) { take(std::move(action)); })
+        {
+            auto inForce = std::make_shared<rules>();
+            inForce->maxQueuedTasks = 1'000'000;
+            m_dispatcher.setRules(inForce);
+            for (std::size_t i = 0; i < upstreams; ++i)
+                m_dispatcher.hear(m_now, { "upstream" + std::to_string(i), 1, "127.0.0.1", 8080, "a", slots, 60, { 4000, 8192, 0 }, protocol::upstream_state::serving, 24h });
+        }
+
+        double submitOne()
+        {
+            protocol::job_request job;
+            const std::uint64_t high = m_random();
+            job.submission = protocol::makeSubmissionId(protocol::unix_milliseconds { 1 }, high, m_random());
+            job.team = "team" + std::to_string(m_random() % teams);
+            job.client = job.team;
+            job.deadline = 10h;
+            for (std::size_t i = 0; i < tasksPerJob; ++i)
+                job.tasks.push_back({ "payload", { 500, 256, 0 }, std::chrono::milliseconds(50 + m_random() % 950) });
+            const auto start = stopwatch::now();
+            m_dispatcher.submit(m_now, std::move(job));
+            return nanosecondsSince(start) / tasksPerJob;
+        }
+
+        double reportOne()
+        {
+            m_now += 1ms;
+            std::swap(m_running[m_random() % m_running.size()], m_running.back());
+            const start_task started = std::move(m_running.back());
+            m_running.pop_back();
+            task_report report { started.task, started.upstream, task_outcome::finished, "result", {} };
+            const auto start = stopwatch::now();
+            m_dispatcher.report(m_now, std::move(report));
+            return nanosecondsSince(start);
+        }
+
+        std::size_t queued() const { return m_dispatcher.status().queuedTasks; }
+
+    private:
+        void take(dispatch_action&& action)
+        {
+            if (auto* start = std::get_if<start_task>(&action))
+                m_running.push_back(std::move(*start));
+        }
+
+        time_point m_now { 1000s };
+        std::mt19937_64 m_random { 1 };
+        std::deque<start_task> m_running;
+        dispatcher m_dispatcher;
+    };
+
+} // namespace
+
+decision_cost measureDecisionCost(std::size_t upstreams, std::size_t queuedTasks)
+{
+    cost_run run(upstreams);
+    while (run.queued() < queuedTasks)
+        run.submitOne();
+    decision_cost cost { upstreams, queuedTasks, 0, 0 };
+    std::size_t submissions = 0;
+    for (std::size_t i = 0; i < decisions; ++i) {
+        cost.reportNanoseconds += run.reportOne() / decisions;
+        if (run.queued() >= queuedTasks)
+            continue;
+        cost.submitNanoseconds += run.submitOne();
+        ++submissions;
+    }
+    cost.submitNanoseconds /= static_cast<double>(submissions);
+    return cost;
+}
+
+} // namespace jackdaw::bench
--- /dev/null
+++ b/bench/policy_bench.cpp
@@ -0,0 +1,188 @@
+// Measures the dispatch policy: the decision code with fake upstreams in virtual time. Prints one JSON object a run.
+#include "decision_cost.h"
+#include "fake_zone.h"
+
+#include <boost/program_options.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <iostream>
+#include <iterator>
+
+namespace {
+
+using namespace jackdaw;
+using namespace jackdaw::bench;
+namespace options = boost::program_options;
+
+// The upstreams of the three availability zones, about 50 in all.
+constexpr std::size_t zoneUpstreams[] = { 17, 17, 16 };
+constexpr std::uint32_t slotsPerUpstream = 8;
+constexpr double warmUp = 0.15; // of the run, not measured
+
+struct run_settings {
+    std::string preset;
+    std::string fault;
+    workload_settings workload;
+    coordination::rules inForce;
+};
+
+fault_kind parseFault(const std::string& name)
+{
+    if (name == "failing")
+        return fault_kind::failing;
+    if (name == "refusing")
+        return fault_kind::refusing;
+    if (name == "slow")
+        return fault_kind::slow;
+    if (name == "silent")
+        return fault_kind::silent;
+    return fault_kind::none;
+}
+
+void addTo(std::map<std::string, std::uint64_t>& sum, const std::map<std::string, std::uint64_t>& part)
+{
+    for (const auto& [kind, count] : part)
+        sum[kind] += count;
+}
+
+void addTo(zone_counts& sum, const zone_counts& part)
+{
+    sum.jobs += part.jobs;
+    sum.complete += part.complete;
+    sum.tasks += part.tasks;
+    sum.starts += part.starts;
+    sum.doubleStarts += part.doubleStarts;
+    sum.retries += part.retries;
+    sum.settles += part.settles;
+    sum.answersTwice += part.answersTwice;
+    sum.unanswered += part.unanswered;
+    sum.overfull += part.overfull;
+    addTo(sum.refused, part.refused);
+    addTo(sum.failed, part.failed);
+    sum.samples.insert(sum.samples.end(), part.samples.begin(), part.samples.end());
+}
+
+double quantile(std::vector<double> values, double share)
+{
+    if (values.empty())
+        return 0;
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
+    return std::round(values[index] * 1000) / 1000;
+}
+
+template <typename Predicate>
+nlohmann::ordered_json summarize(const std::vector<job_sample>& samples, Predicate belongs)
+{
+    std::vector<double> slowdowns;
+    std::vector<double> waiting;
+    for (const job_sample& sample : samples) {
+        if (!belongs(sample))
+            continue;
+        slowdowns.push_back(sample.slowdown);
+        waiting.push_back(sample.waitingSlowdown);
+    }
+    return { { "jobs", slowdowns.size() }, { "p50", quantile(slowdowns, 0.5) }, { "p99", quantile(slowdowns, 0.99) },
+        { "waiting_p50", quantile(waiting, 0.5) }, { "waiting_p99", quantile(waiting, 0.99) } };
+}
+
+nlohmann::ordered_json toJson(const run_settings& settings, const zone_counts& counts)
+{
+    const double wasted = 2.0 * static_cast<double>(counts.retries + counts.settles) / static_cast<double>(std::max<std::uint64_t>(counts.tasks, 1));
+    nlohmann::ordered_json json {
+        { "preset", settings.preset }, { "fault", settings.fault }, { "load", settings.workload.load }, { "seed", settings.workload.seed },
+        { "jobs", counts.jobs }, { "complete", counts.complete }, { "tasks", counts.tasks }, { "starts", counts.starts },
+        { "double_starts", counts.doubleStarts }, { "answers_twice", counts.answersTwice }, { "unanswered", counts.unanswered },
+        { "overfull", counts.overfull }, { "wasted_messages_per_task", std::round(wasted * 10000) / 10000 },
+        { "refused", counts.refused }, { "failed", counts.failed }
+    };
+    json["slowdown"] = summarize(counts.samples, [](const job_sample& sample) { return !sample.extra; });
+    json["slowdown_1_to_16"] = summarize(counts.samples, [](const job_sample& sample) { return !sample.extra && sample.tasks <= 16; });
+    json["slowdown_17_to_100"] = summarize(counts.samples, [](const job_sample& sample) { return !sample.extra && sample.tasks > 16 && sample.tasks <= 100; });
+    json["slowdown_above_100"] = summarize(counts.samples, [](const job_sample& sample) { return !sample.extra && sample.tasks > 100; });
+    if (settings.workload.flood)
+        json["slowdown_of_flood"] = summarize(counts.samples, [](const job_sample& sample) { return sample.extra; });
+    return json;
+}
+
+zone_counts runZones(const run_settings& settings)
+{
+    zone_counts sum;
+    workload_settings workload = settings.workload;
+    for (const std::size_t upstreams : zoneUpstreams) {
+        zone_settings zone;
+        zone.seed = workload.seed;
+        zone.upstreams = upstreams;
+        zone.slots = slotsPerUpstream;
+        zone.fault = parseFault(settings.fault);
+        zone.cancelRatio = workload.cancelRatio;
+        std::vector<bench_job> jobs = makeWorkload(workload, capacityOf(upstreamFactors(upstreams), slotsPerUpstream));
+        const auto measuredFrom = std::chrono::round<duration>(workload.length * warmUp);
+        zone.measureFrom = jobs.front().arrival + measuredFrom;
+        zone.faultsFrom = zone.measureFrom;
+        addTo(sum, fake_zone(zone, std::make_shared<const coordination::rules>(settings.inForce)).run(std::move(jobs)));
+        ++workload.seed;
+    }
+    return sum;
+}
+
+int printDecisionCosts()
+{
+    nlohmann::ordered_json costs;
+    for (const std::size_t upstreams : { 12, 120, 1200 }) {
+        for (const std::size_t queued : { 1000, 10000, 100000 }) {
+            const decision_cost cost = measureDecisionCost(upstreams, queued);
+            costs.push_back({ { "upstreams", cost.upstreams }, { "queued_tasks", cost.queuedTasks },
+                { "report_and_start_ns", std::round(cost.reportNanoseconds) }, { "submit_ns_per_task", std::round(cost.submitNanoseconds) } });
+        }
+    }
+    std::cout << costs.dump(2) << '\n';
+    return 0;
+}
+
+coordination::task_order parseOrder(const std::string& name)
+{
+    if (name == "fifo")
+        return coordination::task_order::fifo;
+    if (name == "deadline")
+        return coordination::task_order::earliest_deadline;
+    return coordination::task_order::fewest_remaining;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    run_settings settings;
+    double seconds = 0;
+    std::string order;
+    options::options_description known("policy_bench");
+    // clang-format off
+    known.add_options()
+        ("help", "prints this text")
+        ("cost", "measures the cost of decisions instead")
+        ("preset", options::value(&settings.preset)->default_value("zapisnikar"), "zapisnikar or dune")
+        ("fault", options::value(&settings.fault)->default_value("none"), "none, failing, refusing, slow or silent")
+        ("load", options::value(&settings.workload.load)->default_value(0.7), "fraction of the true capacity")
+        ("seconds", options::value(&seconds)->default_value(120), "length in virtual time")
+        ("seed", options::value(&settings.workload.seed)->default_value(1), "seed of workload and faults")
+        ("order", options::value(&order)->default_value("fewest"), "fifo, deadline or fewest")
+        ("penalty", options::value(&settings.inForce.slowUpstreamPenalty)->default_value(settings.inForce.slowUpstreamPenalty), "slowUpstreamPenalty of the rules")
+        ("flood", options::bool_switch(&settings.workload.flood), "one more team floods the system for a while");
+    // clang-format on
+    options::variables_map given;
+    options::store(options::parse_command_line(argc, argv, known), given);
+    options::notify(given);
+    if (given.contains("help")) {
+        std::cout << known;
+        return 0;
+    }
+    if (given.contains("cost"))
+        return printDecisionCosts();
+    settings.workload.dune = settings.preset == "dune";
+    settings.workload.length = std::chrono::round<duration>(std::chrono::duration<double>(seconds));
+    settings.inForce.order = parseOrder(order);
+    std::cout << toJson(settings, runZones(settings)).dump() << '\n';
+    return 0;
+}
--- /dev/null
+++ b/bench/policy_workload.cpp
@@ -0,0 +1,173 @@
+// Job sizes, run times, declarations and arrivals.
+#include "policy_workload.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+
+namespace jackdaw::bench {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr std::size_t teamCount = 5;
+    constexpr std::size_t clientsPerTeam = 4;
+    constexpr std::size_t sampleJobs = 4000; // to learn the mean work of a job
+    constexpr double dayLength = 20; // seconds from one burst to the next
+
+    double logUniform(std::mt19937_64& random, double low, double high)
+    {
+        std::uniform_real_distribution<double> exponent(std::log(low), std::log(high));
+        return std::exp(exponent(random));
+    }
+
+    duration seconds(double value)
+    {
+        return std::chrono::round<duration>(std::chrono::duration<double>(value));
+    }
+
+    double total(std::span<const duration> work)
+    {
+        duration sum {};
+        for (duration each : work)
+            sum += each;
+        return std::chrono::duration<double>(sum).count();
+    }
+
+    // Nine jobs in ten have up to 16 tasks, nine in a hundred up to 100, one in a hundred up to 640.
+    std::size_t drawSize(std::mt19937_64& random)
+    {
+        const auto percent = std::uniform_int_distribution<int>(0, 99)(random);
+        if (percent < 90)
+            return static_cast<std::size_t>(logUniform(random, 1, 17));
+        if (percent < 99)
+            return static_cast<std::size_t>(logUniform(random, 17, 101));
+        return static_cast<std::size_t>(logUniform(random, 101, 641));
+    }
+
+    duration drawWork(std::mt19937_64& random)
+    {
+        if (std::uniform_int_distribution<int>(0, 199)(random) == 0)
+            return seconds(logUniform(random, 2, 5));
+        return seconds(logUniform(random, 0.05, 1));
+    }
+
+    // Of each team's clients two declare well, one is wrong by a fixed factor, one declares nothing.
+    duration declare(std::mt19937_64& random, std::size_t client, duration work)
+    {
+        constexpr double wrongFactors[] = { 0.1, 0.2, 0.5, 4, 10 };
+        const double noise = std::uniform_real_distribution<double>(0.9, 1.1)(random);
+        switch (client % clientsPerTeam) {
+        case 2:
+            return std::chrono::round<duration>(work * noise * wrongFactors[client / clientsPerTeam % std::size(wrongFactors)]);
+        case 3:
+            return duration::zero();
+        default:
+            return std::chrono::round<duration>(work * noise);
+        }
+    }
+
+    bench_job drawJob(std::mt19937_64& random, bool dune, bool extra)
+    {
+        bench_job job;
+        const std::size_t client = std::uniform_int_distribution<std::size_t>(0, teamCount * clientsPerTeam - 1)(random);
+        const std::uint64_t high = random();
+        job.request.submission = protocol::makeSubmissionId(protocol::unix_milliseconds { 1 }, high, random());
+        job.request.client = extra ? "flood" : "client" + std::to_string(client);
+        job.request.team = extra ? "flood" : "team" + std::to_string(client / clientsPerTeam);
+        job.request.deadline = dune ? 60s : 15s;
+        job.extra = extra;
+        const std::size_t size = drawSize(random);
+        for (std::size_t i = 0; i < size; ++i) {
+            job.work.push_back(drawWork(random));
+            job.request.tasks.push_back({ "payload", { 500, 256, 0 }, declare(random, client, job.work.back()) });
+        }
+        return job;
+    }
+
+    double meanWork(std::mt19937_64 random, bool dune)
+    {
+        double sum = 0;
+        for (std::size_t i = 0; i < sampleJobs; ++i)
+            sum += total(drawJob(random, dune, false).work);
+        return sum / sampleJobs;
+    }
+
+    // The dune division's jobs come at twice the mean rate in the first quarter of each period, else at two thirds.
+    double rateAt(bool dune, double second)
+    {
+        if (!dune)
+            return 1;
+        return std::fmod(second, dayLength) < dayLength / 4 ? 2.0 : 2.0 / 3;
+    }
+
+    void addArrivals(std::vector<bench_job>& jobs, std::mt19937_64& random, const workload_settings& settings, double from, double to, double rate, bool extra)
+    {
+        const double peak = settings.dune ? 2 : 1;
+        std::exponential_distribution<double> gap(rate * peak);
+        std::uniform_real_distribution<double> accept(0, peak);
+        for (double second = from + gap(random); second < to; second += gap(random)) {
+            if (accept(random) > rateAt(settings.dune, second))
+                continue;
+            jobs.push_back(drawJob(random, settings.dune, extra));
+            jobs.back().arrival = time_point {} + 1000s + seconds(second);
+        }
+    }
+
+} // namespace
+
+std::vector<double> upstreamFactors(std::size_t count)
+{
+    std::vector<double> factors;
+    for (std::size_t i = 0; i < count; ++i)
+        factors.push_back(std::pow(4.0, count > 1 ? static_cast<double>(i) / static_cast<double>(count - 1) : 0.0));
+    return factors;
+}
+
+double capacityOf(std::span<const double> factors, std::uint32_t slots)
+{
+    double speeds = 0;
+    for (double factor : factors)
+        speeds += 1 / factor;
+    return speeds * slots;
+}
+
+std::vector<bench_job> makeWorkload(const workload_settings& settings, double capacity)
+{
+    std::mt19937_64 random(settings.seed);
+    const double rate = settings.load * capacity / meanWork(random, settings.dune);
+    const double length = std::chrono::duration<double>(settings.length).count();
+    std::vector<bench_job> jobs;
+    addArrivals(jobs, random, settings, 0, length, rate, false);
+    if (settings.flood)
+        addArrivals(jobs, random, settings, length * 0.4, length * 0.6, rate * 2 / settings.load, true);
+    std::sort(jobs.begin(), jobs.end(), [](const bench_job& a, const bench_job& b) { return a.arrival < b.arrival; });
+    return jobs;
+}
+
+duration idealResponse(std::span<const duration> work, std::span<const double> factors, std::uint32_t slots, duration roundTrip)
+{
+    std::vector<duration> ordered(work.begin(), work.end());
+    std::sort(ordered.begin(), ordered.end(), std::greater<>());
+    std::vector<std::vector<double>> slotEnds(factors.size(), std::vector<double>(slots, 0.0)); // heaps, the earliest first
+    double last = 0;
+    for (const duration each : ordered) {
+        std::size_t best = 0;
+        double bestEnd = 0;
+        for (std::size_t i = 0; i < factors.size(); ++i) {
+            const double end = slotEnds[i].front() + static_cast<double>(each.count()) * factors[i];
+            if (i > 0 && end >= bestEnd)
+                continue;
+            best = i;
+            bestEnd = end;
+        }
+        auto& heap = slotEnds[best];
+        std::pop_heap(heap.begin(), heap.end(), std::greater<>());
+        heap.back() = bestEnd;
+        std::push_heap(heap.begin(), heap.end(), std::greater<>());
+        last = std::max(last, bestEnd);
+    }
+    return duration { static_cast<std::int64_t>(last) } + roundTrip;
+}
+
+} // namespace jackdaw::bench
