Dispatch: fair share between teams, and three orders inside a team compared

Cause: one queue for all let a team that floods the system push every other team's jobs past their deadlines. Teams are served by virtual time (expected run time over weight, corrected by the actual one when a task ends); a team that was idle starts at the time of those served now. Inside a team: FIFO, earliest deadline, fewest remaining work. Weighed: deficit round robin (a turn's quantum must exceed the longest task, so short tasks wait whole turns).

--- a/bench/policy_workload.cpp
+++ b/bench/policy_workload.cpp
@@ -75,7 +75,7 @@
         job.request.submission = protocol::makeSubmissionId(protocol::unix_milliseconds { 1 }, high, random());
         job.request.client = extra ? "flood" : "client" + std::to_string(client);
         job.request.team = extra ? "flood" : "team" + std::to_string(client / clientsPerTeam);
-        job.request.deadline = dune ? 60s : 15s;
+        job.request.deadline = seconds(dune ? logUniform(random, 30, 120) : logUniform(random, 8, 30));
         job.extra = extra;
         const std::size_t size = drawSize(random);
         for (std::size_t i = 0; i < size; ++i) {
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -20,6 +20,7 @@
 
     constexpr duration leaseGrace = std::chrono::seconds(1); // an upstream's lease begins later than our send
     constexpr duration maxSettleInterval = std::chrono::seconds(5);
+    constexpr duration defaultExpected = std::chrono::milliseconds(300); // of tasks that declare nothing
     constexpr duration refusalRetryAfter = std::chrono::seconds(1);
 
     struct job_timer {
@@ -61,10 +62,10 @@
 
     // Starts what can be started.
     void startQueued(time_point at);
+    void setRules(std::shared_ptr<const rules> inForce);
     // Hands the collected actions to the hook, which may call the dispatcher again.
     void flush();
 
-    std::shared_ptr<const rules>& rulesInForce() { return m_rules; }
     upstream_pool& upstreams() { return m_upstreams; }
     void drain() { m_draining = true; }
 
@@ -73,15 +74,17 @@
     job_record* find(const submission_id& submission);
     task_record* findOutstanding(const protocol::task_key& key, job_record& job);
 
+    void estimate(job_record& job) const;
     void sortIntoParts(job_record& job);
     void listAll(job_record& job);
     void unlistAll(job_record& job);
 
     void start(time_point now, job_record& job, std::uint32_t part);
+    void relist(job_record& job, std::uint32_t part);
     duration leaseFor(const job_record& job, time_point now) const;
-    void release(job_record& job, task_record& task, task_phase next);
+    void release(time_point now, job_record& job, task_record& task, task_phase next);
 
-    void onFinished(job_record& job, task_record& task, std::string&& body);
+    void onFinished(time_point now, job_record& job, task_record& task, std::string&& body);
     void onNotStarted(time_point now, job_record& job, const protocol::task_key& key, task_record& task);
     void onSilent(time_point now, job_record& job, const protocol::task_key& key, task_record& task);
     void onFateUnknown(time_point now, job_record& job, const protocol::task_key& key, task_record& task);
@@ -106,6 +109,7 @@
 
     std::unordered_map<submission_id, std::unique_ptr<job_record>> m_jobs;
     task_queue m_queue;
+    team_table m_teams;
     upstream_pool m_upstreams;
     timer_queue<due_timer> m_timers;
     retry_budget m_retryBudget;
@@ -130,6 +134,10 @@
     job.sequence = m_nextSequence++;
     job.tasks.resize(job.request.tasks.size());
     job.queued = static_cast<std::uint32_t>(job.tasks.size());
+    job.team = &m_teams.get(job.request.team, *m_rules);
+    ++job.team->jobs;
+    m_teams.noteQueued(*job.team, job.queued);
+    estimate(job);
     job.deadlineAt = now + (job.request.deadline > duration::zero() ? job.request.deadline : m_rules->defaultDeadline);
     job.timer = m_timers.add(job.deadlineAt, job_timer { job.request.submission });
     m_jobs.emplace(job.request.submission, std::move(owned));
@@ -175,6 +183,15 @@
     return task.attempt == key.attempt && task.isOutstanding() ? &task : nullptr;
 }
 
+void dispatcher::impl::estimate(job_record& job) const
+{
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+        const duration declared = job.request.tasks[i].expected;
+        job.tasks[i].expected = declared > duration::zero() ? declared : defaultExpected;
+        job.queuedWork += job.tasks[i].expected;
+    }
+}
+
 void dispatcher::impl::sortIntoParts(job_record& job)
 {
     job.parts.clear();
@@ -193,7 +210,7 @@
 void dispatcher::impl::listAll(job_record& job)
 {
     for (std::uint32_t part = 0; part < job.parts.size(); ++part)
-        m_queue.add(job, part);
+        m_queue.add(job, part, m_rules->order);
 }
 
 void dispatcher::impl::unlistAll(job_record& job)
@@ -219,8 +236,9 @@
     task_record& task = job.tasks[index];
     task.upstream = m_upstreams.pick(from.classes, task.avoidedSerial);
     from.pending.pop_back();
-    if (from.pending.empty())
-        m_queue.remove(job, part);
+    job.queuedWork -= task.expected;
+    relist(job, part);
+    m_teams.noteStarted(*job.team, task.expected);
     m_upstreams.takeSlot(task.upstream);
     const duration lease = leaseFor(job, now);
     task.phase = task_phase::sent;
@@ -238,6 +256,15 @@
         upstream.port, lease, job.request.idempotent, job.request.tasks[index].payload });
 }
 
+// Keeps the place of the part in the queue up to date with the job's remaining work.
+void dispatcher::impl::relist(job_record& job, std::uint32_t part)
+{
+    if (!job.parts[part].pending.empty() && m_rules->order != task_order::fewest_remaining)
+        return;
+    m_queue.remove(job, part);
+    m_queue.add(job, part, m_rules->order);
+}
+
 // No task runs past its job's deadline: the upstream stops it by itself, without a message.
 duration dispatcher::impl::leaseFor(const job_record& job, time_point now) const
 {
@@ -245,8 +272,9 @@
     return std::clamp(job.deadlineAt - now, shortest, std::max(shortest, m_settings.firstLease));
 }
 
-void dispatcher::impl::release(job_record& job, task_record& task, task_phase next)
+void dispatcher::impl::release(time_point now, job_record& job, task_record& task, task_phase next)
 {
+    m_teams.noteEnded(*job.team, task.expected, now - task.sentAt);
     m_upstreams.releaseSlot(task.upstream);
     task.upstream.reset();
     m_timers.cancel(task.settleTimer);
@@ -265,12 +293,12 @@
         return;
     switch (report.outcome) {
     case task_outcome::finished:
-        onFinished(*job, *task, std::move(report.body));
+        onFinished(now, *job, *task, std::move(report.body));
         break;
     case task_outcome::failed:
     case task_outcome::stopped:
         job->provedStarted = true;
-        release(*job, *task, task_phase::closed);
+        release(now, *job, *task, task_phase::closed);
         fail(*job, error_kind::task_failed, "task " + std::to_string(report.task.index));
         break;
     case task_outcome::not_started:
@@ -288,10 +316,10 @@
     startQueued(now);
 }
 
-void dispatcher::impl::onFinished(job_record& job, task_record& task, std::string&& body)
+void dispatcher::impl::onFinished(time_point now, job_record& job, task_record& task, std::string&& body)
 {
     job.provedStarted = true;
-    release(job, task, task_phase::finished);
+    release(now, job, task, task_phase::finished);
     if (job.answered)
         return;
     task.body = std::move(body);
@@ -313,7 +341,7 @@
         return;
     }
     task.avoidedSerial = task.upstream->serial;
-    release(job, task, task_phase::closed);
+    release(now, job, task, task_phase::closed);
     if (!job.answered)
         requeue(now, job, key.index);
 }
@@ -354,7 +382,7 @@
         return;
     }
     task.avoidedSerial = task.upstream->serial;
-    release(job, task, task_phase::closed);
+    release(now, job, task, task_phase::closed);
     if (job.answered)
         return;
     if (mayStartAgain) {
@@ -378,6 +406,8 @@
     task.phase = task_phase::queued;
     task.delayed = true;
     ++job.queued;
+    job.queuedWork += task.expected;
+    m_teams.noteQueued(*job.team, 1);
     ++m_status.queuedTasks;
     m_delayedRetries.push_back({ job.request.submission, index, task.attempt });
     requeueDelayed(now);
@@ -394,7 +424,7 @@
             task_record& task = job->tasks[key.index];
             task.delayed = false;
             job->parts[task.part].pending.push_back(key.index);
-            m_queue.add(*job, task.part);
+            m_queue.add(*job, task.part, m_rules->order);
             ++m_status.retries;
         }
         m_delayedRetries.pop_front();
@@ -433,6 +463,7 @@
 {
     unlistAll(job);
     m_status.queuedTasks -= job.queued;
+    job.team->queuedTasks -= job.queued;
     job.queued = 0;
     job.answered = true;
     --m_status.jobs;
@@ -454,9 +485,23 @@
     if (!job.answered || job.outstanding > 0)
         return;
     m_timers.cancel(job.timer);
+    --job.team->jobs;
+    m_teams.forgetIfIdle(*job.team);
     m_jobs.erase(submission_id { job.request.submission });
 }
 
+void dispatcher::impl::setRules(std::shared_ptr<const rules> inForce)
+{
+    m_rules = std::move(inForce);
+    m_teams.setRules(*m_rules);
+    for (auto& [submission, job] : m_jobs) {
+        if (job->answered)
+            continue;
+        unlistAll(*job);
+        listAll(*job);
+    }
+}
+
 void dispatcher::impl::hear(time_point heardAt, const protocol::announcement& announcement)
 {
     const upstream_pool::change change = m_upstreams.hear(heardAt, announcement);
@@ -501,14 +546,14 @@
     startQueued(now);
 }
 
-void dispatcher::impl::onTimer(time_point, const job_timer& timer)
+void dispatcher::impl::onTimer(time_point now, const job_timer& timer)
 {
     job_record& job = *find(timer.submission);
     job.timer.reset();
     if (job.answered) {
         for (task_record& task : job.tasks) {
             if (task.isOutstanding())
-                release(job, task, task_phase::closed);
+                release(now, job, task, task_phase::closed);
         }
     } else if (!isAnythingStarted(job)) {
         fail(job, error_kind::deadline_passed_before_start);
@@ -575,7 +620,7 @@
 
 void dispatcher::setRules(std::shared_ptr<const rules> inForce)
 {
-    m_impl->rulesInForce() = std::move(inForce);
+    m_impl->setRules(std::move(inForce));
 }
 
 std::optional<job_failure> dispatcher::submit(time_point now, protocol::job_request job)
--- a/src/coordination/internal/job_record.h
+++ b/src/coordination/internal/job_record.h
@@ -1,6 +1,7 @@
 // An accepted job and the state of its tasks.
 #pragma once
 
+#include "coordination/internal/team_table.h"
 #include "coordination/internal/timer_queue.h"
 #include "coordination/internal/upstream_pool.h"
 #include "protocol/job.h"
@@ -27,6 +28,7 @@
     bool delayed = false; // queued, but waits for the retry budget outside the queue
     std::uint32_t questions = 0; // settle_task actions for this attempt
     std::uint64_t avoidedSerial = 0; // the upstream that did not start the attempt before
+    duration expected {}; // run time on an upstream of factor 1
     time_point sentAt {};
     time_point leaseEnd {};
     std::optional<timer_id> settleTimer;
@@ -47,6 +49,7 @@
 // Invariant: outstanding counts the tasks with isOutstanding(); finished those with phase finished.
 struct job_record {
     protocol::job_request request;
+    team_record* team = nullptr;
     std::uint64_t sequence = 0; // order of admission
     time_point deadlineAt {};
     std::vector<task_record> tasks;
@@ -54,6 +57,7 @@
     std::uint32_t finished = 0;
     std::uint32_t outstanding = 0;
     std::uint32_t queued = 0; // tasks with phase queued, a delayed retry included
+    duration queuedWork {}; // sum of the expected run times of the queued tasks
     bool provedStarted = false; // a report said that a task was started
     bool answered = false; // kept only until nothing is outstanding
     std::optional<timer_id> timer; // the deadline; after the answer the end of the last lease
--- a/src/coordination/internal/task_queue.cpp
+++ b/src/coordination/internal/task_queue.cpp
@@ -5,15 +5,31 @@
 #include <algorithm>
 
 namespace jackdaw::coordination {
+namespace {
 
-void task_queue::add(job_record& job, std::uint32_t part)
+    std::uint64_t keyOf(const job_record& job, task_order order)
+    {
+        switch (order) {
+        case task_order::earliest_deadline:
+            return static_cast<std::uint64_t>(job.deadlineAt.time_since_epoch().count());
+        case task_order::fewest_remaining:
+            return static_cast<std::uint64_t>(job.queuedWork.count());
+        case task_order::fifo:
+            break;
+        }
+        return job.sequence;
+    }
+
+} // namespace
+
+void task_queue::add(job_record& job, std::uint32_t part, task_order order)
 {
     job_part& entry = job.parts[part];
     if (entry.listed || entry.pending.empty())
         return;
     entry.listed = true;
-    entry.listedKey = job.sequence;
-    laneFor(entry.classes).parts.insert({ entry.listedKey, job.sequence, &job, part });
+    entry.listedKey = keyOf(job, order);
+    listFor(laneFor(entry.classes), *job.team).parts.insert({ entry.listedKey, job.sequence, &job, part });
 }
 
 void task_queue::remove(job_record& job, std::uint32_t part)
@@ -23,8 +39,13 @@
         return;
     entry.listed = false;
     lane& from = laneFor(entry.classes);
-    from.parts.erase({ entry.listedKey, job.sequence, &job, part });
-    if (!from.parts.empty())
+    team_list& list = listFor(from, *job.team);
+    list.parts.erase({ entry.listedKey, job.sequence, &job, part });
+    if (!list.parts.empty())
+        return;
+    std::swap(list, from.teams.back());
+    from.teams.pop_back();
+    if (!from.teams.empty())
         return;
     std::swap(from, m_lanes.back());
     m_lanes.pop_back();
@@ -32,15 +53,16 @@
 
 const queued_part* task_queue::next(const upstream_pool& pool) const
 {
-    const queued_part* best = nullptr;
+    const team_list* best = nullptr;
     for (const lane& candidate : m_lanes) {
         if (!pool.hasFree(candidate.classes))
             continue;
-        const queued_part& first = *candidate.parts.begin();
-        if (!best || first < *best)
-            best = &first;
+        for (const team_list& list : candidate.teams) {
+            if (!best || list.team->virtualTime < best->team->virtualTime)
+                best = &list;
+        }
     }
-    return best;
+    return best ? &*best->parts.begin() : nullptr;
 }
 
 task_queue::lane& task_queue::laneFor(class_mask classes)
@@ -52,4 +74,13 @@
     return m_lanes.back();
 }
 
+task_queue::team_list& task_queue::listFor(lane& in, team_record& team)
+{
+    const auto found = std::find_if(in.teams.begin(), in.teams.end(), [&](const team_list& entry) { return entry.team == &team; });
+    if (found != in.teams.end())
+        return *found;
+    in.teams.push_back({ &team, {} });
+    return in.teams.back();
+}
+
 } // namespace jackdaw::coordination
--- a/src/coordination/internal/task_queue.h
+++ b/src/coordination/internal/task_queue.h
@@ -1,10 +1,12 @@
-// The queued tasks, in the order in which they are started.
+// The queued tasks, in the order in which they are started: the team with the lowest virtual time first, and inside a
+// team the order that the rules name.
 #pragma once
 
 #include "coordination/internal/job_record.h"
 
 #include <cstdint>
 #include <set>
+#include <tuple>
 #include <vector>
 
 namespace jackdaw::coordination {
@@ -25,19 +27,25 @@
 class task_queue {
 public:
     // Lists the part if it has queued tasks and is not listed yet.
-    void add(job_record& job, std::uint32_t part);
+    void add(job_record& job, std::uint32_t part, task_order order);
     void remove(job_record& job, std::uint32_t part);
 
     // The part to start from next among those that have a free upstream, or null.
     const queued_part* next(const upstream_pool& pool) const;
 
 private:
+    struct team_list {
+        team_record* team = nullptr;
+        std::set<queued_part> parts;
+    };
+
     struct lane {
         class_mask classes = 0;
-        std::set<queued_part> parts;
+        std::vector<team_list> teams; // those with queued tasks in this lane
     };
 
     lane& laneFor(class_mask classes);
+    team_list& listFor(lane& in, team_record& team);
 
     std::vector<lane> m_lanes; // one for each set of capacity classes that has queued tasks
 };
--- a/src/coordination/tests/dispatch_fixture.h
+++ b/src/coordination/tests/dispatch_fixture.h
@@ -21,7 +21,7 @@
 
     static protocol::submission_id submissionId(std::uint64_t number)
     {
-        return protocol::makeSubmissionId(protocol::unix_milliseconds { 1 }, 0, number);
+        return protocol::makeSubmissionId(protocol::unix_milliseconds { 1 }, 0, number << 8U);
     }
 
     static protocol::job_request makeJob(std::uint64_t number, std::size_t tasks = 1)
@@ -54,6 +54,15 @@
         core.report(now, { starts.back().task, starts.back().upstream, outcome, std::move(body), {} });
     }
 
+    // The number that makeJob() was given for the job of the latest start; below 1,000.
+    std::uint64_t startedNumber() const
+    {
+        std::uint64_t number = 0;
+        while (number < 1000 && submissionId(number) != starts.back().task.submission)
+            ++number;
+        return number;
+    }
+
     void pass(duration time)
     {
         now += time;
--- a/src/coordination/tests/dispatcher_tests.cpp
+++ b/src/coordination/tests/dispatcher_tests.cpp
@@ -152,3 +152,45 @@
         CHECK(fixture.answers.size() == 2);
     }
 }
+
+TEST_CASE("teams share the slots by weight, whatever they queue")
+{
+    rules inForce;
+    inForce.teams["heavy"].weight = 3;
+    dispatch_fixture fixture(inForce);
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+    for (std::uint64_t i = 0; i < 400; ++i) {
+        auto job = fixture.makeJob(i);
+        job.team = i < 300 ? "heavy" : "light";
+        fixture.core.submit(fixture.now, job);
+    }
+    std::size_t light = 0;
+    for (int i = 0; i < 100; ++i) {
+        light += fixture.startedNumber() >= 300 ? 1 : 0;
+        fixture.now += 100ms;
+        fixture.reportLast(task_outcome::finished);
+    }
+    CHECK(light >= 24);
+    CHECK(light <= 26);
+}
+
+TEST_CASE("inside a team the order follows the rules")
+{
+    const auto secondStarted = [](task_order order) {
+        rules inForce;
+        inForce.order = order;
+        dispatch_fixture fixture(inForce);
+        fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+        fixture.core.submit(fixture.now, fixture.makeJob(1));
+        fixture.core.submit(fixture.now, fixture.makeJob(2, 3));
+        auto urgent = fixture.makeJob(3, 2);
+        urgent.deadline = 5s;
+        fixture.core.submit(fixture.now, urgent);
+        fixture.core.submit(fixture.now, fixture.makeJob(4));
+        fixture.reportLast(task_outcome::finished);
+        return fixture.startedNumber();
+    };
+    CHECK(secondStarted(task_order::fifo) == 2);
+    CHECK(secondStarted(task_order::earliest_deadline) == 3);
+    CHECK(secondStarted(task_order::fewest_remaining) == 4);
+}
