Mesh between entry hosts: heartbeats, digests of announcements, jobs sent to their home zone or coordinator

Cause: a job belongs to the zone it names; a resubmission may reach any host. Weighed: digests that repeat each announcement whole, against the content once and then its hash and age (about 11 bytes for a repeated one); a hash that a peer doesn't know is asked for in its next heartbeat. Not cancelled: jobs of a host that is no longer heard; its callers were told 'maybe' and will ask again.

--- a/src/apps/entry/caller_api.cpp
+++ b/src/apps/entry/caller_api.cpp
@@ -155,7 +155,7 @@
         const exchange_ptr& exchange = message.exchange;
         switch (message.event) {
         case caller_event::submit:
-            exchange->ticket = jobs.submit(std::move(message.job), false, [this, exchange](const answer_ptr& answer) { replies.send({ exchange, answer, {} }); });
+            exchange->ticket = jobs.submit(std::move(message.job), false, 0, [this, exchange](const answer_ptr& answer) { replies.send({ exchange, answer, {} }); });
             break;
         case caller_event::submit_detached:
             submitDetached(exchange, std::move(message.job));
@@ -177,7 +177,7 @@
     void submitDetached(const exchange_ptr& exchange, job_request job)
     {
         const auto early = std::make_shared<answer_ptr>();
-        jobs.submit(std::move(job), true, [early](const answer_ptr& answer) { *early = answer; });
+        jobs.submit(std::move(job), true, 0, [early](const answer_ptr& answer) { *early = answer; });
         replies.send({ exchange, *early, "running" });
     }
 
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -5,10 +5,14 @@
 #include "apps/entry/caller_api.h"
 #include "apps/entry/dispatch_driver.h"
 #include "apps/entry/entry_counters.h"
+#include "apps/entry/entry_mesh.h"
+#include "apps/entry/job_forwarder.h"
 #include "apps/entry/job_registry.h"
 #include "apps/entry/job_service.h"
+#include "apps/entry/lone_claims.h"
 #include "apps/entry/loop_thread.h"
 #include "apps/entry/operator_api.h"
+#include "apps/entry/remote_callers.h"
 #include "apps/entry/upstream_api.h"
 #include "apps/entry/upstream_gateway.h"
 #include "state/log.h"
@@ -83,6 +87,8 @@
     void run();
 
 private:
+    entry_mesh::hooks meshHooks();
+    job_service_settings jobSettings() const;
     void onAnnouncement(protocol::time_point heardAt, const protocol::announcement& announcement);
     std::string statusJson() const;
     void startDrain();
@@ -93,6 +99,7 @@
 
     const entry_settings m_settings;
     const std::string m_settingsFile;
+    const std::uint64_t m_incarnation = randomNumber();
     serving_state m_state = serving_state::serving; // on the decision thread
     entry_counters m_counters;
 
@@ -101,8 +108,12 @@
     loop_thread m_operators;
 
     dispatch_driver m_dispatch;
+    entry_mesh m_mesh;
+    job_forwarder m_forwarder;
+    lone_claims m_claims;
     job_registry m_registry;
     job_service m_jobs;
+    remote_callers m_remoteCallers;
     upstream_gateway m_gateway;
 
     caller_api m_callerApi;
@@ -125,8 +136,12 @@
               .onSettle = [this](const auto& action) { m_gateway.settle(action); },
               .onAnswer = [this](auto action) { m_jobs.onAnswer(std::move(action)); },
           })
+    , m_mesh(m_decisions, m_settings, m_incarnation, m_counters, meshHooks())
+    , m_forwarder({}, m_mesh.peers(), [this](auto host, const auto& message) { return m_mesh.send(host, message); })
     , m_registry({ .maxStoredBytes = m_settings.maxStoredAnswerBytes })
-    , m_jobs({ .abandonAfter = m_settings.abandonAfter }, m_dispatch, m_registry, m_counters)
+    , m_jobs(
+          jobSettings(), [this](const auto& job, const auto& onOutcome) { onOutcome(m_claims.claim(job)); }, m_dispatch, m_registry, m_forwarder, m_counters)
+    , m_remoteCallers(m_jobs, [this](auto host, const auto& message) { return m_mesh.send(host, message); })
     , m_gateway(m_decisions, { .loops = m_settings.upstreamLoops, .maxConnections = m_settings.maxUpstreamConnections }, m_counters,
           [this](coordination::task_report report) { m_dispatch.report(std::move(report)); })
     , m_callerApi(m_callers.loop(), m_decisions, m_settings.job, m_jobs, m_counters)
@@ -142,6 +157,28 @@
 {
 }
 
+entry_mesh::hooks entry_process::impl::meshHooks()
+{
+    entry_mesh::hooks hooks;
+    hooks.onAnnouncement = [this](auto heardAt, const auto& announcement) { m_dispatch.hear(heardAt, announcement); };
+    hooks.onForward = [this](const auto& sender, auto message) { m_remoteCallers.onForward(sender.host, sender.incarnation, std::move(message)); };
+    hooks.onForwardAnswer = [this](const auto& sender, auto message) { m_forwarder.onAnswer(sender.host, std::move(message)); };
+    hooks.onWithdrawal = [this](const auto& sender, const auto& message) { m_remoteCallers.onWithdrawal(sender.host, sender.incarnation, message); };
+    hooks.onService = [](const auto&, const auto&) {};
+    return hooks;
+}
+
+job_service_settings entry_process::impl::jobSettings() const
+{
+    job_service_settings out;
+    out.host = m_settings.host;
+    out.incarnation = m_incarnation;
+    out.zone = m_settings.zone;
+    out.zones = m_settings.zones;
+    out.abandonAfter = m_settings.abandonAfter;
+    return out;
+}
+
 result<void> entry_process::impl::listen(http_server& server, const transport::endpoint& place, std::string_view name)
 {
     if (auto listening = server.listen(place.host, place.port); !listening)
@@ -152,6 +189,8 @@
 
 result<void> entry_process::impl::openAll()
 {
+    if (auto opened = m_mesh.open(); !opened)
+        return opened;
     if (auto opened = listen(m_upstreamServer, m_settings.upstreams, "upstreams"); !opened)
         return opened;
     if (auto opened = listen(m_operatorServer, m_settings.operators, "operators"); !opened)
@@ -181,6 +220,7 @@
 {
     if (announcement.zone == m_settings.zone)
         m_dispatch.hear(heardAt, announcement);
+    m_mesh.relay(heardAt, announcement);
 }
 
 std::string entry_process::impl::statusJson() const
@@ -210,6 +250,7 @@
         return;
     m_state = serving_state::leaving;
     m_operatorApi.setReady(false);
+    m_mesh.startDrain();
     logEvent(log_level::info, "drain_started", { { "open_jobs", std::to_string(m_jobs.openJobs()) } });
     m_drainTimer = m_decisions.after(m_settings.drainLag, [this] { refuseNewJobs(); });
 }
--- a/src/apps/entry/job_registry.cpp
+++ b/src/apps/entry/job_registry.cpp
@@ -36,6 +36,12 @@
         std::uint64_t generation = 0;
     };
 
+    void tellAll(const std::vector<waiter>& waiters, const answer_ptr& answer)
+    {
+        for (const waiter& one : waiters)
+            one.hook(answer);
+    }
+
     std::size_t sizeOf(const job_answer& answer)
     {
         constexpr std::size_t overhead = 64; // of one string and its place in a container, in bytes
@@ -181,9 +187,18 @@
     }
     m_impl->closed.push_back(closing);
     --m_impl->openJobs;
+    tellAll(std::exchange(job->waiters, {}), shared);
+}
+
+void job_registry::release(const submission_id& submission, job_answer answer)
+{
+    record* job = m_impl->findOpen(submission);
+    if (!job)
+        return;
     const std::vector<waiter> waiters = std::exchange(job->waiters, {});
-    for (const waiter& one : waiters)
-        one.hook(shared);
+    m_impl->records.erase(submission);
+    --m_impl->openJobs;
+    tellAll(waiters, std::make_shared<const job_answer>(std::move(answer)));
 }
 
 void job_registry::expire(time_point now)
--- a/src/apps/entry/job_registry.h
+++ b/src/apps/entry/job_registry.h
@@ -64,6 +64,9 @@
     // stored, so that a resubmission may try again.
     void answer(protocol::time_point now, const protocol::submission_id& submission, protocol::job_answer answer);
 
+    // Closes an open job that another host coordinates: tells those who wait, and forgets the submission.
+    void release(const protocol::submission_id& submission, protocol::job_answer answer);
+
     // Drops what is past its retention.
     void expire(protocol::time_point now);
 
--- /dev/null
+++ b/src/apps/entry/peer_table.cpp
@@ -0,0 +1,50 @@
+// The other entry hosts by their heartbeats.
+#include "apps/entry/peer_table.h"
+
+namespace jackdaw::entry {
+
+using protocol::time_point;
+
+peer_table::peer_table(const std::vector<peer_settings>& peers, protocol::duration silenceLimit)
+    : m_silenceLimit(silenceLimit)
+{
+    for (const peer_settings& peer : peers)
+        m_peers[peer.host].zone = peer.zone;
+}
+
+bool peer_table::hear(time_point now, std::string_view host, std::uint64_t incarnation, const protocol::heartbeat& heartbeat)
+{
+    const auto found = m_peers.find(host);
+    if (found == m_peers.end())
+        return false;
+    peer_state& peer = found->second;
+    peer.incarnation = incarnation;
+    peer.heardAt = now;
+    peer.isDraining = heartbeat.isDraining;
+    peer.rulesVersion = heartbeat.rulesVersion;
+    return true;
+}
+
+const peer_state* peer_table::find(std::string_view host) const
+{
+    const auto found = m_peers.find(host);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+bool peer_table::isAlive(time_point now, std::string_view host) const
+{
+    const peer_state* peer = find(host);
+    return peer && peer->incarnation != 0 && now - peer->heardAt < m_silenceLimit;
+}
+
+std::vector<std::string> peer_table::hostsFor(time_point now, std::string_view zone) const
+{
+    std::vector<std::string> out;
+    for (const auto& [host, peer] : m_peers) {
+        if (peer.zone == zone && !peer.isDraining && isAlive(now, host))
+            out.push_back(host);
+    }
+    return out;
+}
+
+} // namespace jackdaw::entry
--- /dev/null
+++ b/src/apps/entry/remote_callers.h
@@ -0,0 +1,38 @@
+// Jobs that other entry hosts sent here: submits them, and sends the answers back. Lives on the decision loop's thread.
+#pragma once
+
+#include "apps/entry/job_forwarder.h"
+#include "apps/entry/job_service.h"
+#include "protocol/mesh_messages.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace jackdaw::entry {
+
+class remote_callers {
+public:
+    remote_callers(job_service& jobs, job_forwarder::send_hook send);
+
+    // A forward that was repeated while its job runs changes nothing.
+    void onForward(std::string_view host, std::uint64_t incarnation, protocol::job_forward message);
+    void onWithdrawal(std::string_view host, std::uint64_t incarnation, const protocol::job_withdrawal& message);
+
+private:
+    struct remote_request {
+        std::string host;
+        std::uint64_t incarnation = 0;
+        std::uint64_t request = 0;
+
+        friend auto operator<=>(const remote_request&, const remote_request&) = default;
+    };
+
+    job_service& m_jobs;
+    job_forwarder::send_hook m_send;
+    std::map<remote_request, job_service::ticket> m_waiting; // those whose answer is still to come
+};
+
+} // namespace jackdaw::entry
--- /dev/null
+++ b/src/apps/entry/tests/processes/entry_process_tests.cpp
@@ -0,0 +1,115 @@
+// Tests of jackdaw-entry as real processes with stand-in upstreams.
+#include "apps/entry/tests/processes/cluster.h"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+
+using namespace jackdaw;
+using tests::cluster;
+using tests::job_options;
+using transport::http_method;
+
+namespace {
+
+// True for a complete answer with every task's own result in its place.
+bool isWhole(const nlohmann::json& answer, std::size_t tasks)
+{
+    if (!answer.is_object() || answer["state"] != "complete" || answer["results"].size() != tasks)
+        return false;
+    for (std::size_t i = 0; i < tasks; ++i) {
+        if (answer["results"][i] != "r" + std::to_string(i))
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+TEST_CASE("a job over two upstreams comes back whole and in order, and its resubmission gets the stored answer")
+{
+    cluster processes { { "a", { "a1" } } };
+    processes.startHost("a1");
+    processes.startUpstreams("a", 2, "a1", { "a1" });
+    const auto submission = processes.newSubmission();
+    CHECK(isWhole(processes.waitJson(processes.submit("a1", submission, { .tasks = 40 })), 40));
+    const auto stats = processes.upstreamStats("a");
+    for (const auto& [name, instance] : stats["instances"].items())
+        CHECK(instance["started"].get<int>() > 0);
+    CHECK(isWhole(processes.waitJson(processes.submit("a1", submission, { .tasks = 40 })), 40));
+    CHECK(processes.waitJson(processes.submit("a1", submission, { .tasks = 41 }))["error"] == "submission_mismatch");
+    CHECK(processes.upstreamStats("a")["started"] == 40);
+}
+
+TEST_CASE("SIGTERM during a job cuts nothing")
+{
+    cluster processes { { "a", { "a1" } } };
+    processes.startHost("a1");
+    processes.startUpstreams("a", 1, "a1", { "a1" });
+    const auto answer = processes.submit("a1", processes.newSubmission(), { .tasks = 12, .workMs = 700 });
+    processes.waitUntil([&] { return processes.upstreamStats("a")["running"] > 0; }, "tasks run");
+    processes.host("a1").signal(SIGTERM);
+    processes.waitUntil([&] { return processes.wait(processes.call(processes.operatorPort("a1"), http_method::get, "/readyz")).response.status == 503; }, "the host is not ready");
+    CHECK(isWhole(processes.waitJson(processes.submit("a1", processes.newSubmission(), {})), 1));
+    CHECK(isWhole(processes.waitJson(answer), 12));
+    processes.waitUntil([&] { return processes.host("a1").exitCode().has_value(); }, "the host ends");
+    CHECK(processes.host("a1").exitCode() == 0);
+}
+
+TEST_CASE("a host that drains refuses new work once the balancer's lag is over")
+{
+    cluster processes { { "a", { "a1" } } };
+    processes.startHost("a1");
+    processes.startUpstreams("a", 1, "a1", { "a1" });
+    const auto answer = processes.submit("a1", processes.newSubmission(), { .workMs = 3000 });
+    processes.waitUntil([&] { return processes.upstreamStats("a")["running"] > 0; }, "the task runs");
+    processes.host("a1").signal(SIGTERM);
+    processes.waitUntil([&] { return processes.status("a1")["state"] == "refusing"; }, "the host refuses new work");
+    const auto refusal = processes.waitJson(processes.submit("a1", processes.newSubmission(), { .isFirstAttempt = true }));
+    CHECK(refusal["error"] == "draining");
+    CHECK(refusal["ran"] == "no");
+    CHECK(isWhole(processes.waitJson(answer), 1));
+}
+
+TEST_CASE("a job whose only caller went away is cancelled")
+{
+    cluster processes { { "a", { "a1" } } };
+    processes.startHost("a1");
+    processes.startUpstreams("a", 1, "a1", { "a1" });
+    const auto submission = processes.newSubmission();
+    processes.submit("a1", submission, { .tasks = 20, .workMs = 20000 });
+    processes.waitUntil([&] { return processes.upstreamStats("a")["running"] > 0; }, "tasks run");
+    processes.dropCallers();
+    processes.waitUntil([&] { return processes.status("a1")["jobs"] == 0; }, "the job is gone");
+    const auto answer = processes.waitJson(processes.call(processes.callerPort("a1"), http_method::get, "/v1/jobs/" + protocol::toText(submission)));
+    CHECK(answer["error"] == "cancelled_after_start");
+}
+
+TEST_CASE("a job is answered by its home zone, whichever host it reaches")
+{
+    cluster processes { { "a", { "a1" } }, { "b", { "b1", "b2" } } };
+    for (const char* host : { "a1", "b1", "b2" })
+        processes.startHost(host);
+    processes.startUpstreams("b", 2, "b1", { "b1", "b2" });
+    CHECK(isWhole(processes.waitJson(processes.submit("a1", processes.newSubmission(), { .tasks = 20, .zone = "b" })), 20));
+    CHECK(processes.upstreamStats("b")["started"] == 20);
+    CHECK(processes.waitJson(processes.submit("a1", processes.newSubmission(), { .zone = "z" }))["error"] == "malformed_request");
+}
+
+TEST_CASE("a home zone that can't be reached is told truthfully")
+{
+    cluster processes { { "a", { "a1" } }, { "b", { "b1" } } };
+    processes.startHost("a1");
+    processes.startHost("b1");
+    processes.startUpstreams("b", 1, "b1", { "b1" });
+    const auto answer = processes.submit("a1", processes.newSubmission(), { .workMs = 20000, .zone = "b", .isFirstAttempt = true });
+    processes.waitUntil([&] { return processes.upstreamStats("b")["running"] > 0; }, "the task runs");
+    processes.host("b1").signal(SIGKILL);
+    const auto lost = processes.waitJson(answer);
+    CHECK(lost["error"] == "zone_unreachable");
+    CHECK(lost["ran"] == "maybe");
+    const auto proved = processes.waitJson(processes.submit("a1", processes.newSubmission(), { .zone = "b", .isFirstAttempt = true }));
+    CHECK(proved["error"] == "zone_unreachable_first_attempt");
+    CHECK(proved["ran"] == "no");
+    CHECK(processes.waitJson(processes.submit("a1", processes.newSubmission(), { .zone = "b" }))["error"] == "zone_unreachable");
+}
--- a/src/protocol/internal/msgpack_array.h
+++ b/src/protocol/internal/msgpack_array.h
@@ -4,21 +4,11 @@
 #include <msgpack.hpp>
 
 #include <string>
-#include <string_view>
 #include <type_traits>
 #include <vector>
 
 namespace jackdaw::protocol::internal {
 
-// Unpacks one message. Sizes are bounded by the message's own length, so that a damaged length can't claim memory.
-// Throws msgpack::unpack_error.
-inline msgpack::object_handle unpackBounded(std::string_view bytes)
-{
-    constexpr std::size_t maxDepth = 8;
-    const std::size_t length = bytes.size();
-    return msgpack::unpack(bytes.data(), length, nullptr, nullptr, msgpack::unpack_limit(length, length, length, length, length, maxDepth));
-}
-
 class msgpack_array_reader {
 public:
     explicit msgpack_array_reader(const msgpack::object& object)
--- a/src/protocol/mesh_messages.cpp
+++ b/src/protocol/mesh_messages.cpp
@@ -2,6 +2,7 @@
 #include "protocol/mesh_messages.h"
 
 #include "protocol/internal/msgpack_array.h"
+#include "protocol/msgpack_codec.h"
 
 #include <xxhash.h>
 
@@ -261,14 +262,15 @@
 
     void pack(packer& out, const job_withdrawal& message)
     {
-        packHead(out, message_kind::job_withdrawal, 1);
-        out.pack(message.request);
+        packHead(out, message_kind::job_withdrawal, 2);
+        packFields(out, message.request, message.isCancelled);
     }
 
     job_withdrawal readWithdrawal(msgpack_array_reader& in)
     {
         job_withdrawal out;
         in.read(out.request);
+        in.read(out.isCancelled);
         return out;
     }
 
@@ -308,18 +310,23 @@
         return {};
     }
 
-    result<mesh_message> readMessage(const msgpack::object& object)
-    {
-        msgpack_array_reader in(object);
-        std::uint32_t version = 0;
-        std::uint32_t kind = 0;
-        in.read(version);
-        in.read(kind);
-        mesh_message message = readBody(static_cast<message_kind>(kind), in);
-        if (in.hasFailed() || version == 0)
-            return makeError(error_kind::malformed_request, "not a readable message of kind " + std::to_string(kind));
-        return message;
-    }
+    // The message with its envelope, as the codec sees it.
+    struct envelope {
+        mesh_message message;
+
+        // Called by the codec library, which takes an exception for a failure.
+        void msgpack_unpack(const msgpack::object& object)
+        {
+            msgpack_array_reader in(object);
+            std::uint32_t version = 0;
+            std::uint32_t kind = 0;
+            in.read(version);
+            in.read(kind);
+            message = readBody(static_cast<message_kind>(kind), in);
+            if (in.hasFailed() || version == 0)
+                throw msgpack::type_error();
+        }
+    };
 
 } // namespace
 
@@ -333,12 +340,10 @@
 
 result<mesh_message> decodeMeshMessage(std::string_view bytes)
 {
-    try {
-        const msgpack::object_handle handle = internal::unpackBounded(bytes);
-        return readMessage(handle.get());
-    } catch (const msgpack::unpack_error& problem) {
-        return makeError(error_kind::malformed_request, problem.what());
-    }
+    auto unpacked = unpackMessage<envelope>(bytes);
+    if (!unpacked)
+        return unpacked.error();
+    return std::move(unpacked.value().message);
 }
 
 std::uint64_t contentHash(const announcement& announcement)
--- a/src/protocol/mesh_messages.h
+++ b/src/protocol/mesh_messages.h
@@ -49,9 +49,10 @@
     job_answer answer;
 };
 
-// The caller of a forwarded job went away.
+// The caller of a forwarded job went away, or cancels the job.
 struct job_withdrawal {
     std::uint64_t request = 0;
+    bool isCancelled = false; // stop the job for all who wait for it
 };
 
 // The services that bring their own codec.
--- a/src/protocol/tests/mesh_messages_tests.cpp
+++ b/src/protocol/tests/mesh_messages_tests.cpp
@@ -73,15 +73,17 @@
 {
     msgpack::sbuffer buffer;
     msgpack::packer<msgpack::sbuffer> out(buffer);
-    out.pack_array(5);
+    out.pack_array(6);
     out.pack(2U); // version
     out.pack(4U); // withdrawal
     out.pack(33U);
+    out.pack(true);
     out.pack("new");
     out.pack(1.5);
     const auto later = decodeMeshMessage({ buffer.data(), buffer.size() });
     REQUIRE(later);
     CHECK(std::get<job_withdrawal>(later.value()).request == 33);
+    CHECK(std::get<job_withdrawal>(later.value()).isCancelled);
     buffer.clear();
     out.pack_array(3);
     out.pack(1U);
