A draining host without other hosts in its zone says so

Cause: entry_process_tests found that a lone draining host answered zone_unreachable_first_attempt; true, but it names the wrong cause. Checked: entry_process_tests 6 of 6 cases pass.

--- a/src/apps/entry/job_forwarder.cpp
+++ b/src/apps/entry/job_forwarder.cpp
@@ -172,6 +172,11 @@
 
 job_forwarder::~job_forwarder() = default;
 
+bool job_forwarder::hasHostFor(const std::string& zone) const
+{
+    return !m_impl->peers.hostsFor(steadyNow(), zone).empty();
+}
+
 std::uint64_t job_forwarder::forwardToZone(const std::string& zone, job_request job, std::uint32_t hops, bool isDetached, answer_hook onAnswer)
 {
     forwarded_job forwarded;
--- a/src/apps/entry/job_forwarder.h
+++ b/src/apps/entry/job_forwarder.h
@@ -26,6 +26,9 @@
     job_forwarder(forwarder_settings settings, const peer_table& peers, send_hook send);
     ~job_forwarder();
 
+    // Whether some host of the zone takes new jobs.
+    bool hasHostFor(const std::string& zone) const;
+
     // Sends the job to a host of the zone that takes new jobs; moves on to another when that one is lost. The hook gets
     // the answer, once and never before this returns: zone_unreachable when no host of the zone could answer.
     // Returns the number of the request.
--- a/src/apps/entry/job_service.cpp
+++ b/src/apps/entry/job_service.cpp
@@ -183,7 +183,8 @@
         return failure(error_kind::malformed_request, "the submission id's time stamp lies in the future");
     if (std::find(settings.zones.begin(), settings.zones.end(), homeZone(job, settings.zones)) == settings.zones.end())
         return failure(error_kind::malformed_request, "unknown zone '" + job.zone + "'");
-    if (isRefusing && hops > 0)
+    const bool isLeftHere = hops > 0 || (homeZone(job, settings.zones) == settings.zone && !forwarder.hasHostFor(settings.zone));
+    if (isRefusing && isLeftHere)
         return failure(job.firstAttempt ? error_kind::draining : error_kind::zone_unreachable, "host " + settings.host + " is shutting down");
     return std::nullopt;
 }
