Check Raft under seeded faults, with mutations

Cause: elections and replication had no proof. The checker found one fault while it was written: a peer that lost what it had acknowledged was asked again at the speed of the link; a probe that makes no progress now waits for a heartbeat.

--- a/src/coordination/raft_node.cpp
+++ b/src/coordination/raft_node.cpp
@@ -370,8 +370,10 @@
             : progress.mode == raft_progress_mode::replicate && reply.previousIndex > progress.match;
         if (!isCurrent)
             return;
-        const std::uint64_t wanted = std::min(reply.matchIndex + 1, reply.previousIndex);
-        progress.probeFrom(std::max(progress.match + 1, wanted));
+        const std::uint64_t wanted = std::max(progress.match + 1, std::min(reply.matchIndex + 1, reply.previousIndex));
+        const bool isNoProgress = progress.mode == raft_progress_mode::probe && wanted == progress.next;
+        if (!isNoProgress) // else a peer that lost what it had acknowledged would be asked at the speed of the link
+            progress.probeFrom(wanted);
     }
 
     // Timers
--- /dev/null
+++ b/src/coordination/raft_replacement.cpp
@@ -0,0 +1,50 @@
+// The order learner, removal of the lost incarnation, promotion.
+#include "coordination/raft_replacement.h"
+
+#include "coordination/internal/raft_membership.h"
+
+#include <algorithm>
+
+namespace jackdaw::coordination {
+namespace {
+
+    using protocol::raft_member_id;
+    using protocol::raft_membership;
+
+    raft_membership withLearner(raft_membership membership, const raft_member_id& member)
+    {
+        std::erase_if(membership.learners, [&](const raft_member_id& learner) { return learner.host == member.host; });
+        membership.learners.push_back(member);
+        return membership;
+    }
+
+    raft_membership promoted(raft_membership membership, const raft_member_id& member)
+    {
+        std::erase(membership.learners, member);
+        membership.voters.push_back(member);
+        return membership;
+    }
+
+} // namespace
+
+std::optional<raft_membership> planReplacement(const raft_membership& current, std::span<const raft_member_id> live,
+    const raft_member_predicate& isCaughtUp)
+{
+    for (const raft_member_id& member : live) {
+        if (isVoter(current, member))
+            continue;
+        if (!isLearner(current, member))
+            return withLearner(current, member);
+        if (!isCaughtUp(member))
+            continue;
+        const auto lost = std::ranges::find(current.voters, member.host, &raft_member_id::host);
+        if (lost == current.voters.end())
+            return promoted(current, member);
+        raft_membership without = current;
+        std::erase(without.voters, raft_member_id(*lost));
+        return without;
+    }
+    return std::nullopt;
+}
+
+} // namespace jackdaw::coordination
--- /dev/null
+++ b/src/coordination/raft_replacement.h
@@ -0,0 +1,19 @@
+// Plans how returned incarnations of a group's hosts become voters again, one membership change at a time.
+#pragma once
+
+#include "protocol/raft_messages.h"
+
+#include <functional>
+#include <optional>
+#include <span>
+
+namespace jackdaw::coordination {
+
+using raft_member_predicate = std::function<bool(const protocol::raft_member_id& member)>;
+
+// The next membership to propose, or std::nullopt when each live member is a voter or still catching up. A live member
+// becomes a learner first; once it has caught up, the lost incarnation of its host leaves the voters; then it is promoted.
+std::optional<protocol::raft_membership> planReplacement(const protocol::raft_membership& current,
+    std::span<const protocol::raft_member_id> live, const raft_member_predicate& isCaughtUp);
+
+} // namespace jackdaw::coordination
--- /dev/null
+++ b/src/coordination/tests/raft_checker_tests.cpp
@@ -0,0 +1,100 @@
+// Seeded checks of Raft under faults, and mutations that the checker must notice.
+#include "coordination/tests/raft_simulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdaw::coordination;
+using namespace jackdaw::coordination::tests;
+
+namespace {
+
+constexpr std::uint64_t checkedSeeds = 500; // for each kind of group
+constexpr std::uint64_t mutationSeeds = 300;
+
+raft_simulation_settings settingsFor(std::uint64_t seed)
+{
+    raft_simulation_settings settings;
+    settings.seed = seed;
+    settings.hosts = seed % 2 == 0 ? 3 : 5;
+    return settings;
+}
+
+// The first seed whose violation is the wanted one; 0 if there is none.
+std::uint64_t seedThatFinds(raft_violation wanted, const raft_mutation& mutation)
+{
+    for (std::uint64_t seed = 1; seed <= mutationSeeds; ++seed) {
+        raft_simulation_settings settings = settingsFor(seed);
+        settings.mutation = mutation;
+        if (raft_simulation(settings).run() == wanted)
+            return seed;
+    }
+    return 0;
+}
+
+} // namespace
+
+TEST_CASE("a group with disks keeps every invariant under faults")
+{
+    for (std::uint64_t seed = 1; seed <= checkedSeeds; ++seed) {
+        CAPTURE(seed);
+        REQUIRE(raft_simulation(settingsFor(seed)).run() == raft_violation::none);
+    }
+}
+
+TEST_CASE("a group in memory keeps every invariant under faults")
+{
+    for (std::uint64_t seed = 1; seed <= checkedSeeds; ++seed) {
+        CAPTURE(seed);
+        raft_simulation_settings settings = settingsFor(seed);
+        settings.hasDisks = false;
+        REQUIRE(raft_simulation(settings).run() == raft_violation::none);
+    }
+}
+
+TEST_CASE("the checker notices a vote that was counted though it was refused")
+{
+    raft_mutation mutation;
+    mutation.onMessage = [](raft_message& message) {
+        if (auto* reply = std::get_if<vote_reply>(&message.body); reply && !reply->preVote)
+            reply->granted = true;
+    };
+    CHECK(seedThatFinds(raft_violation::two_leaders_in_a_term, mutation) > 0);
+}
+
+TEST_CASE("the checker notices a vote that was not stored")
+{
+    raft_mutation mutation;
+    mutation.forgetsVote = true;
+    CHECK(seedThatFinds(raft_violation::voted_twice, mutation) > 0);
+}
+
+TEST_CASE("the checker notices entries that were acknowledged and not held")
+{
+    raft_mutation mutation;
+    mutation.onMessage = [](raft_message& message) {
+        if (auto* reply = std::get_if<append_reply>(&message.body); reply && reply->accepted)
+            reply->matchIndex += 3;
+    };
+    CHECK(seedThatFinds(raft_violation::committed_lost, mutation) > 0);
+}
+
+TEST_CASE("the checker notices entries that were not stored")
+{
+    raft_mutation mutation;
+    mutation.forgetsEntries = true;
+    CHECK(seedThatFinds(raft_violation::committed_changed, mutation) > 0);
+}
+
+TEST_CASE("the checker notices a state machine that missed a snapshot")
+{
+    raft_mutation mutation;
+    mutation.ignoresSnapshot = true;
+    CHECK(seedThatFinds(raft_violation::state_diverged, mutation) > 0);
+}
+
+TEST_CASE("the checker notices a member that lost its disk and kept its incarnation")
+{
+    raft_mutation mutation;
+    mutation.keepsIncarnation = true;
+    CHECK(seedThatFinds(raft_violation::lost_incarnation_spoke, mutation) > 0);
+}
--- /dev/null
+++ b/src/coordination/tests/raft_simulation.h
@@ -0,0 +1,113 @@
+// A group of Raft members under seeded faults, and the invariants that are checked after every event.
+#pragma once
+
+#include "coordination/raft_node.h"
+#include "coordination/tests/raft_link.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jackdaw::coordination::tests {
+
+enum class raft_violation {
+    none,
+    two_leaders_in_a_term,
+    committed_lost, // a leader without a committed entry
+    committed_changed, // two entries committed at one index
+    state_diverged, // state machines differ after the same index
+    voted_twice, // for two candidates in one term
+    lost_incarnation_spoke, // a message of an incarnation whose disk was lost
+    not_live // healed for seconds, and yet nothing commits
+};
+
+// Faults in the owner of a member or in the messages, for showing that the checker notices them.
+struct raft_mutation {
+    std::function<void(raft_message& message)> onMessage = [](raft_message&) {};
+    bool forgetsVote = false; // the hard state is not stored
+    bool forgetsEntries = false; // entries are not stored
+    bool ignoresSnapshot = false; // an installed snapshot does not replace the state machine
+    bool keepsIncarnation = false; // after the loss of a disk
+};
+
+struct raft_simulation_settings {
+    std::uint64_t seed = 1;
+    std::size_t hosts = 3;
+    duration faultyTime = std::chrono::seconds(12);
+    duration healedTime = std::chrono::seconds(8);
+    bool hasDisks = true; // false: each restart loses everything
+    raft_mutation mutation;
+};
+
+class raft_simulation {
+public:
+    explicit raft_simulation(raft_simulation_settings settings);
+
+    // The first violation met.
+    raft_violation run();
+
+    std::uint64_t committedCommands() const { return m_committedCommands; }
+
+private:
+    struct state_machine {
+        std::uint64_t commands = 0;
+        std::uint64_t hash = 0; // of all commands in order
+    };
+
+    struct simulated_host {
+        raft_member_id id;
+        raft_initial_state disk;
+        std::unique_ptr<raft_node> node; // empty while down
+        state_machine state;
+        std::uint64_t applied = 0;
+    };
+
+    struct committed_entry {
+        raft_entry entry;
+        state_machine stateAfter;
+    };
+
+    bool happens(double chance) { return std::bernoulli_distribution(chance)(m_random); }
+    std::size_t below(std::size_t limit) { return std::uniform_int_distribution<std::size_t>(0, limit - 1)(m_random); }
+
+    void start(simulated_host& host);
+    void crash(simulated_host& host, bool losesDisk);
+    bool mayLoseDisk(const simulated_host& host) const;
+    time_point nextTimer() const;
+    void runEvent();
+    void injectFault();
+    void cutSomething();
+    void healAll();
+    void propose();
+    void maintain(simulated_host& leader);
+    void drain(simulated_host& host);
+    void store(simulated_host& host, const raft_ready& ready);
+    void sendAll(simulated_host& host, std::vector<raft_message>& messages);
+    void apply(simulated_host& host, const raft_ready& ready);
+    void checkVote(const raft_message& message);
+    void checkLeader(const simulated_host& host);
+    void fail(raft_violation violation);
+
+    raft_simulation_settings m_settings;
+    std::mt19937_64 m_random;
+    simulated_link<raft_message> m_link;
+    std::vector<simulated_host> m_hosts;
+    time_point m_now;
+    time_point m_nextFault;
+    time_point m_nextProposal;
+    bool m_isFaulty = true;
+    std::uint64_t m_nextIncarnation = 1;
+    std::uint64_t m_committedCommands = 0;
+    raft_violation m_violation = raft_violation::none;
+    std::map<std::uint64_t, raft_member_id> m_leaders; // by term
+    std::vector<committed_entry> m_committed; // by index - 1
+    std::map<std::pair<raft_member_id, std::uint64_t>, raft_member_id> m_votes; // by voter and term
+    std::set<raft_member_id> m_lost;
+};
+
+} // namespace jackdaw::coordination::tests
--- a/src/protocol/raft_messages.h
+++ b/src/protocol/raft_messages.h
@@ -1,9 +1,11 @@
 // Messages and records of the replicated log. The decisions on them are made in coordination/raft_node.h.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -15,7 +17,10 @@
     std::uint64_t incarnation = 0;
 
     friend bool operator==(const raft_member_id&, const raft_member_id&) = default;
-    friend auto operator<=>(const raft_member_id&, const raft_member_id&) = default;
+    friend auto operator<=>(const raft_member_id& left, const raft_member_id& right)
+    {
+        return std::tie(left.host, left.incarnation) <=> std::tie(right.host, right.incarnation);
+    }
 };
 
 struct raft_membership {
