Add the configuration's state machine, its messages and the conversion of rules

Cause: operators race each other with equal versions and resend changes; each rule must be traceable.

Weighed: parsing the text on every replica was ruled out, since two releases could parse it differently; the parsed lines travel in the change. A change id used for another change is refused.

--- /dev/null
+++ b/src/coordination/rules_store.cpp
@@ -0,0 +1,267 @@
+// Compare-and-set on the version, remembered answers, and the traces of rules.
+#include "coordination/rules_store.h"
+
+#include "protocol/packed.h"
+
+#include <xxhash.h>
+
+#include <deque>
+#include <map>
+#include <unordered_map>
+
+namespace jackdaw::coordination {
+
+using protocol::error_kind;
+using protocol::makeError;
+using protocol::result;
+
+namespace {
+
+    constexpr std::uint32_t formatVersion = 1;
+
+    struct packed_line {
+        std::string name;
+        std::string value;
+        std::string author;
+        std::uint64_t line = 0;
+
+        MSGPACK_DEFINE_ARRAY(name, value, author, line)
+    };
+
+    struct packed_change {
+        std::uint32_t format = 0;
+        std::string changeId;
+        std::uint64_t expectedVersion = 0;
+        std::string operatorName;
+        std::string text;
+        std::vector<packed_line> lines;
+
+        MSGPACK_DEFINE_ARRAY(format, changeId, expectedVersion, operatorName, text, lines)
+    };
+
+    struct packed_version {
+        std::uint64_t version = 0;
+        std::string changeId;
+        std::string operatorName;
+
+        MSGPACK_DEFINE_ARRAY(version, changeId, operatorName)
+    };
+
+    struct packed_trace {
+        packed_line rule;
+        packed_version broughtIn;
+
+        MSGPACK_DEFINE_ARRAY(rule, broughtIn)
+    };
+
+    struct packed_answer {
+        std::string changeId;
+        std::uint64_t fingerprint = 0;
+        std::uint8_t outcome = 0;
+        packed_version inForce;
+
+        MSGPACK_DEFINE_ARRAY(changeId, fingerprint, outcome, inForce)
+    };
+
+    struct packed_store {
+        std::uint32_t format = 0;
+        packed_version inForce;
+        std::string text;
+        std::vector<packed_trace> traces;
+        std::vector<packed_answer> answers; // oldest first
+
+        MSGPACK_DEFINE_ARRAY(format, inForce, text, traces, answers)
+    };
+
+    packed_line toPacked(const state::rule_line& line)
+    {
+        return { line.name, line.value, line.author, line.line };
+    }
+
+    state::rule_line fromPacked(packed_line line)
+    {
+        return { std::move(line.name), std::move(line.value), std::move(line.author), line.line };
+    }
+
+    packed_version toPacked(const rules_version& version)
+    {
+        return { version.version, version.changeId, version.operatorName };
+    }
+
+    rules_version fromPacked(packed_version version)
+    {
+        return { version.version, std::move(version.changeId), std::move(version.operatorName) };
+    }
+
+    // Tells a resent change from another change under the same id.
+    std::uint64_t fingerprintOf(const rules_change& change)
+    {
+        return XXH3_64bits_withSeed(change.text.data(), change.text.size(), change.expectedVersion);
+    }
+
+} // namespace
+
+std::string encodeRulesChange(const rules_change& change)
+{
+    packed_change packed { formatVersion, change.changeId, change.expectedVersion, change.operatorName, change.text, {} };
+    for (const state::rule_line& line : change.lines)
+        packed.lines.push_back(toPacked(line));
+    return protocol::pack(packed);
+}
+
+result<rules_change> decodeRulesChange(std::string_view bytes)
+{
+    auto packed = protocol::unpack<packed_change>(bytes);
+    if (!packed)
+        return packed.error();
+    packed_change& from = packed.value();
+    if (from.format == 0 || from.changeId.empty())
+        return makeError(error_kind::corrupt_data, "rules change without format or change id");
+    rules_change change { std::move(from.changeId), from.expectedVersion, std::move(from.operatorName), std::move(from.text), {} };
+    for (packed_line& line : from.lines)
+        change.lines.push_back(fromPacked(std::move(line)));
+    return change;
+}
+
+class rules_store::impl {
+public:
+    struct remembered_answer {
+        std::uint64_t fingerprint = 0;
+        change_answer answer;
+    };
+
+    rules_version inForce; // its version only goes up
+    std::string text;
+    std::vector<rule_trace> traces; // in the order of the text
+    std::map<std::string, std::size_t, std::less<>> traceByName; // index into traces
+
+    // Invariant: both hold the same ids, at most rememberedAnswers.
+    std::unordered_map<std::string, remembered_answer> answers;
+    std::deque<std::string> answerOrder; // oldest first
+
+    void remember(const std::string& changeId, remembered_answer answer)
+    {
+        if (answerOrder.size() == rememberedAnswers) {
+            answers.erase(answerOrder.front());
+            answerOrder.pop_front();
+        }
+        answers.emplace(changeId, std::move(answer));
+        answerOrder.push_back(changeId);
+    }
+
+    void replaceRules(const rules_change& change)
+    {
+        inForce = { change.expectedVersion + 1, change.changeId, change.operatorName };
+        text = change.text;
+        std::vector<rule_trace> next;
+        for (const state::rule_line& line : change.lines)
+            next.push_back({ line, originOf(line) });
+        setTraces(std::move(next));
+    }
+
+    // A rule keeps its origin while its value and its author stay.
+    rules_version originOf(const state::rule_line& line) const
+    {
+        const auto known = traceByName.find(line.name);
+        if (known == traceByName.end())
+            return inForce;
+        const rule_trace& trace = traces[known->second];
+        const bool isSame = trace.rule.value == line.value && trace.rule.author == line.author;
+        return isSame ? trace.broughtIn : inForce;
+    }
+
+    void setTraces(std::vector<rule_trace> next)
+    {
+        traces = std::move(next);
+        traceByName.clear();
+        for (std::size_t i = 0; i < traces.size(); ++i)
+            traceByName[traces[i].rule.name] = i;
+    }
+};
+
+rules_store::rules_store()
+    : m_impl(std::make_unique<impl>())
+{
+}
+rules_store::rules_store(rules_store&&) noexcept = default;
+rules_store& rules_store::operator=(rules_store&&) noexcept = default;
+rules_store::~rules_store() = default;
+
+change_answer rules_store::apply(const rules_change& change)
+{
+    const std::uint64_t fingerprint = fingerprintOf(change);
+    if (const auto known = m_impl->answers.find(change.changeId); known != m_impl->answers.end()) {
+        if (known->second.fingerprint == fingerprint)
+            return known->second.answer;
+        return { change_outcome::reused_id, m_impl->inForce };
+    }
+    change_answer answer { change_outcome::conflict, m_impl->inForce };
+    if (change.expectedVersion == m_impl->inForce.version) {
+        m_impl->replaceRules(change);
+        answer = { change_outcome::accepted, m_impl->inForce };
+    }
+    m_impl->remember(change.changeId, { fingerprint, answer });
+    return answer;
+}
+
+const rules_version& rules_store::inForce() const
+{
+    return m_impl->inForce;
+}
+
+const std::string& rules_store::text() const
+{
+    return m_impl->text;
+}
+
+result<rule_trace> rules_store::trace(std::string_view name) const
+{
+    const auto found = m_impl->traceByName.find(name);
+    if (found == m_impl->traceByName.end())
+        return makeError(error_kind::unknown_resource, "no rule '" + std::string(name) + "' is in force");
+    return m_impl->traces[found->second];
+}
+
+std::vector<rule_trace> rules_store::traces() const
+{
+    return m_impl->traces;
+}
+
+std::string rules_store::snapshot() const
+{
+    packed_store packed { formatVersion, toPacked(m_impl->inForce), m_impl->text, {}, {} };
+    for (const rule_trace& trace : m_impl->traces)
+        packed.traces.push_back({ toPacked(trace.rule), toPacked(trace.broughtIn) });
+    for (const std::string& changeId : m_impl->answerOrder) {
+        const auto& known = m_impl->answers.at(changeId);
+        packed.answers.push_back({ changeId, known.fingerprint, static_cast<std::uint8_t>(known.answer.outcome), toPacked(known.answer.inForce) });
+    }
+    return protocol::pack(packed);
+}
+
+result<rules_store> rules_store::restore(std::string_view bytes)
+{
+    auto packed = protocol::unpack<packed_store>(bytes);
+    if (!packed)
+        return packed.error();
+    packed_store& from = packed.value();
+    if (from.format == 0)
+        return makeError(error_kind::corrupt_data, "snapshot of the rules without a format version");
+    rules_store store;
+    store.m_impl->inForce = fromPacked(std::move(from.inForce));
+    store.m_impl->text = std::move(from.text);
+    std::vector<rule_trace> traces;
+    for (packed_trace& trace : from.traces)
+        traces.push_back({ fromPacked(std::move(trace.rule)), fromPacked(std::move(trace.broughtIn)) });
+    store.m_impl->setTraces(std::move(traces));
+    for (packed_answer& answer : from.answers) {
+        const bool isKnownOutcome = answer.outcome <= static_cast<std::uint8_t>(change_outcome::reused_id);
+        if (!isKnownOutcome || store.m_impl->answers.contains(answer.changeId))
+            return makeError(error_kind::corrupt_data, "snapshot of the rules with a wrong answer of change " + answer.changeId);
+        const change_answer known { static_cast<change_outcome>(answer.outcome), fromPacked(std::move(answer.inForce)) };
+        store.m_impl->remember(answer.changeId, { answer.fingerprint, known });
+    }
+    return store;
+}
+
+} // namespace jackdaw::coordination
--- /dev/null
+++ b/src/protocol/config_messages.cpp
@@ -0,0 +1,68 @@
+// Codec of the configuration messages: an array of family, kind, format version, and the fields.
+#include "protocol/config_messages.h"
+
+#include "protocol/packed.h"
+
+namespace jackdaw::protocol {
+namespace {
+
+    constexpr std::string_view family = "config";
+    constexpr std::uint32_t formatVersion = 1;
+
+    enum class message_kind : std::uint32_t {
+        push = 1,
+        pull = 2
+    };
+
+    struct packed_message {
+        std::string family;
+        std::uint32_t kind = 0;
+        std::uint32_t format = 0;
+        std::uint64_t version = 0;
+        std::string text;
+
+        MSGPACK_DEFINE_ARRAY(family, kind, format, version, text)
+    };
+
+    // The family is the first element of a small array: both are told from the first bytes.
+    bool isOfFamily(std::string_view bytes)
+    {
+        constexpr unsigned char fixedString = 0xa0;
+        return bytes.size() > family.size() + 1 && static_cast<unsigned char>(bytes[1]) == (fixedString | family.size())
+            && bytes.substr(2, family.size()) == family;
+    }
+
+} // namespace
+
+std::string encodeConfigMessage(const config_message& message)
+{
+    packed_message packed { std::string(family), 0, formatVersion, 0, {} };
+    if (const auto* push = std::get_if<rules_push>(&message)) {
+        packed.kind = static_cast<std::uint32_t>(message_kind::push);
+        packed.version = push->version;
+        packed.text = push->text;
+    } else {
+        packed.kind = static_cast<std::uint32_t>(message_kind::pull);
+        packed.version = std::get<rules_pull>(message).version;
+    }
+    return pack(packed);
+}
+
+result<std::optional<config_message>> decodeConfigMessage(std::string_view bytes)
+{
+    if (!isOfFamily(bytes))
+        return std::optional<config_message>();
+    auto packed = unpack<packed_message>(bytes);
+    if (!packed)
+        return packed.error();
+    packed_message& message = packed.value();
+    if (message.format == 0)
+        return makeError(error_kind::corrupt_data, "configuration message without a format version");
+    if (message.kind == static_cast<std::uint32_t>(message_kind::push))
+        return std::optional<config_message>(rules_push { message.version, std::move(message.text) });
+    if (message.kind == static_cast<std::uint32_t>(message_kind::pull))
+        return std::optional<config_message>(rules_pull { message.version });
+    return makeError(error_kind::corrupt_data, "configuration message of unknown kind " + std::to_string(message.kind));
+}
+
+} // namespace jackdaw::protocol
--- /dev/null
+++ b/src/protocol/config_messages.h
@@ -0,0 +1,40 @@
+// Messages by which control hosts hand the accepted rules to the entry hosts.
+//
+// A control host pushes an accepted version at once. An entry host sends a pull with the version it has in force: after
+// each push as acknowledgement, at its start, and whenever a heartbeat names a newer version. The answer to a pull from an
+// older version is a push.
+#pragma once
+
+#include "protocol/result.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+
+namespace jackdaw::protocol {
+
+// The rules file of one accepted version, whole.
+struct rules_push {
+    std::uint64_t version = 0;
+    std::string text;
+
+    friend bool operator==(const rules_push&, const rules_push&) = default;
+};
+
+// "I have this version in force"; 0: none yet.
+struct rules_pull {
+    std::uint64_t version = 0;
+
+    friend bool operator==(const rules_pull&, const rules_pull&) = default;
+};
+
+using config_message = std::variant<rules_push, rules_pull>;
+
+std::string encodeConfigMessage(const config_message& message);
+
+// std::nullopt for messages of another family. corrupt_data for those of this family that can't be read.
+result<std::optional<config_message>> decodeConfigMessage(std::string_view bytes);
+
+} // namespace jackdaw::protocol
--- /dev/null
+++ b/src/protocol/tests/config_messages_tests.cpp
@@ -0,0 +1,36 @@
+// Tests of the configuration messages' codec.
+#include "protocol/config_messages.h"
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace jackdaw::protocol;
+
+TEST_CASE("configuration messages survive their codec, and damaged ones are refused")
+{
+    const std::array<config_message, 3> messages { rules_push { 7, "order = \"fifo\" # Ana" }, rules_push { 8, "" }, rules_pull { 1ULL << 60 } };
+    for (const config_message& message : messages) {
+        const std::string bytes = encodeConfigMessage(message);
+        const auto decoded = decodeConfigMessage(bytes);
+        REQUIRE(decoded);
+        CHECK(decoded.value() == message);
+        for (std::size_t size = 0; size < bytes.size(); ++size) {
+            const auto cut = decodeConfigMessage(std::string_view(bytes).substr(0, size));
+            CHECK((!cut || !cut.value()));
+        }
+        CHECK_FALSE(decodeConfigMessage(bytes + "x"));
+    }
+}
+
+TEST_CASE("fields appended by a newer release are ignored, and other families are left alone")
+{
+    std::string bytes = encodeConfigMessage(rules_pull { 5 });
+    bytes[0] = static_cast<char>(bytes[0] + 1); // one element more in the array
+    bytes += '\x2a';
+    const auto decoded = decodeConfigMessage(bytes);
+    REQUIRE(decoded);
+    CHECK(decoded.value() == config_message(rules_pull { 5 }));
+    CHECK_FALSE(decodeConfigMessage("\x92\xa4raft\x01").value());
+    CHECK_FALSE(decodeConfigMessage("").value());
+}
--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -49,7 +49,7 @@
     {
         if (hasFailed)
             return makeError(error_kind::storage_failed, settings.folder + ": an earlier write failed; reopen the journal");
-        const result<void> changed = change();
+        result<void> changed = change();
         hasFailed = changed.has_error();
         return changed;
     }
@@ -68,7 +68,7 @@
         return makeError(error_kind::storage_failed, settings.folder + ": can't be read: " + failure.message());
     std::sort(firstIndexes.begin(), firstIndexes.end());
     for (const std::uint64_t firstIndex : firstIndexes) {
-        if (const auto loaded = loadSegment(firstIndex, firstIndex == firstIndexes.back()); !loaded)
+        if (auto loaded = loadSegment(firstIndex, firstIndex == firstIndexes.back()); !loaded)
             return loaded;
     }
     return openActive();
@@ -90,7 +90,7 @@
     if (scan.value().isTorn && !isLast)
         return makeError(error_kind::corrupt_data, path + ": offset " + std::to_string(scan.value().segment.size) + ": ends early, though a later segment follows");
     if (scan.value().isTorn) {
-        if (const auto cut = cutTornTail(scan.value()); !cut)
+        if (auto cut = cutTornTail(scan.value()); !cut)
             return cut;
     }
     if (scan.value().hasHeader)
@@ -105,7 +105,7 @@
     auto opened = internal::file::open(scan.segment.path, O_WRONLY);
     if (!opened)
         return opened.error();
-    if (const auto cut = opened.value().truncate(scan.segment.size); !cut)
+    if (auto cut = opened.value().truncate(scan.segment.size); !cut)
         return cut;
     return opened.value().sync(settings.hooks);
 }
@@ -188,7 +188,7 @@
 
 result<void> journal::impl::removeLastSegment()
 {
-    if (const auto removed = removeSegment(segments.back()); !removed)
+    if (auto removed = removeSegment(segments.back()); !removed)
         return removed;
     segments.pop_back();
     return openActive();
@@ -197,14 +197,14 @@
 result<void> journal::impl::truncateFrom(std::uint64_t index)
 {
     while (!segments.empty() && segments.back().firstIndex >= index) {
-        if (const auto removed = removeLastSegment(); !removed)
+        if (auto removed = removeLastSegment(); !removed)
             return removed;
     }
     if (segments.empty() || index >= nextIndex())
         return boost::outcome_v2::success();
     journal_segment& segment = segments.back();
     const std::size_t kept = index - segment.firstIndex;
-    if (const auto cut = active.truncate(segment.offsets[kept]); !cut)
+    if (auto cut = active.truncate(segment.offsets[kept]); !cut)
         return cut;
     segment.size = segment.offsets[kept];
     segment.offsets.resize(kept);
@@ -233,15 +233,15 @@
     if (records.empty())
         return boost::outcome_v2::success();
     if (m_impl->segments.size() == 1 && isEmpty() && m_impl->nextIndex() != records.front().index) {
-        if (const auto cleared = clear(); !cleared)
+        if (auto cleared = clear(); !cleared)
             return cleared;
     }
-    if (const auto checked = m_impl->checkAppend(records); !checked)
+    if (auto checked = m_impl->checkAppend(records); !checked)
         return checked;
     return m_impl->guard([&]() -> result<void> {
         const bool isFull = !m_impl->segments.empty() && m_impl->segments.back().size >= m_impl->settings.segmentBytes;
         if (m_impl->segments.empty() || isFull) {
-            if (const auto begun = m_impl->beginSegment(records.front().index); !begun)
+            if (auto begun = m_impl->beginSegment(records.front().index); !begun)
                 return begun;
         }
         return m_impl->appendToActive(records);
@@ -257,7 +257,7 @@
 {
     return m_impl->guard([&]() -> result<void> {
         while (m_impl->segments.size() > 1 && m_impl->segments.front().nextIndex() <= index + 1) {
-            if (const auto removed = m_impl->removeSegment(m_impl->segments.front()); !removed)
+            if (auto removed = m_impl->removeSegment(m_impl->segments.front()); !removed)
                 return removed;
             m_impl->segments.erase(m_impl->segments.begin());
         }
@@ -269,7 +269,7 @@
 {
     return m_impl->guard([&]() -> result<void> {
         while (!m_impl->segments.empty()) {
-            if (const auto removed = m_impl->removeLastSegment(); !removed)
+            if (auto removed = m_impl->removeLastSegment(); !removed)
                 return removed;
         }
         return boost::outcome_v2::success();
--- a/src/state/snapshot_file.cpp
+++ b/src/state/snapshot_file.cpp
@@ -35,7 +35,7 @@
 {
     if (m_hasFailed)
         return makeError(error_kind::storage_failed, m_path + ": an earlier write failed; reopen the data folder");
-    const auto replaced = replace(content);
+    auto replaced = replace(content);
     m_hasFailed = replaced.has_error();
     return replaced;
 }
