jackdaw-load: open-loop load with checked answers and both measures

Cause: the two measures, slowdown and wasted messages, need a caller that doesn't slow down with the service, and that checks each answer to be whole, in order and its own.

Wasted messages count every purpose; the control share is printed beside them.

--- /dev/null
+++ b/src/apps/load/service_counts.cpp
@@ -0,0 +1,97 @@
+// Reading of counters.
+#include "apps/load/service_counts.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdlib>
+#include <sstream>
+
+namespace jackdaw::load {
+namespace {
+
+    constexpr std::array<std::string_view, 4> controlPurposes { "heartbeat", "lease", "announce", "config" };
+    constexpr std::string_view messagePrefix = "jackdaw_messages_total{";
+    constexpr std::string_view purposePrefix = "purpose=\"";
+
+} // namespace
+
+double message_counts::total() const
+{
+    double sum = 0;
+    for (const auto& [purpose, count] : byPurpose)
+        sum += count;
+    return sum;
+}
+
+double message_counts::control() const
+{
+    double sum = 0;
+    for (const auto& [purpose, count] : byPurpose) {
+        if (std::ranges::find(controlPurposes, purpose) != controlPurposes.end())
+            sum += count;
+    }
+    return sum;
+}
+
+message_counts& message_counts::operator+=(const message_counts& other)
+{
+    for (const auto& [purpose, count] : other.byPurpose)
+        byPurpose[purpose] += count;
+    return *this;
+}
+
+message_counts message_counts::operator-(const message_counts& earlier) const
+{
+    message_counts out = *this;
+    for (const auto& [purpose, count] : earlier.byPurpose)
+        out.byPurpose[purpose] -= count;
+    return out;
+}
+
+message_counts parseMessageCounts(std::string_view page)
+{
+    message_counts out;
+    std::istringstream lines { std::string(page) };
+    for (std::string line; std::getline(lines, line);) {
+        const auto label = line.find(purposePrefix);
+        const auto valuePlace = line.rfind(' ');
+        if (!line.starts_with(messagePrefix) || label == std::string::npos || valuePlace == std::string::npos)
+            continue;
+        const auto nameBegin = label + purposePrefix.size();
+        const auto nameEnd = line.find('"', nameBegin);
+        out.byPurpose[line.substr(nameBegin, nameEnd - nameBegin)] += std::strtod(line.c_str() + valuePlace, nullptr);
+    }
+    return out;
+}
+
+upstream_counts& upstream_counts::operator+=(const upstream_counts& other)
+{
+    started += other.started;
+    startedTwice += other.startedTwice;
+    startedLate += other.startedLate;
+    overSlots += other.overSlots;
+    refused += other.refused;
+    return *this;
+}
+
+upstream_counts upstream_counts::operator-(const upstream_counts& earlier) const
+{
+    return { started - earlier.started, startedTwice - earlier.startedTwice, startedLate - earlier.startedLate,
+        overSlots - earlier.overSlots, refused - earlier.refused };
+}
+
+protocol::result<upstream_counts> parseUpstreamCounts(std::string_view text)
+{
+    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto count = [&json](const char* name) -> std::uint64_t {
+        const auto found = json.find(name);
+        return found != json.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+    };
+    if (!json.is_object() || !json.contains("started_twice"))
+        return protocol::makeError(protocol::error_kind::malformed_request, "the upstream's counters can't be read");
+    return upstream_counts { count("started"), count("started_twice"), count("started_late"), count("over_slots"), count("refused") };
+}
+
+} // namespace jackdaw::load
--- a/src/apps/upstream/control_server.cpp
+++ b/src/apps/upstream/control_server.cpp
@@ -57,6 +57,8 @@
             return {};
         if (request.method == http_method::put && request.path == "/faults")
             return putFault(request.body);
+        if (request.method == http_method::post && request.path == "/started")
+            return started(request.body);
         return error(404, "unknown path");
     }
 
@@ -76,6 +78,22 @@
         return response;
     }
 
+    http_response started(const std::string& body)
+    {
+        const auto json = nlohmann::json::parse(body, nullptr, false);
+        if (!json.is_object() || !json.contains("submissions") || !json["submissions"].is_array())
+            return error(400, "'submissions' must be an array");
+        nlohmann::json found = nlohmann::json::array();
+        for (const nlohmann::json& text : json["submissions"]) {
+            const auto submission = protocol::parseSubmissionId(text.is_string() ? text.get<std::string>() : std::string());
+            if (submission && starts.hasStarted(submission.value()))
+                found.push_back(text);
+        }
+        http_response response;
+        response.body = nlohmann::json { { "started", std::move(found) } }.dump();
+        return response;
+    }
+
     http_response putFault(const std::string& body)
     {
         const auto json = nlohmann::json::parse(body, nullptr, false);
--- a/src/apps/upstream/control_server.h
+++ b/src/apps/upstream/control_server.h
@@ -1,4 +1,5 @@
-// The stand-in's control port: PUT /faults sets an instance's fault, GET /stats counts, GET /healthz.
+// The stand-in's control port: PUT /faults sets an instance's fault, GET /stats counts, POST /started tells which of a
+// list of submissions had a task started, GET /healthz.
 #pragma once
 
 #include "apps/upstream/start_register.h"
--- a/src/apps/upstream/start_register.cpp
+++ b/src/apps/upstream/start_register.cpp
@@ -12,6 +12,7 @@
 
 void start_register::recordStart(const protocol::submission_id& submission, std::uint32_t index)
 {
+    m_submissions.insert(submission);
     if (!m_started.insert({ submission, index }).second)
         ++m_startedTwice;
 }
--- a/src/apps/upstream/start_register.h
+++ b/src/apps/upstream/start_register.h
@@ -12,6 +12,8 @@
 class start_register {
 public:
     void recordStart(const protocol::submission_id& submission, std::uint32_t index);
+    // Whether any task of the submission was started.
+    bool hasStarted(const protocol::submission_id& submission) const { return m_submissions.contains(submission); }
     std::uint64_t startedTwice() const { return m_startedTwice; }
 
 private:
@@ -25,6 +27,7 @@
     };
 
     std::unordered_set<task_name, task_name_hash> m_started; // kept for the life of the process, so that no start is missed
+    std::unordered_set<protocol::submission_id> m_submissions; // of the tasks in m_started
     std::uint64_t m_startedTwice = 0;
 };
 
--- a/src/apps/upstream/upstream_settings.cpp
+++ b/src/apps/upstream/upstream_settings.cpp
@@ -1,6 +1,8 @@
 // Reading of jackdaw-upstream's settings.
 #include "apps/upstream/upstream_settings.h"
 
+#include "apps/shared/settings_list.h"
+
 #include <cstdlib>
 
 namespace jackdaw::upstream {
@@ -15,21 +17,6 @@
     constexpr double maxSpeed = 1000;
     constexpr double millicoresPerCore = 1000;
 
-    // Reads an array of strings, each by a parser of its own.
-    template <typename Value, typename Parser>
-    std::vector<Value> readList(settings_reader& reader, std::string_view key, Parser parse)
-    {
-        std::vector<Value> out;
-        for (const std::string& text : reader.stringsOr(key, {})) {
-            auto value = parse(text);
-            if (value)
-                out.push_back(std::move(value.value()));
-            else
-                reader.fail(key, value.error().detail);
-        }
-        return out;
-    }
-
     protocol::result<double> parseSpeed(const std::string& text)
     {
         char* end = nullptr;
@@ -58,7 +45,7 @@
         out.address = reader.stringOr("address", "127.0.0.1");
         out.firstPort = static_cast<std::uint16_t>(reader.integerOr("first_port", 0, 0, UINT16_MAX - maxInstances));
         out.ttl = reader.millisecondsOr("ttl_ms", std::chrono::seconds(3), std::chrono::milliseconds(100), std::chrono::minutes(1));
-        out.speeds = readList<double>(reader, "speeds", parseSpeed);
+        out.speeds = apps::readList<double>(reader, "speeds", parseSpeed);
         if (out.speeds.empty())
             out.speeds.push_back(1);
     }
@@ -70,8 +57,8 @@
     upstream_settings out;
     readIdentity(reader, out);
     readCapacity(reader, out);
-    out.entries = readList<apps::zone_address>(reader, "entries", apps::parseZoneAddress);
-    out.faults = readList<fault_step>(reader, "faults", parseFaultStep);
+    out.entries = apps::readList<apps::zone_address>(reader, "entries", apps::parseZoneAddress);
+    out.faults = apps::readList<fault_step>(reader, "faults", parseFaultStep);
     out.control.host = reader.stringOr("control.address", "127.0.0.1");
     out.control.port = static_cast<std::uint16_t>(reader.integerOr("control.port", 0, 0, UINT16_MAX));
     out.log.program = "jackdaw-upstream";
