--- a/src/apps/load/service_probe.cpp
+++ b/src/apps/load/service_probe.cpp
@@ -62,15 +62,31 @@
     return answer.outcome == request_outcome::answered && answer.response.status == statusOk;
 }
 
+bool service_probe::isReady(const transport::endpoint& target)
+{
+    transport::http_call call;
+    call.path = "/readyz";
+    return fetch(target, std::move(call)).has_value();
+}
+
 result<void> service_probe::awaitServing(duration limit)
 {
     const auto end = protocol::steadyNow() + limit;
-    for (const apps::zone_address& entry : m_settings.entries) {
-        while (!completesJob(entry)) {
+    const auto await = [end](const auto& isDone, const transport::endpoint& target) -> result<void> {
+        while (!isDone()) {
             if (protocol::steadyNow() > end)
-                return makeError(error_kind::timed_out, "entry host " + describe(entry.address) + " completes no job");
+                return makeError(error_kind::timed_out, "entry host " + describe(target) + " is not ready");
             std::this_thread::sleep_for(probeInterval);
         }
+        return boost::outcome_v2::success();
+    };
+    for (const transport::endpoint& target : m_settings.operators) {
+        if (auto ready = await([&] { return isReady(target); }, target); !ready)
+            return ready;
+    }
+    for (const apps::zone_address& entry : m_settings.entries) {
+        if (auto serving = await([&] { return completesJob(entry); }, entry.address); !serving)
+            return serving;
     }
     return boost::outcome_v2::success();
 }
--- a/src/apps/load/service_probe.h
+++ b/src/apps/load/service_probe.h
@@ -14,7 +14,7 @@
 public:
     service_probe(transport::event_loop& loop, const load_settings& settings);
 
-    // Sends jobs of one empty task to each entry host until it completes one.
+    // Waits until each operators' port says ready, and then until each entry host completes a job of one empty task.
     protocol::result<void> awaitServing(duration limit);
 
     // The median of several requests for an unknown job.
@@ -27,6 +27,7 @@
     protocol::result<std::size_t> countStarted(std::span<const protocol::submission_id> submissions);
 
 private:
+    bool isReady(const transport::endpoint& target);
     bool completesJob(const apps::zone_address& entry);
     protocol::result<std::string> fetch(const transport::endpoint& target, transport::http_call call);
 
