--- a/src/apps/entry/entry_counters.h
+++ b/src/apps/entry/entry_counters.h
@@ -1,12 +1,11 @@
-// Counters of one entry host, written by any of its threads and read by the metrics page.
+// What one thread of an entry host counts; the metrics page sums over the threads.
 #pragma once
 
 #include "protocol/job.h"
+#include "state/metrics.h"
 
 #include <array>
-#include <atomic>
 #include <cstdint>
-#include <string>
 
 namespace jackdaw::entry {
 
@@ -26,25 +25,31 @@
     count // number of purposes, none itself
 };
 
+// Belongs to one thread.
 class entry_counters {
 public:
-    void countMessages(message_purpose purpose, std::uint64_t count = 1);
-    void countAnswer(const protocol::job_answer& answer);
-    void countStart();
+    explicit entry_counters(state::metrics& page);
+
+    void countMessages(message_purpose purpose, std::uint64_t count = 1) { m_messages[static_cast<std::size_t>(purpose)]->add(count); }
+    void countStart() { m_starts->add(); }
 
-    std::uint64_t starts() const;
+    // An answer that a caller or another host gets.
+    void countAnswer(const protocol::job_answer& answer);
 
-    // The counters in the Prometheus text format.
-    std::string toPrometheus() const;
+    // The time from a job's arrival on this host to its answer.
+    void recordJobTime(protocol::duration time) { m_jobTimes->record(time); }
 
 private:
     static constexpr std::size_t purposes = static_cast<std::size_t>(message_purpose::count);
     static constexpr std::size_t errorKinds = static_cast<std::size_t>(protocol::error_kind::internal) + 1;
 
-    std::array<std::atomic<std::uint64_t>, purposes> m_messages {};
-    std::array<std::atomic<std::uint64_t>, errorKinds> m_failures {}; // by error kind
-    std::atomic<std::uint64_t> m_complete = 0;
-    std::atomic<std::uint64_t> m_starts = 0;
+    std::array<state::counter*, purposes> m_messages {};
+    std::array<state::counter*, errorKinds> m_refusals {}; // by error kind; the first is not used
+    state::counter* m_complete;
+    state::counter* m_failed; // something of the job may have run
+    state::counter* m_refused; // nothing of the job ran
+    state::counter* m_starts;
+    state::latency_histogram* m_jobTimes;
 };
 
 } // namespace jackdaw::entry
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -101,7 +101,10 @@
     const std::string m_settingsFile;
     const std::uint64_t m_incarnation = randomNumber();
     serving_state m_state = serving_state::serving; // on the decision thread
-    entry_counters m_counters;
+    state::metrics m_metrics;
+    entry_counters m_counters { m_metrics }; // of the decision thread
+    entry_counters m_callerCounters { m_metrics };
+    entry_counters m_operatorCounters { m_metrics };
 
     transport::event_loop m_decisions;
     loop_thread m_callers;
@@ -144,13 +147,13 @@
     , m_remoteCallers(m_jobs, [this](auto host, const auto& message) { return m_mesh.send(host, message); })
     , m_gateway(m_decisions, { .loops = m_settings.upstreamLoops, .maxConnections = m_settings.maxUpstreamConnections }, m_counters,
           [this](coordination::task_report report) { m_dispatch.report(std::move(report)); })
-    , m_callerApi(m_callers.loop(), m_decisions, m_settings.job, m_jobs, m_counters)
-    , m_upstreamApi(m_counters, [this](protocol::time_point heardAt, protocol::announcement announcement) {
+    , m_callerApi(m_callers.loop(), m_decisions, m_settings.job, m_jobs, m_callerCounters)
+    , m_upstreamApi(m_operatorCounters, [this](protocol::time_point heardAt, protocol::announcement announcement) {
         m_decisions.post([this, heardAt, announcement = std::move(announcement)] { onAnnouncement(heardAt, announcement); });
     })
-    , m_operatorApi([this] { return m_counters.toPrometheus(); }, [this](std::function<void(std::string)> onStatus) { m_decisions.post([this, onStatus = std::move(onStatus)] {
-                                                                                                                          m_operators.loop().post([json = statusJson(), onStatus] { onStatus(json); });
-                                                                                                                      }); })
+    , m_operatorApi([this] { return m_metrics.toPrometheus(); }, [this](std::function<void(std::string)> onStatus) { m_decisions.post([this, onStatus = std::move(onStatus)] {
+                                                                                                                         m_operators.loop().post([json = statusJson(), onStatus] { onStatus(json); });
+                                                                                                                     }); })
     , m_callerServer(m_callers.loop(), callerLimits(m_settings), [this](const auto& request, auto responder) { m_callerApi.onRequest(request, std::move(responder)); })
     , m_upstreamServer(m_operators.loop(), smallBodyLimits(), [this](const auto& request, const auto& responder) { m_upstreamApi.onRequest(request, *responder); })
     , m_operatorServer(m_operators.loop(), smallBodyLimits(), [this](const auto& request, const auto& responder) { m_operatorApi.onRequest(request, responder); })
--- a/src/apps/entry/job_service.cpp
+++ b/src/apps/entry/job_service.cpp
@@ -63,6 +63,7 @@
 
     struct open_job {
         job_phase phase = job_phase::claiming;
+        time_point openedAt = protocol::steadyNow();
         std::uint64_t forwardRequest = 0; // only for elsewhere
         bool isCancelled = false; // while claiming: to be answered instead of dispatched
     };
@@ -96,7 +97,7 @@
     void close(const submission_id& submission, job_answer answer)
     {
         noteAnswer(submission, answer);
-        openJobs.erase(submission);
+        noteEnd(submission);
         registry.answer(protocol::steadyNow(), submission, std::move(answer));
     }
 
@@ -131,10 +132,19 @@
     void release(const submission_id& submission, job_answer answer)
     {
         noteAnswer(submission, answer);
-        openJobs.erase(submission);
+        noteEnd(submission);
         registry.release(submission, std::move(answer));
     }
 
+    void noteEnd(const submission_id& submission)
+    {
+        const auto found = openJobs.find(submission);
+        if (found == openJobs.end())
+            return;
+        counters.recordJobTime(protocol::steadyNow() - found->second.openedAt);
+        openJobs.erase(found);
+    }
+
     void noteAnswer(const submission_id& submission, const job_answer& answer)
     {
         logAnswer(submission, answer);
