Mesh: close nng sockets without waiting for them

Cause: transport_tests hung for its 300 s limit in one ctest run. gdb: the main thread waits in nng_close of the pull socket, all nng threads idle; a peer was dialling it meanwhile. In a process this would freeze the event loop. The listener is now closed first, the socket on a thread that nobody waits for.

--- a/src/transport/internal/mesh_link.cpp
+++ b/src/transport/internal/mesh_link.cpp
@@ -1,6 +1,8 @@
 // nng push socket with one asynchronous send at a time. nng's threads only post to the loop.
 #include "transport/internal/mesh_link.h"
 
+#include "transport/internal/nng_socket_closer.h"
+
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
 
@@ -28,9 +30,9 @@
 
     ~impl()
     {
-        nng_close(socket);
         nng_aio_stop(operation);
         nng_aio_free(operation);
+        closeInBackground(socket);
     }
 
     impl(const impl&) = delete;
--- a/src/transport/internal/mesh_listener.cpp
+++ b/src/transport/internal/mesh_listener.cpp
@@ -1,6 +1,8 @@
 // nng pull socket; its thread posts what arrives to the loop.
 #include "transport/internal/mesh_listener.h"
 
+#include "transport/internal/nng_socket_closer.h"
+
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 
@@ -21,9 +23,10 @@
 
     ~impl()
     {
-        nng_close(socket);
+        nng_listener_close(listener);
         nng_aio_stop(operation);
         nng_aio_free(operation);
+        closeInBackground(socket);
     }
 
     impl(const impl&) = delete;
@@ -48,6 +51,7 @@
     event_loop& loop;
     bytes_hook onBytes;
     nng_socket socket {};
+    nng_listener listener {};
     nng_aio* operation = nullptr;
 };
 
@@ -60,7 +64,7 @@
 
 protocol::result<void> mesh_listener::listen(const std::string& address)
 {
-    const int code = nng_listen(m_impl->socket, ("tcp://" + address).c_str(), nullptr, 0);
+    const int code = nng_listen(m_impl->socket, ("tcp://" + address).c_str(), &m_impl->listener, 0);
     if (code != 0)
         return protocol::makeError(protocol::error_kind::internal, "can't listen on " + address + ": " + nng_strerror(code));
     nng_recv_aio(m_impl->socket, m_impl->operation);
