--- a/src/coordination/tests/raft_simulation.cpp
+++ b/src/coordination/tests/raft_simulation.cpp
@@ -18,9 +18,10 @@
     , m_nextFault(m_now + 2s)
     , m_nextProposal(m_now)
 {
+    m_isHarsh = happens(0.5);
     m_link.settings.loss = happens(0.5) ? 0.02 * static_cast<double>(below(8)) : 0;
     m_link.settings.duplication = happens(0.5) ? 0.05 : 0;
-    m_link.settings.maxDelay = happens(0.3) ? 60ms : 3ms;
+    m_link.settings.maxDelay = happens(0.3) ? 150ms : 3ms;
     raft_membership founders;
     for (std::size_t i = 0; i < m_settings.hosts; ++i)
         founders.voters.push_back({ "h" + std::to_string(i), m_nextIncarnation++ });
@@ -126,7 +127,7 @@
 
 void raft_simulation::injectFault()
 {
-    m_nextFault = m_now + std::chrono::milliseconds(50 + below(900));
+    m_nextFault = m_now + std::chrono::milliseconds(m_isHarsh ? 5 + below(150) : 50 + below(900));
     if (!m_isFaulty)
         return;
     simulated_host& host = m_hosts[below(m_hosts.size())];
@@ -149,7 +150,7 @@
 void raft_simulation::cutSomething()
 {
     const std::string& host = m_hosts[below(m_hosts.size())].id.host;
-    const time_point until = m_now + (happens(0.3) ? 8s : 1s);
+    const time_point until = m_now + (happens(0.3) && !m_isHarsh ? 8s : 500ms);
     const bool isIsolated = happens(0.5);
     const bool isOneWay = happens(0.4);
     for (const simulated_host& other : m_hosts) {
--- a/src/coordination/tests/raft_simulation.h
+++ b/src/coordination/tests/raft_simulation.h
@@ -101,6 +101,7 @@
     time_point m_nextFault;
     time_point m_nextProposal;
     bool m_isFaulty = true;
+    bool m_isHarsh = false; // many short faults in place of fewer, longer ones
     std::uint64_t m_nextIncarnation = 1;
     std::uint64_t m_committedCommands = 0;
     raft_violation m_violation = raft_violation::none;
