--- /dev/null
+++ b/src/coordination/internal/claim_group.cpp
@@ -0,0 +1,334 @@
+// Founding, joining and leaving generations, replacement of restarted voters, and the loop around the Raft member.
+#include "coordination/internal/claim_group.h"
+
+#include "coordination/internal/raft_membership.h"
+#include "coordination/raft_replacement.h"
+
+#include <algorithm>
+
+namespace jackdaw::coordination {
+
+using protocol::claim_founding;
+using protocol::claim_generation;
+using protocol::claim_hello;
+using protocol::claim_raft;
+
+namespace {
+
+    constexpr int freshHellos = 4; // a peer is taken for alive for so many hello intervals
+
+    std::size_t majority(std::size_t members)
+    {
+        return members / 2 + 1;
+    }
+
+} // namespace
+
+claim_group::claim_group(claim_group_settings settings, claim_group_hooks hooks, time_point now)
+    : m_settings(std::move(settings))
+    , m_hooks(std::move(hooks))
+    , m_random(m_settings.seed)
+    , m_now(now)
+    , m_self { m_settings.host, m_settings.incarnation }
+    , m_ledAt(now)
+    , m_nextHello(now)
+{
+}
+
+bool claim_group::isVoterHost() const
+{
+    return std::ranges::find(m_settings.voters, m_settings.host) != m_settings.voters.end();
+}
+
+// The fewest voters whose majority meets every set of founders, so that a generation is dead once another can be founded.
+std::size_t claim_group::minVoters() const
+{
+    const std::size_t hosts = m_settings.voters.size();
+    std::size_t voters = 1;
+    while (majority(voters) + std::max(majority(hosts), voters) <= hosts)
+        ++voters;
+    return voters;
+}
+
+std::size_t claim_group::founders() const
+{
+    return std::max(majority(m_settings.voters.size()), minVoters());
+}
+
+std::optional<std::string> claim_group::leaderHost() const
+{
+    if (!m_node || !m_node->leader())
+        return std::nullopt;
+    return m_node->leader()->host;
+}
+
+// Hellos tell hosts without a leader of each other. A led generation is silent but for replies to outsiders.
+
+void claim_group::sayHello(const std::string& host, bool wantsReply)
+{
+    m_hooks.send(host, claim_hello { m_self.incarnation, m_generation, wantsReply });
+}
+
+void claim_group::sayHelloToAll()
+{
+    for (const std::string& host : m_settings.voters) {
+        if (host != m_settings.host)
+            sayHello(host, true);
+    }
+}
+
+void claim_group::step(time_point now, const std::string& from, const claim_hello& hello)
+{
+    m_now = now;
+    if (!isVoterHost() || std::ranges::find(m_settings.voters, from) == m_settings.voters.end())
+        return;
+    m_peers[from] = { hello.incarnation, hello.generation, now };
+    if (hello.wantsReply && m_generation && hello.generation != m_generation)
+        sayHello(from, false);
+    if (isLeader())
+        maintain();
+    drain();
+}
+
+// Generations
+
+// Only a fresh host may join, which is in no generation and, as an incarnation, never was in one.
+void claim_group::join(const claim_generation& generation, const std::vector<raft_member_id>& voters)
+{
+    raft_settings settings;
+    settings.self = m_self;
+    settings.seed = m_random();
+    settings.heartbeat = m_settings.heartbeat;
+    settings.minElectionTimeout = m_settings.minElectionTimeout;
+    settings.maxElectionTimeout = m_settings.maxElectionTimeout;
+    raft_initial_state initial;
+    if (!voters.empty()) {
+        // As if a leader of term 1 had sent this entry to all founders; a later leader brings it to the other members.
+        initial.hardState.term = 1;
+        initial.entries.push_back({ 1, 1, raft_entry_kind::membership, {}, { voters, {} } });
+    }
+    m_generation = generation;
+    m_node.emplace(std::move(settings), std::move(initial), m_now);
+    m_ledAt = m_now;
+    m_ledTerm = 0;
+}
+
+// Like a restart: the old incarnation never speaks again.
+void claim_group::leave()
+{
+    m_generation.reset();
+    m_node.reset();
+    m_founders.clear();
+    ++m_self.incarnation;
+    m_commandBytes = 0;
+    m_snapshotBytes = 0;
+    m_ledAt = m_now + duration(std::uniform_int_distribution<duration::rep>(0, m_settings.helloInterval.count())(m_random));
+    m_nextHello = m_now;
+    m_hooks.reset();
+}
+
+bool claim_group::isFresh(const known_peer& peer) const
+{
+    return !peer.generation && m_now - peer.heard <= freshHellos * m_settings.helloInterval;
+}
+
+// The first fresh host by name founds a generation with all fresh hosts that it hears, if they are enough.
+void claim_group::found()
+{
+    std::vector<raft_member_id> voters { m_self };
+    for (const auto& [host, peer] : m_peers) {
+        if (isFresh(peer) && host < m_settings.host)
+            return;
+        if (isFresh(peer))
+            voters.push_back({ host, peer.incarnation });
+    }
+    if (voters.size() < founders())
+        return;
+    join(m_self, voters);
+    m_founders = voters;
+    sendFounding();
+}
+
+void claim_group::sendFounding()
+{
+    for (const raft_member_id& voter : m_founders) {
+        if (voter != m_self)
+            m_hooks.send(voter.host, claim_founding { *m_generation, m_founders });
+    }
+}
+
+void claim_group::step(time_point now, const std::string& /*from*/, const claim_founding& founding)
+{
+    m_now = now;
+    const bool isNamed = std::ranges::find(founding.voters, m_self) != founding.voters.end();
+    if (!m_generation && isNamed)
+        join(founding.generation, founding.voters);
+    drain();
+}
+
+void claim_group::step(time_point now, const std::string& /*from*/, const claim_raft& raft)
+{
+    m_now = now;
+    const bool isToSelf = raft.message.to == m_self && isVoterHost();
+    if (!m_generation && isToSelf)
+        join(raft.generation, {});
+    if (m_generation != raft.generation || !isToSelf)
+        return;
+    m_node->step(now, raft.message);
+    drain();
+}
+
+// Timers
+
+void claim_group::advance(time_point now)
+{
+    m_now = now;
+    if (!isVoterHost())
+        return;
+    if (m_node)
+        m_node->advance(now);
+    drain();
+    if (now >= m_nextHello) {
+        if (isLeader())
+            maintain();
+        else if (!leaderHost())
+            advanceLeaderless();
+        m_nextHello = now + m_settings.helloInterval;
+    }
+    drain();
+}
+
+void claim_group::advanceLeaderless()
+{
+    sayHelloToAll();
+    if (m_generation && isWorthLeaving())
+        leave();
+    if (m_generation)
+        sendFounding();
+    else if (m_now - m_ledAt >= m_settings.foundingDelay)
+        found();
+}
+
+// Leaving is safe at any time, as a restart is; it is worth it when this generation has no future.
+bool claim_group::isWorthLeaving() const
+{
+    const duration leaderless = m_now - m_ledAt;
+    if (leaderless < m_settings.formationTimeout)
+        return false;
+    const raft_membership& membership = m_node->membership();
+    if (m_node->commitIndex() == 0 || !isVoter(membership, m_self))
+        return true;
+    const auto restarted = static_cast<std::size_t>(std::ranges::count_if(membership.voters, [this](const raft_member_id& voter) {
+        const auto found = m_peers.find(voter.host);
+        return found != m_peers.end() && found->second.incarnation != voter.incarnation && found->second.generation != m_generation;
+    }));
+    if (membership.voters.size() - restarted < majorityOf(membership))
+        return true;
+    return restarted > 0 && leaderless >= m_settings.resignDelay;
+}
+
+time_point claim_group::nextTimer() const
+{
+    if (!isVoterHost())
+        return time_point::max();
+    const time_point hello = leaderHost() && !isLeader() ? time_point::max() : m_nextHello;
+    return m_node ? std::min(hello, m_node->nextTimer()) : hello;
+}
+
+// Replacement of restarted voters, by the leader
+
+bool claim_group::isLostLearner(const raft_member_id& learner) const
+{
+    const auto found = m_peers.find(learner.host);
+    const bool isHeard = found != m_peers.end() && found->second.incarnation == learner.incarnation && isFresh(found->second);
+    return !isHeard && !m_node->isReachable(m_now, learner);
+}
+
+std::vector<raft_member_id> claim_group::liveMembers() const
+{
+    std::vector<raft_member_id> live;
+    for (const auto& [host, peer] : m_peers) {
+        if (isFresh(peer))
+            live.push_back({ host, peer.incarnation });
+    }
+    for (const raft_member_id& learner : m_node->membership().learners) {
+        if (std::ranges::find(live, learner.host, &raft_member_id::host) == live.end() && !isLostLearner(learner))
+            live.push_back(learner);
+    }
+    return live;
+}
+
+void claim_group::maintain()
+{
+    const raft_membership& current = m_node->membership();
+    auto plan = planReplacement(current, liveMembers(), minVoters(),
+        [this](const raft_member_id& member) { return m_node->isCaughtUp(m_now, member); });
+    const auto isLost = [this](const raft_member_id& learner) { return isLostLearner(learner); };
+    if (!plan && std::ranges::any_of(current.learners, isLost)) {
+        plan = current;
+        std::erase_if(plan->learners, isLost);
+    }
+    if (plan)
+        m_node->proposeMembership(m_now, *plan);
+}
+
+// The Raft member
+
+void claim_group::propose(time_point now, std::string_view command)
+{
+    m_now = now;
+    if (m_node)
+        m_node->propose(now, command);
+    drain();
+}
+
+void claim_group::transferLeadership(time_point now)
+{
+    m_now = now;
+    if (m_node)
+        m_node->transferLeadership(now);
+    drain();
+}
+
+void claim_group::drain()
+{
+    if (!m_node)
+        return;
+    if (m_node->leader())
+        m_ledAt = m_now;
+    raft_ready ready = m_node->takeReady();
+    for (raft_message& message : ready.messages) {
+        const std::string host = message.to.host;
+        m_hooks.send(host, claim_raft { *m_generation, std::move(message) });
+    }
+    if (ready.snapshot) {
+        m_hooks.restore(ready.snapshot->data);
+        m_snapshotBytes = ready.snapshot->data.size();
+        m_commandBytes = 0;
+    }
+    for (const raft_entry& entry : ready.committed)
+        apply(entry);
+    if (!m_founders.empty() && m_node->commitIndex() > 0)
+        m_founders.clear();
+    if (isLeader() && m_ledTerm != m_node->term()) {
+        m_ledTerm = m_node->term();
+        m_nextHello = m_now;
+        m_hooks.lead();
+    }
+}
+
+// The snapshot's cost is spread over as many bytes of commands as it has itself.
+void claim_group::apply(const raft_entry& entry)
+{
+    if (entry.kind == raft_entry_kind::command)
+        m_hooks.apply(entry.data);
+    m_commandBytes += entry.data.size();
+    if (m_commandBytes < std::max(m_settings.minCompactionBytes, m_snapshotBytes))
+        return;
+    std::string data = m_hooks.snapshot();
+    m_commandBytes = 0;
+    m_snapshotBytes = data.size();
+    m_node->compact(entry.index, std::move(data));
+}
+
+} // namespace jackdaw::coordination
--- a/src/coordination/raft_replacement.cpp
+++ b/src/coordination/raft_replacement.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 std::optional<raft_membership> planReplacement(const raft_membership& current, std::span<const raft_member_id> live,
-    const raft_member_predicate& isCaughtUp)
+    std::size_t minVoters, const raft_member_predicate& isCaughtUp)
 {
     for (const raft_member_id& member : live) {
         if (isVoter(current, member))
@@ -40,6 +40,8 @@
         const auto lost = std::ranges::find(current.voters, member.host, &raft_member_id::host);
         if (lost == current.voters.end())
             return promoted(current, member);
+        if (current.voters.size() <= minVoters)
+            continue;
         raft_membership without = current;
         std::erase(without.voters, raft_member_id(*lost));
         return without;
--- a/src/coordination/raft_replacement.h
+++ b/src/coordination/raft_replacement.h
@@ -3,6 +3,7 @@
 
 #include "protocol/raft_messages.h"
 
+#include <cstddef>
 #include <functional>
 #include <optional>
 #include <span>
@@ -12,8 +13,9 @@
 using raft_member_predicate = std::function<bool(const protocol::raft_member_id& member)>;
 
 // The next membership to propose, or std::nullopt when each live member is a voter or still catching up. A live member
-// becomes a learner first; once it has caught up, the lost incarnation of its host leaves the voters; then it is promoted.
+// becomes a learner first; once it has caught up, the lost incarnation of its host leaves the voters, as long as minVoters
+// are left; then it is promoted.
 std::optional<protocol::raft_membership> planReplacement(const protocol::raft_membership& current,
-    std::span<const protocol::raft_member_id> live, const raft_member_predicate& isCaughtUp);
+    std::span<const protocol::raft_member_id> live, std::size_t minVoters, const raft_member_predicate& isCaughtUp);
 
 } // namespace jackdaw::coordination
--- /dev/null
+++ b/src/coordination/tests/claim_simulation.cpp
@@ -0,0 +1,285 @@
+// Three voters and one more entry host, clients that submit and resubmit, a fault script under a seed, and the checks.
+#include "coordination/tests/claim_simulation.h"
+
+#include "protocol/claim_codec.h"
+
+#include <algorithm>
+
+namespace jackdaw::coordination::tests {
+
+using namespace std::chrono_literals;
+using protocol::claim_coordinator;
+using protocol::unix_milliseconds;
+
+namespace {
+
+    const std::vector<std::string> voterHosts { "h0", "h1", "h2" };
+    constexpr unix_milliseconds epoch { 1'700'000'000'000 };
+
+    unix_milliseconds millisecondsAt(time_point time)
+    {
+        return epoch + std::chrono::duration_cast<unix_milliseconds>(time.time_since_epoch());
+    }
+
+} // namespace
+
+claim_simulation::claim_simulation(claim_simulation_settings settings)
+    : m_settings(settings)
+    , m_random(m_settings.seed)
+    , m_link(m_settings.seed + 1)
+    , m_now(1s)
+    , m_nextFault(m_now + 4s)
+    , m_nextSubmission(m_now)
+{
+    for (const char* name : { "h0", "h1", "h2", "h3" })
+        m_hosts.push_back({ name, 0, nullptr, std::chrono::milliseconds(below(800)) - 400ms, {}, {} });
+    for (simulated_host& host : m_hosts)
+        start(host);
+}
+
+void claim_simulation::start(simulated_host& host)
+{
+    if (!m_settings.mutation.keepsIncarnation || host.incarnation == 0)
+        host.incarnation = 1000 * m_nextIncarnation++;
+    host.startedAt = m_now;
+    host.frozenUntil = m_now;
+    claim_service_settings settings;
+    settings.host = host.name;
+    settings.incarnation = host.incarnation;
+    settings.seed = m_random();
+    settings.voters = voterHosts;
+    if (m_settings.mutation.splitsVoterLists && host.name == "h0")
+        settings.voters = { "h0" };
+    claim_service_hooks hooks;
+    hooks.send = [this, &host](const std::string& to, const std::string& bytes) { send(host, to, bytes); };
+    hooks.result = [this, &host](const claim_result& result) { check(host, result); };
+    hooks.unixNow = [this, &host] { return clockOf(host); };
+    host.service = std::make_unique<claim_service>(settings, hooks, m_now);
+}
+
+void claim_simulation::crash(simulated_host& host)
+{
+    host.service.reset();
+}
+
+claim_simulation::simulated_host& claim_simulation::hostNamed(const std::string& name)
+{
+    return *std::ranges::find(m_hosts, name, &simulated_host::name);
+}
+
+unix_milliseconds claim_simulation::clockOf(const simulated_host& host) const
+{
+    const bool isStale = m_settings.mutation.hasStaleClockAtStart && m_now - host.startedAt < 4s;
+    return millisecondsAt(m_now + host.clockOffset) - (isStale ? 60s : 0s);
+}
+
+claim_violation claim_simulation::run()
+{
+    m_link.settings.loss = happens(0.5) ? 0.02 * static_cast<double>(below(6)) : 0;
+    m_link.settings.duplication = happens(0.5) ? 0.05 : 0;
+    m_link.settings.maxDelay = happens(0.3) ? 100ms : 3ms;
+    runUntil(m_now + m_settings.faultyTime);
+    m_isFaulty = false;
+    healAll();
+    runUntil(m_now + 16s);
+    if (m_violation == claim_violation::none && timeToGrant() > 5s)
+        fail(claim_violation::not_live);
+    return m_violation;
+}
+
+duration claim_simulation::timeToGrantAfterLeaderLoss()
+{
+    m_isFaulty = false;
+    runUntil(m_now + 8s);
+    for (simulated_host& host : m_hosts) {
+        if (host.service && host.service->status().isLeader)
+            crash(host);
+    }
+    return timeToGrant();
+}
+
+duration claim_simulation::timeToGrantAfterRestartOfAll()
+{
+    m_isFaulty = false;
+    runUntil(m_now + 8s);
+    for (simulated_host& host : m_hosts)
+        start(host);
+    return timeToGrant();
+}
+
+duration claim_simulation::timeToGrant()
+{
+    const time_point begin = m_now;
+    std::size_t next = below(m_hosts.size());
+    while (m_now < begin + 30s && m_violation == claim_violation::none) {
+        client_submission submission = newSubmission();
+        while (!m_hosts[next % m_hosts.size()].service)
+            ++next;
+        submit(m_hosts[next++ % m_hosts.size()], submission);
+        for (const time_point limit = m_now + 200ms; m_now < limit && m_violation == claim_violation::none;) {
+            runEvent();
+            if (m_grants.contains(submission.id))
+                return m_now - begin;
+        }
+    }
+    return m_now - begin;
+}
+
+void claim_simulation::runUntil(time_point end)
+{
+    while (m_violation == claim_violation::none && m_now < end)
+        runEvent();
+}
+
+void claim_simulation::runEvent()
+{
+    time_point timer = time_point::max();
+    simulated_host* due = nullptr;
+    for (simulated_host& host : m_hosts) {
+        const time_point at = host.service ? std::max(host.service->nextTimer(), host.frozenUntil) : time_point::max();
+        if (at < timer) {
+            timer = at;
+            due = &host;
+        }
+    }
+    const time_point next = std::min({ timer, m_link.nextDelivery(), m_nextSubmission, m_nextFault });
+    m_now = std::max(m_now, next);
+    if (next == m_nextSubmission)
+        return submitSomething();
+    if (next == m_nextFault)
+        return injectFault();
+    if (next == m_link.nextDelivery())
+        return deliver();
+    due->service->advance(m_now);
+}
+
+void claim_simulation::deliver()
+{
+    auto delivery = m_link.takeDelivery();
+    simulated_host& host = hostNamed(delivery.to);
+    if (!host.service)
+        return;
+    if (host.frozenUntil > m_now)
+        return m_link.postpone(host.frozenUntil, std::move(delivery));
+    host.service->step(m_now, delivery.from, tamper(delivery.to, std::move(delivery.message)));
+}
+
+void claim_simulation::injectFault()
+{
+    m_nextFault = m_now + std::chrono::milliseconds(50 + below(1500));
+    if (!m_isFaulty)
+        return;
+    simulated_host& host = m_hosts[below(m_hosts.size())];
+    if (!host.service)
+        return start(host);
+    const std::size_t choice = below(12);
+    if (choice < 3)
+        return cutSomething();
+    if (choice < 5)
+        return m_link.heal();
+    if (choice < 6)
+        return host.service->transferLeadership(m_now);
+    if (choice < 8) {
+        host.frozenUntil = m_now + std::chrono::milliseconds(below(4000));
+        return;
+    }
+    crash(host);
+    if (choice == 11) {
+        for (simulated_host& other : m_hosts)
+            crash(other);
+    }
+}
+
+void claim_simulation::cutSomething()
+{
+    const std::string name = m_hosts[below(m_hosts.size())].name;
+    const time_point until = m_now + (happens(0.3) ? 14s : 2s);
+    const bool isOneWay = happens(0.4);
+    const bool isIsolated = happens(0.5);
+    for (const simulated_host& other : m_hosts) {
+        if (other.name == name || (!isIsolated && happens(0.5)))
+            continue;
+        m_link.cut(name, other.name, until);
+        if (!isOneWay)
+            m_link.cut(other.name, name, until);
+    }
+}
+
+void claim_simulation::healAll()
+{
+    m_link.heal();
+    m_link.settings = {};
+    for (simulated_host& host : m_hosts) {
+        host.frozenUntil = m_now;
+        if (!host.service)
+            start(host);
+    }
+}
+
+claim_simulation::client_submission& claim_simulation::newSubmission()
+{
+    const auto skew = std::chrono::milliseconds(below(1000)) - 500ms;
+    return m_submissions.emplace_back(client_submission { protocol::makeSubmissionId(millisecondsAt(m_now) + skew, m_random(), m_random()) });
+}
+
+// A new submission, or an earlier one again at any host.
+void claim_simulation::submitSomething()
+{
+    m_nextSubmission = m_now + std::chrono::milliseconds(5 + below(80));
+    simulated_host& host = m_hosts[below(m_hosts.size())];
+    if (m_submissions.empty() || happens(0.4))
+        return submit(host, newSubmission());
+    const std::size_t recent = std::min<std::size_t>(m_submissions.size(), happens(0.5) ? 5 : 200);
+    submit(host, m_submissions[m_submissions.size() - 1 - below(recent)]);
+}
+
+void claim_simulation::submit(simulated_host& host, client_submission& submission)
+{
+    if (!host.service || host.frozenUntil > m_now)
+        return;
+    host.service->claim(m_now, submission.id, 7, !std::exchange(submission.wasSubmitted, true));
+}
+
+void claim_simulation::send(const simulated_host& from, const std::string& to, std::string bytes)
+{
+    m_link.send(m_now, from.name, to, std::move(bytes));
+}
+
+std::string claim_simulation::tamper(const std::string& to, std::string bytes)
+{
+    if (!m_settings.mutation.mixesGenerations)
+        return bytes;
+    auto message = protocol::decodeClaimMessage(bytes).value();
+    auto* raft = std::get_if<protocol::claim_raft>(&message);
+    if (!raft)
+        return bytes;
+    m_generationOf[raft->message.from.host] = raft->generation;
+    if (m_generationOf.contains(to))
+        raft->generation = m_generationOf[to];
+    return encode(message);
+}
+
+void claim_simulation::check(const simulated_host& host, const claim_result& result)
+{
+    const claim_coordinator self { host.name, host.incarnation };
+    const bool isGranted = result.verdict == claim_verdict::granted;
+    if (isGranted && !m_grants.emplace(result.submission, self).second)
+        return fail(claim_violation::granted_twice);
+    if (isGranted || result.verdict == claim_verdict::held) {
+        const claim_coordinator& holder = isGranted ? self : result.holder;
+        const auto [known, isFirst] = m_holders.try_emplace(result.submission, holder);
+        if (!isFirst && known->second != holder)
+            return fail(claim_violation::holder_changed);
+    }
+    const bool saysUnclaimed = result.verdict == claim_verdict::from_future || result.isProvedUnclaimed;
+    if (saysUnclaimed && m_holders.contains(result.submission))
+        fail(claim_violation::false_refusal);
+}
+
+void claim_simulation::fail(claim_violation violation)
+{
+    if (m_violation == claim_violation::none)
+        m_violation = violation;
+}
+
+} // namespace jackdaw::coordination::tests
--- /dev/null
+++ b/src/coordination/tests/claim_simulation.h
@@ -0,0 +1,108 @@
+// The claim services of one zone under seeded faults, and the check that no submission is granted twice.
+#pragma once
+
+#include "coordination/claim_service.h"
+#include "coordination/tests/raft_link.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace jackdaw::coordination::tests {
+
+enum class claim_violation {
+    none,
+    granted_twice,
+    holder_changed, // two coordinators were named as holders of one submission
+    false_refusal, // said to be unclaimed, but granted before
+    not_live // healed for seconds, and yet a new submission is not granted
+};
+
+// Faults in the owner of a service or in the messages, for showing that the checker notices them.
+struct claim_mutation {
+    bool keepsIncarnation = false; // after a restart
+    bool mixesGenerations = false; // Raft messages reach members of other generations
+    bool hasStaleClockAtStart = false; // a minute behind in the first seconds of a process
+    bool splitsVoterLists = false; // one host believes that it is the only voter
+};
+
+struct claim_simulation_settings {
+    std::uint64_t seed = 1;
+    duration faultyTime = std::chrono::seconds(25);
+    claim_mutation mutation;
+};
+
+class claim_simulation {
+public:
+    explicit claim_simulation(claim_simulation_settings settings);
+
+    // Faults, then a healed time. The first violation met.
+    claim_violation run();
+
+    // Without faults: kills the leader of a settled group. Time until a submission made after that is granted, with the
+    // client trying again at another host whenever it is refused.
+    duration timeToGrantAfterLeaderLoss();
+
+    // The same with all hosts restarted at once.
+    duration timeToGrantAfterRestartOfAll();
+
+    std::uint64_t grants() const { return m_holders.size(); }
+
+private:
+    struct simulated_host {
+        std::string name;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<claim_service> service; // empty while down
+        duration clockOffset {};
+        time_point startedAt;
+        time_point frozenUntil;
+    };
+
+    struct client_submission {
+        protocol::submission_id id;
+        bool wasSubmitted = false;
+    };
+
+    bool happens(double chance) { return std::bernoulli_distribution(chance)(m_random); }
+    std::size_t below(std::size_t limit) { return std::uniform_int_distribution<std::size_t>(0, limit - 1)(m_random); }
+
+    void start(simulated_host& host);
+    void crash(simulated_host& host);
+    simulated_host& hostNamed(const std::string& name);
+    void runEvent();
+    void runUntil(time_point end);
+    void deliver();
+    void injectFault();
+    void cutSomething();
+    void healAll();
+    void submitSomething();
+    void submit(simulated_host& host, client_submission& submission);
+    client_submission& newSubmission();
+    void send(const simulated_host& from, const std::string& to, std::string bytes);
+    std::string tamper(const std::string& to, std::string bytes);
+    void check(const simulated_host& host, const claim_result& result);
+    protocol::unix_milliseconds clockOf(const simulated_host& host) const;
+    duration timeToGrant();
+    void fail(claim_violation violation);
+
+    claim_simulation_settings m_settings;
+    std::mt19937_64 m_random;
+    simulated_link<std::string> m_link;
+    std::vector<simulated_host> m_hosts;
+    std::vector<client_submission> m_submissions;
+    std::map<protocol::submission_id, protocol::claim_coordinator> m_holders; // granted, by anyone's word
+    std::map<protocol::submission_id, protocol::claim_coordinator> m_grants; // results that said granted
+    std::map<std::string, protocol::claim_generation> m_generationOf; // by host, as its last Raft message said
+    time_point m_now;
+    time_point m_nextFault;
+    time_point m_nextSubmission;
+    bool m_isFaulty = true;
+    std::uint64_t m_nextIncarnation = 1;
+    claim_violation m_violation = claim_violation::none;
+};
+
+} // namespace jackdaw::coordination::tests
--- a/src/coordination/tests/raft_link.h
+++ b/src/coordination/tests/raft_link.h
@@ -53,6 +53,9 @@
         return m_deliveries.empty() ? protocol::time_point::max() : m_deliveries.begin()->first;
     }
 
+    // Holds a delivery back, for a receiver that is frozen.
+    void postpone(protocol::time_point until, delivery held) { m_deliveries.emplace(until, std::move(held)); }
+
     delivery takeDelivery() { return std::move(m_deliveries.extract(m_deliveries.begin()).mapped()); }
 
 private:
--- a/src/coordination/tests/raft_simulation.cpp
+++ b/src/coordination/tests/raft_simulation.cpp
@@ -192,7 +192,7 @@
         if (host.node)
             live.push_back(host.id);
     }
-    const auto plan = planReplacement(leader.node->membership(), live,
+    const auto plan = planReplacement(leader.node->membership(), live, 1,
         [&](const raft_member_id& member) { return leader.node->isCaughtUp(m_now, member); });
     if (plan)
         leader.node->proposeMembership(m_now, *plan);
--- /dev/null
+++ b/src/protocol/claim_messages.h
@@ -0,0 +1,112 @@
+// Messages and records of claims: which host coordinates a submission. Decided in coordination/claim_service.h.
+#pragma once
+
+#include "protocol/raft_messages.h"
+#include "protocol/submission_id.h"
+#include "protocol/time.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jackdaw::protocol {
+
+// One start of an entry process, which runs the jobs whose claims it was granted.
+struct claim_coordinator {
+    std::string host;
+    std::uint64_t incarnation = 0; // random for each start
+
+    friend bool operator==(const claim_coordinator&, const claim_coordinator&) = default;
+};
+
+struct claim_entry {
+    submission_id submission;
+    std::uint64_t attempt = 0; // numbers the claims of one coordinator; a resent claim keeps its number
+    std::uint64_t bodyHash = 0;
+
+    friend bool operator==(const claim_entry&, const claim_entry&) = default;
+};
+
+struct claim_batch {
+    claim_coordinator coordinator;
+    std::vector<claim_entry> claims;
+
+    friend bool operator==(const claim_batch&, const claim_batch&) = default;
+};
+
+// One command of a claim group's log.
+struct claim_command {
+    unix_milliseconds time {}; // the leader's clock; the group's time is the latest one seen
+    std::optional<unix_milliseconds> knownSince; // opens a generation; later ones are ignored
+    std::vector<claim_batch> batches;
+
+    friend bool operator==(const claim_command&, const claim_command&) = default;
+};
+
+enum class claim_outcome : std::uint8_t {
+    granted = 0, // to this coordinator and attempt, and to nobody else ever
+    held = 1, // by another attempt
+    mismatch = 2, // held with another body
+    too_old = 3, // the group's memory does not reach back to the submission's time stamp
+    from_future = 4 // the time stamp is ahead of the group's time by more than the clock margin: not granted to anyone
+};
+
+struct claim_answer {
+    submission_id submission;
+    std::uint64_t attempt = 0;
+    claim_outcome outcome = claim_outcome::too_old;
+    claim_coordinator holder; // for granted, held and mismatch
+
+    friend bool operator==(const claim_answer&, const claim_answer&) = default;
+};
+
+// Names one generation of a zone's claim group by the member that founded it.
+using claim_generation = raft_member_id;
+
+struct claim_hello {
+    std::uint64_t incarnation = 0; // of the sender as a member
+    std::optional<claim_generation> generation; // none: member of no generation
+    bool wantsReply = false;
+
+    friend bool operator==(const claim_hello&, const claim_hello&) = default;
+};
+
+struct claim_founding {
+    claim_generation generation;
+    std::vector<raft_member_id> voters;
+
+    friend bool operator==(const claim_founding&, const claim_founding&) = default;
+};
+
+struct claim_raft {
+    claim_generation generation;
+    raft_message message;
+
+    friend bool operator==(const claim_raft&, const claim_raft&) = default;
+};
+
+struct claim_request {
+    claim_batch batch;
+
+    friend bool operator==(const claim_request&, const claim_request&) = default;
+};
+
+struct claim_reply {
+    std::uint64_t incarnation = 0; // of the coordinator that asked
+    std::vector<claim_answer> answers;
+
+    friend bool operator==(const claim_reply&, const claim_reply&) = default;
+};
+
+// The receiver of a request is not the leader.
+struct claim_redirect {
+    std::string leaderHost; // empty: not known
+
+    friend bool operator==(const claim_redirect&, const claim_redirect&) = default;
+};
+
+using claim_message = std::variant<claim_hello, claim_founding, claim_raft, claim_request, claim_reply, claim_redirect>;
+
+} // namespace jackdaw::protocol
