--- a/src/protocol/config_messages.cpp
+++ b/src/protocol/config_messages.cpp
@@ -1,6 +1,7 @@
 // Codec of the configuration messages: an array of family, kind, format version, and the fields.
 #include "protocol/config_messages.h"
 
+#include "protocol/message_family.h"
 #include "protocol/packed.h"
 
 namespace jackdaw::protocol {
@@ -24,14 +25,6 @@
         MSGPACK_DEFINE_ARRAY(family, kind, format, version, text)
     };
 
-    // The family is the first element of a small array: both are told from the first bytes.
-    bool isOfFamily(std::string_view bytes)
-    {
-        constexpr unsigned char fixedString = 0xa0;
-        return bytes.size() > family.size() + 1 && static_cast<unsigned char>(bytes[1]) == (fixedString | family.size())
-            && bytes.substr(2, family.size()) == family;
-    }
-
 } // namespace
 
 std::string encodeConfigMessage(const config_message& message)
@@ -50,7 +43,7 @@
 
 result<std::optional<config_message>> decodeConfigMessage(std::string_view bytes)
 {
-    if (!isOfFamily(bytes))
+    if (!isOfFamily(bytes, family))
         return std::optional<config_message>();
     auto packed = unpack<packed_message>(bytes);
     if (!packed)
