--- a/src/state/journal.cpp
+++ b/src/state/journal.cpp
@@ -1,6 +1,7 @@
 // Segments in order, the last one open for appending.
 #include "state/journal.h"
 
+#include "state/internal/acknowledged_index.h"
 #include "state/internal/file.h"
 #include "state/internal/journal_segment.h"
 
@@ -18,9 +19,17 @@
 using protocol::makeError;
 using protocol::result;
 
+namespace {
+
+    constexpr auto acknowledgedFileName = "acknowledged";
+
+} // namespace
+
 class journal::impl {
 public:
     journal_settings settings;
+    internal::acknowledged_index acknowledged;
+    std::uint64_t lostUpTo = 0;
     std::vector<journal_segment> segments; // in order, without gaps between them
     internal::file active; // the last segment; not open when there is none
     bool hasFailed = false;
@@ -33,6 +42,7 @@
     std::uint64_t nextIndex() const { return segments.empty() ? 0 : segments.back().nextIndex(); }
 
     result<void> load();
+    result<void> loadAcknowledged();
     result<void> loadSegment(std::uint64_t firstIndex, bool isLast);
     result<void> cutTornTail(const internal::segment_scan& scan);
     result<void> openActive();
@@ -71,6 +81,18 @@
         if (auto loaded = loadSegment(firstIndex, firstIndex == firstIndexes.back()); !loaded)
             return loaded;
     }
+    return loadAcknowledged();
+}
+
+result<void> journal::impl::loadAcknowledged()
+{
+    auto opened = internal::acknowledged_index::open(settings.folder + '/' + acknowledgedFileName);
+    if (!opened)
+        return opened.error();
+    acknowledged = std::move(opened.value());
+    const std::uint64_t next = nextIndex();
+    if (acknowledged.value() > 0 && acknowledged.value() >= next)
+        lostUpTo = acknowledged.value();
     return openActive();
 }
 
@@ -176,7 +198,7 @@
     }
     segment.size += bytes.size();
     segment.offsets.insert(segment.offsets.end(), offsets.begin(), offsets.end());
-    return boost::outcome_v2::success();
+    return acknowledged.raise(records.back().index);
 }
 
 result<void> journal::impl::removeSegment(const journal_segment& segment)
@@ -196,6 +218,8 @@
 
 result<void> journal::impl::truncateFrom(std::uint64_t index)
 {
+    if (auto lowered = acknowledged.lower(index - 1, settings.hooks); !lowered)
+        return lowered;
     while (!segments.empty() && segments.back().firstIndex >= index) {
         if (auto removed = removeLastSegment(); !removed)
             return removed;
@@ -268,6 +292,8 @@
 result<void> journal::clear()
 {
     return m_impl->guard([&]() -> result<void> {
+        if (auto lowered = m_impl->acknowledged.lower(0, m_impl->settings.hooks); !lowered)
+            return lowered;
         while (!m_impl->segments.empty()) {
             if (auto removed = m_impl->removeLastSegment(); !removed)
                 return removed;
@@ -321,6 +347,11 @@
     return total;
 }
 
+std::uint64_t journal::lostUpTo() const
+{
+    return m_impl->lostUpTo;
+}
+
 bool journal::hasFailed() const
 {
     return m_impl->hasFailed;
--- a/src/state/journal.h
+++ b/src/state/journal.h
@@ -1,7 +1,8 @@
 // Append-only journal of numbered records in segment files, synced before a call returns.
 //
 // On open, a torn tail (an append that a crash cut short) is cut off. Anything else that is wrong is corrupt_data with
-// file and offset, and the journal does not open: a record that was synced is never dropped in silence.
+// file and offset, and the journal does not open: a record that was synced is never dropped in silence. A file that was
+// cut shorter looks like a torn tail; lostUpTo() tells it apart.
 #pragma once
 
 #include "protocol/result.h"
@@ -59,6 +60,10 @@
     std::uint64_t firstIndex() const; // 0 when empty
     std::uint64_t lastIndex() const; // 0 when empty
     std::uint64_t storedBytes() const;
+
+    // When records that append() reported as stored were missing on open: the last one's index. Else 0.
+    std::uint64_t lostUpTo() const;
+
     bool hasFailed() const;
 
 private:
--- a/src/state/tests/journal_tests.cpp
+++ b/src/state/tests/journal_tests.cpp
@@ -50,7 +50,7 @@
     for (std::uint64_t index = first; index <= last; ++index) {
         const std::string data = dataOf(index);
         const std::array records { journal_record { index, data } };
-        if (const auto appended = target.append(records); !appended)
+        if (auto appended = target.append(records); !appended)
             return appended;
     }
     return boost::outcome_v2::success();
@@ -84,8 +84,10 @@
 std::vector<std::string> segmentsIn(const std::string& folder)
 {
     std::vector<std::string> paths;
-    for (const auto& entry : fs::directory_iterator(folder))
-        paths.push_back(entry.path().string());
+    for (const auto& entry : fs::directory_iterator(folder)) {
+        if (entry.path().extension() == ".log")
+            paths.push_back(entry.path().string());
+    }
     std::sort(paths.begin(), paths.end());
     return paths;
 }
@@ -147,6 +149,28 @@
     }
 }
 
+TEST_CASE("a journal that lost records it had reported as stored says so, and a torn append does not")
+{
+    const temporary_folder folder;
+    const std::string path = makeJournal(folder.path("journal"));
+    const std::string whole = bytesOf(path);
+    setBytes(path, whole + whole.substr(24, 15)); // the beginning of one more record
+    {
+        auto opened = journal::open({ folder.path("journal"), 4096, {} });
+        REQUIRE(opened);
+        CHECK(opened.value().lostUpTo() == 0);
+        REQUIRE(opened.value().truncateFrom(recordCount));
+    }
+    CHECK(journal::open({ folder.path("journal"), 4096, {} }).value().lostUpTo() == 0);
+    setBytes(path, whole.substr(0, 60));
+    CHECK(journal::open({ folder.path("journal"), 4096, {} }).value().lostUpTo() == recordCount - 1);
+    fs::remove(path);
+    CHECK(journal::open({ folder.path("journal"), 4096, {} }).value().lostUpTo() == recordCount - 1);
+    auto emptied = journal::open({ folder.path("journal"), 4096, {} });
+    REQUIRE(emptied.value().clear());
+    CHECK(journal::open({ folder.path("journal"), 4096, {} }).value().lostUpTo() == 0);
+}
+
 TEST_CASE("a segment that is missing or cut before another one is corrupt")
 {
     const temporary_folder folder;
--- a/src/state/tests/rules_file_tests.cpp
+++ b/src/state/tests/rules_file_tests.cpp
@@ -5,7 +5,6 @@
 
 #include <array>
 #include <random>
-#include <utility>
 
 using namespace jackdaw::state;
 
@@ -27,6 +26,11 @@
 objective.council.minutes = { target = 0.99, within_ms = 800 } # asked for by Ana Kos
 )";
 
+struct wrong_line {
+    std::string_view text;
+    std::string_view reason;
+};
+
 std::string refusalOf(std::string_view text)
 {
     const auto parsed = parseRules(text, "r.toml");
@@ -61,7 +65,7 @@
 
 TEST_CASE("a line that breaks the rules of the file is refused with its line and the reason")
 {
-    constexpr std::array<std::pair<std::string_view, std::string_view>, 21> cases { {
+    constexpr std::array<wrong_line, 21> cases { {
         { "retry.budget = 0.1", "r.toml:1: no comment" },
         { "retry.budget = 0.1 #", "r.toml:1: no comment" },
         { "retry.budget = 0.1 # 123", "r.toml:1: no comment" },
@@ -84,10 +88,8 @@
         { "order = \"fifo\" # Ana\norder = \"fifo\" # Ana", "r.toml:2: 'order' stands on line 1" },
         { "team.\"a b\" = { weight = 1 } # Ana", "r.toml:1: a rule's name" },
     } };
-    for (const auto& [text, reason] : cases) {
-        CAPTURE(text);
-        CHECK_MESSAGE(refusalOf(text).starts_with(reason), refusalOf(text));
-    }
+    for (const wrong_line& wrong : cases)
+        CHECK_MESSAGE(refusalOf(wrong.text).starts_with(wrong.reason), wrong.text << " gave " << refusalOf(wrong.text));
     CHECK(refusalOf("order = 1 # Ana\norder = 2 # Ana\n").find("\nr.toml:2: ") != std::string::npos);
     CHECK(refusalOf(std::string(maxRulesFileBytes + 1, '#')).starts_with("r.toml:1: "));
 }
