Add jackdaw-control and jackdawctl (first wiring)

Cause: operators need the replicated configuration as programs. The control node is free of sockets and clocks, so that the storage and its failures can be tested with small fakes; the process wires it to mesh, HTTP and timers.

Weighed: fixed incarnations for founding members were ruled out: a host that lost its disk and was founded again would vote from amnesia. So one member founds the group, and every other one joins as a learner under a random incarnation; a lost disk is replaced the same way.

--- /dev/null
+++ b/src/apps/control/control_node.cpp
@@ -0,0 +1,347 @@
+// Drives the replicated log: stores, then sends, then applies.
+#include "apps/control/control_node.h"
+
+#include "coordination/raft_replacement.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace jackdaw::control {
+
+using coordination::change_answer;
+using coordination::raft_entry;
+using coordination::raft_entry_kind;
+using coordination::raft_member_id;
+using coordination::raft_membership;
+using coordination::raft_message;
+using coordination::raft_node;
+using coordination::raft_ready;
+using coordination::raft_role;
+using coordination::raft_snapshot;
+using coordination::rules_change;
+using coordination::rules_store;
+using protocol::error_kind;
+using protocol::makeError;
+using protocol::result;
+
+namespace {
+
+    constexpr duration memberSilenceLimit = std::chrono::seconds(3);
+    constexpr std::uint64_t maxJournalBytes = 8 * 1024 * 1024; // compacts earlier when changes are large
+
+    struct pending_change {
+        std::uint64_t term = 0;
+        time_point deadline;
+        control_node::change_completion done;
+    };
+
+} // namespace
+
+class control_node::impl {
+public:
+    impl(control_node_settings wanted, control_storage opened, control_node_hooks wantedHooks, time_point now)
+        : settings(std::move(wanted))
+        , storage(std::move(opened))
+        , hooks(std::move(wantedHooks))
+        , selfId(storage->self())
+    {
+        start(now);
+    }
+
+    control_node_settings settings;
+    std::optional<control_storage> storage; // empty after a reopening that failed
+    control_node_hooks hooks;
+    raft_member_id selfId;
+    std::unique_ptr<raft_node> raft;
+
+    // State machine at appliedIndex.
+    rules_store store;
+    std::uint64_t appliedIndex = 0;
+    std::uint64_t appliedTerm = 0;
+    raft_membership appliedMembership;
+    std::uint64_t snapshotIndex = 0;
+    bool hasNewMembership = false; // since the snapshot
+
+    std::optional<rules_store> served; // after a reopening: the newer one of before, until the log has caught up
+    std::map<std::uint64_t, pending_change> pending; // by log index
+    std::map<raft_member_id, time_point> heardMembers;
+    std::string storageFailure; // not empty: nothing is stored, sent or applied
+    time_point reopenAt; // valid while storageFailure is set
+
+    void start(time_point now);
+    void restoreStore(const std::string& data);
+    void process(time_point now);
+    void applyReady(const raft_ready& ready);
+    void apply(const raft_entry& entry);
+    void applyCommand(const raft_entry& entry);
+    void compactWhenDue(time_point now);
+    void fail(time_point now, const protocol::error& failure, const raft_ready& unstored);
+    void reopen(time_point now);
+    void answerOverdue(time_point now);
+    void replaceMembers(time_point now);
+};
+
+void control_node::impl::start(time_point now)
+{
+    const coordination::raft_initial_state& initial = storage->initial();
+    snapshotIndex = initial.snapshot.index;
+    appliedIndex = initial.snapshot.index;
+    appliedTerm = initial.snapshot.term;
+    appliedMembership = initial.snapshot.membership;
+    restoreStore(initial.snapshot.data);
+    coordination::raft_settings raftSettings;
+    raftSettings.self = selfId;
+    raftSettings.seed = settings.seed;
+    raftSettings.heartbeat = settings.heartbeat;
+    raftSettings.minElectionTimeout = settings.minElectionTimeout;
+    raftSettings.maxElectionTimeout = 2 * settings.minElectionTimeout;
+    raft = std::make_unique<raft_node>(raftSettings, initial, now);
+}
+
+void control_node::impl::restoreStore(const std::string& data)
+{
+    if (data.empty()) {
+        store = rules_store();
+        return;
+    }
+    auto restored = rules_store::restore(data);
+    if (restored)
+        store = std::move(restored.value());
+    else
+        storageFailure = restored.error().detail;
+}
+
+void control_node::impl::process(time_point now)
+{
+    while (storageFailure.empty()) {
+        const raft_ready ready = raft->takeReady();
+        if (ready.isEmpty())
+            return;
+        if (const auto stored = storage->store(ready); !stored)
+            return fail(now, stored.error(), ready);
+        for (const raft_message& message : ready.messages)
+            hooks.send(message);
+        applyReady(ready);
+        compactWhenDue(now);
+    }
+}
+
+void control_node::impl::applyReady(const raft_ready& ready)
+{
+    const std::uint64_t before = store.inForce().version;
+    if (ready.snapshot) {
+        restoreStore(ready.snapshot->data);
+        snapshotIndex = ready.snapshot->index;
+        appliedIndex = ready.snapshot->index;
+        appliedTerm = ready.snapshot->term;
+        appliedMembership = ready.snapshot->membership;
+    }
+    for (const raft_entry& entry : ready.committed)
+        apply(entry);
+    if (served && store.inForce().version >= served->inForce().version)
+        served.reset();
+    if (store.inForce().version > before && !served && hooks.onNewVersion)
+        hooks.onNewVersion();
+}
+
+void control_node::impl::apply(const raft_entry& entry)
+{
+    appliedIndex = entry.index;
+    appliedTerm = entry.term;
+    if (entry.kind == raft_entry_kind::membership) {
+        appliedMembership = entry.membership;
+        hasNewMembership = true;
+    }
+    if (entry.kind == raft_entry_kind::command)
+        applyCommand(entry);
+    const auto lost = pending.find(entry.index);
+    if (lost == pending.end())
+        return;
+    // Another leader's entry took the place: the proposed one can't be committed any more.
+    pending_change overruled = std::move(lost->second);
+    pending.erase(lost);
+    overruled.done(makeError(error_kind::not_leader, "another leader was elected before the change was stored"));
+}
+
+void control_node::impl::applyCommand(const raft_entry& entry)
+{
+    const auto change = coordination::decodeRulesChange(entry.data);
+    const auto waiting = pending.find(entry.index);
+    const bool isOurs = waiting != pending.end() && waiting->second.term == entry.term;
+    if (!change) {
+        if (isOurs)
+            waiting->second.done(change.error());
+    } else {
+        const change_answer answer = store.apply(change.value());
+        if (isOurs)
+            waiting->second.done(answer);
+    }
+    if (isOurs)
+        pending.erase(entry.index);
+}
+
+void control_node::impl::compactWhenDue(time_point now)
+{
+    // A membership goes into the snapshot at once: a member whose journal is lost must not believe in an older, smaller one.
+    const bool isDue = hasNewMembership || appliedIndex - snapshotIndex >= settings.compactAfterEntries
+        || (storage->journalBytes() > maxJournalBytes && appliedIndex > snapshotIndex);
+    if (!isDue || !storageFailure.empty())
+        return;
+    raft_snapshot snapshot { appliedIndex, appliedTerm, appliedMembership, store.snapshot() };
+    if (const auto compacted = storage->compact(snapshot); !compacted)
+        return fail(now, compacted.error(), {});
+    raft->compact(appliedIndex, std::move(snapshot.data));
+    snapshotIndex = appliedIndex;
+    hasNewMembership = false;
+}
+
+void control_node::impl::fail(time_point now, const protocol::error& failure, const raft_ready& unstored)
+{
+    storageFailure = failure.detail;
+    reopenAt = now + settings.reopenInterval;
+    // What this ready would have stored was neither kept nor sent; earlier proposals may have reached a majority.
+    const std::uint64_t firstUnstored = unstored.entries.empty() ? UINT64_MAX : unstored.entries.front().index;
+    for (auto& [index, change] : std::exchange(pending, {}))
+        change.done(index >= firstUnstored ? makeError(error_kind::storage_failed, failure.detail) : makeError(error_kind::timed_out, failure.detail));
+}
+
+void control_node::impl::reopen(time_point now)
+{
+    if (storageFailure.empty() || now < reopenAt)
+        return;
+    reopenAt = now + settings.reopenInterval;
+    if (!served)
+        served = std::move(store);
+    store = rules_store();
+    // The folder's lock is held by the storage in hand, which must go first.
+    storage.reset();
+    auto opened = control_storage::open(settings.storage);
+    if (!opened) {
+        storageFailure = opened.error().detail;
+        return;
+    }
+    storage.emplace(std::move(opened.value()));
+    storageFailure.clear();
+    start(now);
+    process(now);
+}
+
+void control_node::impl::answerOverdue(time_point now)
+{
+    while (!pending.empty()) {
+        const auto overdue = std::find_if(pending.begin(), pending.end(), [now](const auto& item) { return item.second.deadline <= now; });
+        if (overdue == pending.end())
+            return;
+        pending_change change = std::move(overdue->second);
+        pending.erase(overdue);
+        change.done(makeError(error_kind::timed_out, "no majority stored the change in time; send it again with the same change id"));
+    }
+}
+
+void control_node::impl::replaceMembers(time_point now)
+{
+    std::erase_if(heardMembers, [now](const auto& heard) { return heard.second + memberSilenceLimit < now; });
+    if (raft->role() != raft_role::leader || heardMembers.empty())
+        return;
+    std::vector<raft_member_id> live;
+    for (const auto& [member, heardAt] : heardMembers)
+        live.push_back(member);
+    const auto plan = coordination::planReplacement(raft->membership(), live, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
+    if (plan)
+        raft->proposeMembership(now, *plan);
+}
+
+control_node::control_node(control_node_settings settings, control_storage storage, control_node_hooks hooks, time_point now)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(storage), std::move(hooks), now))
+{
+}
+control_node::~control_node() = default;
+
+void control_node::step(time_point now, const raft_message& message)
+{
+    if (!m_impl->storageFailure.empty())
+        return;
+    m_impl->raft->step(now, message);
+    m_impl->process(now);
+}
+
+void control_node::hearMember(time_point now, const raft_member_id& member)
+{
+    if (member.host != m_impl->selfId.host)
+        m_impl->heardMembers[member] = now;
+}
+
+void control_node::advance(time_point now)
+{
+    m_impl->reopen(now);
+    if (m_impl->storageFailure.empty()) {
+        m_impl->raft->advance(now);
+        m_impl->replaceMembers(now);
+        m_impl->process(now);
+    }
+    m_impl->answerOverdue(now);
+}
+
+time_point control_node::nextTimer() const
+{
+    time_point next = m_impl->storageFailure.empty() ? m_impl->raft->nextTimer() : m_impl->reopenAt;
+    for (const auto& [index, change] : m_impl->pending)
+        next = std::min(next, change.deadline);
+    return next;
+}
+
+void control_node::change(time_point now, const rules_change& change, change_completion done)
+{
+    if (!m_impl->storageFailure.empty())
+        return done(makeError(error_kind::storage_failed, m_impl->storageFailure));
+    if (!isServingLeader())
+        return done(makeError(error_kind::not_leader, {}));
+    const auto proposal = m_impl->raft->propose(now, coordination::encodeRulesChange(change));
+    if (!proposal)
+        return done(makeError(error_kind::not_leader, {}));
+    // An earlier proposal at this index lost its place in this member's log, though perhaps not in all logs.
+    if (const auto earlier = m_impl->pending.extract(proposal->index); !earlier.empty())
+        earlier.mapped().done(makeError(error_kind::timed_out, "the leader changed; send the change again with the same change id"));
+    m_impl->pending[proposal->index] = { proposal->term, now + m_impl->settings.changeTimeout, std::move(done) };
+    m_impl->process(now);
+}
+
+void control_node::transferLeadership(time_point now)
+{
+    m_impl->raft->transferLeadership(now);
+    m_impl->process(now);
+}
+
+bool control_node::isServingLeader() const
+{
+    return m_impl->storageFailure.empty() && m_impl->raft->role() == raft_role::leader && m_impl->appliedTerm == m_impl->raft->term();
+}
+
+std::optional<raft_member_id> control_node::leader() const
+{
+    return m_impl->storageFailure.empty() ? m_impl->raft->leader() : std::nullopt;
+}
+
+raft_member_id control_node::self() const
+{
+    return m_impl->selfId;
+}
+
+const raft_membership& control_node::membership() const
+{
+    return m_impl->raft->membership();
+}
+
+const rules_store& control_node::rules() const
+{
+    return m_impl->served ? *m_impl->served : m_impl->store;
+}
+
+control_node_status control_node::status() const
+{
+    return { m_impl->raft->role(), m_impl->raft->term(), m_impl->raft->commitIndex(), m_impl->storage ? m_impl->storage->journalBytes() : 0, m_impl->raft->storedEntries(), m_impl->storageFailure };
+}
+
+} // namespace jackdaw::control
--- /dev/null
+++ b/src/apps/control/control_process.cpp
@@ -0,0 +1,263 @@
+// One event loop: mesh, HTTP server, timers, signals.
+#include "apps/control/control_process.h"
+
+#include "apps/control/member_hello.h"
+#include "apps/control/operator_api.h"
+#include "apps/control/rules_publisher.h"
+#include "protocol/raft_codec.h"
+#include "state/log.h"
+#include "transport/event_loop.h"
+#include "transport/http_server.h"
+#include "transport/mesh.h"
+
+#include <algorithm>
+#include <csignal>
+#include <utility>
+
+namespace jackdaw::control {
+
+using coordination::raft_message;
+using protocol::result;
+using protocol::steadyNow;
+using state::log_level;
+using state::logEvent;
+
+namespace {
+
+    constexpr protocol::duration helloInterval = std::chrono::milliseconds(500);
+    constexpr protocol::duration pushAgainInterval = std::chrono::milliseconds(300);
+    constexpr protocol::duration handOverTime = std::chrono::milliseconds(500); // for the transfer of leadership at a stop
+
+    std::string toText(const transport::endpoint& address)
+    {
+        return address.host + ':' + std::to_string(address.port);
+    }
+
+    std::vector<std::string> entryNames(const control_settings& settings)
+    {
+        std::vector<std::string> names;
+        for (const entry_address& entry : settings.entries)
+            names.push_back(entry.host);
+        return names;
+    }
+
+} // namespace
+
+class control_process::impl {
+public:
+    impl(control_settings wanted, operator_tokens wantedTokens, control_storage storage, std::uint64_t seed)
+        : settings(std::move(wanted))
+        , tokens(std::move(wantedTokens))
+        , links(
+              loop, meshSettings(settings, seed), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
+        , publisher(entryNames(settings), [this](const std::string& host, const protocol::config_message& message) {
+            links.send(host, protocol::encodeConfigMessage(message));
+        })
+        , node(nodeSettings(settings, seed), std::move(storage), nodeHooks(), steadyNow())
+        , api(settings, tokens, node, publisher, { steadyNow, [this](const std::string& host) { return links.send(host, protocol::encodeConfigMessage(protocol::drain_request {})); } })
+        , server(loop, {}, [this](const transport::http_request& request, const std::shared_ptr<transport::http_responder>& responder) {
+            api.onRequest(request, responder);
+            rearm();
+        })
+    {
+    }
+
+    const control_settings settings;
+    const operator_tokens tokens;
+    transport::event_loop loop;
+    transport::mesh links;
+    rules_publisher publisher;
+    control_node node;
+    operator_api api;
+    transport::http_server server;
+    std::unique_ptr<transport::event_loop::timer> nodeTimer;
+    std::unique_ptr<transport::event_loop::timer> helloTimer;
+    std::unique_ptr<transport::event_loop::timer> pushTimer;
+    std::unique_ptr<transport::event_loop::timer> stopTimer;
+    coordination::raft_role loggedRole = coordination::raft_role::learner;
+    std::string loggedFailure;
+
+    static transport::mesh_settings meshSettings(const control_settings& settings, std::uint64_t seed)
+    {
+        transport::mesh_settings out;
+        out.host = protocol::controlMeshName(settings.host);
+        out.incarnation = seed;
+        out.listenAddress = toText(settings.self().mesh);
+        return out;
+    }
+
+    static control_node_settings nodeSettings(const control_settings& settings, std::uint64_t seed)
+    {
+        control_node_settings out;
+        out.storage = { settings.dataFolder, settings.host, settings.group, {} };
+        out.seed = seed;
+        out.heartbeat = settings.heartbeat;
+        out.minElectionTimeout = settings.minElectionTimeout;
+        out.changeTimeout = settings.changeTimeout;
+        out.compactAfterEntries = settings.compactAfterEntries;
+        return out;
+    }
+
+    control_node_hooks nodeHooks()
+    {
+        return { [this](const raft_message& message) { links.send(protocol::controlMeshName(message.to.host), protocol::encodeRaftMessage(settings.group, message)); },
+            [this] { publish(); } };
+    }
+
+    result<void> open();
+    void run();
+    void onDelivery(const transport::mesh_delivery& delivery);
+    void onConfigMessage(std::string_view sender, const protocol::config_message& message);
+    bool takeRaft(std::string_view body);
+    bool takeHello(std::string_view body);
+    void logDamaged(std::string_view sender, const protocol::error& failure) const;
+    void publish();
+    void sayHello();
+    void rearm();
+    void logChanges();
+    void stop();
+};
+
+result<void> control_process::impl::open()
+{
+    if (auto listening = links.listen(); !listening)
+        return listening;
+    const transport::endpoint& operators = settings.self().operators;
+    if (auto listening = server.listen(operators.host, operators.port); !listening)
+        return listening;
+    for (const control_member& member : settings.members) {
+        if (member.host != settings.host)
+            links.setPeer(protocol::controlMeshName(member.host), toText(member.mesh));
+    }
+    for (const entry_address& entry : settings.entries)
+        links.setPeer(entry.host, toText(entry.mesh));
+    return boost::outcome_v2::success();
+}
+
+void control_process::impl::run()
+{
+    loop.onSignal(SIGTERM, [this] { stop(); });
+    loop.onSignal(SIGINT, [this] { stop(); });
+    helloTimer = loop.every(helloInterval, [this] { sayHello(); });
+    pushTimer = loop.every(pushAgainInterval, [this] {
+        if (node.isServingLeader())
+            publisher.pushAgain(steadyNow());
+    });
+    publish();
+    rearm();
+    logEvent(log_level::info, "started", { { "host", settings.host }, { "incarnation", std::to_string(node.self().incarnation) }, { "operators", toText(settings.self().operators) } });
+    loop.run();
+    logEvent(log_level::info, "stopped", { { "host", settings.host } });
+}
+
+void control_process::impl::onDelivery(const transport::mesh_delivery& delivery)
+{
+    const auto message = protocol::decodeConfigMessage(delivery.body);
+    if (!message)
+        return logDamaged(delivery.sender, message.error());
+    if (message.value())
+        return onConfigMessage(delivery.sender, *message.value());
+    if (!takeRaft(delivery.body) && !takeHello(delivery.body))
+        logEvent(log_level::debug, "unknown_message", { { "sender", std::string(delivery.sender) } });
+    rearm();
+}
+
+void control_process::impl::onConfigMessage(std::string_view sender, const protocol::config_message& message)
+{
+    if (const auto* pull = std::get_if<protocol::rules_pull>(&message))
+        publisher.onPull(steadyNow(), sender, pull->version);
+}
+
+bool control_process::impl::takeRaft(std::string_view body)
+{
+    const auto envelope = protocol::decodeRaftMessage(body);
+    if (!envelope) {
+        logDamaged("control", envelope.error());
+        return true;
+    }
+    if (!envelope.value())
+        return false;
+    if (envelope.value()->group == settings.group)
+        node.step(steadyNow(), envelope.value()->message);
+    return true;
+}
+
+bool control_process::impl::takeHello(std::string_view body)
+{
+    const auto hello = decodeHello(body);
+    if (!hello || !hello.value())
+        return false;
+    const member_hello& heard = *hello.value();
+    if (heard.group == settings.group && settings.findMember(heard.member.host))
+        node.hearMember(steadyNow(), heard.member);
+    return true;
+}
+
+void control_process::impl::logDamaged(std::string_view sender, const protocol::error& failure) const
+{
+    logEvent(log_level::warning, "damaged_message", { { "sender", std::string(sender) }, { "detail", failure.detail } });
+}
+
+void control_process::impl::publish()
+{
+    const coordination::rules_version& inForce = node.rules().inForce();
+    publisher.publish(steadyNow(), inForce.version, node.rules().text(), node.isServingLeader());
+}
+
+void control_process::impl::sayHello()
+{
+    const member_hello hello { settings.group, node.self(), !node.membership().voters.empty() };
+    for (const control_member& member : settings.members)
+        links.send(protocol::controlMeshName(member.host), encodeHello(hello));
+}
+
+void control_process::impl::rearm()
+{
+    logChanges();
+    const auto delay = std::max(node.nextTimer() - steadyNow(), protocol::duration::zero());
+    nodeTimer = loop.after(delay, [this] {
+        node.advance(steadyNow());
+        rearm();
+    });
+}
+
+void control_process::impl::logChanges()
+{
+    const control_node_status status = node.status();
+    if (status.storageFailure != loggedFailure) {
+        loggedFailure = status.storageFailure;
+        logEvent(loggedFailure.empty() ? log_level::info : log_level::error, loggedFailure.empty() ? "storage_reopened" : "storage_failed", { { "detail", loggedFailure } });
+    }
+    const bool isLeader = status.role == coordination::raft_role::leader;
+    const bool wasLeader = loggedRole == coordination::raft_role::leader;
+    if (isLeader != wasLeader)
+        logEvent(log_level::info, isLeader ? "leadership_won" : "leadership_ended", { { "term", std::to_string(status.term) } });
+    loggedRole = status.role;
+}
+
+void control_process::impl::stop()
+{
+    if (stopTimer)
+        return;
+    const bool isLeader = node.status().role == coordination::raft_role::leader;
+    node.transferLeadership(steadyNow());
+    stopTimer = loop.after(isLeader ? handOverTime : protocol::duration::zero(), [this] { loop.stop(); });
+}
+
+control_process::control_process(control_settings settings, operator_tokens tokens, control_storage storage, std::uint64_t seed)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(tokens), std::move(storage), seed))
+{
+}
+control_process::~control_process() = default;
+
+result<void> control_process::open()
+{
+    return m_impl->open();
+}
+
+void control_process::run()
+{
+    m_impl->run();
+}
+
+} // namespace jackdaw::control
--- a/src/protocol/config_messages.cpp
+++ b/src/protocol/config_messages.cpp
@@ -12,7 +12,8 @@
 
     enum class message_kind : std::uint32_t {
         push = 1,
-        pull = 2
+        pull = 2,
+        drain = 3
     };
 
     struct packed_message {
@@ -34,9 +35,11 @@
         packed.kind = static_cast<std::uint32_t>(message_kind::push);
         packed.version = push->version;
         packed.text = push->text;
-    } else {
+    } else if (const auto* pull = std::get_if<rules_pull>(&message)) {
         packed.kind = static_cast<std::uint32_t>(message_kind::pull);
-        packed.version = std::get<rules_pull>(message).version;
+        packed.version = pull->version;
+    } else {
+        packed.kind = static_cast<std::uint32_t>(message_kind::drain);
     }
     return pack(packed);
 }
@@ -55,6 +58,8 @@
         return std::optional<config_message>(rules_push { message.version, std::move(message.text) });
     if (message.kind == static_cast<std::uint32_t>(message_kind::pull))
         return std::optional<config_message>(rules_pull { message.version });
+    if (message.kind == static_cast<std::uint32_t>(message_kind::drain))
+        return std::optional<config_message>(drain_request {});
     return makeError(error_kind::corrupt_data, "configuration message of unknown kind " + std::to_string(message.kind));
 }
 
--- a/src/protocol/config_messages.h
+++ b/src/protocol/config_messages.h
@@ -30,7 +30,18 @@
     friend bool operator==(const rules_pull&, const rules_pull&) = default;
 };
 
-using config_message = std::variant<rules_push, rules_pull>;
+// An operator's wish that the entry host stops as on SIGTERM.
+struct drain_request {
+    friend bool operator==(const drain_request&, const drain_request&) = default;
+};
+
+using config_message = std::variant<rules_push, rules_pull, drain_request>;
+
+// The name of a host's control process in the mesh; entry processes go by the host's name.
+inline std::string controlMeshName(std::string_view host)
+{
+    return "control/" + std::string(host);
+}
 
 std::string encodeConfigMessage(const config_message& message);
 
--- a/src/protocol/tests/config_messages_tests.cpp
+++ b/src/protocol/tests/config_messages_tests.cpp
@@ -9,7 +9,7 @@
 
 TEST_CASE("configuration messages survive their codec, and damaged ones are refused")
 {
-    const std::array<config_message, 3> messages { rules_push { 7, "order = \"fifo\" # Ana" }, rules_push { 8, "" }, rules_pull { 1ULL << 60 } };
+    const std::array<config_message, 4> messages { rules_push { 7, "order = \"fifo\" # Ana" }, rules_push { 8, "" }, rules_pull { 1ULL << 60 }, drain_request {} };
     for (const config_message& message : messages) {
         const std::string bytes = encodeConfigMessage(message);
         const auto decoded = decodeConfigMessage(bytes);
