--- a/src/apps/control/control_storage.cpp
+++ b/src/apps/control/control_storage.cpp
@@ -131,7 +131,7 @@
 
 result<void> control_storage::impl::storeSnapshot(const raft_snapshot& snapshot)
 {
-    if (auto stored = snapshotFile.store(protocol::encodeRaftSnapshot(snapshot)); !stored)
+    if (auto stored = snapshotFile.store(protocol::encode(snapshot)); !stored)
         return stored;
     return log.clear();
 }
@@ -144,7 +144,7 @@
     }
     std::vector<std::string> encoded;
     for (const raft_entry& entry : entries)
-        encoded.push_back(protocol::encodeRaftEntry(entry));
+        encoded.push_back(protocol::encode(entry));
     std::vector<state::journal_record> records;
     for (std::size_t i = 0; i < entries.size(); ++i)
         records.push_back({ entries[i].index, encoded[i] });
@@ -165,7 +165,7 @@
     if (!folder)
         return folder.error();
     state::snapshot_file hardStateFile(folder.value().pathOf(hardStateFileName), settings.hooks);
-    if (auto stored = hardStateFile.store(protocol::encodeRaftHardState({})); !stored)
+    if (auto stored = hardStateFile.store(protocol::encode(raft_hard_state {})); !stored)
         return stored;
     if (const auto log = state::journal::open({ folder.value().pathOf(journalFolderName), segmentBytes, settings.hooks }); !log)
         return log.error();
@@ -173,7 +173,7 @@
     if (isFounder)
         first.membership.voters.push_back({ settings.host, incarnation });
     state::snapshot_file snapshotFile(folder.value().pathOf(snapshotFileName), settings.hooks);
-    return snapshotFile.store(protocol::encodeRaftSnapshot(first));
+    return snapshotFile.store(protocol::encode(first));
 }
 
 result<control_storage> control_storage::open(storage_settings settings)
@@ -220,7 +220,7 @@
 {
     return m_impl->guard([&]() -> result<void> {
         if (ready.hardState) {
-            if (auto stored = m_impl->hardStateFile.store(protocol::encodeRaftHardState(*ready.hardState)); !stored)
+            if (auto stored = m_impl->hardStateFile.store(protocol::encode(*ready.hardState)); !stored)
                 return stored;
         }
         if (ready.snapshot) {
@@ -236,7 +236,7 @@
 result<void> control_storage::compact(const raft_snapshot& snapshot)
 {
     return m_impl->guard([&]() -> result<void> {
-        if (auto stored = m_impl->snapshotFile.store(protocol::encodeRaftSnapshot(snapshot)); !stored)
+        if (auto stored = m_impl->snapshotFile.store(protocol::encode(snapshot)); !stored)
             return stored;
         return m_impl->log.compactUpTo(snapshot.index);
     });
--- a/src/protocol/raft_codec.cpp
+++ b/src/protocol/raft_codec.cpp
@@ -1,333 +1,310 @@
-// Codec of the replicated log by msgpack-cxx. The packed types fix the order of the fields; new fields go to the end.
+// Writes and reads the replicated log's messages and records.
 #include "protocol/raft_codec.h"
 
-#include "protocol/message_family.h"
-#include "protocol/packed.h"
-
-#include <utility>
+#include "protocol/internal/msgpack_codec.h"
 
 namespace jackdaw::protocol {
 namespace {
 
-    constexpr std::string_view family = "raft";
     constexpr std::uint32_t formatVersion = 1;
-
-    struct packed_member {
-        std::string host;
-        std::uint64_t incarnation = 0;
-
-        MSGPACK_DEFINE_ARRAY(host, incarnation)
-    };
-
-    struct packed_membership {
-        std::vector<packed_member> voters;
-        std::vector<packed_member> learners;
-
-        MSGPACK_DEFINE_ARRAY(voters, learners)
-    };
-
-    struct packed_entry {
-        std::uint64_t index = 0;
-        std::uint64_t term = 0;
-        std::uint8_t kind = 0;
-        std::string data;
-        packed_membership membership;
-
-        MSGPACK_DEFINE_ARRAY(index, term, kind, data, membership)
-    };
-
-    struct packed_snapshot {
-        std::uint64_t index = 0;
-        std::uint64_t term = 0;
-        packed_membership membership;
-        std::string data;
-
-        MSGPACK_DEFINE_ARRAY(index, term, membership, data)
-    };
-
-    struct packed_hard_state {
-        std::uint64_t term = 0;
-        bool hasVote = false;
-        packed_member vote;
-
-        MSGPACK_DEFINE_ARRAY(term, hasVote, vote)
-    };
-
-    struct packed_vote_request {
-        bool preVote = false;
-        bool transfer = false;
-        std::uint64_t lastIndex = 0;
-        std::uint64_t lastTerm = 0;
-
-        MSGPACK_DEFINE_ARRAY(preVote, transfer, lastIndex, lastTerm)
-    };
-
-    struct packed_vote_reply {
-        bool preVote = false;
-        bool granted = false;
-
-        MSGPACK_DEFINE_ARRAY(preVote, granted)
-    };
-
-    struct packed_append_request {
-        std::uint64_t previousIndex = 0;
-        std::uint64_t previousTerm = 0;
-        std::uint64_t commit = 0;
-        std::vector<packed_entry> entries;
-
-        MSGPACK_DEFINE_ARRAY(previousIndex, previousTerm, commit, entries)
+    constexpr std::uint32_t entryFields = 5;
+    constexpr std::uint32_t snapshotFields = 4;
+    constexpr std::uint32_t messageFields = 5;
+
+    // Numbers of the bodies in messages; never reused.
+    enum class body_kind : std::uint8_t {
+        vote_request = 0,
+        vote_reply = 1,
+        append_request = 2,
+        append_reply = 3,
+        snapshot_request = 4,
+        timeout_now_request = 5
     };
 
-    struct packed_append_reply {
-        bool accepted = false;
-        std::uint64_t matchIndex = 0;
-        std::uint64_t previousIndex = 0;
-
-        MSGPACK_DEFINE_ARRAY(accepted, matchIndex, previousIndex)
-    };
-
-    // The body is packed by itself: its kind says as what.
-    struct packed_envelope {
-        std::string family;
-        std::uint32_t format = 0;
-        std::string group;
-        packed_member from;
-        packed_member to;
-        std::uint64_t term = 0;
-        std::uint32_t kind = 0;
-        std::string body;
-
-        MSGPACK_DEFINE_ARRAY(family, format, group, from, to, term, kind, body)
-    };
+    void write(msgpack_writer& writer, const raft_member_id& member)
+    {
+        writer.pack_array(2);
+        writer.pack(member.host);
+        writer.pack(member.incarnation);
+    }
 
-    // Numbers on the wire; they are never given to another kind.
-    enum class body_kind : std::uint32_t {
-        vote_request = 1,
-        vote_reply = 2,
-        append_request = 3,
-        append_reply = 4,
-        snapshot_request = 5,
-        timeout_now_request = 6
-    };
+    raft_member_id readMember(const msgpack::object& object)
+    {
+        msgpack_fields fields(object);
+        raft_member_id member;
+        member.host = fields.take<std::string>();
+        member.incarnation = fields.take<std::uint64_t>();
+        return member;
+    }
 
-    packed_member toPacked(const raft_member_id& member)
+    void write(msgpack_writer& writer, const std::vector<raft_member_id>& members)
     {
-        return { member.host, member.incarnation };
+        writer.pack_array(static_cast<std::uint32_t>(members.size()));
+        for (const raft_member_id& member : members)
+            write(writer, member);
     }
 
-    raft_member_id fromPacked(packed_member member)
+    std::vector<raft_member_id> readMembers(const msgpack::object& object)
     {
-        return { std::move(member.host), member.incarnation };
+        if (object.type != msgpack::type::ARRAY)
+            throw msgpack::type_error();
+        std::vector<raft_member_id> members;
+        for (std::uint32_t i = 0; i < object.via.array.size; ++i)
+            members.push_back(readMember(object.via.array.ptr[i]));
+        return members;
     }
 
-    packed_membership toPacked(const raft_membership& membership)
+    void write(msgpack_writer& writer, const raft_membership& membership)
     {
-        packed_membership packed;
-        for (const raft_member_id& voter : membership.voters)
-            packed.voters.push_back(toPacked(voter));
-        for (const raft_member_id& learner : membership.learners)
-            packed.learners.push_back(toPacked(learner));
-        return packed;
+        writer.pack_array(2);
+        write(writer, membership.voters);
+        write(writer, membership.learners);
     }
 
-    raft_membership fromPacked(packed_membership packed)
+    raft_membership readMembership(const msgpack::object& object)
     {
+        msgpack_fields fields(object);
         raft_membership membership;
-        for (packed_member& voter : packed.voters)
-            membership.voters.push_back(fromPacked(std::move(voter)));
-        for (packed_member& learner : packed.learners)
-            membership.learners.push_back(fromPacked(std::move(learner)));
+        membership.voters = readMembers(fields.next());
+        membership.learners = readMembers(fields.next());
         return membership;
     }
 
-    packed_entry toPacked(const raft_entry& entry)
+    // The membership is there only in entries of its kind.
+    void writeFields(msgpack_writer& writer, const raft_entry& entry)
     {
-        return { entry.index, entry.term, static_cast<std::uint8_t>(entry.kind), entry.data, toPacked(entry.membership) };
+        writer.pack(entry.index);
+        writer.pack(entry.term);
+        writer.pack(static_cast<std::uint8_t>(entry.kind));
+        writeBytes(writer, entry.data);
+        if (entry.kind == raft_entry_kind::membership)
+            write(writer, entry.membership);
+        else
+            writer.pack_nil();
     }
 
-    result<raft_entry> fromPacked(packed_entry packed)
+    raft_entry readEntry(msgpack_fields& fields)
     {
-        if (packed.index == 0 || packed.kind > static_cast<std::uint8_t>(raft_entry_kind::membership))
-            return makeError(error_kind::corrupt_data, "log entry " + std::to_string(packed.index) + " of kind " + std::to_string(packed.kind));
-        return raft_entry { packed.index, packed.term, static_cast<raft_entry_kind>(packed.kind), std::move(packed.data), fromPacked(std::move(packed.membership)) };
+        raft_entry entry;
+        entry.index = fields.take<std::uint64_t>();
+        entry.term = fields.take<std::uint64_t>();
+        const auto kind = fields.take<std::uint8_t>();
+        if (kind > static_cast<std::uint8_t>(raft_entry_kind::membership))
+            throw msgpack::type_error();
+        entry.kind = static_cast<raft_entry_kind>(kind);
+        entry.data = takeBytes(fields);
+        if (const msgpack::object& membership = fields.next(); !membership.is_nil())
+            entry.membership = readMembership(membership);
+        return entry;
     }
 
-    packed_snapshot toPacked(const raft_snapshot& snapshot)
+    void writeFields(msgpack_writer& writer, const raft_snapshot& snapshot)
     {
-        return { snapshot.index, snapshot.term, toPacked(snapshot.membership), snapshot.data };
+        writer.pack(snapshot.index);
+        writer.pack(snapshot.term);
+        write(writer, snapshot.membership);
+        writeBytes(writer, snapshot.data);
     }
 
-    raft_snapshot fromPacked(packed_snapshot packed)
+    raft_snapshot readSnapshot(msgpack_fields& fields)
     {
-        return { packed.index, packed.term, fromPacked(std::move(packed.membership)), std::move(packed.data) };
+        raft_snapshot snapshot;
+        snapshot.index = fields.take<std::uint64_t>();
+        snapshot.term = fields.take<std::uint64_t>();
+        snapshot.membership = readMembership(fields.next());
+        snapshot.data = takeBytes(fields);
+        return snapshot;
     }
 
-    struct encoded_body {
-        body_kind kind;
-        std::string bytes;
-    };
-
-    struct body_encoder {
-        encoded_body operator()(const vote_request& body) const
-        {
-            return { body_kind::vote_request, pack(packed_vote_request { body.preVote, body.transfer, body.lastIndex, body.lastTerm }) };
-        }
-
-        encoded_body operator()(const vote_reply& body) const
-        {
-            return { body_kind::vote_reply, pack(packed_vote_reply { body.preVote, body.granted }) };
-        }
-
-        encoded_body operator()(const append_request& body) const
-        {
-            packed_append_request packed { body.previousIndex, body.previousTerm, body.commit, {} };
-            for (const raft_entry& entry : body.entries)
-                packed.entries.push_back(toPacked(entry));
-            return { body_kind::append_request, pack(packed) };
-        }
+    void writeBody(msgpack_writer& writer, const vote_request& request)
+    {
+        writer.pack_array(4);
+        writer.pack(request.preVote);
+        writer.pack(request.transfer);
+        writer.pack(request.lastIndex);
+        writer.pack(request.lastTerm);
+    }
 
-        encoded_body operator()(const append_reply& body) const
-        {
-            return { body_kind::append_reply, pack(packed_append_reply { body.accepted, body.matchIndex, body.previousIndex }) };
-        }
+    void writeBody(msgpack_writer& writer, const vote_reply& reply)
+    {
+        writer.pack_array(2);
+        writer.pack(reply.preVote);
+        writer.pack(reply.granted);
+    }
 
-        encoded_body operator()(const snapshot_request& body) const
-        {
-            return { body_kind::snapshot_request, pack(toPacked(body.snapshot)) };
+    void writeBody(msgpack_writer& writer, const append_request& request)
+    {
+        writer.pack_array(4);
+        writer.pack(request.previousIndex);
+        writer.pack(request.previousTerm);
+        writer.pack(request.commit);
+        writer.pack_array(static_cast<std::uint32_t>(request.entries.size()));
+        for (const raft_entry& entry : request.entries) {
+            writer.pack_array(entryFields);
+            writeFields(writer, entry);
         }
+    }
 
-        encoded_body operator()(const timeout_now_request&) const { return { body_kind::timeout_now_request, {} }; }
-    };
-
-    using raft_body = decltype(raft_message::body);
+    void writeBody(msgpack_writer& writer, const append_reply& reply)
+    {
+        writer.pack_array(3);
+        writer.pack(reply.accepted);
+        writer.pack(reply.matchIndex);
+        writer.pack(reply.previousIndex);
+    }
 
-    result<raft_body> toBody(const packed_vote_request& packed)
+    void writeBody(msgpack_writer& writer, const snapshot_request& request)
     {
-        return raft_body(vote_request { packed.preVote, packed.transfer, packed.lastIndex, packed.lastTerm });
+        writer.pack_array(snapshotFields);
+        writeFields(writer, request.snapshot);
     }
 
-    result<raft_body> toBody(const packed_vote_reply& packed)
+    void writeBody(msgpack_writer& writer, const timeout_now_request& /*request*/)
     {
-        return raft_body(vote_reply { packed.preVote, packed.granted });
+        writer.pack_array(0);
     }
 
-    result<raft_body> toBody(packed_append_request packed)
+    vote_request readVoteRequest(msgpack_fields& fields)
     {
-        append_request body { packed.previousIndex, packed.previousTerm, packed.commit, {} };
-        for (packed_entry& element : packed.entries) {
-            auto entry = fromPacked(std::move(element));
-            if (!entry)
-                return entry.error();
-            body.entries.push_back(std::move(entry.value()));
-        }
-        return raft_body(std::move(body));
+        vote_request request;
+        request.preVote = fields.take<bool>();
+        request.transfer = fields.take<bool>();
+        request.lastIndex = fields.take<std::uint64_t>();
+        request.lastTerm = fields.take<std::uint64_t>();
+        return request;
     }
 
-    result<raft_body> toBody(const packed_append_reply& packed)
+    vote_reply readVoteReply(msgpack_fields& fields)
     {
-        return raft_body(append_reply { packed.accepted, packed.matchIndex, packed.previousIndex });
+        vote_reply reply;
+        reply.preVote = fields.take<bool>();
+        reply.granted = fields.take<bool>();
+        return reply;
     }
 
-    result<raft_body> toBody(packed_snapshot packed)
+    append_request readAppendRequest(msgpack_fields& fields)
     {
-        return raft_body(snapshot_request { fromPacked(std::move(packed)) });
+        append_request request;
+        request.previousIndex = fields.take<std::uint64_t>();
+        request.previousTerm = fields.take<std::uint64_t>();
+        request.commit = fields.take<std::uint64_t>();
+        const msgpack::object& entries = fields.next();
+        if (entries.type != msgpack::type::ARRAY)
+            throw msgpack::type_error();
+        for (std::uint32_t i = 0; i < entries.via.array.size; ++i) {
+            msgpack_fields entryReader(entries.via.array.ptr[i]);
+            request.entries.push_back(readEntry(entryReader));
+        }
+        return request;
     }
 
-    template <typename Packed>
-    result<raft_body> decodeAs(std::string_view bytes)
+    append_reply readAppendReply(msgpack_fields& fields)
     {
-        auto packed = unpack<Packed>(bytes);
-        if (!packed)
-            return packed.error();
-        return toBody(std::move(packed.value()));
+        append_reply reply;
+        reply.accepted = fields.take<bool>();
+        reply.matchIndex = fields.take<std::uint64_t>();
+        reply.previousIndex = fields.take<std::uint64_t>();
+        return reply;
     }
 
-    result<raft_body> decodeBody(std::uint32_t kind, std::string_view bytes)
+    void readBody(raft_message& message, body_kind kind, msgpack_fields& fields)
     {
-        switch (static_cast<body_kind>(kind)) {
+        switch (kind) {
         case body_kind::vote_request:
-            return decodeAs<packed_vote_request>(bytes);
+            message.body = readVoteRequest(fields);
+            return;
         case body_kind::vote_reply:
-            return decodeAs<packed_vote_reply>(bytes);
+            message.body = readVoteReply(fields);
+            return;
         case body_kind::append_request:
-            return decodeAs<packed_append_request>(bytes);
+            message.body = readAppendRequest(fields);
+            return;
         case body_kind::append_reply:
-            return decodeAs<packed_append_reply>(bytes);
+            message.body = readAppendReply(fields);
+            return;
         case body_kind::snapshot_request:
-            return decodeAs<packed_snapshot>(bytes);
+            message.body = snapshot_request { readSnapshot(fields) };
+            return;
         case body_kind::timeout_now_request:
-            return raft_body(timeout_now_request {});
+            message.body = timeout_now_request {};
+            return;
         }
-        return makeError(error_kind::corrupt_data, "raft message of unknown kind " + std::to_string(kind));
+        throw msgpack::type_error();
+    }
+
+    raft_message readMessage(msgpack_fields& fields)
+    {
+        raft_message message;
+        message.from = readMember(fields.next());
+        message.to = readMember(fields.next());
+        message.term = fields.take<std::uint64_t>();
+        const auto kind = static_cast<body_kind>(fields.take<std::uint8_t>());
+        msgpack_fields body(fields.next());
+        readBody(message, kind, body);
+        return message;
+    }
+
+    raft_hard_state readHardState(msgpack_fields& fields)
+    {
+        raft_hard_state state;
+        state.term = fields.take<std::uint64_t>();
+        if (const msgpack::object& vote = fields.next(); !vote.is_nil())
+            state.vote = readMember(vote);
+        return state;
     }
 
 } // namespace
 
-std::string encodeRaftMessage(std::string_view group, const raft_message& message)
+std::string encode(const raft_message& message)
 {
-    encoded_body body = std::visit(body_encoder(), message.body);
-    return pack(packed_envelope { std::string(family), formatVersion, std::string(group), toPacked(message.from), toPacked(message.to),
-        message.term, static_cast<std::uint32_t>(body.kind), std::move(body.bytes) });
+    return encodeVersioned(formatVersion, messageFields, [&](msgpack_writer& writer) {
+        write(writer, message.from);
+        write(writer, message.to);
+        writer.pack(message.term);
+        writer.pack(static_cast<std::uint8_t>(message.body.index())); // the variant's order is that of body_kind
+        std::visit([&](const auto& body) { writeBody(writer, body); }, message.body);
+    });
 }
 
-result<std::optional<raft_envelope>> decodeRaftMessage(std::string_view bytes)
+std::string encode(const raft_entry& entry)
 {
-    if (!isOfFamily(bytes, family))
-        return std::optional<raft_envelope>();
-    auto packed = unpack<packed_envelope>(bytes);
-    if (!packed)
-        return packed.error();
-    packed_envelope& envelope = packed.value();
-    auto body = decodeBody(envelope.kind, envelope.body);
-    if (!body)
-        return body.error();
-    raft_message message { fromPacked(std::move(envelope.from)), fromPacked(std::move(envelope.to)), envelope.term, std::move(body.value()) };
-    return std::optional<raft_envelope>({ std::move(envelope.group), std::move(message) });
+    return encodeVersioned(formatVersion, entryFields, [&](msgpack_writer& writer) { writeFields(writer, entry); });
 }
 
-std::string encodeRaftEntry(const raft_entry& entry)
+std::string encode(const raft_snapshot& snapshot)
 {
-    return pack(toPacked(entry));
+    return encodeVersioned(formatVersion, snapshotFields, [&](msgpack_writer& writer) { writeFields(writer, snapshot); });
 }
 
-result<raft_entry> decodeRaftEntry(std::string_view bytes)
+std::string encode(const raft_hard_state& state)
 {
-    auto packed = unpack<packed_entry>(bytes);
-    if (!packed)
-        return packed.error();
-    return fromPacked(std::move(packed.value()));
+    return encodeVersioned(formatVersion, 2, [&](msgpack_writer& writer) {
+        writer.pack(state.term);
+        if (state.vote)
+            write(writer, *state.vote);
+        else
+            writer.pack_nil();
+    });
 }
 
-std::string encodeRaftSnapshot(const raft_snapshot& snapshot)
+result<raft_message> decodeRaftMessage(std::string_view bytes)
 {
-    return pack(toPacked(snapshot));
+    return decodeVersioned(formatVersion, bytes, "raft message", readMessage);
 }
 
-result<raft_snapshot> decodeRaftSnapshot(std::string_view bytes)
+result<raft_entry> decodeRaftEntry(std::string_view bytes)
 {
-    auto packed = unpack<packed_snapshot>(bytes);
-    if (!packed)
-        return packed.error();
-    return fromPacked(std::move(packed.value()));
+    return decodeVersioned(formatVersion, bytes, "raft entry", readEntry);
 }
 
-std::string encodeRaftHardState(const raft_hard_state& hardState)
+result<raft_snapshot> decodeRaftSnapshot(std::string_view bytes)
 {
-    packed_hard_state packed { hardState.term, hardState.vote.has_value(), {} };
-    if (hardState.vote)
-        packed.vote = toPacked(*hardState.vote);
-    return pack(packed);
+    return decodeVersioned(formatVersion, bytes, "raft snapshot", readSnapshot);
 }
 
 result<raft_hard_state> decodeRaftHardState(std::string_view bytes)
 {
-    auto packed = unpack<packed_hard_state>(bytes);
-    if (!packed)
-        return packed.error();
-    raft_hard_state hardState { packed.value().term, std::nullopt };
-    if (packed.value().hasVote)
-        hardState.vote = fromPacked(std::move(packed.value().vote));
-    return hardState;
+    return decodeVersioned(formatVersion, bytes, "raft hard state", readHardState);
 }
 
 } // namespace jackdaw::protocol
