--- a/src/apps/control/control_process.cpp
+++ b/src/apps/control/control_process.cpp
@@ -1,10 +1,10 @@
 // One event loop: mesh, HTTP server, timers, signals.
 #include "apps/control/control_process.h"
 
-#include "apps/control/member_hello.h"
+#include "apps/control/control_messages.h"
 #include "apps/control/operator_api.h"
 #include "apps/control/rules_publisher.h"
-#include "protocol/raft_codec.h"
+#include "protocol/mesh_messages.h"
 #include "state/log.h"
 #include "transport/event_loop.h"
 #include "transport/http_server.h"
@@ -51,10 +51,10 @@
         , links(
               loop, meshSettings(settings, seed), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
         , publisher(entryNames(settings), [this](const std::string& host, const protocol::config_message& message) {
-            links.send(host, protocol::encodeConfigMessage(message));
+            sendToEntry(host, message);
         })
         , node(nodeSettings(settings, seed), std::move(storage), nodeHooks(), steadyNow())
-        , api(settings, tokens, node, publisher, { steadyNow, [this](const std::string& host) { return links.send(host, protocol::encodeConfigMessage(protocol::drain_request {})); } })
+        , api(settings, tokens, node, publisher, { steadyNow, [this](const std::string& host) { return sendToEntry(host, protocol::drain_request {}); } })
         , server(loop, {}, [this](const transport::http_request& request, const std::shared_ptr<transport::http_responder>& responder) {
             api.onRequest(request, responder);
             rearm();
@@ -100,16 +100,16 @@
 
     control_node_hooks nodeHooks()
     {
-        return { [this](const raft_message& message) { links.send(protocol::controlMeshName(message.to.host), protocol::encodeRaftMessage(settings.group, message)); },
+        return { [this](const raft_message& message) { links.send(protocol::controlMeshName(message.to.host), encode({ settings.group, message })); },
             [this] { publish(); } };
     }
 
     result<void> open();
     void run();
     void onDelivery(const transport::mesh_delivery& delivery);
-    void onConfigMessage(std::string_view sender, const protocol::config_message& message);
-    bool takeRaft(std::string_view body);
-    bool takeHello(std::string_view body);
+    bool sendToEntry(const std::string& host, const protocol::config_message& message);
+    void onEntryMessage(const transport::mesh_delivery& delivery);
+    void onControlMessage(const transport::mesh_delivery& delivery);
     void logDamaged(std::string_view sender, const protocol::error& failure) const;
     void publish();
     void sayHello();
@@ -150,47 +150,47 @@
     logEvent(log_level::info, "stopped", { { "host", settings.host } });
 }
 
-void control_process::impl::onDelivery(const transport::mesh_delivery& delivery)
+bool control_process::impl::sendToEntry(const std::string& host, const protocol::config_message& message)
 {
-    const auto message = protocol::decodeConfigMessage(delivery.body);
-    if (!message)
-        return logDamaged(delivery.sender, message.error());
-    if (message.value())
-        return onConfigMessage(delivery.sender, *message.value());
-    if (!takeRaft(delivery.body) && !takeHello(delivery.body))
-        logEvent(log_level::debug, "unknown_message", { { "sender", std::string(delivery.sender) } });
-    rearm();
+    return links.send(host, protocol::encode(protocol::service_message { protocol::mesh_service::configuration, protocol::encodeConfigMessage(message) }));
 }
 
-void control_process::impl::onConfigMessage(std::string_view sender, const protocol::config_message& message)
+void control_process::impl::onDelivery(const transport::mesh_delivery& delivery)
 {
-    if (const auto* pull = std::get_if<protocol::rules_pull>(&message))
-        publisher.onPull(steadyNow(), sender, pull->version);
+    const bool isControl = delivery.sender.starts_with(protocol::controlMeshName({}));
+    if (!isControl)
+        return onEntryMessage(delivery);
+    onControlMessage(delivery);
+    rearm();
 }
 
-bool control_process::impl::takeRaft(std::string_view body)
+void control_process::impl::onEntryMessage(const transport::mesh_delivery& delivery)
 {
-    const auto envelope = protocol::decodeRaftMessage(body);
-    if (!envelope) {
-        logDamaged("control", envelope.error());
-        return true;
-    }
-    if (!envelope.value())
-        return false;
-    if (envelope.value()->group == settings.group)
-        node.step(steadyNow(), envelope.value()->message);
-    return true;
+    const auto envelope = protocol::decodeMeshMessage(delivery.body);
+    if (!envelope)
+        return logDamaged(delivery.sender, envelope.error());
+    const auto* service = std::get_if<protocol::service_message>(&envelope.value());
+    if (!service || service->service != protocol::mesh_service::configuration)
+        return;
+    const auto message = protocol::decodeConfigMessage(service->bytes);
+    if (!message)
+        return logDamaged(delivery.sender, message.error());
+    if (const auto* pull = std::get_if<protocol::rules_pull>(&message.value()))
+        publisher.onPull(steadyNow(), delivery.sender, pull->version);
 }
 
-bool control_process::impl::takeHello(std::string_view body)
+void control_process::impl::onControlMessage(const transport::mesh_delivery& delivery)
 {
-    const auto hello = decodeHello(body);
-    if (!hello || !hello.value())
-        return false;
-    const member_hello& heard = *hello.value();
-    if (heard.group == settings.group && settings.findMember(heard.member.host))
-        node.hearMember(steadyNow(), heard.member);
-    return true;
+    const auto message = decodeControlMessage(delivery.body);
+    if (!message)
+        return logDamaged(delivery.sender, message.error());
+    if (message.value().group != settings.group)
+        return;
+    if (const auto* raft = std::get_if<raft_message>(&message.value().body))
+        return node.step(steadyNow(), *raft);
+    const auto& hello = std::get<member_hello>(message.value().body);
+    if (settings.findMember(hello.member.host))
+        node.hearMember(steadyNow(), hello.member);
 }
 
 void control_process::impl::logDamaged(std::string_view sender, const protocol::error& failure) const
@@ -206,9 +206,11 @@
 
 void control_process::impl::sayHello()
 {
-    const member_hello hello { settings.group, node.self(), !node.membership().voters.empty() };
-    for (const control_member& member : settings.members)
-        links.send(protocol::controlMeshName(member.host), encodeHello(hello));
+    const std::string hello = encode({ settings.group, member_hello { node.self() } });
+    for (const control_member& member : settings.members) {
+        if (member.host != settings.host)
+            links.send(protocol::controlMeshName(member.host), hello);
+    }
 }
 
 void control_process::impl::rearm()
--- a/src/protocol/config_messages.cpp
+++ b/src/protocol/config_messages.cpp
@@ -1,13 +1,11 @@
-// Codec of the configuration messages: an array of family, kind, format version, and the fields.
+// Codec of the configuration messages: an array of kind, format version, and the fields.
 #include "protocol/config_messages.h"
 
-#include "protocol/message_family.h"
 #include "protocol/packed.h"
 
 namespace jackdaw::protocol {
 namespace {
 
-    constexpr std::string_view family = "config";
     constexpr std::uint32_t formatVersion = 1;
 
     enum class message_kind : std::uint32_t {
@@ -17,20 +15,19 @@
     };
 
     struct packed_message {
-        std::string family;
         std::uint32_t kind = 0;
         std::uint32_t format = 0;
         std::uint64_t version = 0;
         std::string text;
 
-        MSGPACK_DEFINE_ARRAY(family, kind, format, version, text)
+        MSGPACK_DEFINE_ARRAY(kind, format, version, text)
     };
 
 } // namespace
 
 std::string encodeConfigMessage(const config_message& message)
 {
-    packed_message packed { std::string(family), 0, formatVersion, 0, {} };
+    packed_message packed { 0, formatVersion, 0, {} };
     if (const auto* push = std::get_if<rules_push>(&message)) {
         packed.kind = static_cast<std::uint32_t>(message_kind::push);
         packed.version = push->version;
@@ -44,10 +41,8 @@
     return pack(packed);
 }
 
-result<std::optional<config_message>> decodeConfigMessage(std::string_view bytes)
+result<config_message> decodeConfigMessage(std::string_view bytes)
 {
-    if (!isOfFamily(bytes, family))
-        return std::optional<config_message>();
     auto packed = unpack<packed_message>(bytes);
     if (!packed)
         return packed.error();
@@ -55,11 +50,11 @@
     if (message.format == 0)
         return makeError(error_kind::corrupt_data, "configuration message without a format version");
     if (message.kind == static_cast<std::uint32_t>(message_kind::push))
-        return std::optional<config_message>(rules_push { message.version, std::move(message.text) });
+        return config_message(rules_push { message.version, std::move(message.text) });
     if (message.kind == static_cast<std::uint32_t>(message_kind::pull))
-        return std::optional<config_message>(rules_pull { message.version });
+        return config_message(rules_pull { message.version });
     if (message.kind == static_cast<std::uint32_t>(message_kind::drain))
-        return std::optional<config_message>(drain_request {});
+        return config_message(drain_request {});
     return makeError(error_kind::corrupt_data, "configuration message of unknown kind " + std::to_string(message.kind));
 }
 
--- a/src/protocol/config_messages.h
+++ b/src/protocol/config_messages.h
@@ -2,13 +2,12 @@
 //
 // A control host pushes an accepted version at once. An entry host sends a pull with the version it has in force: after
 // each push as acknowledgement, at its start, and whenever a heartbeat names a newer version. The answer to a pull from an
-// older version is a push.
+// older version is a push. Each travels as the service_message for configuration of protocol/mesh_messages.h.
 #pragma once
 
 #include "protocol/result.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -45,7 +44,7 @@
 
 std::string encodeConfigMessage(const config_message& message);
 
-// std::nullopt for messages of another family. corrupt_data for those of this family that can't be read.
-result<std::optional<config_message>> decodeConfigMessage(std::string_view bytes);
+// corrupt_data when the bytes are not such a message.
+result<config_message> decodeConfigMessage(std::string_view bytes);
 
 } // namespace jackdaw::protocol
