--- a/src/apps/entry/dispatch_driver.cpp
+++ b/src/apps/entry/dispatch_driver.cpp
@@ -1,6 +1,8 @@
 // Drives the dispatcher by the decision loop's clock and timer.
 #include "apps/entry/dispatch_driver.h"
 
+#include "apps/entry/next_timer.h"
+
 #include <utility>
 #include <vector>
 
@@ -18,6 +20,10 @@
     impl(transport::event_loop& decisionLoop, coordination::dispatcher_settings settings, hooks actionHooks)
         : loop(decisionLoop)
         , actions(std::move(actionHooks))
+        , timer(loop, [this](time_point now) {
+            decisions.advance(now);
+            arm();
+        })
         , decisions(settings, [this](dispatch_action action) { perform(std::move(action)); })
     {
     }
@@ -40,28 +46,12 @@
     }
 
     // To be called after each event: the dispatcher's next timer may have come nearer.
-    void arm()
-    {
-        const std::optional<time_point> next = decisions.nextTimer();
-        if (!next || (timer && armedFor <= *next))
-            return;
-        armedFor = *next;
-        const time_point now = steadyNow();
-        timer = loop.after(*next > now ? *next - now : protocol::duration(0), [this] { onTimer(); });
-    }
-
-    void onTimer()
-    {
-        const auto expired = std::move(timer); // kept until this call is over: the hook belongs to it
-        decisions.advance(steadyNow());
-        arm();
-    }
+    void arm() { timer.arm(decisions.nextTimer()); }
 
     transport::event_loop& loop;
     const hooks actions;
     std::vector<answer_job> answers; // not empty while their delivery is queued
-    std::unique_ptr<transport::event_loop::timer> timer;
-    time_point armedFor; // of the timer, when there is one
+    next_timer timer;
     coordination::dispatcher decisions;
 };
 
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -3,13 +3,13 @@
 #include "apps/entry/entry_process.h"
 
 #include "apps/entry/caller_api.h"
+#include "apps/entry/claim_groups.h"
 #include "apps/entry/dispatch_driver.h"
 #include "apps/entry/entry_counters.h"
 #include "apps/entry/entry_mesh.h"
 #include "apps/entry/job_forwarder.h"
 #include "apps/entry/job_registry.h"
 #include "apps/entry/job_service.h"
-#include "apps/entry/lone_claims.h"
 #include "apps/entry/loop_thread.h"
 #include "apps/entry/operator_api.h"
 #include "apps/entry/remote_callers.h"
@@ -89,6 +89,8 @@
 private:
     entry_mesh::hooks meshHooks();
     job_service_settings jobSettings() const;
+    void onService(const mesh_sender& sender, const protocol::service_message& message);
+    void tick();
     void onAnnouncement(protocol::time_point heardAt, const protocol::announcement& announcement);
     std::string statusJson() const;
     void startDrain();
@@ -113,7 +115,7 @@
     dispatch_driver m_dispatch;
     entry_mesh m_mesh;
     job_forwarder m_forwarder;
-    lone_claims m_claims;
+    claim_groups m_claims;
     job_registry m_registry;
     job_service m_jobs;
     remote_callers m_remoteCallers;
@@ -141,9 +143,10 @@
           })
     , m_mesh(m_decisions, m_settings, m_incarnation, m_counters, meshHooks())
     , m_forwarder({}, m_mesh.peers(), [this](auto host, const auto& message) { return m_mesh.send(host, message); })
+    , m_claims(m_decisions, m_settings, m_incarnation, randomNumber(), [this](auto host, const auto& message) { m_mesh.send(host, message); })
     , m_registry({ .maxStoredBytes = m_settings.maxStoredAnswerBytes })
     , m_jobs(
-          jobSettings(), [this](const auto& job, const auto& onOutcome) { onOutcome(m_claims.claim(job)); }, m_dispatch, m_registry, m_forwarder, m_counters)
+          jobSettings(), [this](const auto& job, auto onOutcome) { m_claims.claim(job, std::move(onOutcome)); }, m_dispatch, m_registry, m_forwarder, m_counters)
     , m_remoteCallers(m_jobs, [this](auto host, const auto& message) { return m_mesh.send(host, message); })
     , m_gateway(m_decisions, { .loops = m_settings.upstreamLoops, .maxConnections = m_settings.maxUpstreamConnections }, m_counters,
           [this](coordination::task_report report) { m_dispatch.report(std::move(report)); })
@@ -167,10 +170,22 @@
     hooks.onForward = [this](const auto& sender, auto message) { m_remoteCallers.onForward(sender.host, sender.incarnation, std::move(message)); };
     hooks.onForwardAnswer = [this](const auto& sender, auto message) { m_forwarder.onAnswer(sender.host, std::move(message)); };
     hooks.onWithdrawal = [this](const auto& sender, const auto& message) { m_remoteCallers.onWithdrawal(sender.host, sender.incarnation, message); };
-    hooks.onService = [](const auto&, const auto&) {};
+    hooks.onService = [this](const auto& sender, const auto& message) { onService(sender, message); };
     return hooks;
 }
 
+void entry_process::impl::onService(const mesh_sender& sender, const protocol::service_message& message)
+{
+    if (message.service == protocol::mesh_service::claims)
+        m_claims.take(sender.host, message);
+}
+
+void entry_process::impl::tick()
+{
+    m_jobs.tick();
+    m_operatorApi.setReady(m_state == serving_state::serving && m_claims.isReady());
+}
+
 job_service_settings entry_process::impl::jobSettings() const
 {
     job_service_settings out;
@@ -209,10 +224,9 @@
     m_decisions.onSignal(SIGTERM, [this] { startDrain(); });
     m_decisions.onSignal(SIGINT, [this] { startDrain(); });
     m_decisions.onSignal(SIGHUP, [this] { rereadLogLevel(); });
-    m_tick = m_decisions.every(tickInterval, [this] { m_jobs.tick(); });
+    m_tick = m_decisions.every(tickInterval, [this] { tick(); });
     m_callers.start();
     m_operators.start();
-    m_operatorApi.setReady(true);
     logEvent(log_level::info, "started", { { "host", m_settings.host }, { "zone", m_settings.zone } });
     m_decisions.run();
     stopThreads();
@@ -229,6 +243,7 @@
 std::string entry_process::impl::statusJson() const
 {
     const coordination::dispatcher_status status = m_dispatch.status();
+    const coordination::claim_service_status claims = m_claims.status();
     return nlohmann::json {
         { "host", m_settings.host },
         { "zone", m_settings.zone },
@@ -242,6 +257,8 @@
         { "retries", status.retries },
         { "settles", status.settles },
         { "stored_answer_bytes", m_registry.storedBytes() },
+        { "claims", claims.claims },
+        { "claim_leader", claims.leaderHost.value_or("") },
         { "known_submissions", m_registry.records() },
     }
         .dump();
@@ -262,6 +279,7 @@
 {
     m_state = serving_state::refusing;
     m_jobs.refuseNewJobs();
+    m_claims.startDrain();
     m_decisions.post([this] {
         m_drainTimer = m_decisions.every(tickInterval, [this] { endWhenDone(); });
     });
--- a/src/apps/entry/job_service.cpp
+++ b/src/apps/entry/job_service.cpp
@@ -189,8 +189,6 @@
 // Why a job that is not open can't be taken at all.
 std::optional<job_failure> job_service::impl::reasonAgainst(const job_request& job, std::uint32_t hops) const
 {
-    if (protocol::creationTime(job.submission) > protocol::unixNow() + settings.maxClockSkew)
-        return failure(error_kind::malformed_request, "the submission id's time stamp lies in the future");
     if (std::find(settings.zones.begin(), settings.zones.end(), homeZone(job, settings.zones)) == settings.zones.end())
         return failure(error_kind::malformed_request, "unknown zone '" + job.zone + "'");
     const bool isLeftHere = hops > 0 || (homeZone(job, settings.zones) == settings.zone && !forwarder.hasHostFor(settings.zone));
@@ -239,8 +237,12 @@
         return release(submission, failure(error_kind::submission_mismatch));
     case claim_state::too_old:
         return release(submission, failure(error_kind::claim_too_old));
+    case claim_state::from_future:
+        return release(submission, failure(error_kind::malformed_request, "the submission id's time stamp lies in the future"));
     case claim_state::unavailable:
         return release(submission, failure(error_kind::claim_unavailable));
+    case claim_state::unavailable_first_attempt:
+        return release(submission, failure(error_kind::zone_unreachable_first_attempt, "the claim group has no majority"));
     }
 }
 
--- a/src/apps/entry/job_service.h
+++ b/src/apps/entry/job_service.h
@@ -21,7 +21,6 @@
     std::string zone;
     std::vector<std::string> zones;
     protocol::duration abandonAfter {}; // a job whose callers all went away is cancelled then
-    protocol::duration maxClockSkew = std::chrono::minutes(2); // between this host and the clients that make ids
 };
 
 // Who may start a submission's tasks.
@@ -30,7 +29,9 @@
     held, // the incarnation of a host that is named, perhaps this one
     mismatch, // claimed with another body
     too_old, // the claims don't reach back to the submission's time stamp
-    unavailable // nobody can tell now
+    from_future, // the submission's time stamp is too far ahead
+    unavailable, // nobody can tell now
+    unavailable_first_attempt // as above, but it is proved that nobody has it
 };
 
 struct claim_outcome {
--- a/src/apps/entry/tests/processes/entry_process_tests.cpp
+++ b/src/apps/entry/tests/processes/entry_process_tests.cpp
@@ -113,3 +113,46 @@
     CHECK(proved["ran"] == "no");
     CHECK(processes.waitJson(processes.submit("a1", processes.newSubmission(), { .zone = "b" }))["error"] == "zone_unreachable");
 }
+
+TEST_CASE("a resubmission that reaches another host joins the job, and starts nothing twice")
+{
+    cluster processes { { "a", { "a1", "a2", "a3" } } };
+    for (const char* host : { "a1", "a2", "a3" })
+        processes.startHost(host);
+    processes.startUpstreams("a", 2, "a1", { "a1", "a2", "a3" });
+    const auto submission = processes.newSubmission();
+    const job_options options { .tasks = 8, .workMs = 1500 };
+    const auto first = processes.submit("a1", submission, options);
+    processes.waitUntil([&] { return processes.upstreamStats("a")["running"] > 0; }, "tasks run");
+    const auto second = processes.submit("a2", submission, options);
+    CHECK(isWhole(processes.waitJson(first), 8));
+    CHECK(isWhole(processes.waitJson(second), 8));
+    CHECK(isWhole(processes.waitJson(processes.submit("a3", submission, options)), 8));
+    CHECK(processes.waitJson(processes.submit("a3", submission, { .tasks = 9 }))["error"] == "submission_mismatch");
+    const auto stats = processes.upstreamStats("a");
+    CHECK(stats["started_twice"] == 0);
+    CHECK(stats["finished"] == 8);
+}
+
+TEST_CASE("a job whose coordinator was killed is answered with maybe, and starts nothing twice")
+{
+    cluster processes { { "a", { "a1", "a2", "a3" } } };
+    for (const char* host : { "a1", "a2", "a3" })
+        processes.startHost(host);
+    processes.startUpstreams("a", 2, "a1", { "a1", "a2", "a3" });
+    const auto submission = processes.newSubmission();
+    const job_options options { .tasks = 8, .workMs = 3000 };
+    const auto first = processes.submit("a1", submission, options);
+    processes.waitUntil([&] { return processes.upstreamStats("a")["running"] > 0; }, "tasks run");
+    const auto joined = processes.submit("a2", submission, options);
+    processes.waitUntil([&] { return processes.status("a2")["jobs"] == 1; }, "the resubmission waits");
+    processes.host("a1").signal(SIGKILL);
+    const auto answer = processes.waitJson(joined);
+    CHECK(answer["error"] == "coordinator_lost");
+    CHECK(answer["ran"] == "maybe");
+    CHECK(processes.waitJson(processes.submit("a3", submission, options))["ran"] == "maybe");
+    processes.startHost("a1");
+    CHECK(processes.waitJson(processes.submit("a1", submission, options))["ran"] == "maybe");
+    CHECK(processes.upstreamStats("a")["started_twice"] == 0);
+    CHECK(isWhole(processes.waitJson(processes.submit("a2", processes.newSubmission(), {})), 1));
+}
--- a/src/protocol/mesh_messages.cpp
+++ b/src/protocol/mesh_messages.cpp
@@ -276,8 +276,8 @@
 
     void pack(packer& out, const service_message& message)
     {
-        packHead(out, message_kind::service, 2);
-        packFields(out, static_cast<std::uint32_t>(message.service), message.bytes);
+        packHead(out, message_kind::service, 3);
+        packFields(out, static_cast<std::uint32_t>(message.service), message.bytes, message.scope);
     }
 
     service_message readService(msgpack_array_reader& in)
@@ -286,6 +286,7 @@
         std::uint32_t service = 0;
         in.read(service);
         in.read(out.bytes);
+        in.read(out.scope);
         if (service > static_cast<std::uint32_t>(mesh_service::configuration))
             in.fail();
         out.service = static_cast<mesh_service>(service);
--- a/src/protocol/mesh_messages.h
+++ b/src/protocol/mesh_messages.h
@@ -65,6 +65,7 @@
 struct service_message {
     mesh_service service = mesh_service::claims;
     std::string bytes;
+    std::string scope {}; // which of the service's groups it is for; empty where there is one
 };
 
 using mesh_message = std::variant<heartbeat, job_forward, job_forward_answer, job_withdrawal, service_message>;
--- a/src/protocol/tests/mesh_messages_tests.cpp
+++ b/src/protocol/tests/mesh_messages_tests.cpp
@@ -66,7 +66,8 @@
     CHECK(roundTrip(job_forward_answer { 1, exampleId, complete }).answer == complete);
     const job_answer failed = job_failure { error_kind::never_fits, "task 3", 2s };
     CHECK(roundTrip(job_forward_answer { 1, exampleId, failed }).answer == failed);
-    CHECK(roundTrip(service_message { mesh_service::configuration, "bytes" }).bytes == "bytes");
+    CHECK(roundTrip(service_message { mesh_service::configuration, "bytes", "a/0" }).bytes == "bytes");
+    CHECK(roundTrip(service_message { mesh_service::claims, "bytes", "a/0" }).scope == "a/0");
 }
 
 TEST_CASE("a later format's trailing fields are ignored, and fields that an older one lacks take defaults")
