--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -28,6 +28,9 @@
 
 namespace {
 
+    // A group of two hosts must be able to replace one of them.
+    constexpr std::size_t minVotersLeft = 1;
+
     constexpr duration memberSilenceLimit = std::chrono::seconds(3);
     constexpr std::uint64_t maxJournalBytes = 8 * 1024 * 1024; // compacts earlier when changes are large
 
@@ -248,7 +251,7 @@
     std::vector<raft_member_id> live;
     for (const auto& [member, heardAt] : heardMembers)
         live.push_back(member);
-    const auto plan = coordination::planReplacement(raft->membership(), live, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
+    const auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
     if (plan)
         raft->proposeMembership(now, *plan);
 }
