--- a/src/coordination/claim_service.cpp
+++ b/src/coordination/claim_service.cpp
@@ -52,6 +52,7 @@
         group.incarnation = settings.incarnation;
         group.seed = settings.seed;
         group.voters = settings.voters;
+        group.minCompactionBytes = settings.minCompactionBytes;
         group.heartbeat = settings.heartbeat;
         group.minElectionTimeout = settings.minElectionTimeout;
         group.maxElectionTimeout = settings.maxElectionTimeout;
@@ -103,6 +104,7 @@
     std::optional<std::string> lastTarget; // where claims were last sent
     std::size_t nextVoter = 0; // asked next while no leader is known
     time_point nextRetry;
+    bool hasFollowedRedirect = false; // since the last retry
     std::uint64_t lastAttempt = 0;
     std::uint64_t malformedMessages = 0;
 
@@ -187,6 +189,7 @@
         if (now < nextRetry)
             return;
         nextRetry = now + settings.retryInterval;
+        hasFollowedRedirect = false;
         ++nextVoter;
         for (auto& [submission, claim] : pending) {
             if (claim.isWaiting && now - claim.sentAt >= settings.resendAfter)
@@ -332,14 +335,20 @@
             resolve(answer);
     }
 
+    // The first redirect of a retry interval is followed at once; two hosts that point at each other must not start a storm.
     void handle(const std::string& from, const claim_redirect& redirect)
     {
         hintedLeader.reset();
         if (!redirect.leaderHost.empty() && redirect.leaderHost != from && redirect.leaderHost != settings.host)
             hintedLeader = redirect.leaderHost;
+        if (lastTarget != from)
+            return;
+        const bool isFollowed = hintedLeader && !std::exchange(hasFollowedRedirect, true);
         for (auto& [submission, claim] : pending) {
-            if (claim.isWaiting && lastTarget == from)
+            if (claim.isWaiting && isFollowed)
                 markUnsent(claim);
+            else
+                claim.sentAt = now - settings.resendAfter;
         }
     }
 
