Dispatch: learned speeds and run times, and waiting for a fast upstream

Each upstream has a learned factor (a scalar Kalman filter on the logarithm of observed over expected run time); run times are learned as log-normal, for each client and for each of its kinds (order of magnitude of the declaration). Free upstreams stand in bands of a sixth of an octave, so fastest and slowest-that-is-on-time are bit scans. A task goes to the slowest free upstream on which its job still ends on time; else to the fastest free one, unless a busy faster one would end it 1.3 times earlier (releases an hour are forecast from what runs there). Longest task of a job first. The cost bench now ends tasks by upstream factor, which the choice rests on.

--- a/bench/decision_cost.cpp
+++ b/bench/decision_cost.cpp
@@ -4,9 +4,12 @@
 #include "coordination/dispatcher.h"
 
 #include <chrono>
-#include <deque>
+#include <cmath>
+#include <functional>
+#include <queue>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace jackdaw::bench {
 namespace {
@@ -26,6 +29,13 @@
         return std::chrono::duration<double, std::nano>(stopwatch::now() - start).count();
     }
 
+    struct running_task {
+        time_point end {};
+        start_task started;
+
+        friend bool operator>(const running_task& a, const running_task& b) { return a.end > b.end; }
+    };
+
     class cost_run {
     public:
         explicit cost_run(std::size_t upstreams)
@@ -55,10 +65,10 @@
 
         double reportOne()
         {
-            m_now += 1ms;
-            std::swap(m_running[m_random() % m_running.size()], m_running.back());
-            const start_task started = std::move(m_running.back());
-            m_running.pop_back();
+            const running_task next = m_running.top();
+            m_running.pop();
+            m_now = next.end;
+            const start_task& started = next.started;
             task_report report { started.task, started.upstream, task_outcome::finished, "result", {} };
             const auto start = stopwatch::now();
             m_dispatcher.report(m_now, std::move(report));
@@ -70,13 +80,17 @@
     private:
         void take(dispatch_action&& action)
         {
-            if (auto* start = std::get_if<start_task>(&action))
-                m_running.push_back(std::move(*start));
+            const auto* start = std::get_if<start_task>(&action);
+            if (!start)
+                return;
+            // Factors from 1 to 4 by upstream.
+            const double factor = std::exp2(static_cast<double>(std::hash<std::string> {}(start->upstream.name) % 100) / 50);
+            m_running.push({ m_now + std::chrono::round<duration>(std::chrono::milliseconds(50 + m_random() % 950) * factor), *start });
         }
 
         time_point m_now { 1000s };
         std::mt19937_64 m_random { 1 };
-        std::deque<start_task> m_running;
+        std::priority_queue<running_task, std::vector<running_task>, std::greater<>> m_running;
         dispatcher m_dispatcher;
     };
 
--- a/bench/fake_zone.cpp
+++ b/bench/fake_zone.cpp
@@ -51,9 +51,11 @@
         const duration wait = job.arrival - m_now;
         later(wait, [this, &job] { arrive(std::move(job)); });
     }
-    while (!m_events.empty()) {
+    for (;;) {
         const auto timer = m_dispatcher.nextTimer();
-        if (timer && *timer < m_events.top().at) {
+        if (m_events.empty() && !timer)
+            break;
+        if (timer && (m_events.empty() || *timer < m_events.top().at)) {
             m_now = std::max(m_now, *timer);
             m_dispatcher.advance(m_now);
             continue;
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -3,6 +3,8 @@
 
 #include "coordination/internal/job_record.h"
 #include "coordination/internal/retry_budget.h"
+#include "coordination/internal/run_time_model.h"
+#include "coordination/internal/start_policy.h"
 #include "coordination/internal/task_queue.h"
 #include "coordination/internal/upstream_pool.h"
 
@@ -20,7 +22,9 @@
 
     constexpr duration leaseGrace = std::chrono::seconds(1); // an upstream's lease begins later than our send
     constexpr duration maxSettleInterval = std::chrono::seconds(5);
-    constexpr duration defaultExpected = std::chrono::milliseconds(300); // of tasks that declare nothing
+    constexpr duration recheckInterval = std::chrono::milliseconds(20); // of tasks that wait although slots are free
+    constexpr double busyStretch = 3; // how much longer a large job may take than with all slots to itself
+    constexpr double meanWorkGain = 0.01; // weight of one more task in the mean
     constexpr duration refusalRetryAfter = std::chrono::seconds(1);
 
     struct job_timer {
@@ -34,7 +38,10 @@
     struct retry_timer {
     };
 
-    using due_timer = std::variant<job_timer, settle_timer, retry_timer>;
+    struct recheck_timer {
+    };
+
+    using due_timer = std::variant<job_timer, settle_timer, retry_timer, recheck_timer>;
 
     job_failure refuse(error_kind kind, std::string detail, duration retryAfter = refusalRetryAfter)
     {
@@ -76,15 +83,17 @@
 
     void estimate(job_record& job) const;
     void sortIntoParts(job_record& job);
+    void addPending(job_record& job, std::uint32_t index);
     void listAll(job_record& job);
     void unlistAll(job_record& job);
 
-    void start(time_point now, job_record& job, std::uint32_t part);
+    void start(time_point now, const start_decision& decision);
     void relist(job_record& job, std::uint32_t part);
     duration leaseFor(const job_record& job, time_point now) const;
     void release(time_point now, job_record& job, task_record& task, task_phase next);
 
     void onFinished(time_point now, job_record& job, task_record& task, std::string&& body);
+    void learn(time_point now, const job_record& job, const task_record& task);
     void onNotStarted(time_point now, job_record& job, const protocol::task_key& key, task_record& task);
     void onSilent(time_point now, job_record& job, const protocol::task_key& key, task_record& task);
     void onFateUnknown(time_point now, job_record& job, const protocol::task_key& key, task_record& task);
@@ -102,6 +111,7 @@
     void onTimer(time_point now, const job_timer& timer);
     void onTimer(time_point now, const settle_timer& timer);
     void onTimer(time_point now, const retry_timer& timer);
+    void onTimer(time_point now, const recheck_timer& timer);
 
     const dispatcher_settings m_settings;
     const action_hook m_onAction;
@@ -111,6 +121,10 @@
     task_queue m_queue;
     team_table m_teams;
     upstream_pool m_upstreams;
+    start_policy m_startPolicy;
+    run_time_model m_runTimes;
+    double m_meanWork = 300'000; // of started tasks; microseconds at factor 1
+    std::optional<timer_id> m_recheckTimer;
     timer_queue<due_timer> m_timers;
     retry_budget m_retryBudget;
     std::deque<protocol::task_key> m_delayedRetries; // entries whose job has ended are dropped when their turn comes
@@ -133,6 +147,7 @@
     job.request = std::move(request);
     job.sequence = m_nextSequence++;
     job.tasks.resize(job.request.tasks.size());
+    job.arrival = now;
     job.queued = static_cast<std::uint32_t>(job.tasks.size());
     job.team = &m_teams.get(job.request.team, *m_rules);
     ++job.team->jobs;
@@ -185,11 +200,21 @@
 
 void dispatcher::impl::estimate(job_record& job) const
 {
+    class_mask classes = 0;
+    duration longest {};
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
-        const duration declared = job.request.tasks[i].expected;
-        job.tasks[i].expected = declared > duration::zero() ? declared : defaultExpected;
-        job.queuedWork += job.tasks[i].expected;
+        const protocol::task_spec& spec = job.request.tasks[i];
+        const run_time_estimate estimated = m_runTimes.estimate(job.request.client, spec.expected);
+        job.tasks[i].expected = estimated.mean;
+        job.tasks[i].expectedVariance = static_cast<float>(estimated.logVariance);
+        job.queuedWork += estimated.mean;
+        longest = std::max(longest, estimated.mean);
+        classes |= m_upstreams.classesFor(spec.needs);
     }
+    const upstream_pool::class_capacity capacity = m_upstreams.capacityOf(classes);
+    const double longestAlone = static_cast<double>(longest.count()) * capacity.fastestFactor;
+    const double workAlone = static_cast<double>(job.queuedWork.count()) / capacity.speed;
+    job.target = job.arrival + duration { static_cast<std::int64_t>(std::max(longestAlone, busyStretch * workAlone)) };
 }
 
 void dispatcher::impl::sortIntoParts(job_record& job)
@@ -205,6 +230,15 @@
         if (task.phase == task_phase::queued && !task.delayed)
             part->pending.push_back(static_cast<std::uint32_t>(i));
     }
+    for (job_part& part : job.parts)
+        std::stable_sort(part.pending.begin(), part.pending.end(), [&](std::uint32_t a, std::uint32_t b) { return job.tasks[a].expected < job.tasks[b].expected; });
+}
+
+void dispatcher::impl::addPending(job_record& job, std::uint32_t index)
+{
+    auto& pending = job.parts[job.tasks[index].part].pending;
+    const auto longer = std::upper_bound(pending.begin(), pending.end(), index, [&](std::uint32_t a, std::uint32_t b) { return job.tasks[a].expected < job.tasks[b].expected; });
+    pending.insert(longer, index);
 }
 
 void dispatcher::impl::listAll(job_record& job)
@@ -225,21 +259,34 @@
     m_now = std::max(m_now, at);
     const time_point now = m_now;
     m_upstreams.expireDue(now);
-    while (const queued_part* next = m_queue.next(m_upstreams))
-        start(now, *next->job, next->part);
+    for (;;) {
+        const start_conditions conditions { now, m_rules->slowUpstreamPenalty, m_meanWork, m_status.queuedTasks };
+        const auto decision = m_startPolicy.choose(conditions, m_queue, m_upstreams);
+        if (!decision)
+            break;
+        start(now, *decision);
+    }
+    const bool waiting = m_queue.next(m_upstreams) != nullptr;
+    if (waiting && !m_recheckTimer)
+        m_recheckTimer = m_timers.add(now + recheckInterval, recheck_timer {});
 }
 
-void dispatcher::impl::start(time_point now, job_record& job, std::uint32_t part)
+void dispatcher::impl::start(time_point now, const start_decision& decision)
 {
-    job_part& from = job.parts[part];
-    const std::uint32_t index = from.pending.back();
+    job_record& job = *decision.job;
+    job_part& from = job.parts[decision.part];
+    const auto place = from.pending.begin() + static_cast<std::ptrdiff_t>(decision.pendingIndex);
+    const std::uint32_t index = *place;
+    from.pending.erase(place);
     task_record& task = job.tasks[index];
-    task.upstream = m_upstreams.pick(from.classes, task.avoidedSerial);
-    from.pending.pop_back();
+    task.upstream = decision.upstream->shared_from_this();
+    const auto end = static_cast<std::int64_t>(static_cast<double>(task.expected.count()) * task.upstream->speed.factor());
+    job.expectedEnd = std::max(job.expectedEnd, now + duration { end });
+    m_meanWork += meanWorkGain * (static_cast<double>(task.expected.count()) - m_meanWork);
     job.queuedWork -= task.expected;
-    relist(job, part);
+    relist(job, decision.part);
     m_teams.noteStarted(*job.team, task.expected);
-    m_upstreams.takeSlot(task.upstream);
+    m_upstreams.takeSlot(*task.upstream);
     const duration lease = leaseFor(job, now);
     task.phase = task_phase::sent;
     task.questions = 0;
@@ -275,7 +322,7 @@
 void dispatcher::impl::release(time_point now, job_record& job, task_record& task, task_phase next)
 {
     m_teams.noteEnded(*job.team, task.expected, now - task.sentAt);
-    m_upstreams.releaseSlot(task.upstream);
+    m_upstreams.releaseSlot(*task.upstream);
     task.upstream.reset();
     m_timers.cancel(task.settleTimer);
     task.phase = next;
@@ -319,6 +366,7 @@
 void dispatcher::impl::onFinished(time_point now, job_record& job, task_record& task, std::string&& body)
 {
     job.provedStarted = true;
+    learn(now, job, task);
     release(now, job, task, task_phase::finished);
     if (job.answered)
         return;
@@ -333,6 +381,16 @@
     answer(job, std::move(results));
 }
 
+void dispatcher::impl::learn(time_point now, const job_record& job, const task_record& task)
+{
+    const duration runTime = std::max(now - task.sentAt, duration { 1 });
+    const auto factor = static_cast<double>(runTime.count()) / static_cast<double>(std::max(task.expected, duration { 1 }).count());
+    const auto index = static_cast<std::size_t>(&task - job.tasks.data());
+    const auto atFactorOne = static_cast<std::int64_t>(static_cast<double>(runTime.count()) / task.upstream->speed.factor());
+    m_runTimes.note(job.request.client, job.request.tasks[index].expected, duration { atFactorOne });
+    m_upstreams.noteRunTime(*task.upstream, factor, task.expectedVariance);
+}
+
 void dispatcher::impl::onNotStarted(time_point now, job_record& job, const protocol::task_key& key, task_record& task)
 {
     // A new incarnation knows nothing of what the old one started, so its tombstone proves nothing.
@@ -423,7 +481,7 @@
                 break;
             task_record& task = job->tasks[key.index];
             task.delayed = false;
-            job->parts[task.part].pending.push_back(key.index);
+            addPending(*job, key.index);
             m_queue.add(*job, task.part, m_rules->order);
             ++m_status.retries;
         }
@@ -582,6 +640,11 @@
     requeueDelayed(now);
 }
 
+void dispatcher::impl::onTimer(time_point, const recheck_timer&)
+{
+    m_recheckTimer.reset(); // the queued tasks are looked at after all timers
+}
+
 std::optional<time_point> dispatcher::impl::nextTimer() const
 {
     const auto own = m_timers.next();
--- a/src/coordination/internal/job_record.h
+++ b/src/coordination/internal/job_record.h
@@ -29,6 +29,7 @@
     std::uint32_t questions = 0; // settle_task actions for this attempt
     std::uint64_t avoidedSerial = 0; // the upstream that did not start the attempt before
     duration expected {}; // run time on an upstream of factor 1
+    float expectedVariance = 0; // of the logarithm of the expected run time
     time_point sentAt {};
     time_point leaseEnd {};
     std::optional<timer_id> settleTimer;
@@ -41,7 +42,7 @@
 // The tasks of one job that fit the same capacity classes.
 struct job_part {
     class_mask classes = 0;
-    std::vector<std::uint32_t> pending; // indices of queued tasks; the last one is started next
+    std::vector<std::uint32_t> pending; // indices of queued tasks, the longest last
     bool listed = false; // the part is in the task queue, under the key below
     std::uint64_t listedKey = 0;
 };
@@ -51,7 +52,10 @@
     protocol::job_request request;
     team_record* team = nullptr;
     std::uint64_t sequence = 0; // order of admission
+    time_point arrival {};
     time_point deadlineAt {};
+    time_point target {}; // until when an end of the job counts as on time
+    time_point expectedEnd {}; // of the started tasks
     std::vector<task_record> tasks;
     std::vector<job_part> parts;
     std::uint32_t finished = 0;
--- /dev/null
+++ b/src/coordination/internal/run_time_model.cpp
@@ -0,0 +1,93 @@
+// Log-normal statistics with two levels: the client's own, and that of each of its kinds.
+#include "coordination/internal/run_time_model.h"
+
+#include <algorithm>
+#include <bit>
+#include <chrono>
+#include <cmath>
+#include <functional>
+
+namespace jackdaw::coordination {
+namespace {
+
+    constexpr std::size_t maxEntries = 20'000; // of one level
+    constexpr double maxSamples = 100; // weight of the past against one new sample
+    constexpr double priorSamples = 3; // weight of the level above
+    constexpr double priorVariance = 1; // of the logarithm, before anything was learned
+    constexpr double highDeviations = 1.645; // standard deviations to the 95th percentile
+    constexpr double maxLogRatio = 7; // about a thousand times
+    constexpr duration undeclared = std::chrono::milliseconds(300);
+
+    duration baseOf(duration declared)
+    {
+        return declared > duration::zero() ? declared : undeclared;
+    }
+
+    std::uint64_t clientKey(std::string_view client, duration declared)
+    {
+        return std::hash<std::string_view> {}(client)*2 + (declared > duration::zero() ? 1 : 0);
+    }
+
+    std::uint64_t kindKey(std::string_view client, duration declared)
+    {
+        const auto magnitude = std::bit_width(static_cast<std::uint64_t>(std::max<std::int64_t>(declared.count(), 0)));
+        return clientKey(client, declared) * 64 + magnitude;
+    }
+
+    duration scaled(duration base, double logRatio)
+    {
+        const double ratio = std::exp(std::clamp(logRatio, -maxLogRatio, maxLogRatio));
+        return duration { std::max<std::int64_t>(1, std::llround(static_cast<double>(base.count()) * ratio)) };
+    }
+
+} // namespace
+
+void run_time_model::statistics::note(double value)
+{
+    samples = std::min(samples + 1, maxSamples);
+    const double step = value - mean;
+    mean += step / samples;
+    variance += (step * (value - mean) - variance) / samples;
+}
+
+run_time_estimate run_time_model::estimate(std::string_view client, duration declared) const
+{
+    double mean = 0;
+    double variance = priorVariance;
+    const auto refine = [&](const statistics* level) {
+        if (!level)
+            return;
+        const double share = level->samples / (level->samples + priorSamples);
+        mean += share * (level->mean - mean);
+        variance += share * (level->variance - variance);
+    };
+    refine(find(m_clients, clientKey(client, declared)));
+    refine(find(m_kinds, kindKey(client, declared)));
+    const duration base = baseOf(declared);
+    // Before anything is learned a declaration is taken at its word.
+    const double known = std::min(variance, priorVariance / 2);
+    return { scaled(base, mean + known / 2), scaled(base, mean + highDeviations * std::sqrt(variance)), variance };
+}
+
+void run_time_model::note(std::string_view client, duration declared, duration atFactorOne)
+{
+    const double ratio = static_cast<double>(std::max<std::int64_t>(1, atFactorOne.count())) / static_cast<double>(baseOf(declared).count());
+    const double value = std::clamp(std::log(ratio), -maxLogRatio, maxLogRatio);
+    noteIn(m_clients, clientKey(client, declared), value);
+    noteIn(m_kinds, kindKey(client, declared), value);
+}
+
+const run_time_model::statistics* run_time_model::find(const std::unordered_map<std::uint64_t, statistics>& from, std::uint64_t key)
+{
+    const auto found = from.find(key);
+    return found == from.end() ? nullptr : &found->second;
+}
+
+void run_time_model::noteIn(std::unordered_map<std::uint64_t, statistics>& into, std::uint64_t key, double value)
+{
+    if (into.size() >= maxEntries && !into.contains(key))
+        into.clear();
+    into[key].note(value);
+}
+
+} // namespace jackdaw::coordination
--- /dev/null
+++ b/src/coordination/internal/run_time_model.h
@@ -0,0 +1,47 @@
+// Run times learned from finished tasks, for each client and kind of task. What a client declares is a hint that is
+// corrected by what its tasks of about the same declaration took.
+#pragma once
+
+#include "protocol/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+
+namespace jackdaw::coordination {
+
+using protocol::duration;
+
+// Run time on an upstream of factor 1, taken as log-normal.
+struct run_time_estimate {
+    duration mean {};
+    duration high {}; // 95 tasks in 100 take less
+    double logVariance = 0;
+};
+
+class run_time_model {
+public:
+    // A declaration of zero is none.
+    run_time_estimate estimate(std::string_view client, duration declared) const;
+    void note(std::string_view client, duration declared, duration atFactorOne);
+
+private:
+    // Of the logarithm of actual over declared run time, or over a fixed default where nothing is declared.
+    struct statistics {
+        double samples = 0; // capped, so that old ones fade out
+        double mean = 0;
+        double variance = 0;
+
+        void note(double value);
+    };
+
+    static const statistics* find(const std::unordered_map<std::uint64_t, statistics>& from, std::uint64_t key);
+    void noteIn(std::unordered_map<std::uint64_t, statistics>& into, std::uint64_t key, double value);
+
+    // Both are bounded; a full table is emptied and learned anew.
+    std::unordered_map<std::uint64_t, statistics> m_clients;
+    std::unordered_map<std::uint64_t, statistics> m_kinds; // client and order of magnitude of the declaration
+};
+
+} // namespace jackdaw::coordination
--- /dev/null
+++ b/src/coordination/internal/start_policy.cpp
@@ -0,0 +1,102 @@
+// A task whose job can still reach its target goes to the slowest free upstream that keeps it on time. Any other goes to
+// the fastest free one, unless waiting for a faster busy one is expected to end it earlier.
+#include "coordination/internal/start_policy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jackdaw::coordination {
+namespace {
+
+    constexpr std::size_t windowParts = 8; // parts looked at when the first one waits
+
+    // A longer run time to expect of tasks whose own is uncertain, in standard deviations.
+    constexpr double cautiousDeviations = 0.7;
+
+    // Until when the job's queued tasks may run without making its answer later.
+    double slackOf(const job_record& job, time_point now)
+    {
+        return static_cast<double>((std::max(job.target, job.expectedEnd) - now).count());
+    }
+
+    double workOf(const task_record& task)
+    {
+        return static_cast<double>(std::max<std::int64_t>(1, task.expected.count()));
+    }
+
+} // namespace
+
+start_policy::decision start_policy::choose(const start_conditions& conditions, task_queue& queue, const upstream_pool& pool)
+{
+    m_conditions = conditions;
+    m_pool = &pool;
+    m_forecasts.clear();
+    const queued_part* first = queue.next(pool);
+    if (!first)
+        return std::nullopt;
+    if (auto found = chooseFor(*first, 0))
+        return found;
+    queue.collect(pool, windowParts, m_window);
+    double tasksAhead = 0;
+    for (const queued_part* candidate : m_window) {
+        if (auto found = chooseFor(*candidate, tasksAhead))
+            return found;
+        tasksAhead += static_cast<double>(candidate->job->parts[candidate->part].pending.size());
+    }
+    // The last ones in a long queue wait longest: they take the slots that the first ones decline.
+    if (static_cast<double>(conditions.queuedTasks) <= tasksAhead)
+        return std::nullopt;
+    return chooseFor(*queue.last(pool), static_cast<double>(conditions.queuedTasks));
+}
+
+start_policy::decision start_policy::chooseFor(const queued_part& candidate, double tasksAhead)
+{
+    job_record& job = *candidate.job;
+    const job_part& part = job.parts[candidate.part];
+    const std::size_t longest = part.pending.size() - 1;
+    const task_record& task = job.tasks[part.pending[longest]];
+    const double cautiousWork = workOf(task) * std::exp(cautiousDeviations * std::sqrt(task.expectedVariance));
+    const double onTime = slackOf(job, m_conditions.now) / cautiousWork;
+    if (upstream_record* upstream = m_pool->slowestFree(part.classes, onTime, task.avoidedSerial))
+        return start_decision { &job, candidate.part, longest, upstream };
+    upstream_record* upstream = m_pool->fastestFree(part.classes, task.avoidedSerial);
+    if (isWorthStarting(job, task, *upstream, part.classes, tasksAhead))
+        return start_decision { &job, candidate.part, longest, upstream };
+    return chooseShorter(candidate, *upstream);
+}
+
+// The longest of the job's other tasks that the upstream ends on time.
+start_policy::decision start_policy::chooseShorter(const queued_part& candidate, upstream_record& upstream) const
+{
+    job_record& job = *candidate.job;
+    const auto& pending = job.parts[candidate.part].pending;
+    const double mostWork = slackOf(job, m_conditions.now) / upstream.speed.factor();
+    const auto tooLong = std::partition_point(pending.begin(), pending.end(), [&](std::uint32_t index) { return workOf(job.tasks[index]) <= mostWork; });
+    if (tooLong == pending.begin())
+        return std::nullopt;
+    return start_decision { &job, candidate.part, static_cast<std::size_t>(tooLong - pending.begin()) - 1, &upstream };
+}
+
+bool start_policy::isWorthStarting(const job_record& job, const task_record& task, const upstream_record& upstream, class_mask classes, double tasksAhead)
+{
+    if (m_conditions.slowUpstreamPenalty <= 0)
+        return true;
+    const double factor = upstream.speed.factor();
+    const double end = workOf(task) * factor;
+    // A forecast that did not come true must not hold a task for good.
+    const auto waited = static_cast<double>((m_conditions.now - job.arrival).count());
+    if (waited > 2 * end)
+        return true;
+    return end <= m_conditions.slowUpstreamPenalty * forecastFor(classes).bestEnd(workOf(task), tasksAhead, factor);
+}
+
+const wait_forecast& start_policy::forecastFor(class_mask classes)
+{
+    for (const auto& [mask, forecast] : m_forecasts) {
+        if (mask == classes)
+            return forecast;
+    }
+    return m_forecasts.emplace_back(classes, m_pool->forecast(classes, m_conditions.meanWork)).second;
+}
+
+} // namespace jackdaw::coordination
--- /dev/null
+++ b/src/coordination/internal/start_policy.h
@@ -0,0 +1,48 @@
+// Decides which queued task starts next and on which upstream, or that the queued tasks should wait for faster ones.
+#pragma once
+
+#include "coordination/internal/task_queue.h"
+#include "coordination/internal/upstream_pool.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace jackdaw::coordination {
+
+struct start_decision {
+    job_record* job = nullptr;
+    std::uint32_t part = 0;
+    std::size_t pendingIndex = 0; // into job_part::pending
+    upstream_record* upstream = nullptr;
+};
+
+// What a decision rests on besides queue and upstreams.
+struct start_conditions {
+    time_point now {};
+    double slowUpstreamPenalty = 1; // as in rules
+    double meanWork = 1; // of the tasks that were started lately; microseconds at factor 1
+    std::size_t queuedTasks = 0;
+};
+
+class start_policy {
+public:
+    std::optional<start_decision> choose(const start_conditions& conditions, task_queue& queue, const upstream_pool& pool);
+
+private:
+    using decision = std::optional<start_decision>;
+
+    decision chooseFor(const queued_part& candidate, double tasksAhead);
+    decision chooseShorter(const queued_part& candidate, upstream_record& upstream) const;
+    bool isWorthStarting(const job_record& job, const task_record& task, const upstream_record& upstream, class_mask classes, double tasksAhead);
+    const wait_forecast& forecastFor(class_mask classes);
+
+    start_conditions m_conditions; // of the running call, as is the pool
+    const upstream_pool* m_pool = nullptr;
+    std::vector<const queued_part*> m_window;
+    std::vector<std::pair<class_mask, wait_forecast>> m_forecasts; // computed for the running call
+};
+
+} // namespace jackdaw::coordination
--- a/src/coordination/internal/task_queue.cpp
+++ b/src/coordination/internal/task_queue.cpp
@@ -51,7 +51,7 @@
     m_lanes.pop_back();
 }
 
-const queued_part* task_queue::next(const upstream_pool& pool) const
+const task_queue::team_list* task_queue::neediest(const upstream_pool& pool) const
 {
     const team_list* best = nullptr;
     for (const lane& candidate : m_lanes) {
@@ -62,7 +62,41 @@
                 best = &list;
         }
     }
-    return best ? &*best->parts.begin() : nullptr;
+    return best;
+}
+
+const queued_part* task_queue::next(const upstream_pool& pool) const
+{
+    const team_list* list = neediest(pool);
+    return list ? &*list->parts.begin() : nullptr;
+}
+
+const queued_part* task_queue::last(const upstream_pool& pool) const
+{
+    const team_list* list = neediest(pool);
+    return list ? &*list->parts.rbegin() : nullptr;
+}
+
+void task_queue::collect(const upstream_pool& pool, std::size_t count, std::vector<const queued_part*>& into)
+{
+    m_cursors.clear();
+    for (const lane& candidate : m_lanes) {
+        if (!pool.hasFree(candidate.classes))
+            continue;
+        for (const team_list& list : candidate.teams)
+            m_cursors.emplace_back(&list, list.parts.begin());
+    }
+    std::sort(m_cursors.begin(), m_cursors.end(), [](const cursor& a, const cursor& b) { return a.first->team->virtualTime < b.first->team->virtualTime; });
+    into.clear();
+    for (bool more = true; more && into.size() < count;) {
+        more = false;
+        for (auto& [list, part] : m_cursors) {
+            if (part == list->parts.end() || into.size() >= count)
+                continue;
+            into.push_back(&*part++);
+            more = true;
+        }
+    }
 }
 
 task_queue::lane& task_queue::laneFor(class_mask classes)
--- a/src/coordination/internal/task_queue.h
+++ b/src/coordination/internal/task_queue.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <set>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 namespace jackdaw::coordination {
@@ -33,6 +34,12 @@
     // The part to start from next among those that have a free upstream, or null.
     const queued_part* next(const upstream_pool& pool) const;
 
+    // Up to the given number of such parts, in turns over the teams, those of the lowest virtual time first.
+    void collect(const upstream_pool& pool, std::size_t count, std::vector<const queued_part*>& into);
+
+    // The part that the order puts last, in the list that next() takes from.
+    const queued_part* last(const upstream_pool& pool) const;
+
 private:
     struct team_list {
         team_record* team = nullptr;
@@ -44,10 +51,14 @@
         std::vector<team_list> teams; // those with queued tasks in this lane
     };
 
+    using cursor = std::pair<const team_list*, std::set<queued_part>::const_iterator>;
+
+    const team_list* neediest(const upstream_pool& pool) const;
     lane& laneFor(class_mask classes);
     team_list& listFor(lane& in, team_record& team);
 
     std::vector<lane> m_lanes; // one for each set of capacity classes that has queued tasks
+    std::vector<cursor> m_cursors; // of the running collect()
 };
 
 } // namespace jackdaw::coordination
--- a/src/coordination/internal/upstream_pool.cpp
+++ b/src/coordination/internal/upstream_pool.cpp
@@ -3,12 +3,17 @@
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
+#include <limits>
 
 namespace jackdaw::coordination {
 namespace {
 
     constexpr std::size_t maxClasses = 64; // bits of a class_mask
 
+    constexpr double bandsPerOctave = 6;
+    constexpr int unitBand = 18; // of factor 1
+
     bool sameResources(const protocol::resources& a, const protocol::resources& b)
     {
         return a.fitsInto(b) && b.fitsInto(a);
@@ -29,19 +34,19 @@
         return result;
     if (known != m_byName.end() && known->second->id.incarnation != announcement.incarnation) {
         const upstream_ptr old = known->second;
-        stopServing(old);
+        withdraw(*old);
         old->replaced = true;
-        forget(old);
+        forget(*old);
         result.replacedOne = true;
         known = m_byName.end();
     }
     if (known != m_byName.end()) {
-        refresh(known->second, heardAt, announcement);
+        refresh(*known->second, heardAt, announcement);
         return result;
     }
     const std::size_t classesBefore = m_classes.size();
     if (const upstream_ptr added = add(announcement))
-        refresh(added, heardAt, announcement);
+        refresh(*added, heardAt, announcement);
     result.newClass = m_classes.size() != classesBefore;
     return result;
 }
@@ -72,28 +77,22 @@
     if (full)
         return false;
     upstream.capacityClass = static_cast<std::uint32_t>(m_classes.size());
-    m_classes.push_back({ capacity, {}, 0 });
+    m_classes.push_back({ capacity, {}, 0, 0 });
     return true;
 }
 
-void upstream_pool::refresh(const upstream_ptr& upstream, time_point heardAt, const protocol::announcement& announcement)
-{
-    removeFree(upstream);
-    const bool wasServing = upstream->isServing();
-    upstream->host = announcement.host;
-    upstream->port = announcement.port;
-    upstream->announcedSlots = announcement.slots;
-    upstream->heardAt = heardAt;
-    upstream->expiresAt = heardAt + announcement.ttl;
-    upstream->leaving = upstream->leaving || announcement.state == protocol::upstream_state::leaving;
-    upstream->expired = false;
-    m_expiries.cancel(upstream->expiryTimer);
-    upstream->expiryTimer = m_expiries.add(upstream->expiresAt, upstream);
-    if (upstream->isServing() != wasServing) {
-        const int step = wasServing ? -1 : 1;
-        m_servingCount += step;
-        m_classes[upstream->capacityClass].serving += step;
-    }
+void upstream_pool::refresh(upstream_record& upstream, time_point heardAt, const protocol::announcement& announcement)
+{
+    withdraw(upstream);
+    upstream.host = announcement.host;
+    upstream.port = announcement.port;
+    upstream.announcedSlots = announcement.slots;
+    upstream.heardAt = heardAt;
+    upstream.expiresAt = heardAt + announcement.ttl;
+    upstream.leaving = upstream.leaving || announcement.state == protocol::upstream_state::leaving;
+    upstream.expired = false;
+    m_expiries.cancel(upstream.expiryTimer);
+    upstream.expiryTimer = m_expiries.add(upstream.expiresAt, upstream.shared_from_this());
     place(upstream);
 }
 
@@ -102,9 +101,9 @@
     const upstream_ptr upstream = find(id);
     if (!upstream)
         return;
+    withdraw(*upstream);
     upstream->grantedSlots = slots;
-    removeFree(upstream);
-    place(upstream);
+    place(*upstream);
 }
 
 void upstream_pool::setLeaving(const upstream_id& id)
@@ -112,18 +111,18 @@
     const upstream_ptr upstream = find(id);
     if (!upstream)
         return;
-    stopServing(upstream);
+    withdraw(*upstream);
     upstream->leaving = true;
 }
 
 void upstream_pool::expireDue(time_point now)
 {
     while (const auto due = m_expiries.takeDue(now)) {
-        const upstream_ptr& upstream = *due;
-        upstream->expiryTimer.reset();
-        stopServing(upstream);
-        upstream->expired = true;
-        if (upstream->usedSlots == 0)
+        upstream_record& upstream = **due;
+        upstream.expiryTimer.reset();
+        withdraw(upstream);
+        upstream.expired = true;
+        if (upstream.usedSlots == 0)
             forget(upstream);
     }
 }
@@ -142,48 +141,145 @@
 {
     class_mask mask = 0;
     for (std::size_t i = 0; i < m_classes.size(); ++i) {
-        if (m_classes[i].serving > 0)
+        if (m_classes[i].servingBands != 0)
             mask |= class_mask { 1 } << i;
     }
     return mask;
 }
 
-upstream_ptr upstream_pool::pick(class_mask classes, std::uint64_t avoidedSerial) const
+upstream_pool::class_capacity upstream_pool::capacityOf(class_mask classes) const
+{
+    class_capacity result;
+    std::size_t fastest = bandCount;
+    for (class_mask rest = classes & servingClasses(); rest != 0; rest &= rest - 1) {
+        const capacity_class& each = m_classes[std::countr_zero(rest)];
+        fastest = std::min<std::size_t>(fastest, std::countr_zero(each.servingBands));
+        for (std::uint64_t bands = each.servingBands; bands != 0; bands &= bands - 1) {
+            const auto band = static_cast<std::size_t>(std::countr_zero(bands));
+            result.speed += each.bands[band].slots / factorOf(band);
+        }
+    }
+    if (fastest < bandCount)
+        result.fastestFactor = factorOf(fastest);
+    return result;
+}
+
+wait_forecast upstream_pool::forecast(class_mask classes, double meanWork) const
+{
+    wait_forecast result;
+    std::array<std::uint32_t, bandCount> used {};
+    std::uint64_t bands = 0;
+    for (class_mask rest = classes & servingClasses(); rest != 0; rest &= rest - 1) {
+        const capacity_class& each = m_classes[std::countr_zero(rest)];
+        bands |= each.servingBands;
+        for (std::uint64_t serving = each.servingBands; serving != 0; serving &= serving - 1)
+            used[std::countr_zero(serving)] += each.bands[std::countr_zero(serving)].used;
+    }
+    double releasesPerMicrosecond = 0;
+    for (; bands != 0; bands &= bands - 1) {
+        const auto band = static_cast<std::size_t>(std::countr_zero(bands));
+        const double factor = factorOf(band);
+        releasesPerMicrosecond += used[band] / (meanWork * factor);
+        if (releasesPerMicrosecond > 0)
+            result.m_rows[result.m_count++] = { factor, 1 / releasesPerMicrosecond };
+    }
+    return result;
+}
+
+double wait_forecast::bestEnd(double work, double tasksAhead, double belowFactor) const
 {
-    const free_entry* best = nullptr;
-    const free_entry* avoided = nullptr;
+    double best = std::numeric_limits<double>::infinity();
+    for (std::size_t i = 0; i < m_count && m_rows[i].factor < belowFactor; ++i)
+        best = std::min(best, (tasksAhead + 1) * m_rows[i].microsecondsPerSlot + work * m_rows[i].factor);
+    return best;
+}
+
+upstream_record* upstream_pool::fastestFree(class_mask classes, std::uint64_t avoidedSerial) const
+{
+    upstream_record* best = nullptr;
     for (class_mask rest = m_freeClasses & classes; rest != 0; rest &= rest - 1) {
-        for (const free_entry& entry : m_classes[std::countr_zero(rest)].free) {
-            if (entry.serial == avoidedSerial) {
-                avoided = &entry;
+        const capacity_class& each = m_classes[std::countr_zero(rest)];
+        for (std::uint64_t bands = each.freeBands; bands != 0; bands &= bands - 1) {
+            upstream_record* first = firstIn(each.bands[std::countr_zero(bands)], avoidedSerial);
+            if (!best || best->serial == avoidedSerial || (first->serial != avoidedSerial && first->band < best->band))
+                best = first;
+            if (first->serial != avoidedSerial)
+                break;
+        }
+    }
+    return best;
+}
+
+upstream_record* upstream_pool::slowestFree(class_mask classes, double maxFactor, std::uint64_t avoidedSerial) const
+{
+    const int limit = unitBand + static_cast<int>(std::floor(std::log2(std::max(maxFactor, 1e-6)) * bandsPerOctave));
+    if (limit < 0)
+        return nullptr;
+    const auto highest = std::min<std::size_t>(limit, bandCount - 1);
+    const std::uint64_t allowed = ~std::uint64_t { 0 } >> (bandCount - 1 - highest);
+    upstream_record* best = nullptr;
+    for (class_mask rest = m_freeClasses & classes; rest != 0; rest &= rest - 1) {
+        const capacity_class& each = m_classes[std::countr_zero(rest)];
+        for (std::uint64_t bands = each.freeBands & allowed; bands != 0;) {
+            const int band = std::bit_width(bands) - 1;
+            bands &= ~(std::uint64_t { 1 } << band);
+            upstream_record* first = firstIn(each.bands[band], avoidedSerial);
+            if (first->serial == avoidedSerial)
                 continue;
-            }
-            if (!best || entry < *best)
-                best = &entry;
+            if (!best || first->band > best->band)
+                best = first;
             break;
         }
     }
-    if (best)
-        return best->upstream;
-    return avoided ? avoided->upstream : nullptr;
+    return best;
 }
 
-void upstream_pool::takeSlot(const upstream_ptr& upstream)
+upstream_record* upstream_pool::firstIn(const speed_band& band, std::uint64_t avoidedSerial)
 {
-    removeFree(upstream);
-    ++upstream->usedSlots;
+    upstream_record* first = band.firstFree;
+    return first->serial == avoidedSerial && first->nextFree ? first->nextFree : first;
+}
+
+void upstream_pool::takeSlot(upstream_record& upstream)
+{
+    withdraw(upstream);
+    ++upstream.usedSlots;
     place(upstream);
 }
 
-void upstream_pool::releaseSlot(const upstream_ptr& upstream)
+void upstream_pool::releaseSlot(upstream_record& upstream)
 {
-    removeFree(upstream);
-    --upstream->usedSlots;
-    if (upstream->expired && upstream->usedSlots == 0)
+    withdraw(upstream);
+    --upstream.usedSlots;
+    if (upstream.expired && upstream.usedSlots == 0)
         forget(upstream);
     place(upstream);
 }
 
+void upstream_pool::noteRunTime(upstream_record& upstream, double observedOverExpected, double expectationVariance)
+{
+    withdraw(upstream);
+    upstream.speed.note(observedOverExpected, expectationVariance);
+    place(upstream);
+}
+
+std::uint32_t upstream_pool::bandOf(double factor)
+{
+    const int band = unitBand + static_cast<int>(std::lround(std::log2(factor) * bandsPerOctave));
+    return static_cast<std::uint32_t>(std::clamp(band, 0, static_cast<int>(bandCount) - 1));
+}
+
+double upstream_pool::factorOf(std::size_t band)
+{
+    static const auto factors = [] {
+        std::array<double, bandCount> table {};
+        for (std::size_t i = 0; i < bandCount; ++i)
+            table[i] = std::exp2((static_cast<double>(i) - unitBand) / bandsPerOctave);
+        return table;
+    }();
+    return factors[band];
+}
+
 upstream_ptr upstream_pool::find(const upstream_id& id) const
 {
     const auto found = m_byName.find(id.name);
@@ -192,40 +288,60 @@
     return found->second;
 }
 
-void upstream_pool::place(const upstream_ptr& upstream)
+void upstream_pool::place(upstream_record& upstream)
 {
-    if (!upstream->isServing() || upstream->usedSlots >= upstream->slots())
+    if (!upstream.isServing())
         return;
-    upstream->freeKey = ++m_useCounter;
-    m_classes[upstream->capacityClass].free.insert({ *upstream->freeKey, upstream->serial, upstream });
-    m_freeClasses |= class_mask { 1 } << upstream->capacityClass;
-}
-
-void upstream_pool::removeFree(const upstream_ptr& upstream)
-{
-    if (!upstream->freeKey)
+    upstream.band = bandOf(upstream.speed.factor());
+    capacity_class& in = m_classes[upstream.capacityClass];
+    speed_band& band = in.bands[upstream.band];
+    upstream.counted = true;
+    ++m_servingCount;
+    ++band.upstreams;
+    band.slots += upstream.slots();
+    band.used += upstream.usedSlots;
+    in.servingBands |= std::uint64_t { 1 } << upstream.band;
+    if (upstream.usedSlots >= upstream.slots())
         return;
-    auto& free = m_classes[upstream->capacityClass].free;
-    free.erase({ *upstream->freeKey, upstream->serial, nullptr });
-    upstream->freeKey.reset();
-    if (free.empty())
-        m_freeClasses &= ~(class_mask { 1 } << upstream->capacityClass);
+    upstream.listed = true;
+    upstream.previousFree = band.lastFree;
+    upstream.nextFree = nullptr;
+    (band.lastFree ? band.lastFree->nextFree : band.firstFree) = &upstream;
+    band.lastFree = &upstream;
+    in.freeBands |= std::uint64_t { 1 } << upstream.band;
+    m_freeClasses |= class_mask { 1 } << upstream.capacityClass;
 }
 
-void upstream_pool::stopServing(const upstream_ptr& upstream)
+// Takes the upstream out of all counts and lists. Its slots and used slots must be those that it was placed with.
+void upstream_pool::withdraw(upstream_record& upstream)
 {
-    removeFree(upstream);
-    if (!upstream->isServing())
+    if (!upstream.counted)
         return;
+    capacity_class& in = m_classes[upstream.capacityClass];
+    speed_band& band = in.bands[upstream.band];
+    upstream.counted = false;
     --m_servingCount;
-    --m_classes[upstream->capacityClass].serving;
+    --band.upstreams;
+    band.slots -= upstream.slots();
+    band.used -= upstream.usedSlots;
+    if (band.upstreams == 0)
+        in.servingBands &= ~(std::uint64_t { 1 } << upstream.band);
+    if (!upstream.listed)
+        return;
+    upstream.listed = false;
+    (upstream.previousFree ? upstream.previousFree->nextFree : band.firstFree) = upstream.nextFree;
+    (upstream.nextFree ? upstream.nextFree->previousFree : band.lastFree) = upstream.previousFree;
+    if (!band.firstFree)
+        in.freeBands &= ~(std::uint64_t { 1 } << upstream.band);
+    if (in.freeBands == 0)
+        m_freeClasses &= ~(class_mask { 1 } << upstream.capacityClass);
 }
 
-void upstream_pool::forget(const upstream_ptr& upstream)
+void upstream_pool::forget(upstream_record& upstream)
 {
-    m_expiries.cancel(upstream->expiryTimer);
-    const auto found = m_byName.find(upstream->id.name);
-    if (found != m_byName.end() && found->second == upstream)
+    m_expiries.cancel(upstream.expiryTimer);
+    const auto found = m_byName.find(upstream.id.name);
+    if (found != m_byName.end() && found->second.get() == &upstream)
         m_byName.erase(found);
 }
 
--- a/src/coordination/internal/upstream_pool.h
+++ b/src/coordination/internal/upstream_pool.h
@@ -1,13 +1,14 @@
-// The upstreams that were heard of, their free slots, and the choice among them.
+// The upstreams that were heard of, their speeds and free slots, and the choice among them.
 #pragma once
 
 #include "coordination/dispatcher.h"
+#include "coordination/internal/speed_estimate.h"
 #include "coordination/internal/timer_queue.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -18,7 +19,7 @@
 using class_mask = std::uint64_t;
 
 // One incarnation of an upstream. Outlives its place in the pool while tasks refer to it.
-struct upstream_record {
+struct upstream_record : std::enable_shared_from_this<upstream_record> {
     upstream_id id;
     std::string host;
     std::uint16_t port = 0;
@@ -27,20 +28,46 @@
     std::uint32_t announcedSlots = 0;
     std::optional<std::uint32_t> grantedSlots;
     std::uint32_t usedSlots = 0; // started here and not yet settled; may exceed the slots after those were lowered
+    speed_estimate speed;
     time_point heardAt {};
     time_point expiresAt {};
     bool leaving = false; // never unset: an upstream that takes work again announces a new incarnation
     bool expired = false;
     bool replaced = false; // a newer incarnation was heard
-    std::optional<std::uint64_t> freeKey; // its key in the set of free upstreams, while it is there
     std::optional<timer_id> expiryTimer;
 
+    // Kept by the pool: its speed band and its neighbours in that band's list of free upstreams.
+    std::uint32_t band = 0;
+    bool counted = false; // in the band's counts, which holds exactly while it is serving
+    bool listed = false; // in the band's free list
+    upstream_record* previousFree = nullptr;
+    upstream_record* nextFree = nullptr;
+
     std::uint32_t slots() const;
     bool isServing() const { return !leaving && !expired && !replaced; }
 };
 
 using upstream_ptr = std::shared_ptr<upstream_record>;
 
+// When slots of at most a given factor will become free, from the tasks that run there now.
+class wait_forecast {
+public:
+    // The time until a task would end that waits behind the given number of others for the best faster upstream.
+    // Infinite when no faster upstream is busy. Microseconds.
+    double bestEnd(double work, double tasksAhead, double belowFactor) const;
+
+private:
+    friend class upstream_pool;
+
+    struct row {
+        double factor = 1;
+        double microsecondsPerSlot = 0; // between two releases on this or a faster band
+    };
+
+    std::array<row, 64> m_rows;
+    std::size_t m_count = 0;
+};
+
 class upstream_pool {
 public:
     // What hear() changed, as far as others care.
@@ -49,6 +76,12 @@
         bool replacedOne = false; // an older incarnation was replaced
     };
 
+    // Slots of some classes, as they would serve a job alone.
+    struct class_capacity {
+        double fastestFactor = 1;
+        double speed = 0; // sum of slots over factors
+    };
+
     change hear(time_point heardAt, const protocol::announcement& announcement);
     void setSlots(const upstream_id& id, std::uint32_t slots);
     void setLeaving(const upstream_id& id);
@@ -58,42 +91,52 @@
     // The classes whose upstreams are large enough, whether or not any is serving now.
     class_mask classesFor(const protocol::resources& needs) const;
     class_mask servingClasses() const;
+    class_capacity capacityOf(class_mask classes) const;
+    wait_forecast forecast(class_mask classes, double meanWork) const;
 
-    // The next upstream with a free slot, another than the avoided one where there is any; null when all are busy.
-    upstream_ptr pick(class_mask classes, std::uint64_t avoidedSerial) const;
     bool hasFree(class_mask classes) const { return (m_freeClasses & classes) != 0; }
 
-    void takeSlot(const upstream_ptr& upstream);
-    void releaseSlot(const upstream_ptr& upstream);
+    // An upstream with a free slot, another than the avoided one where there is any; null when all are busy.
+    upstream_record* fastestFree(class_mask classes, std::uint64_t avoidedSerial) const;
+    // The slowest free one of at most the given factor, so that faster ones stay free for tasks that need them.
+    upstream_record* slowestFree(class_mask classes, double maxFactor, std::uint64_t avoidedSerial) const;
+
+    void takeSlot(upstream_record& upstream);
+    void releaseSlot(upstream_record& upstream);
+    void noteRunTime(upstream_record& upstream, double observedOverExpected, double expectationVariance);
 
     std::size_t servingCount() const { return m_servingCount; }
 
 private:
-    struct free_entry {
-        std::uint64_t key = 0;
-        std::uint64_t serial = 0;
-        upstream_ptr upstream;
-
-        friend bool operator<(const free_entry& a, const free_entry& b)
-        {
-            return std::pair(a.key, a.serial) < std::pair(b.key, b.serial);
-        }
+    static constexpr std::size_t bandCount = 64; // bits of a band mask
+
+    // Upstreams of about the same factor.
+    struct speed_band {
+        std::uint32_t upstreams = 0;
+        std::uint32_t slots = 0;
+        std::uint32_t used = 0;
+        upstream_record* firstFree = nullptr; // the least recently used first
+        upstream_record* lastFree = nullptr;
     };
 
     struct capacity_class {
         protocol::resources capacity;
-        std::set<free_entry> free; // the least recently used first
-        std::size_t serving = 0;
+        std::array<speed_band, bandCount> bands; // fastest first
+        std::uint64_t servingBands = 0; // bits of the bands with upstreams
+        std::uint64_t freeBands = 0; // bits of the bands with free upstreams
     };
 
+    static std::uint32_t bandOf(double factor);
+    static double factorOf(std::size_t band);
+
     upstream_ptr find(const upstream_id& id) const;
     upstream_ptr add(const protocol::announcement& announcement);
     bool assignClass(upstream_record& upstream, const protocol::resources& capacity);
-    void refresh(const upstream_ptr& upstream, time_point heardAt, const protocol::announcement& announcement);
-    void place(const upstream_ptr& upstream);
-    void removeFree(const upstream_ptr& upstream);
-    void stopServing(const upstream_ptr& upstream);
-    void forget(const upstream_ptr& upstream);
+    void refresh(upstream_record& upstream, time_point heardAt, const protocol::announcement& announcement);
+    void place(upstream_record& upstream);
+    void withdraw(upstream_record& upstream);
+    void forget(upstream_record& upstream);
+    static upstream_record* firstIn(const speed_band& band, std::uint64_t avoidedSerial);
 
     std::unordered_map<std::string, upstream_ptr> m_byName; // the freshest incarnation of each
     std::vector<capacity_class> m_classes; // at most maxClasses
@@ -101,7 +144,6 @@
     class_mask m_freeClasses = 0; // classes with a free slot
     std::size_t m_servingCount = 0;
     std::uint64_t m_nextSerial = 1;
-    std::uint64_t m_useCounter = 0;
 };
 
 } // namespace jackdaw::coordination
--- a/src/coordination/rules.h
+++ b/src/coordination/rules.h
@@ -37,7 +37,7 @@
     bool retryIdempotentAfterLease = false; // start idempotent work again once its lease ran out unanswered
     duration answerRetention = std::chrono::minutes(10);
     double maxEjectedRatio = 0.5; // share of the upstreams that may be ejected at once
-    double slowUpstreamPenalty = 1.0; // how much faster a busy upstream must be for a task to wait for it; 0: never wait
+    double slowUpstreamPenalty = 1.3; // a task waits for a busy upstream when it then ends this many times earlier; 0: never
     bool spillBetweenZones = false;
 
     const team_rule& teamRule(std::string_view team) const
--- a/src/coordination/tests/dispatcher_tests.cpp
+++ b/src/coordination/tests/dispatcher_tests.cpp
@@ -3,9 +3,8 @@
 
 #include <doctest/doctest.h>
 
-#include <map>
-#include <random>
-#include <set>
+#include <algorithm>
+#include <utility>
 
 using namespace jackdaw::coordination;
 using namespace jackdaw::coordination::tests;
@@ -195,3 +194,34 @@
     CHECK(secondStarted(task_order::earliest_deadline) == 3);
     CHECK(secondStarted(task_order::fewest_remaining) == 4);
 }
+
+TEST_CASE("a lone task learns to prefer the fast upstream, and waits for it rather than start on the slow one")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("fast", 1));
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("slow", 1));
+    const auto runTimeOf = [](const start_task& start) { return start.upstream.name == "fast" ? 100ms : 800ms; };
+    for (std::uint64_t i = 0; i < 40; ++i) {
+        fixture.core.submit(fixture.now, fixture.makeJob(i, 2));
+        auto running = std::exchange(fixture.starts, {});
+        std::sort(running.begin(), running.end(), [&](const auto& a, const auto& b) { return runTimeOf(a) < runTimeOf(b); });
+        while (!running.empty()) {
+            fixture.now += runTimeOf(running.front());
+            fixture.core.hear(fixture.now, fixture.makeAnnouncement("fast", 1));
+            fixture.core.hear(fixture.now, fixture.makeAnnouncement("slow", 1));
+            fixture.core.report(fixture.now, { running.front().task, running.front().upstream, task_outcome::finished, "", {} });
+            running.erase(running.begin());
+            running.insert(running.end(), fixture.starts.begin(), fixture.starts.end());
+            fixture.starts.clear();
+        }
+    }
+    fixture.core.submit(fixture.now, fixture.makeJob(100));
+    REQUIRE(fixture.starts.size() == 1);
+    CHECK(fixture.starts[0].upstream.name == "fast");
+    fixture.core.submit(fixture.now, fixture.makeJob(101));
+    CHECK(fixture.starts.size() == 1);
+    fixture.now += 100ms;
+    fixture.reportLast(task_outcome::finished);
+    REQUIRE(fixture.starts.size() == 2);
+    CHECK(fixture.starts[1].upstream.name == "fast");
+}
