--- a/src/apps/load/job_sender.cpp
+++ b/src/apps/load/job_sender.cpp
@@ -159,6 +159,7 @@
     void takeAnswer(const submission_id& submission, bool isFirst, const http_result& result)
     {
         open_job& job = open.at(submission);
+        logAnswer(submission, job, isFirst, result);
         if (isFirst)
             job.first = tallyFirst(submission, job, result);
         else
@@ -169,6 +170,16 @@
         open.erase(submission);
     }
 
+    static void logAnswer(const submission_id& submission, const open_job& job, bool isFirst, const http_result& result)
+    {
+        if (!state::isLogged(state::log_level::debug))
+            return;
+        state::logEvent(state::log_level::debug, isFirst ? "answered" : "resubmission_answered",
+            { { "submission", protocol::toText(submission) }, { "arrival_us", std::to_string(job.plan.arrival.count()) },
+                { "response_us", std::to_string((protocol::steadyNow() - job.planned).count()) },
+                { "status", std::to_string(result.response.status) } });
+    }
+
     std::optional<job_answer> tallyFirst(const submission_id& submission, const open_job& job, const http_result& result)
     {
         const std::size_t tasks = job.plan.tasks.size();
--- a/src/apps/load/load_settings.cpp
+++ b/src/apps/load/load_settings.cpp
@@ -38,8 +38,6 @@
         readTime(reader, "arrivals.burst_interval_ms", plan.burstInterval);
         readTime(reader, "arrivals.burst_length_ms", plan.burstLength);
         readNumber(reader, "arrivals.burst_factor", plan.burstFactor, 1, maxFactor);
-        if (plan.jobsPerSecond <= 0 && plan.capacity * plan.utilization <= 0)
-            reader.fail("arrivals", "needs jobs_per_second, or utilization and capacity");
     }
 
     void readTasks(settings_reader& reader, task_plan& plan)
@@ -105,9 +103,13 @@
     out.jobs = static_cast<std::size_t>(reader.requiredInteger("jobs", 1, maxJobs));
     out.maxTime = reader.millisecondsOr("max_ms", std::chrono::minutes(1), std::chrono::milliseconds(1), longest);
     out.isZoneNamed = reader.booleanOr("name_zone", false);
-    out.fastestSpeed = reader.numberOr("fastest_speed", 1, 0.001, maxFactor);
+    out.fastestSpeed = reader.numberOr("fastest_speed", 0, 0, maxFactor);
     out.resultsFile = reader.stringOr("results_file", "");
     out.load = readWorkload(reader);
+    const arrival_plan& arrivals = out.load.arrivals;
+    const bool isCapacityKnown = arrivals.capacity > 0 || !out.upstreamControls.empty();
+    if (arrivals.jobsPerSecond <= 0 && (arrivals.utilization <= 0 || !isCapacityKnown))
+        reader.fail("arrivals", "needs jobs_per_second, or utilization and capacity");
     out.log.program = "jackdaw-load";
     out.log.level = state::parseLogLevel(reader.stringOr("log.level", "warning"));
     out.log.file = reader.stringOr("log.file", "");
--- a/src/apps/load/load_settings.h
+++ b/src/apps/load/load_settings.h
@@ -22,7 +22,7 @@
     std::size_t jobs = 0;
     duration maxTime {}; // of the arrivals
     bool isZoneNamed = false; // each job names the zone of the entry host that it is first sent to
-    double fastestSpeed = 1; // of the upstreams, for the ideal response
+    double fastestSpeed = 0; // of the upstreams, for the ideal response; 0: as the stand-ins say
     std::vector<upstream::fault_step> faults; // times count from the first arrival
     std::string resultsFile; // empty: none
     workload load;
--- a/src/apps/load/main.cpp
+++ b/src/apps/load/main.cpp
@@ -92,7 +92,16 @@
     return counts.isSound() && upstreams.startedTwice == 0 ? apps::exitDone : apps::exitFailed;
 }
 
-int runLoad(const load_settings& settings)
+// Fills in what the settings leave to the stand-ins.
+void completeSettings(load_settings& settings, const upstream_counts& upstreams)
+{
+    if (settings.load.arrivals.capacity <= 0)
+        settings.load.arrivals.capacity = upstreams.capacity;
+    if (settings.fastestSpeed <= 0)
+        settings.fastestSpeed = upstreams.fastestSpeed > 0 ? upstreams.fastestSpeed : 1;
+}
+
+int runLoad(load_settings settings)
 {
     const std::uint64_t seed = settings.seed != 0 ? settings.seed : std::random_device()();
     std::cout << "seed " << seed << std::endl;
@@ -106,6 +115,7 @@
     const auto before = takeSnapshot(probe);
     if (!before)
         return fail(before.error());
+    completeSettings(settings, before.value().upstreams);
     job_sender sender(loop, settings, seed, roundTrip.value());
     sender.run();
     const auto after = takeSnapshot(probe);
@@ -133,11 +143,11 @@
     auto reader = state::settings_reader::open(line.settingsPath);
     if (!reader)
         return apps::reportBadSettings(program, reader.error());
-    const auto settings = readLoadSettings(reader.value());
+    auto settings = readLoadSettings(reader.value());
     if (!settings)
         return apps::reportBadSettings(program, settings.error());
     if (line.isCheckOnly)
         return apps::exitDone;
     state::configureLog(settings.value().log);
-    return runLoad(settings.value());
+    return runLoad(std::move(settings.value()));
 }
--- a/src/apps/load/service_counts.cpp
+++ b/src/apps/load/service_counts.cpp
@@ -73,13 +73,15 @@
     startedLate += other.startedLate;
     overSlots += other.overSlots;
     refused += other.refused;
+    capacity += other.capacity;
+    fastestSpeed = std::max(fastestSpeed, other.fastestSpeed);
     return *this;
 }
 
 upstream_counts upstream_counts::operator-(const upstream_counts& earlier) const
 {
     return { started - earlier.started, startedTwice - earlier.startedTwice, startedLate - earlier.startedLate,
-        overSlots - earlier.overSlots, refused - earlier.refused };
+        overSlots - earlier.overSlots, refused - earlier.refused, capacity, fastestSpeed };
 }
 
 protocol::result<upstream_counts> parseUpstreamCounts(std::string_view text)
@@ -89,9 +91,13 @@
         const auto found = json.find(name);
         return found != json.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
     };
+    const auto number = [&json](const char* name) {
+        const auto found = json.find(name);
+        return found != json.end() && found->is_number() ? found->get<double>() : 0;
+    };
     if (!json.is_object() || !json.contains("started_twice"))
         return protocol::makeError(protocol::error_kind::malformed_request, "the upstream's counters can't be read");
-    return upstream_counts { count("started"), count("started_twice"), count("started_late"), count("over_slots"), count("refused") };
+    return upstream_counts { count("started"), count("started_twice"), count("started_late"), count("over_slots"), count("refused"), number("capacity"), number("fastest_speed") };
 }
 
 } // namespace jackdaw::load
--- a/src/apps/load/service_counts.h
+++ b/src/apps/load/service_counts.h
@@ -31,8 +31,11 @@
     std::uint64_t startedLate = 0;
     std::uint64_t overSlots = 0;
     std::uint64_t refused = 0;
+    double capacity = 0; // sum over the upstreams of slots times speed
+    double fastestSpeed = 0;
 
     upstream_counts& operator+=(const upstream_counts& other);
+    // Capacity and speed are kept.
     upstream_counts operator-(const upstream_counts& earlier) const;
 };
 
--- a/src/apps/load/workload.h
+++ b/src/apps/load/workload.h
@@ -17,7 +17,7 @@
 struct arrival_plan {
     double jobsPerSecond = 0; // mean outside of bursts; 0: taken from utilization
     double utilization = 0.7; // work that arrives over work that the upstreams can do
-    double capacity = 0; // sum over the upstreams of slots times speed
+    double capacity = 0; // sum over the upstreams of slots times speed; 0: as the stand-ins say
     duration burstInterval {}; // between the starts of two bursts; zero: no bursts
     duration burstLength {};
     double burstFactor = 1; // of the arrival rate during a burst
--- a/src/apps/upstream/control_server.cpp
+++ b/src/apps/upstream/control_server.cpp
@@ -5,6 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace jackdaw::upstream {
 namespace {
 
@@ -65,12 +67,18 @@
     http_response stats()
     {
         instance_counters total;
+        double capacity = 0;
+        double fastestSpeed = 0;
         nlohmann::json each = nlohmann::json::object();
         for (const auto& instance : instances) {
             total += instance->counters();
+            capacity += instance->identity().slots * instance->speed();
+            fastestSpeed = std::max(fastestSpeed, instance->speed());
             each[instance->identity().name] = toJson(instance->counters());
         }
         nlohmann::json json = toJson(total);
+        json["capacity"] = capacity;
+        json["fastest_speed"] = fastestSpeed;
         json["started_twice"] = starts.startedTwice();
         json["instances"] = std::move(each);
         http_response response;
--- a/src/apps/upstream/upstream_instance.cpp
+++ b/src/apps/upstream/upstream_instance.cpp
@@ -320,6 +320,11 @@
     return m_impl->settings.identity;
 }
 
+double upstream_instance::speed() const
+{
+    return m_impl->settings.speed;
+}
+
 bool upstream_instance::isAnnouncing() const
 {
     return m_impl->currentFault.mode != fault_mode::mute;
--- a/src/apps/upstream/upstream_instance.h
+++ b/src/apps/upstream/upstream_instance.h
@@ -46,6 +46,7 @@
     // What the instance says of itself now, with its true port.
     const protocol::announcement& identity() const;
     bool isAnnouncing() const;
+    double speed() const;
 
     void setFault(fault what);
 
