--- a/src/protocol/config_messages.h
+++ b/src/protocol/config_messages.h
@@ -2,13 +2,12 @@
 //
 // A control host pushes an accepted version at once. An entry host sends a pull with the version it has in force: after
 // each push as acknowledgement, at its start, and whenever a heartbeat names a newer version. The answer to a pull from an
-// older version is a push.
+// older version is a push. Each travels as the service_message for configuration of protocol/mesh_messages.h.
 #pragma once
 
 #include "protocol/result.h"
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -30,11 +29,22 @@
     friend bool operator==(const rules_pull&, const rules_pull&) = default;
 };
 
-using config_message = std::variant<rules_push, rules_pull>;
+// An operator's wish that the entry host stops as on SIGTERM.
+struct drain_request {
+    friend bool operator==(const drain_request&, const drain_request&) = default;
+};
+
+using config_message = std::variant<rules_push, rules_pull, drain_request>;
+
+// The name of a host's control process in the mesh; entry processes go by the host's name.
+inline std::string controlMeshName(std::string_view host)
+{
+    return "control/" + std::string(host);
+}
 
 std::string encodeConfigMessage(const config_message& message);
 
-// std::nullopt for messages of another family. corrupt_data for those of this family that can't be read.
-result<std::optional<config_message>> decodeConfigMessage(std::string_view bytes);
+// corrupt_data when the bytes are not such a message.
+result<config_message> decodeConfigMessage(std::string_view bytes);
 
 } // namespace jackdaw::protocol
