--- a/src/apps/upstream/tests/upstream_instance_tests.cpp
+++ b/src/apps/upstream/tests/upstream_instance_tests.cpp
@@ -123,6 +123,7 @@
     const auto refused = upstream.await(upstream.sendRun(2, endless));
     CHECK(refused.response.status == 503);
     CHECK(header(refused, "Not-Started") == "true");
+    CHECK(header(refused, "Task-Id") == fixture::taskId(2));
     CHECK(upstream.instance().counters().overSlots == 1);
     upstream.await(upstream.send(http_method::del, "/tasks/" + fixture::taskId(0) + "?stop=1"));
     CHECK(header(upstream.await(upstream.sendRun(2, endless)), "Not-Started") == "true");
--- a/src/apps/upstream/upstream_instance.cpp
+++ b/src/apps/upstream/upstream_instance.cpp
@@ -57,19 +57,21 @@
         return std::chrono::milliseconds(milliseconds);
     }
 
-    http_response describe(const task_record& record)
+    http_response describe(const task_key& key, const task_record& record)
     {
         nlohmann::json json { { "state", toText(record.state) } };
         if (record.state == task_state::finished)
             json["result"] = record.result;
         http_response response;
+        response.headers.push_back({ "Task-Id", protocol::toText(key) });
         response.body = json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
         return response;
     }
 
-    http_response refusal(std::string_view reason)
+    http_response refusal(std::string_view taskId, std::string_view reason)
     {
         http_response response;
+        response.headers.push_back({ "Task-Id", std::string(taskId) });
         response.status = statusUnavailable;
         response.body = nlohmann::json { { "refused", reason } }.dump();
         response.headers.push_back({ "Not-Started", "true" });
@@ -138,17 +140,17 @@
         const std::string taskId(request.header("Task-Id"));
         const auto key = protocol::parseTaskKey(taskId);
         if (!key) {
-            refuse("no Task-Id", *responder);
+            refuse(taskId, "malformed Task-Id", *responder);
             return;
         }
         if (const task_record* seen = ledger.find(key.value())) {
-            refuseSeen(*seen, *responder);
+            refuseSeen(key.value(), *seen, *responder);
             return;
         }
         if (isRefusing()) {
             // The refusal is final: a copy of the request that arrives later is refused as well.
             ledger.settle(key.value());
-            refuse(currentFault.mode == fault_mode::refuse ? "fault" : "slots", *responder);
+            refuse(taskId, currentFault.mode == fault_mode::refuse ? "fault" : "slots", *responder);
             return;
         }
         start(key.value(), request, std::move(responder));
@@ -164,21 +166,21 @@
         return true;
     }
 
-    void refuse(std::string_view reason, transport::http_responder& responder)
+    void refuse(std::string_view taskId, std::string_view reason, transport::http_responder& responder)
     {
         ++counters.refused;
-        reply(responder, refusal(reason));
+        reply(responder, refusal(taskId, reason));
     }
 
     // Only a tombstone proves that the task was not started.
-    void refuseSeen(const task_record& seen, transport::http_responder& responder)
+    void refuseSeen(const task_key& key, const task_record& seen, transport::http_responder& responder)
     {
         if (seen.state == task_state::unknown) {
-            refuse("tombstone", responder);
+            refuse(toText(key), "tombstone", responder);
             return;
         }
         ++counters.refused;
-        http_response response = describe(seen);
+        http_response response = describe(key, seen);
         response.status = statusConflict;
         reply(responder, std::move(response));
     }
@@ -248,13 +250,13 @@
     {
         if (isStopWanted && tasks.contains(key))
             end(key, task_state::stopped, {});
-        reply(responder, describe(ledger.settle(key)));
+        reply(responder, describe(key, ledger.settle(key)));
     }
 
     void tell(const task_key& key, transport::http_responder& responder)
     {
         const task_record* record = ledger.find(key);
-        reply(responder, describe(record ? *record : task_record()));
+        reply(responder, describe(key, record ? *record : task_record()));
     }
 
     void reply(transport::http_responder& responder, http_response response)
