--- a/src/apps/control/operator_api.cpp
+++ b/src/apps/control/operator_api.cpp
@@ -216,6 +216,7 @@
         entries.push_back({ { "host", entry.host }, { "version", entry.version }, { "heard", entry.isHeard } });
     reply(responder, {
                          { "host", m_settings.host },
+                         { "incarnation", m_node.self().incarnation },
                          { "group", m_settings.group },
                          { "role", toText(status.role) },
                          { "leader", leader ? leader->host : "" },
--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -93,7 +93,7 @@
     {
         for (const char* key : { "host", "group", "role", "leader", "storage", "storage_detail" })
             std::cout << key << ": " << body.value(key, "") << '\n';
-        for (const char* key : { "term", "commit", "version", "journal_bytes", "stored_entries" })
+        for (const char* key : { "incarnation", "term", "commit", "version", "journal_bytes", "stored_entries" })
             std::cout << key << ": " << body.value(key, std::uint64_t {}) << '\n';
         for (const json& entry : body.value("entries", json::array()))
             std::cout << "entry " << entry.value("host", "") << ": version " << entry.value("version", std::uint64_t {})
@@ -106,7 +106,7 @@
         for (const char* list : { "voters", "learners" }) {
             for (const json& member : body.value(list, json::array())) {
                 const std::string host = member.value("host", "");
-                std::cout << host << ' ' << member.value("address", "") << ' ' << (list == std::string_view("voters") ? "voter" : "learner")
+                std::cout << host << ' ' << member.value("address", "") << ' ' << member.value("incarnation", std::uint64_t {}) << ' ' << (list == std::string_view("voters") ? "voter" : "learner")
                           << (host == leader ? " leader" : "") << '\n';
             }
         }
