--- a/src/state/tests/journal_tests.cpp
+++ b/src/state/tests/journal_tests.cpp
@@ -2,9 +2,11 @@
 #include "state/data_folder.h"
 #include "state/journal.h"
 #include "state/snapshot_file.h"
+#include "state/tests/temporary_folder.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <filesystem>
@@ -16,6 +18,7 @@
 
 using namespace jackdaw::state;
 using jackdaw::protocol::error_kind;
+using jackdaw::state::testing::temporary_folder;
 
 namespace {
 
@@ -24,22 +27,6 @@
 constexpr std::size_t recordCount = 5;
 constexpr std::uint64_t smallSegment = 100;
 
-class temporary_folder {
-public:
-    temporary_folder()
-    {
-        std::string pattern = (fs::temp_directory_path() / "jackdaw-state-XXXXXX").string();
-        m_path = mkdtemp(pattern.data());
-    }
-    temporary_folder(const temporary_folder&) = delete;
-    temporary_folder& operator=(const temporary_folder&) = delete;
-    ~temporary_folder() { fs::remove_all(m_path); }
-    std::string path(const std::string& name) const { return m_path + '/' + name; }
-
-private:
-    std::string m_path;
-};
-
 std::string dataOf(std::uint64_t index)
 {
     return "record " + std::to_string(index) + std::string(index * 3, static_cast<char>('a' + index));
