Refuse to found a group beside a living one

Cause: a host that lost its disk and is founded again instead of joined would begin a second group under the same name.

--- a/src/apps/control/control_storage.cpp
+++ b/src/apps/control/control_storage.cpp
@@ -146,6 +146,7 @@
     for (const raft_entry& entry : entries)
         encoded.push_back(protocol::encode(entry));
     std::vector<state::journal_record> records;
+    records.reserve(entries.size());
     for (std::size_t i = 0; i < entries.size(); ++i)
         records.push_back({ entries[i].index, encoded[i] });
     return log.append(records);
--- a/src/apps/control/main.cpp
+++ b/src/apps/control/main.cpp
@@ -1,5 +1,6 @@
 // jackdaw-control: keeps the rules and the membership on the hosts with a disk, replicated.
 #include "apps/control/control_process.h"
+#include "apps/control/group_probe.h"
 #include "apps/shared/command_line.h"
 #include "state/log.h"
 
@@ -56,11 +57,15 @@
     return rejoin(settings);
 }
 
-int create(const control::storage_settings& settings, bool isFounder)
+int create(const control::control_settings& settings, bool isFounder)
 {
-    if (const auto created = control::control_storage::create(settings, randomNumber(), isFounder); !created)
+    if (isFounder) {
+        if (const std::string host = control::findGroupMember(settings); !host.empty())
+            return fail(protocol::makeError(protocol::error_kind::version_conflict, "'" + host + "' belongs to the group '" + settings.group + "' already: use --join"));
+    }
+    if (const auto created = control::control_storage::create({ settings.dataFolder, settings.host, settings.group, {} }, randomNumber(), isFounder); !created)
         return fail(created.error());
-    std::cout << settings.folder << (isFounder ? ": new group '" : ": new member for group '") << settings.group << "'\n";
+    std::cout << settings.dataFolder << (isFounder ? ": new group '" : ": new member for group '") << settings.group << "'\n";
     return apps::exitDone;
 }
 
@@ -100,6 +105,6 @@
     }
     const bool isFounder = commandLine.values.contains("found");
     if (isFounder || commandLine.values.contains("join"))
-        return create({ settings.value().dataFolder, settings.value().host, settings.value().group, {} }, isFounder);
+        return create(settings.value(), isFounder);
     return serve(std::move(settings.value()), std::move(tokens.value()));
 }
--- a/src/apps/control/tests/control_group_test.sh
+++ b/src/apps/control/tests/control_group_test.sh
@@ -95,6 +95,9 @@
 kill_hard "$host"
 rm -r "$work/data-$host"
 expect_refusal "$host" "no data folder"
+if "$bin/jackdaw-control" --settings "$work/$host.toml" --found >/dev/null 2>&1; then
+    fail "a second group was founded beside a living one"
+fi
 "$bin/jackdaw-control" --settings "$work/$host.toml" --join >/dev/null
 start "$host"
 wait_for "$host has version $version" has_version "$host" "$version"
--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -163,12 +163,12 @@
         }
         const std::string changeId = options.changeId.empty() ? makeChangeId() : options.changeId;
         const auto answer = connection.call(http_method::put, "/v1/rules?expect=" + std::to_string(*options.expectedVersion) + "&change=" + changeId, text.value());
-        if (!answer) {
-            std::cerr << "jackdawctl: not known whether change " << changeId << " was accepted; send it again with --change " << changeId << '\n';
-            return reportUnreachable(answer.error());
+        if (!answer || answer.value().status != statusOk) {
+            const int exitCode = answer ? reportRefusal(answer.value()) : reportUnreachable(answer.error());
+            if (exitCode == exitUnreachable)
+                std::cerr << "jackdawctl: not known whether the change was accepted; send it again with --change " << changeId << '\n';
+            return exitCode;
         }
-        if (answer.value().status != statusOk)
-            return reportRefusal(answer.value());
         const json accepted = parsed(answer.value());
         std::cout << "accepted: ";
         printOrigin(std::cout, accepted);
