--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -93,7 +93,7 @@
     {
         for (const char* key : { "host", "group", "role", "leader", "storage", "storage_detail" })
             std::cout << key << ": " << body.value(key, "") << '\n';
-        for (const char* key : { "term", "commit", "version", "journal_bytes", "stored_entries" })
+        for (const char* key : { "incarnation", "term", "commit", "version", "journal_bytes", "stored_entries" })
             std::cout << key << ": " << body.value(key, std::uint64_t {}) << '\n';
         for (const json& entry : body.value("entries", json::array()))
             std::cout << "entry " << entry.value("host", "") << ": version " << entry.value("version", std::uint64_t {})
@@ -106,7 +106,7 @@
         for (const char* list : { "voters", "learners" }) {
             for (const json& member : body.value(list, json::array())) {
                 const std::string host = member.value("host", "");
-                std::cout << host << ' ' << member.value("address", "") << ' ' << (list == std::string_view("voters") ? "voter" : "learner")
+                std::cout << host << ' ' << member.value("address", "") << ' ' << member.value("incarnation", std::uint64_t {}) << ' ' << (list == std::string_view("voters") ? "voter" : "learner")
                           << (host == leader ? " leader" : "") << '\n';
             }
         }
@@ -163,12 +163,12 @@
         }
         const std::string changeId = options.changeId.empty() ? makeChangeId() : options.changeId;
         const auto answer = connection.call(http_method::put, "/v1/rules?expect=" + std::to_string(*options.expectedVersion) + "&change=" + changeId, text.value());
-        if (!answer) {
-            std::cerr << "jackdawctl: not known whether change " << changeId << " was accepted; send it again with --change " << changeId << '\n';
-            return reportUnreachable(answer.error());
+        if (!answer || answer.value().status != statusOk) {
+            const int exitCode = answer ? reportRefusal(answer.value()) : reportUnreachable(answer.error());
+            if (exitCode == exitUnreachable)
+                std::cerr << "jackdawctl: not known whether the change was accepted; send it again with --change " << changeId << '\n';
+            return exitCode;
         }
-        if (answer.value().status != statusOk)
-            return reportRefusal(answer.value());
         const json accepted = parsed(answer.value());
         std::cout << "accepted: ";
         printOrigin(std::cout, accepted);
