--- a/src/apps/entry/tests/processes/cluster.cpp
+++ b/src/apps/entry/tests/processes/cluster.cpp
@@ -138,11 +138,21 @@
     std::filesystem::remove_all(m_impl->folder, ignored);
 }
 
-void cluster::startHost(const std::string& name)
+void cluster::startHosts(const std::vector<std::string>& names)
 {
-    host_process& host = m_impl->hosts.at(name);
-    host.process = std::make_unique<child_process>(JACKDAW_BIN_DIR "/jackdaw-entry", std::vector<std::string> { "--settings", m_impl->writeSettings(name) }, m_impl->outputOf(name));
-    waitUntil([&] { return wait(call(host.operators, http_method::get, "/readyz")).response.status == statusOk; }, name + " is ready");
+    const std::string program = JACKDAW_BIN_DIR "/jackdaw-entry";
+    for (const std::string& name : names) {
+        const std::vector<std::string> arguments { "--settings", m_impl->writeSettings(name) };
+        m_impl->hosts.at(name).process = std::make_unique<child_process>(program, arguments, m_impl->outputOf(name));
+    }
+    for (const std::string& name : names)
+        waitUntil([&] { return isReady(name); }, name + " is ready");
+}
+
+bool cluster::isReady(const std::string& name)
+{
+    const http_result result = wait(call(operatorPort(name), http_method::get, "/readyz"));
+    return result.outcome == transport::request_outcome::answered && result.response.status == statusOk;
 }
 
 child_process& cluster::host(const std::string& name)
@@ -159,7 +169,7 @@
                         << m_impl->hosts.at(announceTo).upstreams << "']\n[control]\nport = " << upstream.control << '\n';
     upstream.process = std::make_unique<child_process>(JACKDAW_BIN_DIR "/jackdaw-upstream", std::vector<std::string> { "--settings", path }, m_impl->outputOf("upstreams-" + zone));
     for (const std::string& name : knownBy)
-        waitUntil([&] { return status(name)["upstreams"] == instances; }, name + " knows the upstreams of zone " + zone);
+        waitUntil([&] { return status(name).value("upstreams", 0U) == instances; }, name + " knows the upstreams of zone " + zone);
 }
 
 protocol::submission_id cluster::newSubmission()
--- a/src/apps/entry/tests/processes/cluster.h
+++ b/src/apps/entry/tests/processes/cluster.h
@@ -41,8 +41,9 @@
     cluster(std::initializer_list<zone_hosts> zones);
     ~cluster();
 
-    // Starts a host, again if it ran before, and waits until it is ready.
-    void startHost(const std::string& host);
+    // Starts hosts, again if they ran before, and waits until they are ready.
+    void startHosts(const std::vector<std::string>& hosts);
+    bool isReady(const std::string& host);
     child_process& host(const std::string& host);
 
     // Starts that many stand-in upstreams in a zone, which announce themselves to one host, and waits until each of the
--- a/src/apps/entry/tests/processes/entry_process_tests.cpp
+++ b/src/apps/entry/tests/processes/entry_process_tests.cpp
@@ -29,7 +29,7 @@
 TEST_CASE("a job over two upstreams comes back whole and in order, and its resubmission gets the stored answer")
 {
     cluster processes { { "a", { "a1" } } };
-    processes.startHost("a1");
+    processes.startHosts({ "a1" });
     processes.startUpstreams("a", 2, "a1", { "a1" });
     const auto submission = processes.newSubmission();
     CHECK(isWhole(processes.waitJson(processes.submit("a1", submission, { .tasks = 40 })), 40));
@@ -44,12 +44,12 @@
 TEST_CASE("SIGTERM during a job cuts nothing")
 {
     cluster processes { { "a", { "a1" } } };
-    processes.startHost("a1");
+    processes.startHosts({ "a1" });
     processes.startUpstreams("a", 1, "a1", { "a1" });
     const auto answer = processes.submit("a1", processes.newSubmission(), { .tasks = 12, .workMs = 700 });
     processes.waitUntil([&] { return processes.upstreamStats("a")["running"] > 0; }, "tasks run");
     processes.host("a1").signal(SIGTERM);
-    processes.waitUntil([&] { return processes.wait(processes.call(processes.operatorPort("a1"), http_method::get, "/readyz")).response.status == 503; }, "the host is not ready");
+    processes.waitUntil([&] { return !processes.isReady("a1"); }, "the host is not ready");
     CHECK(isWhole(processes.waitJson(processes.submit("a1", processes.newSubmission(), {})), 1));
     CHECK(isWhole(processes.waitJson(answer), 12));
     processes.waitUntil([&] { return processes.host("a1").exitCode().has_value(); }, "the host ends");
@@ -59,7 +59,7 @@
 TEST_CASE("a host that drains refuses new work once the balancer's lag is over")
 {
     cluster processes { { "a", { "a1" } } };
-    processes.startHost("a1");
+    processes.startHosts({ "a1" });
     processes.startUpstreams("a", 1, "a1", { "a1" });
     const auto answer = processes.submit("a1", processes.newSubmission(), { .workMs = 3000 });
     processes.waitUntil([&] { return processes.upstreamStats("a")["running"] > 0; }, "the task runs");
@@ -74,7 +74,7 @@
 TEST_CASE("a job whose only caller went away is cancelled")
 {
     cluster processes { { "a", { "a1" } } };
-    processes.startHost("a1");
+    processes.startHosts({ "a1" });
     processes.startUpstreams("a", 1, "a1", { "a1" });
     const auto submission = processes.newSubmission();
     processes.submit("a1", submission, { .tasks = 20, .workMs = 20000 });
@@ -88,8 +88,7 @@
 TEST_CASE("a job is answered by its home zone, whichever host it reaches")
 {
     cluster processes { { "a", { "a1" } }, { "b", { "b1", "b2" } } };
-    for (const char* host : { "a1", "b1", "b2" })
-        processes.startHost(host);
+    processes.startHosts({ "a1", "b1", "b2" });
     processes.startUpstreams("b", 2, "b1", { "b1", "b2" });
     CHECK(isWhole(processes.waitJson(processes.submit("a1", processes.newSubmission(), { .tasks = 20, .zone = "b" })), 20));
     CHECK(processes.upstreamStats("b")["started"] == 20);
@@ -99,8 +98,7 @@
 TEST_CASE("a home zone that can't be reached is told truthfully")
 {
     cluster processes { { "a", { "a1" } }, { "b", { "b1" } } };
-    processes.startHost("a1");
-    processes.startHost("b1");
+    processes.startHosts({ "a1", "b1" });
     processes.startUpstreams("b", 1, "b1", { "b1" });
     const auto answer = processes.submit("a1", processes.newSubmission(), { .workMs = 20000, .zone = "b", .isFirstAttempt = true });
     processes.waitUntil([&] { return processes.upstreamStats("b")["running"] > 0; }, "the task runs");
@@ -117,8 +115,7 @@
 TEST_CASE("a resubmission that reaches another host joins the job, and starts nothing twice")
 {
     cluster processes { { "a", { "a1", "a2", "a3" } } };
-    for (const char* host : { "a1", "a2", "a3" })
-        processes.startHost(host);
+    processes.startHosts({ "a1", "a2", "a3" });
     processes.startUpstreams("a", 2, "a1", { "a1", "a2", "a3" });
     const auto submission = processes.newSubmission();
     const job_options options { .tasks = 8, .workMs = 1500 };
@@ -137,8 +134,7 @@
 TEST_CASE("a job whose coordinator was killed is answered with maybe, and starts nothing twice")
 {
     cluster processes { { "a", { "a1", "a2", "a3" } } };
-    for (const char* host : { "a1", "a2", "a3" })
-        processes.startHost(host);
+    processes.startHosts({ "a1", "a2", "a3" });
     processes.startUpstreams("a", 2, "a1", { "a1", "a2", "a3" });
     const auto submission = processes.newSubmission();
     const job_options options { .tasks = 8, .workMs = 3000 };
@@ -151,7 +147,7 @@
     CHECK(answer["error"] == "coordinator_lost");
     CHECK(answer["ran"] == "maybe");
     CHECK(processes.waitJson(processes.submit("a3", submission, options))["ran"] == "maybe");
-    processes.startHost("a1");
+    processes.startHosts({ "a1" });
     CHECK(processes.waitJson(processes.submit("a1", submission, options))["ran"] == "maybe");
     CHECK(processes.upstreamStats("a")["started_twice"] == 0);
     CHECK(isWhole(processes.waitJson(processes.submit("a2", processes.newSubmission(), {})), 1));
