Test of resubmissions: two hosts would choose different upstreams

Cause: with claims switched off the case passed by luck, since both hosts sent each task to the same upstream, which refuses an id it has seen.

--- a/src/apps/entry/tests/processes/entry_process_tests.cpp
+++ b/src/apps/entry/tests/processes/entry_process_tests.cpp
@@ -117,6 +117,8 @@
     cluster processes { { "a", { "a1", "a2", "a3" } } };
     processes.startHosts({ "a1", "a2", "a3" });
     processes.startUpstreams("a", 2, "a1", { "a1", "a2", "a3" });
+    // Moves the host's turn among the upstreams, so that two hosts would choose different ones for the same task.
+    CHECK(isWhole(processes.waitJson(processes.submit("a1", processes.newSubmission(), {})), 1));
     const auto submission = processes.newSubmission();
     const job_options options { .tasks = 8, .workMs = 1500 };
     const auto first = processes.submit("a1", submission, options);
@@ -128,7 +130,7 @@
     CHECK(processes.waitJson(processes.submit("a3", submission, { .tasks = 9 }))["error"] == "submission_mismatch");
     const auto stats = processes.upstreamStats("a");
     CHECK(stats["started_twice"] == 0);
-    CHECK(stats["finished"] == 8);
+    CHECK(stats["finished"] == 9);
 }
 
 TEST_CASE("a job whose coordinator was killed is answered with maybe, and starts nothing twice")
