--- a/src/coordination/claim_service.cpp
+++ b/src/coordination/claim_service.cpp
@@ -52,7 +52,7 @@
         group.incarnation = settings.incarnation;
         group.seed = settings.seed;
         group.voters = settings.voters;
-        group.minCompactionBytes = settings.minCompactionBytes;
+        group.maxLogBytes = settings.maxLogBytes;
         group.heartbeat = settings.heartbeat;
         group.minElectionTimeout = settings.minElectionTimeout;
         group.maxElectionTimeout = settings.maxElectionTimeout;
--- a/src/coordination/internal/claim_group.cpp
+++ b/src/coordination/internal/claim_group.cpp
@@ -120,8 +120,8 @@
     m_node.reset();
     m_founders.clear();
     ++m_self.incarnation;
-    m_commandBytes = 0;
-    m_snapshotBytes = 0;
+    m_applied = 0;
+    m_logBytes = 0;
     m_ledAt = m_now + duration(std::uniform_int_distribution<duration::rep>(0, m_settings.helloInterval.count())(m_random));
     m_nextHello = m_now;
     m_hooks.reset();
@@ -303,11 +303,13 @@
     }
     if (ready.snapshot) {
         m_hooks.restore(ready.snapshot->data);
-        m_snapshotBytes = ready.snapshot->data.size();
-        m_commandBytes = 0;
+        m_applied = ready.snapshot->index;
+        m_logBytes = 0;
     }
     for (const raft_entry& entry : ready.committed)
         apply(entry);
+    if (ready.wantsSnapshot)
+        m_node->compact(m_applied, m_hooks.snapshot());
     if (!m_founders.empty() && m_node->commitIndex() > 0)
         m_founders.clear();
     if (isLeader() && m_ledTerm != m_node->term()) {
@@ -317,18 +319,17 @@
     }
 }
 
-// The snapshot's cost is spread over as many bytes of commands as it has itself.
+// Compaction is cheap: the state machine's data is made only when a member needs it.
 void claim_group::apply(const raft_entry& entry)
 {
     if (entry.kind == raft_entry_kind::command)
         m_hooks.apply(entry.data);
-    m_commandBytes += entry.data.size();
-    if (m_commandBytes < std::max(m_settings.minCompactionBytes, m_snapshotBytes))
+    m_applied = entry.index;
+    m_logBytes += entry.data.size();
+    if (m_logBytes < m_settings.maxLogBytes)
         return;
-    std::string data = m_hooks.snapshot();
-    m_commandBytes = 0;
-    m_snapshotBytes = data.size();
-    m_node->compact(entry.index, std::move(data));
+    m_logBytes = 0;
+    m_node->compactLazily(entry.index);
 }
 
 } // namespace jackdaw::coordination
--- a/src/coordination/internal/claim_group.h
+++ b/src/coordination/internal/claim_group.h
@@ -27,7 +27,7 @@
     duration foundingDelay = std::chrono::milliseconds(1000); // a fresh host waits so long to be invited
     duration formationTimeout = std::chrono::milliseconds(2000); // a generation that came to nothing is left
     duration resignDelay = std::chrono::seconds(10); // without a leader, while another voter is known to have restarted
-    std::size_t minCompactionBytes = 4 * 1024 * 1024; // of commands since the last snapshot
+    std::size_t maxLogBytes = 4 * 1024 * 1024; // of applied commands that are kept for members that lag
 };
 
 struct claim_group_hooks {
@@ -96,8 +96,8 @@
     time_point m_ledAt; // when a leader was last known, or the generation joined, or the last one left
     time_point m_nextHello;
     std::uint64_t m_ledTerm = 0; // the last term in which this host was seen to lead
-    std::size_t m_commandBytes = 0; // applied since the last snapshot
-    std::size_t m_snapshotBytes = 0; // of the last snapshot
+    std::uint64_t m_applied = 0; // index of the last entry in the state machine
+    std::size_t m_logBytes = 0; // of commands applied since the log was compacted
 };
 
 } // namespace jackdaw::coordination
--- a/src/coordination/internal/raft_log.cpp
+++ b/src/coordination/internal/raft_log.cpp
@@ -75,6 +75,7 @@
     m_membershipIndexes.clear();
     m_firstUnstored = m_snapshot.index + 1;
     m_snapshotUnstored = true;
+    m_isDataMissing = false;
 }
 
 void raft_log::compact(std::uint64_t index, std::string data)
@@ -87,6 +88,13 @@
     m_snapshot.data = std::move(data);
     std::erase_if(m_membershipIndexes, [index](std::uint64_t held) { return held <= index; });
     m_firstUnstored = std::max(m_firstUnstored, index + 1);
+    m_isDataMissing = false;
+}
+
+void raft_log::compactLazily(std::uint64_t index)
+{
+    compact(index, {});
+    m_isDataMissing = true;
 }
 
 const raft_membership& raft_log::membership() const
--- a/src/coordination/internal/raft_log.h
+++ b/src/coordination/internal/raft_log.h
@@ -38,6 +38,8 @@
     void truncateFrom(std::uint64_t index);
     void install(protocol::raft_snapshot snapshot);
     void compact(std::uint64_t index, std::string data);
+    void compactLazily(std::uint64_t index);
+    bool isSnapshotDataMissing() const { return m_isDataMissing; }
 
     // A membership is in force as soon as its entry is in the log.
     const protocol::raft_membership& membership() const;
@@ -55,6 +57,7 @@
     std::vector<std::uint64_t> m_membershipIndexes; // ascending; entries of kind membership
     std::uint64_t m_firstUnstored = 0; // above m_snapshot.index, at most lastIndex() + 1
     bool m_snapshotUnstored = false;
+    bool m_isDataMissing = false; // compacted without data
 };
 
 } // namespace jackdaw::coordination
--- a/src/coordination/raft_node.cpp
+++ b/src/coordination/raft_node.cpp
@@ -57,6 +57,7 @@
     std::optional<raft_member_id> transferTarget; // leader only
     time_point transferDeadline; // valid while transferTarget is set
     std::vector<raft_message> outbox;
+    bool wantsSnapshot = false; // a peer needs the data of a lazily compacted log
 
     bool isSelfVoter() const { return isVoter(log.membership(), settings.self); }
 
@@ -326,6 +327,10 @@
     {
         if (now - progress.snapshotSentAt < settings.maxElectionTimeout)
             return;
+        if (log.isSnapshotDataMissing()) {
+            wantsSnapshot = true;
+            return;
+        }
         progress.snapshotIndex = log.snapshot().index;
         progress.snapshotSentAt = now;
         progress.lastSent = now;
@@ -507,6 +512,7 @@
         ready.messages = std::exchange(outbox, {});
         while (applied < commit)
             ready.committed.push_back(log.at(++applied));
+        ready.wantsSnapshot = std::exchange(wantsSnapshot, false);
         return ready;
     }
 };
@@ -565,9 +571,17 @@
 }
 
 void raft_node::compact(std::uint64_t index, std::string data)
+{
+    raft_log& log = m_impl->log;
+    const bool isNeeded = index > log.snapshot().index || (index == log.snapshot().index && log.isSnapshotDataMissing());
+    if (isNeeded && index <= m_impl->applied)
+        log.compact(index, std::move(data));
+}
+
+void raft_node::compactLazily(std::uint64_t index)
 {
     if (index > m_impl->log.snapshot().index && index <= m_impl->applied)
-        m_impl->log.compact(index, std::move(data));
+        m_impl->log.compactLazily(index);
 }
 
 void raft_node::transferLeadership(time_point now)
--- a/src/coordination/raft_node.h
+++ b/src/coordination/raft_node.h
@@ -57,10 +57,11 @@
     std::vector<raft_entry> entries; // to append; the first one's index may overwrite a stored tail
     std::vector<raft_message> messages;
     std::vector<raft_entry> committed; // to apply in order
+    bool wantsSnapshot = false; // after applying: call compact() with the state machine's data, a peer needs it
 
     bool isEmpty() const
     {
-        return !hardState && !snapshot && entries.empty() && messages.empty() && committed.empty();
+        return !hardState && !snapshot && entries.empty() && messages.empty() && committed.empty() && !wantsSnapshot;
     }
 };
 
@@ -99,6 +100,9 @@
     // Drops the log up to the index, which must be applied; the data is the state machine's at that index.
     void compact(std::uint64_t index, std::string data);
 
+    // The same without data: raft_ready::wantsSnapshot asks for it if a peer ever needs it. For groups in memory.
+    void compactLazily(std::uint64_t index);
+
     // Hands leadership to the most up-to-date voter, for a planned stop. Proposals are refused meanwhile; without success
     // within maxElectionTimeout the leader goes on.
     void transferLeadership(time_point now);
--- a/src/coordination/tests/claim_simulation.cpp
+++ b/src/coordination/tests/claim_simulation.cpp
@@ -49,7 +49,7 @@
     settings.incarnation = host.incarnation;
     settings.seed = m_random();
     settings.voters = voterHosts;
-    settings.minCompactionBytes = 2000;
+    settings.maxLogBytes = 2000;
     if (m_settings.seed % 2 == 0)
         settings.retention = 8s;
     if (m_settings.mutation.splitsVoterLists && host.name == "h0")
