--- /dev/null
+++ b/src/coordination/internal/task_queue.cpp
@@ -0,0 +1,120 @@
+// Lanes of queued parts, one for each set of capacity classes, so that a task that waits for a rare upstream does not
+// hold up others.
+#include "coordination/internal/task_queue.h"
+
+#include <algorithm>
+
+namespace jackdaw::coordination {
+namespace {
+
+    std::uint64_t keyOf(const job_record& job, task_order order)
+    {
+        switch (order) {
+        case task_order::earliest_deadline:
+            return static_cast<std::uint64_t>(job.deadlineAt.time_since_epoch().count());
+        case task_order::fewest_remaining:
+            return static_cast<std::uint64_t>(job.queuedWork.count());
+        case task_order::fifo:
+            break;
+        }
+        return job.sequence;
+    }
+
+} // namespace
+
+void task_queue::add(job_record& job, std::uint32_t part, task_order order)
+{
+    job_part& entry = job.parts[part];
+    if (entry.listed || entry.pending.empty())
+        return;
+    entry.listed = true;
+    entry.listedKey = keyOf(job, order);
+    listFor(laneFor(entry.classes), *job.team).parts.insert({ entry.listedKey, job.sequence, &job, part });
+}
+
+void task_queue::remove(job_record& job, std::uint32_t part)
+{
+    job_part& entry = job.parts[part];
+    if (!entry.listed)
+        return;
+    entry.listed = false;
+    lane& from = laneFor(entry.classes);
+    team_list& list = listFor(from, *job.team);
+    list.parts.erase({ entry.listedKey, job.sequence, &job, part });
+    if (!list.parts.empty())
+        return;
+    std::swap(list, from.teams.back());
+    from.teams.pop_back();
+    if (!from.teams.empty())
+        return;
+    std::swap(from, m_lanes.back());
+    m_lanes.pop_back();
+}
+
+const task_queue::team_list* task_queue::neediest(const upstream_pool& pool) const
+{
+    const team_list* best = nullptr;
+    for (const lane& candidate : m_lanes) {
+        if (!pool.hasFree(candidate.classes))
+            continue;
+        for (const team_list& list : candidate.teams) {
+            if (!best || list.team->virtualTime < best->team->virtualTime)
+                best = &list;
+        }
+    }
+    return best;
+}
+
+const queued_part* task_queue::next(const upstream_pool& pool) const
+{
+    const team_list* list = neediest(pool);
+    return list ? &*list->parts.begin() : nullptr;
+}
+
+const queued_part* task_queue::last(const upstream_pool& pool) const
+{
+    const team_list* list = neediest(pool);
+    return list ? &*list->parts.rbegin() : nullptr;
+}
+
+void task_queue::collect(const upstream_pool& pool, std::size_t count, std::vector<const queued_part*>& into)
+{
+    m_cursors.clear();
+    for (const lane& candidate : m_lanes) {
+        if (!pool.hasFree(candidate.classes))
+            continue;
+        for (const team_list& list : candidate.teams)
+            m_cursors.emplace_back(&list, list.parts.begin());
+    }
+    std::sort(m_cursors.begin(), m_cursors.end(), [](const cursor& a, const cursor& b) { return a.first->team->virtualTime < b.first->team->virtualTime; });
+    into.clear();
+    for (bool more = true; more && into.size() < count;) {
+        more = false;
+        for (auto& [list, part] : m_cursors) {
+            if (part == list->parts.end() || into.size() >= count)
+                continue;
+            into.push_back(&*part++);
+            more = true;
+        }
+    }
+}
+
+task_queue::lane& task_queue::laneFor(class_mask classes)
+{
+    const auto found = std::find_if(m_lanes.begin(), m_lanes.end(), [&](const lane& entry) { return entry.classes == classes; });
+    if (found != m_lanes.end())
+        return *found;
+    m_lanes.push_back({ classes, {} });
+    return m_lanes.back();
+}
+
+task_queue::team_list& task_queue::listFor(lane& in, team_record& team)
+{
+    const auto found = std::find_if(in.teams.begin(), in.teams.end(), [&](const team_list& entry) { return entry.team == &team; });
+    if (found != in.teams.end())
+        return *found;
+    in.teams.push_back({ &team, {} });
+    return in.teams.back();
+}
+
+} // namespace jackdaw::coordination
