Dispatch: admission by quota, rate and deadline; cancellation waves measured

Cause: a job over its team's limits, or one that can't end in time, must be refused at once with a time to come again. Quota: queued and running tasks of the team. Rate: a token bucket; a job larger than the bucket is admitted when it is full and leaves it in debt. Deadline: the team's queued work that goes before the job (kept by order of magnitude, so a check costs no walk over the queue) over the team's share of the upstreams, refused past 1.25 times the deadline, and only on learned run times: a declaration alone refuses nothing. Under earliest-deadline order the work ahead is not known, only the job alone is checked. The retry budget now rests on the same token bucket. Weighed: refusing on declared times (a client that declares ten times too much would never be learned); stop messages to cancelled jobs' running tasks (2 messages against about 0.3 s of one slot; the lease ends them at the deadline anyway). Tests: quota, rate with its retry_after, learned against declared deadlines.

--- a/bench/decision_cost.cpp
+++ b/bench/decision_cost.cpp
@@ -58,6 +58,7 @@
             job.deadline = 10h;
             for (std::size_t i = 0; i < tasksPerJob; ++i)
                 job.tasks.push_back({ "payload", { 500, 256, 0 }, std::chrono::milliseconds(50 + m_random() % 950) });
+            m_submitted.push_back(job.submission);
             const auto start = stopwatch::now();
             m_dispatcher.submit(m_now, std::move(job));
             return nanosecondsSince(start) / tasksPerJob;
@@ -75,6 +76,16 @@
             return nanosecondsSince(start);
         }
 
+        // Cancels every job, the ones that run included. Returns the time for each task that was queued or running.
+        double cancelAll()
+        {
+            const auto tasks = static_cast<double>(queued() + m_running.size());
+            const auto start = stopwatch::now();
+            for (const protocol::submission_id& submission : m_submitted)
+                m_dispatcher.cancel(m_now, submission);
+            return nanosecondsSince(start) / tasks;
+        }
+
         std::size_t queued() const { return m_dispatcher.status().queuedTasks; }
 
     private:
@@ -88,6 +99,7 @@
             m_running.push({ m_now + std::chrono::round<duration>(std::chrono::milliseconds(50 + m_random() % 950) * factor), *start });
         }
 
+        std::vector<protocol::submission_id> m_submitted;
         time_point m_now { 1000s };
         std::mt19937_64 m_random { 1 };
         std::priority_queue<running_task, std::vector<running_task>, std::greater<>> m_running;
@@ -101,7 +113,7 @@
     cost_run run(upstreams);
     while (run.queued() < queuedTasks)
         run.submitOne();
-    decision_cost cost { upstreams, queuedTasks, 0, 0 };
+    decision_cost cost { upstreams, queuedTasks, 0, 0, 0 };
     std::size_t submissions = 0;
     for (std::size_t i = 0; i < decisions; ++i) {
         cost.reportNanoseconds += run.reportOne() / decisions;
@@ -110,6 +122,7 @@
         cost.submitNanoseconds += run.submitOne();
         ++submissions;
     }
+    cost.cancelNanoseconds = run.cancelAll();
     cost.submitNanoseconds /= static_cast<double>(submissions);
     return cost;
 }
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -7,7 +7,7 @@
 
 #include <algorithm>
 #include <iostream>
-#include <iterator>
+#include <numeric>
 
 namespace {
 
@@ -27,6 +27,12 @@
     coordination::rules inForce;
 };
 
+// What the jobs ask for over what the upstreams can do while they arrive.
+struct offered_load {
+    double work = 0; // seconds
+    double capacity = 0; // seconds
+};
+
 fault_kind parseFault(const std::string& name)
 {
     if (name == "failing")
@@ -87,11 +93,12 @@
         { "waiting_p50", quantile(waiting, 0.5) }, { "waiting_p99", quantile(waiting, 0.99) } };
 }
 
-nlohmann::ordered_json toJson(const run_settings& settings, const zone_counts& counts)
+nlohmann::ordered_json toJson(const run_settings& settings, const zone_counts& counts, const offered_load& offered)
 {
     const double wasted = 2.0 * static_cast<double>(counts.retries + counts.settles) / static_cast<double>(std::max<std::uint64_t>(counts.tasks, 1));
     nlohmann::ordered_json json {
-        { "preset", settings.preset }, { "fault", settings.fault }, { "load", settings.workload.load }, { "seed", settings.workload.seed },
+        { "preset", settings.preset }, { "fault", settings.fault }, { "load", settings.workload.load },
+        { "offered_load", std::round(1000 * offered.work / offered.capacity) / 1000 }, { "seed", settings.workload.seed },
         { "jobs", counts.jobs }, { "complete", counts.complete }, { "tasks", counts.tasks }, { "starts", counts.starts },
         { "double_starts", counts.doubleStarts }, { "answers_twice", counts.answersTwice }, { "unanswered", counts.unanswered },
         { "overfull", counts.overfull }, { "wasted_messages_per_task", std::round(wasted * 10000) / 10000 },
@@ -106,7 +113,7 @@
     return json;
 }
 
-zone_counts runZones(const run_settings& settings)
+zone_counts runZones(const run_settings& settings, offered_load& offered)
 {
     zone_counts sum;
     workload_settings workload = settings.workload;
@@ -118,6 +125,9 @@
         zone.fault = parseFault(settings.fault);
         zone.cancelRatio = workload.cancelRatio;
         std::vector<bench_job> jobs = makeWorkload(workload, capacityOf(upstreamFactors(upstreams), slotsPerUpstream));
+        offered.capacity += capacityOf(upstreamFactors(upstreams), slotsPerUpstream) * std::chrono::duration<double>(workload.length).count();
+        for (const bench_job& job : jobs)
+            offered.work += std::chrono::duration<double>(std::accumulate(job.work.begin(), job.work.end(), duration {})).count();
         const auto measuredFrom = std::chrono::round<duration>(workload.length * warmUp);
         zone.measureFrom = jobs.front().arrival + measuredFrom;
         zone.faultsFrom = zone.measureFrom;
@@ -134,7 +144,7 @@
         for (const std::size_t queued : { 1000, 10000, 100000 }) {
             const decision_cost cost = measureDecisionCost(upstreams, queued);
             costs.push_back({ { "upstreams", cost.upstreams }, { "queued_tasks", cost.queuedTasks },
-                { "report_and_start_ns", std::round(cost.reportNanoseconds) }, { "submit_ns_per_task", std::round(cost.submitNanoseconds) } });
+                { "report_and_start_ns", std::round(cost.reportNanoseconds) }, { "submit_ns_per_task", std::round(cost.submitNanoseconds) }, { "cancel_ns_per_task", std::round(cost.cancelNanoseconds) } });
         }
     }
     std::cout << costs.dump(2) << '\n';
@@ -183,6 +193,8 @@
     settings.workload.dune = settings.preset == "dune";
     settings.workload.length = std::chrono::round<duration>(std::chrono::duration<double>(seconds));
     settings.inForce.order = parseOrder(order);
-    std::cout << toJson(settings, runZones(settings)).dump() << '\n';
+    offered_load offered;
+    const zone_counts counts = runZones(settings, offered);
+    std::cout << toJson(settings, counts, offered).dump() << '\n';
     return 0;
 }
--- a/src/coordination/dispatcher.cpp
+++ b/src/coordination/dispatcher.cpp
@@ -28,7 +28,7 @@
 
 void dispatcher::cancel(time_point now, const submission_id& submission)
 {
-    m_impl->cancel(submission);
+    m_impl->cancel(now, submission);
     m_impl->startQueued(now);
     m_impl->flush();
 }
--- a/src/coordination/internal/dispatcher_impl.cpp
+++ b/src/coordination/internal/dispatcher_impl.cpp
@@ -1,6 +1,8 @@
 // Admission, starts, timers and announcements.
 #include "coordination/internal/dispatcher_impl.h"
 
+#include "coordination/internal/admission.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -13,19 +15,14 @@
     constexpr duration recheckInterval = std::chrono::milliseconds(20); // of tasks that wait although slots are free
     constexpr double busyStretch = 3; // how much longer a large job may take than with all slots to itself
     constexpr double meanWorkGain = 0.01; // weight of one more task in the mean
-    constexpr duration refusalRetryAfter = std::chrono::seconds(1);
-
-    job_failure refuse(error_kind kind, std::string detail, duration retryAfter = refusalRetryAfter)
-    {
-        return { kind, std::move(detail), retryAfter };
-    }
+    constexpr duration drainRetryAfter = std::chrono::seconds(1); // another host of the zone takes over at once
 
 } // namespace
 
 std::optional<job_failure> dispatcher::impl::submit(time_point now, protocol::job_request request)
 {
     m_upstreams.advance(now);
-    if (auto refusal = admit(request))
+    if (auto refusal = admit(now, request))
         return refusal;
     auto owned = std::make_unique<job_record>();
     job_record& job = *owned;
@@ -49,24 +46,24 @@
     return std::nullopt;
 }
 
-std::optional<job_failure> dispatcher::impl::admit(const protocol::job_request& request) const
+std::optional<job_failure> dispatcher::impl::admit(time_point now, const protocol::job_request& request)
 {
     if (request.tasks.empty())
-        return refuse(error_kind::malformed_request, "a job needs at least one task", duration::zero());
+        return job_failure { error_kind::malformed_request, "a job needs at least one task", {} };
     if (m_jobs.contains(request.submission))
-        return refuse(error_kind::submission_mismatch, "the submission is known already", duration::zero());
+        return job_failure { error_kind::submission_mismatch, "the submission is known already", {} };
     if (m_draining)
-        return refuse(error_kind::draining, {});
-    if (m_upstreams.servingCount() == 0)
-        return refuse(error_kind::no_upstream, {});
-    const class_mask serving = m_upstreams.servingClasses();
-    for (std::size_t i = 0; i < request.tasks.size(); ++i) {
-        if ((m_upstreams.classesFor(request.tasks[i].needs) & serving) == 0)
-            return refuse(error_kind::never_fits, "task " + std::to_string(i), duration::zero());
-    }
-    if (m_status.queuedTasks + request.tasks.size() > m_rules->maxQueuedTasks)
-        return refuse(error_kind::queue_full, {});
-    return std::nullopt;
+        return job_failure { error_kind::draining, {}, drainRetryAfter };
+    const admission_conditions conditions { now, *m_rules, m_upstreams, m_teams, m_runTimes, m_status.queuedTasks, m_meanWork };
+    if (auto refusal = refuseUnfit(conditions, request))
+        return refusal;
+    team_record& team = m_teams.get(request.team, *m_rules);
+    auto refusal = refuseForTeam(conditions, request, team);
+    if (refusal)
+        m_teams.forgetIfIdle(now, team, *m_rules);
+    else
+        team.rate.take(static_cast<double>(request.tasks.size()));
+    return refusal;
 }
 
 job_record* dispatcher::impl::find(const submission_id& submission)
@@ -83,25 +80,34 @@
     return task.attempt == key.attempt && task.isOutstanding() ? &task : nullptr;
 }
 
-void dispatcher::impl::estimate(job_record& job) const
+void dispatcher::impl::estimate(job_record& job)
 {
     class_mask classes = 0;
+    duration work {};
     duration longest {};
     for (std::size_t i = 0; i < job.tasks.size(); ++i) {
         const protocol::task_spec& spec = job.request.tasks[i];
         const run_time_estimate estimated = m_runTimes.estimate(job.request.client, spec.expected);
         job.tasks[i].expected = estimated.mean;
         job.tasks[i].expectedVariance = static_cast<float>(estimated.logVariance);
-        job.queuedWork += estimated.mean;
+        work += estimated.mean;
         longest = std::max(longest, estimated.mean);
         classes |= m_upstreams.classesFor(spec.needs);
     }
     const upstream_pool::class_capacity capacity = m_upstreams.capacityOf(classes);
     const double longestAlone = static_cast<double>(longest.count()) * capacity.fastestFactor;
-    const double workAlone = static_cast<double>(job.queuedWork.count()) / std::max(capacity.speed, 1.0);
+    job.magnitude = team_record::magnitudeOf(static_cast<double>(work.count()));
+    changeQueuedWork(job, work);
+    const double workAlone = static_cast<double>(work.count()) / std::max(capacity.speed, 1.0);
     job.target = job.arrival + duration { static_cast<std::int64_t>(std::max(longestAlone, busyStretch * workAlone)) };
 }
 
+void dispatcher::impl::changeQueuedWork(job_record& job, duration change)
+{
+    job.queuedWork += change;
+    job.team->queuedWork[job.magnitude] += static_cast<double>(change.count());
+}
+
 void dispatcher::impl::sortIntoParts(job_record& job)
 {
     job.parts.clear();
@@ -168,7 +174,7 @@
     const auto end = static_cast<std::int64_t>(static_cast<double>(task.expected.count()) * task.upstream->speed.factor());
     job.expectedEnd = std::max(job.expectedEnd, now + duration { end });
     m_meanWork += meanWorkGain * (static_cast<double>(task.expected.count()) - m_meanWork);
-    job.queuedWork -= task.expected;
+    changeQueuedWork(job, -task.expected);
     relist(job, decision.part);
     m_teams.noteStarted(*job.team, task.expected);
     m_upstreams.takeSlot(*task.upstream);
@@ -270,7 +276,7 @@
             continue;
         if (task_record* task = findOutstanding(key, *job))
             onFateUnknown(now, *job, key, *task);
-        eraseIfDone(*job);
+        eraseIfDone(now, *job);
     }
 }
 
@@ -295,7 +301,7 @@
     } else {
         fail(job, isOnlySilent(job) ? error_kind::timed_out : error_kind::deadline_passed_after_start);
     }
-    eraseIfDone(job);
+    eraseIfDone(now, job);
 }
 
 // The age of an unfinished task is the least that its run time will be.
@@ -317,7 +323,7 @@
         return;
     }
     onFateUnknown(now, job, timer.task, task);
-    eraseIfDone(job);
+    eraseIfDone(now, job);
 }
 
 void dispatcher::impl::onTimer(time_point now, const retry_timer&)
--- a/src/coordination/internal/dispatcher_impl.h
+++ b/src/coordination/internal/dispatcher_impl.h
@@ -33,7 +33,7 @@
     }
 
     std::optional<job_failure> submit(time_point now, protocol::job_request request);
-    void cancel(const submission_id& submission);
+    void cancel(time_point now, const submission_id& submission);
     void hear(time_point heardAt, const protocol::announcement& announcement);
     void report(time_point now, task_report&& report);
     void advance(time_point now);
@@ -66,11 +66,12 @@
 
     using due_timer = std::variant<job_timer, settle_timer, retry_timer, recheck_timer>;
 
-    std::optional<job_failure> admit(const protocol::job_request& request) const;
+    std::optional<job_failure> admit(time_point now, const protocol::job_request& request);
     job_record* find(const submission_id& submission);
     task_record* findOutstanding(const protocol::task_key& key, job_record& job);
 
-    void estimate(job_record& job) const;
+    void estimate(job_record& job);
+    void changeQueuedWork(job_record& job, duration change);
     void sortIntoParts(job_record& job);
     void addPending(job_record& job, std::uint32_t index);
     void listAll(job_record& job);
@@ -96,7 +97,7 @@
 
     void fail(job_record& job, error_kind kind, std::string detail = {});
     void answer(job_record& job, protocol::job_answer answer);
-    void eraseIfDone(job_record& job);
+    void eraseIfDone(time_point now, job_record& job);
     bool isAnythingStarted(const job_record& job) const;
     bool isOnlySilent(const job_record& job) const;
 
--- a/src/coordination/internal/dispatcher_reports.cpp
+++ b/src/coordination/internal/dispatcher_reports.cpp
@@ -8,6 +8,7 @@
 namespace {
 
     constexpr duration leaseGrace = std::chrono::seconds(1); // an upstream's lease begins later than our send
+    constexpr duration shortestRetryWait = std::chrono::milliseconds(1);
     constexpr duration maxSettleInterval = std::chrono::seconds(5);
 
 } // namespace
@@ -42,7 +43,7 @@
         onSilent(now, *job, report.task, *task);
         break;
     }
-    eraseIfDone(*job);
+    eraseIfDone(now, *job);
     startQueued(now);
 }
 
@@ -163,7 +164,7 @@
     task.phase = task_phase::queued;
     task.delayed = true;
     ++job.queued;
-    job.queuedWork += task.expected;
+    changeQueuedWork(job, task.expected);
     m_teams.noteQueued(*job.team, 1);
     ++m_status.queuedTasks;
     m_delayedRetries.push_back({ job.request.submission, index, task.attempt });
@@ -188,16 +189,16 @@
     }
     m_timers.cancel(m_retryTimer);
     if (!m_delayedRetries.empty())
-        m_retryTimer = m_timers.add(std::max(m_retryBudget.nextRetry(), now + std::chrono::milliseconds(1)), retry_timer {});
+        m_retryTimer = m_timers.add(now + std::max(m_retryBudget.timeToNextRetry(), shortestRetryWait), retry_timer {});
 }
 
-void dispatcher::impl::cancel(const submission_id& submission)
+void dispatcher::impl::cancel(time_point now, const submission_id& submission)
 {
     job_record* job = find(submission);
     if (!job || job->answered)
         return;
     fail(*job, isAnythingStarted(*job) ? error_kind::cancelled_after_start : error_kind::cancelled_before_start);
-    eraseIfDone(*job);
+    eraseIfDone(now, *job);
 }
 
 bool dispatcher::impl::isAnythingStarted(const job_record& job) const
@@ -221,6 +222,7 @@
     unlistAll(job);
     m_status.queuedTasks -= job.queued;
     job.team->queuedTasks -= job.queued;
+    changeQueuedWork(job, -job.queuedWork);
     job.queued = 0;
     job.answered = true;
     --m_status.jobs;
@@ -237,13 +239,13 @@
     m_outbox.emplace_back(answer_job { job.request.submission, std::move(answer) });
 }
 
-void dispatcher::impl::eraseIfDone(job_record& job)
+void dispatcher::impl::eraseIfDone(time_point now, job_record& job)
 {
     if (!job.answered || job.outstanding > 0)
         return;
     m_timers.cancel(job.timer);
     --job.team->jobs;
-    m_teams.forgetIfIdle(*job.team);
+    m_teams.forgetIfIdle(now, *job.team, *m_rules);
     m_jobs.erase(submission_id { job.request.submission });
 }
 
--- a/src/coordination/internal/job_record.h
+++ b/src/coordination/internal/job_record.h
@@ -61,6 +61,7 @@
     std::uint32_t finished = 0;
     std::uint32_t outstanding = 0;
     std::uint32_t queued = 0; // tasks with phase queued, a delayed retry included
+    std::size_t magnitude = 0; // of the whole job's work, as in team_record::queuedWork
     duration queuedWork {}; // sum of the expected run times of the queued tasks
     bool provedStarted = false; // a report said that a task was started
     bool answered = false; // kept only until nothing is outstanding
--- a/src/coordination/internal/run_time_model.cpp
+++ b/src/coordination/internal/run_time_model.cpp
@@ -13,6 +13,7 @@
     constexpr std::size_t maxEntries = 20'000; // of one level
     constexpr double maxSamples = 100; // weight of the past against one new sample
     constexpr double priorSamples = 3; // weight of the level above
+    constexpr double learnedSamples = 10;
     constexpr double priorVariance = 1; // of the logarithm, before anything was learned
     constexpr double highDeviations = 1.645; // standard deviations to the 95th percentile
     constexpr double maxLogRatio = 7; // about a thousand times
@@ -61,12 +62,13 @@
         mean += share * (level->mean - mean);
         variance += share * (level->variance - variance);
     };
-    refine(find(m_clients, clientKey(client, declared)));
+    const statistics* ofClient = find(m_clients, clientKey(client, declared));
+    refine(ofClient);
     refine(find(m_kinds, kindKey(client, declared)));
     const duration base = baseOf(declared);
     // Before anything is learned a declaration is taken at its word.
     const double known = std::min(variance, priorVariance / 2);
-    return { scaled(base, mean + known / 2), scaled(base, mean + highDeviations * std::sqrt(variance)), variance };
+    return { scaled(base, mean + known / 2), scaled(base, mean + highDeviations * std::sqrt(variance)), variance, ofClient && ofClient->samples >= learnedSamples };
 }
 
 void run_time_model::note(std::string_view client, duration declared, duration atFactorOne)
--- a/src/coordination/internal/run_time_model.h
+++ b/src/coordination/internal/run_time_model.h
@@ -18,6 +18,7 @@
     duration mean {};
     duration high {}; // 95 tasks in 100 take less
     double logVariance = 0;
+    bool learned = false; // from tasks of the client; else only declared or assumed
 };
 
 class run_time_model {
--- a/src/coordination/internal/team_table.cpp
+++ b/src/coordination/internal/team_table.cpp
@@ -2,8 +2,37 @@
 #include "coordination/internal/team_table.h"
 
 #include <algorithm>
+#include <cmath>
+#include <numeric>
 
 namespace jackdaw::coordination {
+namespace {
+
+    constexpr std::size_t idleTeamsKept = 1000; // while their rate limits recover
+
+    bool isRecovered(time_point now, team_record& team, const team_rule& rule)
+    {
+        if (rule.tasksPerSecond <= 0)
+            return true;
+        const double capacity = burstOf(rule);
+        team.rate.refill(now, rule.tasksPerSecond, capacity, capacity);
+        return team.rate.tokens() >= capacity;
+    }
+
+} // namespace
+
+std::size_t team_record::magnitudeOf(double jobWork)
+{
+    return static_cast<std::size_t>(std::clamp(std::ilogb(std::max(jobWork, 1.0)), 0, 63));
+}
+
+double team_record::workAhead(double jobWork, task_order order) const
+{
+    if (order == task_order::earliest_deadline)
+        return 0; // not known without looking at each job
+    const auto end = order == task_order::fewest_remaining ? queuedWork.begin() + static_cast<std::ptrdiff_t>(magnitudeOf(jobWork)) : queuedWork.end();
+    return std::accumulate(queuedWork.begin(), end, 0.0);
+}
 
 team_record& team_table::get(std::string_view name, const rules& inForce)
 {
@@ -45,11 +74,29 @@
     team.virtualTime += static_cast<double>((actual - expected).count()) / team.weight;
 }
 
-void team_table::forgetIfIdle(team_record& team)
+double team_table::shareOf(const team_record& team) const
+{
+    double weights = team.queuedTasks > 0 ? 0 : team.weight;
+    for (const auto& [name, each] : m_teams)
+        weights += each->queuedTasks > 0 ? each->weight : 0;
+    return team.weight / weights;
+}
+
+void team_table::forgetIfIdle(time_point now, team_record& team, const rules& inForce)
 {
     if (team.jobs > 0)
         return;
-    m_teams.erase(std::string(team.name));
+    if (isRecovered(now, team, inForce.teamRule(team.name)))
+        m_teams.erase(std::string(team.name));
+    else if (m_teams.size() > idleTeamsKept)
+        forgetRecovered(now, inForce);
+}
+
+void team_table::forgetRecovered(time_point now, const rules& inForce)
+{
+    std::erase_if(m_teams, [&](const auto& entry) {
+        return entry.second->jobs == 0 && isRecovered(now, *entry.second, inForce.teamRule(entry.first));
+    });
 }
 
 } // namespace jackdaw::coordination
--- a/src/coordination/internal/team_table.h
+++ b/src/coordination/internal/team_table.h
@@ -1,8 +1,10 @@
 // The teams that have jobs here, with their shares of the upstreams.
 #pragma once
 
+#include "coordination/internal/token_bucket.h"
 #include "coordination/rules.h"
 
+#include <array>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -11,6 +13,8 @@
 
 namespace jackdaw::coordination {
 
+using protocol::time_point;
+
 // Fair sharing by virtual time: each start adds its expected run time over the team's weight, and the team with the
 // lowest virtual time is served first.
 struct team_record {
@@ -20,8 +24,21 @@
     std::uint32_t jobs = 0; // accepted and not yet erased
     std::uint32_t queuedTasks = 0;
     std::uint32_t runningTasks = 0;
+    token_bucket rate; // of tasks
+    // Expected run times of the queued tasks, by the order of magnitude of their job's whole work. Microseconds.
+    std::array<double, 64> queuedWork {};
+
+    // The queued work that goes before a job of the given work.
+    double workAhead(double jobWork, task_order order) const;
+    static std::size_t magnitudeOf(double jobWork);
 };
 
+// The capacity of the team's rate limit, in tasks.
+inline double burstOf(const team_rule& rule)
+{
+    return rule.burstTasks > 0 ? rule.burstTasks : rule.tasksPerSecond;
+}
+
 class team_table {
 public:
     // The team's record, made where there is none. It stays while its count of jobs is not zero.
@@ -33,9 +50,15 @@
     void noteStarted(team_record& team, duration expected);
     void noteEnded(team_record& team, duration expected, duration actual);
 
-    void forgetIfIdle(team_record& team);
+    // The team's share of the upstreams against the teams that have queued tasks, from 0 to 1.
+    double shareOf(const team_record& team) const;
+
+    // Drops the record of a team without jobs, unless its rate limit still has to recover.
+    void forgetIfIdle(time_point now, team_record& team, const rules& inForce);
 
 private:
+    void forgetRecovered(time_point now, const rules& inForce);
+
     std::unordered_map<std::string, std::unique_ptr<team_record>> m_teams;
     double m_servedTime = 0; // virtual time of the team that was served last; only goes up
 };
--- /dev/null
+++ b/src/coordination/tests/admission_tests.cpp
@@ -0,0 +1,69 @@
+// Tests of quotas, rate limits and deadlines at admission.
+#include "coordination/tests/dispatch_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdaw::coordination;
+using namespace jackdaw::coordination::tests;
+
+TEST_CASE("a team's quota counts queued and running tasks, and frees up when they end")
+{
+    rules inForce;
+    inForce.teams["minutes"].maxTasks = 3;
+    dispatch_fixture fixture(inForce);
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+    CHECK_FALSE(fixture.core.submit(fixture.now, fixture.makeJob(1, 3)));
+    const auto refusal = fixture.core.submit(fixture.now, fixture.makeJob(2));
+    REQUIRE(refusal);
+    CHECK(refusal->kind == error_kind::quota_exceeded);
+    CHECK(refusal->retryAfter > 0ms);
+    auto other = fixture.makeJob(3);
+    other.team = "another";
+    CHECK_FALSE(fixture.core.submit(fixture.now, other));
+    fixture.reportLast(task_outcome::finished);
+    CHECK_FALSE(fixture.core.submit(fixture.now, fixture.makeJob(4)));
+}
+
+TEST_CASE("a rate limit lets a burst through, then says when to come again")
+{
+    rules inForce;
+    inForce.teams["minutes"] = { 1, 0, 10, 20 };
+    dispatch_fixture fixture(inForce);
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 100));
+    CHECK_FALSE(fixture.core.submit(fixture.now, fixture.makeJob(1, 20)));
+    for (const start_task& start : std::vector(fixture.starts))
+        fixture.core.report(fixture.now, { start.task, start.upstream, task_outcome::finished, "", {} });
+    const auto refusal = fixture.core.submit(fixture.now, fixture.makeJob(2, 5));
+    REQUIRE(refusal);
+    CHECK(refusal->kind == error_kind::rate_exceeded);
+    CHECK(refusal->retryAfter == 500ms);
+    fixture.pass(refusal->retryAfter);
+    CHECK_FALSE(fixture.core.submit(fixture.now, fixture.makeJob(2, 5)));
+}
+
+TEST_CASE("a deadline that learned run times can't meet is refused, one that is only declared long is not")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+    const auto submitWithDeadline = [&](std::uint64_t number, duration deadline) {
+        auto job = fixture.makeJob(number);
+        job.deadline = deadline;
+        return fixture.core.submit(fixture.now, job);
+    };
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        CHECK_FALSE(submitWithDeadline(i, i == 0 ? 60ms : 10s));
+        fixture.now += 50ms;
+        fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+        fixture.reportLast(task_outcome::finished);
+    }
+    CHECK(submitWithDeadline(100, 20ms)->kind == error_kind::deadline_unreachable);
+    CHECK_FALSE(submitWithDeadline(101, 10s));
+    for (std::uint64_t i = 200; i < 400; ++i)
+        submitWithDeadline(i, 30s);
+    auto large = fixture.makeJob(500, 10);
+    large.deadline = 1s;
+    const auto refusal = fixture.core.submit(fixture.now, large);
+    REQUIRE(refusal);
+    CHECK(refusal->kind == error_kind::deadline_unreachable);
+    CHECK(refusal->retryAfter > 5s);
+}
