--- a/src/apps/load/service_counts.cpp
+++ b/src/apps/load/service_counts.cpp
@@ -1,19 +1,18 @@
 // Reading of counters.
 #include "apps/load/service_counts.h"
 
+#include "apps/shared/metrics_page.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
-#include <cstdlib>
-#include <sstream>
 
 namespace jackdaw::load {
 namespace {
 
     constexpr std::array<std::string_view, 4> controlPurposes { "heartbeat", "lease", "announce", "config" };
-    constexpr std::string_view messagePrefix = "jackdaw_messages_total{";
-    constexpr std::string_view purposePrefix = "purpose=\"";
+    constexpr std::string_view messagesName = "jackdaw_messages_total";
 
 } // namespace
 
@@ -53,15 +52,9 @@
 message_counts parseMessageCounts(std::string_view page)
 {
     message_counts out;
-    std::istringstream lines { std::string(page) };
-    for (std::string line; std::getline(lines, line);) {
-        const auto label = line.find(purposePrefix);
-        const auto valuePlace = line.rfind(' ');
-        if (!line.starts_with(messagePrefix) || label == std::string::npos || valuePlace == std::string::npos)
-            continue;
-        const auto nameBegin = label + purposePrefix.size();
-        const auto nameEnd = line.find('"', nameBegin);
-        out.byPurpose[line.substr(nameBegin, nameEnd - nameBegin)] += std::strtod(line.c_str() + valuePlace, nullptr);
+    for (const apps::metric_sample& sample : apps::parseMetricsPage(page)) {
+        if (sample.name == messagesName)
+            out.byPurpose[std::string(sample.label("purpose"))] += sample.value;
     }
     return out;
 }
