--- a/src/apps/entry/tests/processes/cluster.cpp
+++ b/src/apps/entry/tests/processes/cluster.cpp
@@ -66,6 +66,14 @@
         std::unique_ptr<child_process> process;
     };
 
+    // A direction of a link.
+    struct host_pair {
+        std::string from;
+        std::string to;
+
+        friend auto operator<=>(const host_pair&, const host_pair&) = default;
+    };
+
 } // namespace
 
 class cluster::impl {
@@ -75,6 +83,7 @@
     transport::http_client operators { loop, maxConnections };
     std::map<std::string, host_process> hosts;
     std::map<std::string, upstream_process> upstreams; // by zone
+    std::map<host_pair, std::unique_ptr<transport::tests::tcp_relay>> relays;
     std::filesystem::path folder;
     std::mt19937_64 random { 7 };
 
@@ -88,12 +97,18 @@
         return zones.dump();
     }
 
+    std::uint16_t meshPort(const std::string& from, const std::string& to) const
+    {
+        const auto found = relays.find({ from, to });
+        return found == relays.end() ? hosts.at(to).mesh : found->second->port();
+    }
+
     std::string peerList(const std::string& self) const
     {
         json peers = json::array();
         for (const auto& [name, host] : hosts) {
             if (name != self)
-                peers.push_back(name + "@" + host.zone + "=" + loopback + ":" + std::to_string(host.mesh));
+                peers.push_back(name + "@" + host.zone + "=" + loopback + ":" + std::to_string(meshPort(self, name)));
         }
         return peers.dump();
     }
@@ -120,6 +135,11 @@
 };
 
 cluster::cluster(std::initializer_list<zone_hosts> zones)
+    : cluster(std::span(zones.begin(), zones.size()))
+{
+}
+
+cluster::cluster(std::span<const zone_hosts> zones)
     : m_impl(std::make_unique<impl>())
 {
     std::string pattern = std::filesystem::temp_directory_path() / "jackdaw-test-XXXXXX";
@@ -162,6 +182,29 @@
         waitUntil([&] { return status(name)["upstreams"] == instances; }, name + " knows the upstreams of zone " + zone);
 }
 
+void cluster::relayLinks()
+{
+    for (const auto& [from, sender] : m_impl->hosts) {
+        for (const auto& [to, receiver] : m_impl->hosts) {
+            if (from != to)
+                m_impl->relays[{ from, to }] = std::make_unique<transport::tests::tcp_relay>(m_impl->loop, receiver.mesh);
+        }
+    }
+}
+
+transport::tests::tcp_relay& cluster::relay(const std::string& from, const std::string& to)
+{
+    return *m_impl->relays.at({ from, to });
+}
+
+void cluster::setFault(const std::string& zone, const std::string& instance, const std::string& mode, double factor)
+{
+    const json body { { "instance", instance }, { "mode", mode }, { "factor", factor } };
+    const http_result result = wait(call(m_impl->upstreams.at(zone).control, http_method::put, "/faults", body.dump()));
+    if (result.response.status != statusOk)
+        throw std::runtime_error("the stand-in refused the fault: " + result.response.body);
+}
+
 protocol::submission_id cluster::newSubmission()
 {
     return protocol::makeSubmissionId(protocol::unixNow(), m_impl->random(), m_impl->random());
@@ -173,6 +216,8 @@
     for (std::size_t i = 0; i < options.tasks; ++i)
         tasks.push_back({ { "payload", json { { "work_ms", options.workMs }, { "echo", "r" + std::to_string(i) } }.dump() } });
     json body { { "client", "c" }, { "team", "t" }, { "deadline_ms", options.deadlineMs }, { "tasks", tasks } };
+    if (options.isIdempotent)
+        body["idempotent"] = true;
     if (!options.zone.empty())
         body["zone"] = options.zone;
     transport::http_call request;
--- a/src/apps/entry/tests/processes/cluster.h
+++ b/src/apps/entry/tests/processes/cluster.h
@@ -5,6 +5,7 @@
 #include "protocol/submission_id.h"
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
+#include "transport/tests/tcp_relay.h"
 
 #include <nlohmann/json.hpp>
 
@@ -13,6 +14,7 @@
 #include <initializer_list>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -24,6 +26,7 @@
     std::string zone {};
     bool isFirstAttempt = false;
     bool isDetached = false;
+    bool isIdempotent = false;
     int deadlineMs = 60000;
 };
 
@@ -39,6 +42,7 @@
 public:
     // The hosts are not started yet.
     cluster(std::initializer_list<zone_hosts> zones);
+    explicit cluster(std::span<const zone_hosts> zones);
     ~cluster();
 
     // Starts a host, again if it ran before, and waits until it is ready.
@@ -49,6 +53,15 @@
     // hosts knows them.
     void startUpstreams(const std::string& zone, std::size_t instances, const std::string& announceTo, const std::vector<std::string>& knownBy);
 
+    // Puts a relay into each direction of each link between two hosts. To be called before the first host starts.
+    void relayLinks();
+
+    // The relay of what one host sends to another.
+    transport::tests::tcp_relay& relay(const std::string& from, const std::string& to);
+
+    // Gives a stand-in upstream a fault; modes as jackdaw-upstream names them, factor for "slow".
+    void setFault(const std::string& zone, const std::string& instance, const std::string& mode, double factor);
+
     protocol::submission_id newSubmission();
 
     // The n-th task's result is "r<n>".
