Rules in force on entry hosts; fixed shares of upstreams' slots between the hosts of a zone

Cause: an accepted configuration must reach every entry host and never revert; two hosts of a zone each used all slots of an upstream, and most of the wasted messages came from the refusals that followed. Rules: pushes from the control hosts, a pull as acknowledgement, once a second as a sign of life, and when a peer's heartbeat names a newer version; only a higher version replaces one; stored in a file where the settings name one. Shares: equal and fixed by the settings, so that the sum never exceeds the slots whichever host dies; the remainder goes by hash.

--- a/src/apps/entry/claim_groups.cpp
+++ b/src/apps/entry/claim_groups.cpp
@@ -26,19 +26,6 @@
         return zone + "/0";
     }
 
-    std::vector<std::string> hostsOf(const entry_settings& settings, const std::string& zone)
-    {
-        std::vector<std::string> hosts;
-        if (settings.zone == zone)
-            hosts.push_back(settings.host);
-        for (const peer_settings& peer : settings.peers) {
-            if (peer.zone == zone)
-                hosts.push_back(peer.host);
-        }
-        std::sort(hosts.begin(), hosts.end());
-        return hosts;
-    }
-
     claim_outcome toOutcome(const claim_result& result)
     {
         switch (result.verdict) {
@@ -148,14 +135,14 @@
 
 std::vector<std::string> claimVoters(const entry_settings& settings, const std::string& zone)
 {
-    std::vector<std::string> voters = hostsOf(settings, zone);
+    std::vector<std::string> voters = settings.hostsOfZone(zone);
     if (voters.size() > votersOfGroup)
         voters.resize(votersOfGroup);
     if (voters.size() != votersOfGroup - 1)
         return voters;
     const auto own = std::find(settings.zones.begin(), settings.zones.end(), zone);
     const auto following = own + 1 == settings.zones.end() ? settings.zones.begin() : own + 1;
-    const std::vector<std::string> witnesses = *following == zone ? std::vector<std::string> {} : hostsOf(settings, *following);
+    const std::vector<std::string> witnesses = *following == zone ? std::vector<std::string> {} : settings.hostsOfZone(*following);
     if (!witnesses.empty())
         voters.push_back(witnesses.front());
     return voters;
--- a/src/apps/entry/entry_mesh.cpp
+++ b/src/apps/entry/entry_mesh.cpp
@@ -2,9 +2,11 @@
 #include "apps/entry/entry_mesh.h"
 
 #include "apps/entry/announcement_relay.h"
+#include "protocol/config_messages.h"
 #include "state/log.h"
 #include "transport/mesh.h"
 
+#include <set>
 #include <string>
 #include <utility>
 
@@ -65,6 +67,11 @@
     {
         for (const peer_settings& peer : settings.peers)
             links.setPeer(peer.host, peer.address);
+        for (const control_settings& control : settings.controls) {
+            const std::string name = protocol::controlMeshName(control.host);
+            controls.insert(name);
+            links.setPeer(name, control.address);
+        }
     }
 
     bool send(std::string_view host, const mesh_message& message)
@@ -92,7 +99,7 @@
 
     void receive(const transport::mesh_delivery& delivery)
     {
-        if (!peers.find(delivery.sender))
+        if (!peers.find(delivery.sender) && !controls.contains(delivery.sender))
             return logEvent(log_level::warning, "unknown_peer", { { "peer", std::string(delivery.sender) } });
         auto message = protocol::decodeMeshMessage(delivery.body);
         if (!message)
@@ -104,6 +111,8 @@
     void take(const mesh_sender& sender, const heartbeat& message)
     {
         const std::string host(sender.host);
+        if (!peers.find(host))
+            return;
         const peer_state& known = *peers.find(host);
         const bool isNewIncarnation = known.incarnation != sender.incarnation;
         peers.hear(steadyNow(), sender.host, sender.incarnation, message);
@@ -127,6 +136,7 @@
     entry_counters& counters;
     const hooks actions;
     peer_table peers;
+    std::set<std::string, std::less<>> controls; // names of the control hosts in the mesh
     announcement_relay relay;
     transport::mesh links;
     std::unique_ptr<transport::event_loop::timer> heartbeatTimer;
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -13,12 +13,15 @@
 #include "apps/entry/loop_thread.h"
 #include "apps/entry/operator_api.h"
 #include "apps/entry/remote_callers.h"
+#include "apps/entry/rules_client.h"
+#include "apps/entry/slot_share.h"
 #include "apps/entry/upstream_api.h"
 #include "apps/entry/upstream_gateway.h"
 #include "state/log.h"
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -33,6 +36,7 @@
 namespace {
 
     constexpr protocol::duration tickInterval = std::chrono::milliseconds(100);
+    constexpr protocol::duration rulesPullInterval = std::chrono::seconds(1);
     constexpr std::size_t maxSmallBodyBytes = 64 * 1024; // of upstreams' and operators' requests
 
     std::uint64_t randomNumber()
@@ -56,6 +60,14 @@
         return limits;
     }
 
+    std::vector<std::string> controlNames(const entry_settings& settings)
+    {
+        std::vector<std::string> names;
+        for (const control_settings& control : settings.controls)
+            names.push_back(protocol::controlMeshName(control.host));
+        return names;
+    }
+
     enum class serving_state {
         serving,
         leaving, // the balancer is told to go elsewhere; new work is still served
@@ -88,6 +100,9 @@
 
 private:
     entry_mesh::hooks meshHooks();
+    rules_client::hooks rulesHooks();
+    void setRules(const std::shared_ptr<const coordination::rules>& inForce);
+    void hearUpstream(protocol::time_point heardAt, const protocol::announcement& announcement);
     job_service_settings jobSettings() const;
     void onService(const mesh_sender& sender, const protocol::service_message& message);
     void tick();
@@ -113,6 +128,7 @@
     loop_thread m_operators;
 
     dispatch_driver m_dispatch;
+    rules_client m_rules;
     entry_mesh m_mesh;
     job_forwarder m_forwarder;
     claim_groups m_claims;
@@ -129,6 +145,7 @@
     http_server m_operatorServer;
 
     std::unique_ptr<transport::event_loop::timer> m_tick;
+    std::unique_ptr<transport::event_loop::timer> m_pullTimer;
     std::unique_ptr<transport::event_loop::timer> m_drainTimer;
 };
 
@@ -141,6 +158,7 @@
               .onSettle = [this](const auto& action) { m_gateway.settle(action); },
               .onAnswer = [this](auto action) { m_jobs.onAnswer(std::move(action)); },
           })
+    , m_rules(controlNames(m_settings), m_settings.rulesFile, rulesHooks())
     , m_mesh(m_decisions, m_settings, m_incarnation, m_counters, meshHooks())
     , m_forwarder({}, m_mesh.peers(), [this](auto host, const auto& message) { return m_mesh.send(host, message); })
     , m_claims(m_decisions, m_settings, m_incarnation, randomNumber(), [this](auto host, const auto& message) { m_mesh.send(host, message); })
@@ -166,7 +184,9 @@
 entry_mesh::hooks entry_process::impl::meshHooks()
 {
     entry_mesh::hooks hooks;
-    hooks.onAnnouncement = [this](auto heardAt, const auto& announcement) { m_dispatch.hear(heardAt, announcement); };
+    hooks.onAnnouncement = [this](auto heardAt, const auto& announcement) { hearUpstream(heardAt, announcement); };
+    hooks.onHeartbeat = [this](const auto&, const auto& message) { m_rules.hearVersion(message.rulesVersion); };
+    hooks.rulesVersion = [this] { return m_rules.version(); };
     hooks.onForward = [this](const auto& sender, auto message) { m_remoteCallers.onForward(sender.host, sender.incarnation, std::move(message)); };
     hooks.onForwardAnswer = [this](const auto& sender, auto message) { m_forwarder.onAnswer(sender.host, std::move(message)); };
     hooks.onWithdrawal = [this](const auto& sender, const auto& message) { m_remoteCallers.onWithdrawal(sender.host, sender.incarnation, message); };
@@ -178,6 +198,8 @@
 {
     if (message.service == protocol::mesh_service::claims)
         m_claims.take(sender.host, message);
+    else if (message.service == protocol::mesh_service::configuration)
+        m_rules.take(std::string(sender.host), message.bytes);
 }
 
 void entry_process::impl::tick()
@@ -186,6 +208,34 @@
     m_operatorApi.setReady(m_state == serving_state::serving && m_claims.isReady());
 }
 
+rules_client::hooks entry_process::impl::rulesHooks()
+{
+    rules_client::hooks hooks;
+    hooks.onRules = [this](const auto& inForce) { setRules(inForce); };
+    hooks.send = [this](const auto& control, const auto& message) {
+        m_mesh.send(control, protocol::service_message { protocol::mesh_service::configuration, protocol::encodeConfigMessage(message) });
+    };
+    hooks.onDrain = [this] { startDrain(); };
+    return hooks;
+}
+
+void entry_process::impl::setRules(const std::shared_ptr<const coordination::rules>& inForce)
+{
+    auto limited = std::make_shared<coordination::rules>(*inForce);
+    limited->maxQueuedTasks = std::min(limited->maxQueuedTasks, m_settings.maxQueuedTasks);
+    m_registry.setAnswerRetention(limited->answerRetention);
+    m_dispatch.setRules(std::move(limited));
+}
+
+void entry_process::impl::hearUpstream(protocol::time_point heardAt, const protocol::announcement& announcement)
+{
+    if (announcement.zone != m_settings.zone)
+        return;
+    m_dispatch.hear(heardAt, announcement);
+    const std::uint32_t share = slotShare(announcement.slots, announcement.name, m_settings.hostsOfZone(m_settings.zone), m_settings.host);
+    m_dispatch.setSlots({ announcement.name, announcement.incarnation }, share);
+}
+
 job_service_settings entry_process::impl::jobSettings() const
 {
     job_service_settings out;
@@ -218,9 +268,9 @@
 
 void entry_process::impl::run()
 {
-    auto firstRules = std::make_shared<coordination::rules>();
-    firstRules->maxQueuedTasks = m_settings.maxQueuedTasks;
-    m_dispatch.setRules(std::move(firstRules));
+    setRules(std::make_shared<const coordination::rules>());
+    m_rules.start();
+    m_pullTimer = m_decisions.every(rulesPullInterval, [this] { m_rules.pull(); });
     m_decisions.onSignal(SIGTERM, [this] { startDrain(); });
     m_decisions.onSignal(SIGINT, [this] { startDrain(); });
     m_decisions.onSignal(SIGHUP, [this] { rereadLogLevel(); });
@@ -235,8 +285,7 @@
 
 void entry_process::impl::onAnnouncement(protocol::time_point heardAt, const protocol::announcement& announcement)
 {
-    if (announcement.zone == m_settings.zone)
-        m_dispatch.hear(heardAt, announcement);
+    hearUpstream(heardAt, announcement);
     m_mesh.relay(heardAt, announcement);
 }
 
@@ -257,6 +306,7 @@
         { "retries", status.retries },
         { "settles", status.settles },
         { "stored_answer_bytes", m_registry.storedBytes() },
+        { "rules_version", m_rules.version() },
         { "claims", claims.claims },
         { "claim_leader", claims.leaderHost.value_or("") },
         { "known_submissions", m_registry.records() },
--- a/src/apps/entry/entry_settings.cpp
+++ b/src/apps/entry/entry_settings.cpp
@@ -1,6 +1,7 @@
 // Reads and checks the settings of jackdaw-entry.
 #include "apps/entry/entry_settings.h"
 
+#include "apps/shared/zone_address.h"
 #include "state/settings_reader.h"
 
 #include <algorithm>
@@ -38,7 +39,7 @@
         if (at == std::string_view::npos || equals == std::string_view::npos || at == 0 || equals <= at + 1)
             return std::nullopt;
         const std::string_view address = text.substr(equals + 1);
-        if (address.find(':') == std::string_view::npos)
+        if (!apps::parseEndpoint(address))
             return std::nullopt;
         return peer_settings { std::string(text.substr(0, at)), std::string(text.substr(at + 1, equals - at - 1)), std::string(address) };
     }
@@ -74,6 +75,17 @@
         }
     }
 
+    void readControls(settings_reader& reader, entry_settings& out)
+    {
+        for (const std::string& text : reader.stringsOr("controls", {})) {
+            const auto equals = text.find('=');
+            if (equals == std::string::npos || equals == 0 || !apps::parseEndpoint(std::string_view(text).substr(equals + 1)))
+                return reader.fail("controls", "holds '" + text + "', which is not of the form host=ip:port");
+            out.controls.push_back({ text.substr(0, equals), text.substr(equals + 1) });
+        }
+        out.rulesFile = reader.stringOr("rules_file", {});
+    }
+
     void readLog(settings_reader& reader, entry_settings& out)
     {
         const std::string level = reader.stringOr("log.level", "info");
@@ -109,6 +121,7 @@
         entry_settings out;
         readPlace(reader, out);
         readPeers(reader, out);
+        readControls(reader, out);
         out.callers = readEndpoint(reader, "callers");
         out.upstreams = readEndpoint(reader, "upstreams");
         out.operators = readEndpoint(reader, "operators");
@@ -125,6 +138,19 @@
 
 } // namespace
 
+std::vector<std::string> entry_settings::hostsOfZone(const std::string& wantedZone) const
+{
+    std::vector<std::string> hosts;
+    if (zone == wantedZone)
+        hosts.push_back(host);
+    for (const peer_settings& peer : peers) {
+        if (peer.zone == wantedZone)
+            hosts.push_back(peer.host);
+    }
+    std::sort(hosts.begin(), hosts.end());
+    return hosts;
+}
+
 result<entry_settings> readEntrySettings(const std::string& path)
 {
     auto reader = settings_reader::open(path);
--- a/src/apps/entry/entry_settings.h
+++ b/src/apps/entry/entry_settings.h
@@ -20,12 +20,21 @@
     std::string address; // "ip:port" of its mesh listener
 };
 
+// A control host. Written in the settings as "host=ip:port".
+struct control_settings {
+    std::string host;
+    std::string address; // "ip:port" of its mesh listener
+};
+
 struct entry_settings {
     std::string host; // this host's name among the entry hosts
     std::string zone; // one of zones
     std::vector<std::string> zones; // in the same order on every host: the default home zone depends on it
     std::vector<peer_settings> peers; // without this host
 
+    std::vector<control_settings> controls;
+    std::string rulesFile; // where the rules in force are stored; empty: nowhere
+
     transport::endpoint callers;
     transport::endpoint upstreams;
     transport::endpoint operators;
@@ -48,8 +57,11 @@
 
     std::uint32_t upstreamLoops = 0; // threads that talk to upstreams
 
-    // One lone host: no peers are configured.
-    bool isAlone() const { return peers.empty(); }
+    // Whether there is anybody to talk to over the mesh.
+    bool isAlone() const { return peers.empty() && controls.empty(); }
+
+    // The zone's entry hosts with this one, by name.
+    std::vector<std::string> hostsOfZone(const std::string& wantedZone) const;
 };
 
 // Errors name file, line and reason.
--- a/src/apps/entry/tests/entry_settings_tests.cpp
+++ b/src/apps/entry/tests/entry_settings_tests.cpp
@@ -18,11 +18,14 @@
 TEST_CASE("a settings file with peers is read")
 {
     const auto settings = parseEntrySettings("host = 'a1'\nzone = 'a'\nzones = ['a', 'b']\n"
-                                             "peers = ['b1@b=127.0.0.1:7103']\n[callers]\nport = 7001\n[drain]\nlag_ms = 50\n",
+                                             "peers = ['b1@b=127.0.0.1:7103']\ncontrols = ['a1=127.0.0.1:7201']\n[callers]\nport = 7001\n[drain]\nlag_ms = 50\n",
         "entry.toml");
     REQUIRE(settings);
     CHECK(settings.value().callers.port == 7001);
     CHECK(settings.value().drainLag == std::chrono::milliseconds(50));
+    REQUIRE(settings.value().controls.size() == 1);
+    CHECK(settings.value().controls[0].address == "127.0.0.1:7201");
+    CHECK(settings.value().hostsOfZone("b") == std::vector<std::string> { "b1" });
     REQUIRE(settings.value().peers.size() == 1);
     CHECK(settings.value().peers[0].host == "b1");
     CHECK(settings.value().peers[0].zone == "b");
