--- a/src/coordination/internal/dispatcher_impl.cpp
+++ b/src/coordination/internal/dispatcher_impl.cpp
@@ -144,13 +144,13 @@
         m_queue.remove(job, part);
 }
 
-void dispatcher::impl::startQueued(time_point at)
+void dispatcher::impl::startQueued(time_point at, std::size_t mostStarts)
 {
     // Relayed announcements carry an earlier time point than events that were already handled.
     m_now = std::max(m_now, at);
     const time_point now = m_now;
     m_upstreams.advance(now);
-    for (;;) {
+    for (std::size_t started = 0; started < mostStarts; ++started) {
         const start_conditions conditions { now, m_rules->slowUpstreamPenalty, m_meanWork, m_status.queuedTasks };
         const auto decision = m_startPolicy.choose(conditions, m_queue, m_upstreams);
         if (!decision)
--- a/src/coordination/internal/dispatcher_impl.h
+++ b/src/coordination/internal/dispatcher_impl.h
@@ -11,6 +11,7 @@
 #include "coordination/internal/upstream_pool.h"
 
 #include <deque>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -40,8 +41,8 @@
     std::optional<time_point> nextTimer() const;
     dispatcher_status status() const;
 
-    // Starts what can be started.
-    void startQueued(time_point at);
+    // Starts what can be started. The limit spares a look that can't lead to a start.
+    void startQueued(time_point at, std::size_t mostStarts = std::numeric_limits<std::size_t>::max());
     void setRules(std::shared_ptr<const rules> inForce);
     // Hands the collected actions to the hook, which may call the dispatcher again.
     void flush();
--- a/src/coordination/internal/dispatcher_reports.cpp
+++ b/src/coordination/internal/dispatcher_reports.cpp
@@ -21,6 +21,8 @@
     task_record* task = job ? findOutstanding(report.task, *job) : nullptr;
     if (!task || task->upstream->id != report.upstream)
         return;
+    // Where nothing could be started before, one freed slot leads to one start at most.
+    const bool freesOneSlot = report.outcome == task_outcome::finished && task->upstream->health.isTrusted();
     switch (report.outcome) {
     case task_outcome::finished:
         onFinished(now, *job, *task, std::move(report.body));
@@ -44,7 +46,10 @@
         break;
     }
     eraseIfDone(now, *job);
-    startQueued(now);
+    if (freesOneSlot)
+        startQueued(now, 1);
+    else
+        startQueued(now);
 }
 
 void dispatcher::impl::onFinished(time_point now, job_record& job, task_record& task, std::string&& body)
--- a/src/coordination/internal/upstream_health.h
+++ b/src/coordination/internal/upstream_health.h
@@ -15,6 +15,7 @@
 public:
     // How many slots may be used at once, out of any number.
     std::uint32_t allowedSlots() const { return m_allowedSlots; }
+    bool isTrusted() const { return m_allowedSlots > largestStep; }
     bool isEjected() const { return m_ejected; }
     bool shouldEject() const { return !m_ejected && m_failuresInRow >= (m_onProbation ? 1 : failuresToEject); }
 
