--- /dev/null
+++ b/src/protocol/config_messages.cpp
@@ -0,0 +1,61 @@
+// Codec of the configuration messages: an array of kind, format version, and the fields.
+#include "protocol/config_messages.h"
+
+#include "protocol/packed.h"
+
+namespace jackdaw::protocol {
+namespace {
+
+    constexpr std::uint32_t formatVersion = 1;
+
+    enum class message_kind : std::uint32_t {
+        push = 1,
+        pull = 2,
+        drain = 3
+    };
+
+    struct packed_message {
+        std::uint32_t kind = 0;
+        std::uint32_t format = 0;
+        std::uint64_t version = 0;
+        std::string text;
+
+        MSGPACK_DEFINE_ARRAY(kind, format, version, text)
+    };
+
+} // namespace
+
+std::string encodeConfigMessage(const config_message& message)
+{
+    packed_message packed { 0, formatVersion, 0, {} };
+    if (const auto* push = std::get_if<rules_push>(&message)) {
+        packed.kind = static_cast<std::uint32_t>(message_kind::push);
+        packed.version = push->version;
+        packed.text = push->text;
+    } else if (const auto* pull = std::get_if<rules_pull>(&message)) {
+        packed.kind = static_cast<std::uint32_t>(message_kind::pull);
+        packed.version = pull->version;
+    } else {
+        packed.kind = static_cast<std::uint32_t>(message_kind::drain);
+    }
+    return pack(packed);
+}
+
+result<config_message> decodeConfigMessage(std::string_view bytes)
+{
+    auto packed = unpack<packed_message>(bytes);
+    if (!packed)
+        return packed.error();
+    packed_message& message = packed.value();
+    if (message.format == 0)
+        return makeError(error_kind::corrupt_data, "configuration message without a format version");
+    if (message.kind == static_cast<std::uint32_t>(message_kind::push))
+        return config_message(rules_push { message.version, std::move(message.text) });
+    if (message.kind == static_cast<std::uint32_t>(message_kind::pull))
+        return config_message(rules_pull { message.version });
+    if (message.kind == static_cast<std::uint32_t>(message_kind::drain))
+        return config_message(drain_request {});
+    return makeError(error_kind::corrupt_data, "configuration message of unknown kind " + std::to_string(message.kind));
+}
+
+} // namespace jackdaw::protocol
