--- a/src/apps/burn/answer_counts.cpp
+++ b/src/apps/burn/answer_counts.cpp
@@ -45,6 +45,7 @@
 {
     const auto samples = apps::parseMetricsPage(page);
     std::vector<answer_counts> out;
+    out.reserve(objectives.size());
     for (const service_objective& objective : objectives)
         out.push_back(readOne(samples, objective));
     return out;
