Scenario runner: start all hosts, then wait until they are ready

Cause: a host is ready only when its zone's claim group has a majority, so hosts can't be started one after the other; the change of the test cluster's face had broken the runner's build.

--- a/tests/scenarios/runner/scenario_verbs.cpp
+++ b/tests/scenarios/runner/scenario_verbs.cpp
@@ -56,16 +56,16 @@
         for (const std::string& zone : options.texts("zones"))
             zones.push_back({ zone, options.texts(zone.c_str()) });
         target.createHosts(zones, options.boolean("relays", false));
-        for (const tests::zone_hosts& zone : zones) {
-            for (const std::string& host : zone.hosts)
-                target.processes().startHost(host);
-        }
+        std::vector<std::string> names;
+        for (const tests::zone_hosts& zone : zones)
+            names.insert(names.end(), zone.hosts.begin(), zone.hosts.end());
+        target.processes().startHosts(names);
         return 0;
     }
 
     int start(lua_State* lua, scenario& target)
     {
-        target.processes().startHost(argument(lua, 1));
+        target.processes().startHosts({ argument(lua, 1) });
         return 0;
     }
 
