Write down the entry host; answers by client and team

A job is counted for its client on the host that its caller reached, so that a forwarded one counts once. Checked: entry_tests 11 of 11, entry_process_tests 8 of 8 cases run one by one at the same time.

--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -120,6 +120,7 @@
     serving_state m_state = serving_state::serving; // on the decision thread
     state::metrics m_metrics;
     entry_counters m_counters { m_metrics }; // of the decision thread
+    apps::job_metrics m_services { m_metrics }; // of the decision thread
     entry_counters m_callerCounters { m_metrics };
     entry_counters m_operatorCounters { m_metrics };
 
@@ -164,7 +165,7 @@
     , m_claims(m_decisions, m_settings, m_incarnation, randomNumber(), [this](auto host, const auto& message) { m_mesh.send(host, message); })
     , m_registry({ .maxStoredBytes = m_settings.maxStoredAnswerBytes })
     , m_jobs(
-          jobSettings(), [this](const auto& job, auto onOutcome) { m_claims.claim(job, std::move(onOutcome)); }, m_dispatch, m_registry, m_forwarder, m_counters)
+          jobSettings(), [this](const auto& job, auto onOutcome) { m_claims.claim(job, std::move(onOutcome)); }, m_dispatch, m_registry, m_forwarder, m_counters, m_services)
     , m_remoteCallers(m_jobs, [this](auto host, const auto& message) { return m_mesh.send(host, message); })
     , m_gateway(m_decisions, { .loops = m_settings.upstreamLoops, .maxConnections = m_settings.maxUpstreamConnections }, m_counters,
           [this](coordination::task_report report) { m_dispatch.report(std::move(report)); })
--- a/src/apps/entry/job_service.cpp
+++ b/src/apps/entry/job_service.cpp
@@ -64,6 +64,9 @@
     struct open_job {
         job_phase phase = job_phase::claiming;
         time_point openedAt = protocol::steadyNow();
+        std::string client;
+        std::string team;
+        bool isFromCaller = true; // not from another host, which counts the answer itself
         std::uint64_t forwardRequest = 0; // only for elsewhere
         bool isCancelled = false; // while claiming: to be answered instead of dispatched
     };
@@ -73,13 +76,14 @@
 class job_service::impl {
 public:
     impl(job_service_settings serviceSettings, claim_hook claimHook, dispatch_driver& driver, job_registry& jobRegistry, job_forwarder& jobForwarder,
-        entry_counters& counterPage)
+        entry_counters& counterPage, apps::job_metrics& serviceCounts)
         : settings(std::move(serviceSettings))
         , claim(std::move(claimHook))
         , dispatch(driver)
         , registry(jobRegistry)
         , forwarder(jobForwarder)
         , counters(counterPage)
+        , services(serviceCounts)
     {
     }
 
@@ -96,8 +100,7 @@
     // The job is answered, and this host coordinated it.
     void close(const submission_id& submission, job_answer answer)
     {
-        noteAnswer(submission, answer);
-        noteEnd(submission);
+        noteEnd(submission, answer);
         registry.answer(protocol::steadyNow(), submission, std::move(answer));
     }
 
@@ -107,6 +110,7 @@
     job_registry& registry;
     job_forwarder& forwarder;
     entry_counters& counters;
+    apps::job_metrics& services;
     std::unordered_map<submission_id, open_job> openJobs; // one for each open record of the registry
     std::deque<abandoned_job> abandoned; // in order of time
     bool isRefusing = false;
@@ -121,9 +125,11 @@
     void hand(job_request job);
     void sendToZone(const std::string& zone, job_request job, bool isDetached, std::uint32_t hops);
 
-    ticket refuse(const submission_id& submission, job_answer answer, const answer_hook& onAnswer)
+    ticket refuse(const job_request& job, job_answer answer, const answer_hook& onAnswer)
     {
+        const submission_id submission = job.submission;
         noteAnswer(submission, answer);
+        services.record(job.client, job.team, answer, protocol::duration::zero());
         onAnswer(std::make_shared<const job_answer>(std::move(answer)));
         return { submission, 0 };
     }
@@ -131,17 +137,21 @@
     // The job is answered, and this host does not coordinate it.
     void release(const submission_id& submission, job_answer answer)
     {
-        noteAnswer(submission, answer);
-        noteEnd(submission);
+        noteEnd(submission, answer);
         registry.release(submission, std::move(answer));
     }
 
-    void noteEnd(const submission_id& submission)
+    void noteEnd(const submission_id& submission, const job_answer& answer)
     {
+        noteAnswer(submission, answer);
         const auto found = openJobs.find(submission);
         if (found == openJobs.end())
             return;
-        counters.recordJobTime(protocol::steadyNow() - found->second.openedAt);
+        const open_job& open = found->second;
+        const protocol::duration time = protocol::steadyNow() - open.openedAt;
+        counters.recordJobTime(time);
+        if (open.isFromCaller)
+            services.record(open.client, open.team, answer, time);
         openJobs.erase(found);
     }
 
@@ -161,13 +171,17 @@
         return { submission, 0 };
     }
     if (auto refusal = knownFailure(known))
-        return refuse(submission, std::move(*refusal), onAnswer);
+        return refuse(job, std::move(*refusal), onAnswer);
     const bool isNew = known.state != registry_state::open;
     if (auto refusal = isNew ? reasonAgainst(job, hops) : std::nullopt)
-        return refuse(submission, std::move(*refusal), onAnswer);
+        return refuse(job, std::move(*refusal), onAnswer);
     if (isNew) {
         registry.open(submission, job.bodyHash);
-        openJobs[submission] = {};
+        open_job& open = openJobs[submission];
+        open = {};
+        open.client = job.client;
+        open.team = job.team;
+        open.isFromCaller = hops == 0;
     }
     if (isDetached)
         registry.keepWithoutWaiters(submission);
@@ -308,8 +322,8 @@
 }
 
 job_service::job_service(job_service_settings settings, claim_hook claim, dispatch_driver& dispatch, job_registry& registry, job_forwarder& forwarder,
-    entry_counters& counters)
-    : m_impl(std::make_unique<impl>(std::move(settings), std::move(claim), dispatch, registry, forwarder, counters))
+    entry_counters& counters, apps::job_metrics& services)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(claim), dispatch, registry, forwarder, counters, services))
 {
 }
 
--- a/src/apps/entry/job_service.h
+++ b/src/apps/entry/job_service.h
@@ -7,6 +7,7 @@
 #include "apps/entry/entry_counters.h"
 #include "apps/entry/job_forwarder.h"
 #include "apps/entry/job_registry.h"
+#include "apps/shared/job_metrics.h"
 
 #include <functional>
 #include <memory>
@@ -54,7 +55,7 @@
     };
 
     job_service(job_service_settings settings, claim_hook claim, dispatch_driver& dispatch, job_registry& registry, job_forwarder& forwarder,
-        entry_counters& counters);
+        entry_counters& counters, apps::job_metrics& services);
     ~job_service();
 
     // The hook gets the job's answer, once, perhaps before this returns. A detached job goes on when nobody waits.
--- a/src/apps/entry/remote_callers.h
+++ b/src/apps/entry/remote_callers.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace jackdaw::entry {
@@ -27,7 +28,10 @@
         std::uint64_t incarnation = 0;
         std::uint64_t request = 0;
 
-        friend auto operator<=>(const remote_request&, const remote_request&) = default;
+        friend bool operator<(const remote_request& left, const remote_request& right)
+        {
+            return std::tie(left.host, left.incarnation, left.request) < std::tie(right.host, right.incarnation, right.request);
+        }
     };
 
     job_service& m_jobs;
--- a/src/apps/entry/tests/processes/child_process.cpp
+++ b/src/apps/entry/tests/processes/child_process.cpp
@@ -8,8 +8,6 @@
 #include <csignal>
 #include <stdexcept>
 
-extern char** environ;
-
 namespace jackdaw::tests {
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments, const std::string& outputFile)
--- a/src/apps/entry/tests/processes/cluster.cpp
+++ b/src/apps/entry/tests/processes/cluster.cpp
@@ -11,6 +11,7 @@
 #include <map>
 #include <random>
 #include <stdexcept>
+#include <tuple>
 
 namespace jackdaw::tests {
 
@@ -71,7 +72,10 @@
         std::string from;
         std::string to;
 
-        friend auto operator<=>(const host_pair&, const host_pair&) = default;
+        friend bool operator<(const host_pair& left, const host_pair& right)
+        {
+            return std::tie(left.from, left.to) < std::tie(right.from, right.to);
+        }
     };
 
 } // namespace
@@ -116,7 +120,7 @@
     std::string writeSettings(const std::string& name) const
     {
         const host_process& host = hosts.at(name);
-        const std::string path = folder / (name + ".toml");
+        std::string path = folder / (name + ".toml");
         std::ofstream file(path);
         file << "host = '" << name << "'\nzone = '" << host.zone << "'\nzones = " << zoneList() << "\npeers = " << peerList(name)
              << "\n[callers]\nport = " << host.callers << "\nabandon_after_ms = 100\n[upstreams]\nport = " << host.upstreams
@@ -184,12 +188,13 @@
 {
     upstream_process& upstream = m_impl->upstreams[zone];
     upstream.control = nextPort();
-    const std::string path = m_impl->folder / ("upstreams-" + zone + ".toml");
+    const std::string program = "upstreams-" + zone;
+    const std::string path = m_impl->folder / (program + ".toml");
     std::ofstream(path) << "name = '" << zone << "'\nzones = ['" << zone << "']\ninstances = " << instances << "\nentries = ['" << zone << '=' << loopback << ':'
                         << m_impl->hosts.at(announceTo).upstreams << "']\n[control]\nport = " << upstream.control << '\n';
-    upstream.process = std::make_unique<child_process>(JACKDAW_BIN_DIR "/jackdaw-upstream", std::vector<std::string> { "--settings", path }, m_impl->outputOf("upstreams-" + zone));
+    upstream.process = std::make_unique<child_process>(JACKDAW_BIN_DIR "/jackdaw-upstream", std::vector<std::string> { "--settings", path }, m_impl->outputOf(program));
     for (const std::string& name : knownBy)
-        waitUntil([&] { return status(name).value("upstreams", 0U) == instances; }, name + " knows the upstreams of zone " + zone);
+        waitUntil([&] { return status(name).value("upstreams", 0U) == instances; }, name + " knows the upstreams");
 }
 
 void cluster::relayLinks()
