--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -179,6 +179,8 @@
         ("seed", options::value(&settings.workload.seed)->default_value(1), "seed of workload and faults")
         ("order", options::value(&order)->default_value("fewest"), "fifo, deadline or fewest")
         ("penalty", options::value(&settings.inForce.slowUpstreamPenalty)->default_value(settings.inForce.slowUpstreamPenalty), "slowUpstreamPenalty of the rules")
+        ("retry-budget", options::value(&settings.inForce.retryBudget)->default_value(settings.inForce.retryBudget), "retries for each start")
+        ("ejected-ratio", options::value(&settings.inForce.maxEjectedRatio)->default_value(settings.inForce.maxEjectedRatio), "maxEjectedRatio of the rules")
         ("flood", options::bool_switch(&settings.workload.flood), "one more team floods the system for a while");
     // clang-format on
     options::variables_map given;
