Dispatch: a delayed retry of an ended job never touches a later job of the same submission

Cause: entries that wait for the retry budget named only submission and task. A submission that ended and came again found its tasks queued twice: 29 retries were counted that had no cause, and a task could have been started twice. An entry now counts only while its task waits as a delayed retry of the same attempt. Test: fails before (90 starts, 109 accounted for), passes after.

--- a/src/coordination/internal/dispatcher_reports.cpp
+++ b/src/coordination/internal/dispatcher_reports.cpp
@@ -181,7 +181,9 @@
     while (!m_delayedRetries.empty()) {
         const protocol::task_key& key = m_delayedRetries.front();
         job_record* job = find(key.submission);
-        if (job && !job->answered) {
+        // A submission that ended and came again is another job, whose tasks this entry says nothing of.
+        const bool isCurrent = job && key.index < job->tasks.size() && job->tasks[key.index].delayed && job->tasks[key.index].attempt == key.attempt;
+        if (isCurrent && !job->answered) {
             if (!m_retryBudget.take(now))
                 break;
             task_record& task = job->tasks[key.index];
--- a/src/coordination/tests/dispatcher_tests.cpp
+++ b/src/coordination/tests/dispatcher_tests.cpp
@@ -225,3 +225,29 @@
     REQUIRE(fixture.starts.size() == 2);
     CHECK(fixture.starts[1].upstream.name == "fast");
 }
+
+TEST_CASE("retries that waited for the budget end with their job, also when the submission comes again")
+{
+    dispatch_fixture fixture;
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 100));
+    fixture.core.submit(fixture.now, fixture.makeJob(1, 40));
+    for (const start_task& start : std::exchange(fixture.starts, {}))
+        fixture.core.report(fixture.now, { start.task, start.upstream, task_outcome::not_started, "", {} });
+    CHECK(fixture.starts.size() < 40);
+    fixture.core.cancel(fixture.now, fixture.submissionId(1));
+    for (const start_task& start : std::exchange(fixture.starts, {}))
+        fixture.core.report(fixture.now, { start.task, start.upstream, task_outcome::finished, "", {} });
+    REQUIRE(fixture.core.status().runningTasks == 0);
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 10));
+    fixture.core.submit(fixture.now, fixture.makeJob(1, 40));
+    fixture.pass(500ms);
+    for (int i = 0; i < 200 && !fixture.starts.empty(); ++i) {
+        const start_task start = fixture.starts.front();
+        fixture.starts.erase(fixture.starts.begin());
+        CHECK(start.task.attempt == 0);
+        fixture.core.report(fixture.now, { start.task, start.upstream, task_outcome::finished, "", {} });
+        fixture.pass(20ms);
+    }
+    CHECK(fixture.core.status().starts == 40 + 40 + fixture.core.status().retries);
+    CHECK(fixture.answers.size() == 2);
+}
