Dispatch tests: the test of delayed retries counts the starts of the second job

The test took every retry that was queued for a start, but the job was cancelled when one of ten had started. It now counts the starts of the second job exactly, which is stricter.

--- a/src/coordination/tests/dispatcher_tests.cpp
+++ b/src/coordination/tests/dispatcher_tests.cpp
@@ -241,13 +241,14 @@
     fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 10));
     fixture.core.submit(fixture.now, fixture.makeJob(1, 40));
     fixture.pass(500ms);
-    for (int i = 0; i < 200 && !fixture.starts.empty(); ++i) {
+    std::size_t startedAgain = 0;
+    for (; startedAgain < 200 && !fixture.starts.empty(); ++startedAgain) {
         const start_task start = fixture.starts.front();
         fixture.starts.erase(fixture.starts.begin());
         CHECK(start.task.attempt == 0);
         fixture.core.report(fixture.now, { start.task, start.upstream, task_outcome::finished, "", {} });
         fixture.pass(20ms);
     }
-    CHECK(fixture.core.status().starts == 40 + 40 + fixture.core.status().retries);
+    CHECK(startedAgain == 40);
     CHECK(fixture.answers.size() == 2);
 }
