Let learners forget a silent leader; check that healed voters agree

Cause: a learner has no election, so it believed for ever in a leader that was gone, and its host stayed outside the group. The checker missed it, since two voters are enough to grant.

--- a/src/coordination/raft_node.cpp
+++ b/src/coordination/raft_node.cpp
@@ -89,6 +89,15 @@
         leader = std::move(newLeader);
     }
 
+    // Learners only forget the leader that went silent.
+    void loseLeader()
+    {
+        if (isSelfVoter())
+            campaign(vote_phase::pre_vote, false);
+        else
+            leader.reset();
+    }
+
     void campaign(vote_phase newPhase, bool isTransfer)
     {
         becomeFollower(hardState.term, std::nullopt);
@@ -431,7 +440,7 @@
     time_point nextTimer() const
     {
         if (!isLeader)
-            return isSelfVoter() ? electionDeadline : time_point::max();
+            return isSelfVoter() || leader ? electionDeadline : time_point::max();
         time_point next = quorumCheckAt;
         for (const auto& [member, progress] : peers)
             next = std::min(next, progress.lastSent + settings.heartbeat);
@@ -535,8 +544,8 @@
     m_impl->now = now;
     if (m_impl->isLeader)
         m_impl->advanceLeader();
-    else if (m_impl->isSelfVoter() && now >= m_impl->electionDeadline)
-        m_impl->campaign(vote_phase::pre_vote, false);
+    else if (now >= m_impl->electionDeadline)
+        m_impl->loseLeader();
 }
 
 time_point raft_node::nextTimer() const
--- a/src/coordination/tests/claim_checker_tests.cpp
+++ b/src/coordination/tests/claim_checker_tests.cpp
@@ -1,6 +1,8 @@
 // Seeded checks of claims under faults, and mutations that the checker must notice.
 #include "coordination/tests/claim_simulation.h"
 
+#include "protocol/claim_codec.h"
+
 #include <doctest/doctest.h>
 
 using namespace jackdaw::coordination;
@@ -106,6 +108,16 @@
     CHECK(isNoticed(mutation, claim_violation::false_refusal));
 }
 
+TEST_CASE("the checker notices voters whose tables differ")
+{
+    const auto mutation = changing<claim_raft>([](claim_raft& raft) {
+        auto* append = std::get_if<jackdaw::protocol::append_request>(&raft.message.body);
+        for (std::size_t i = 0; append && i < append->entries.size(); ++i)
+            append->entries[i].data = encode(claim_command { 0ms, std::nullopt, {} });
+    });
+    CHECK(isNoticed(mutation, claim_violation::voters_differ));
+}
+
 TEST_CASE("the checker notices a group that never forms")
 {
     const auto mutation = changing<claim_hello>([](claim_hello& hello) { ++hello.incarnation; });
--- a/src/coordination/tests/claim_simulation.cpp
+++ b/src/coordination/tests/claim_simulation.cpp
@@ -92,6 +92,10 @@
     runUntil(m_now + 16s);
     if (m_violation == claim_violation::none && timeToGrant() > 5s)
         fail(claim_violation::not_live);
+    m_nextSubmission = time_point::max();
+    runUntil(m_now + 1s);
+    if (!doVotersAgree())
+        fail(claim_violation::voters_differ);
     return m_violation;
 }
 
@@ -133,6 +137,15 @@
     return m_now - begin;
 }
 
+bool claim_simulation::doVotersAgree() const
+{
+    const claim_service_status first = m_hosts.front().service->status();
+    return std::all_of(m_hosts.begin(), m_hosts.begin() + static_cast<std::ptrdiff_t>(voterHosts.size()), [&](const simulated_host& host) {
+        const claim_service_status status = host.service->status();
+        return status.generation == first.generation && status.claims == first.claims && status.knownSince == first.knownSince;
+    });
+}
+
 void claim_simulation::runUntil(time_point end)
 {
     while (m_violation == claim_violation::none && m_now < end)
--- a/src/coordination/tests/claim_simulation.h
+++ b/src/coordination/tests/claim_simulation.h
@@ -20,6 +20,7 @@
     holder_changed, // two coordinators were named as holders of one submission
     false_refusal, // said to be unclaimed, but granted before
     message_storm, // far more messages in a second than claims and heartbeats need
+    voters_differ, // healed for seconds, and yet the voters' tables differ
     not_live // healed for seconds, and yet a new submission is not granted
 };
 
@@ -89,6 +90,7 @@
     void check(const simulated_host& host, const claim_result& result);
     protocol::unix_milliseconds clockOf(const simulated_host& host) const;
     duration timeToGrant();
+    bool doVotersAgree() const;
     void fail(claim_violation violation);
 
     claim_simulation_settings m_settings;
--- a/src/coordination/tests/raft_node_tests.cpp
+++ b/src/coordination/tests/raft_node_tests.cpp
@@ -101,6 +101,17 @@
     CHECK(node.takeReady().isEmpty());
 }
 
+TEST_CASE("a learner forgets a leader that went silent, and never campaigns")
+{
+    raft_node node = makeNode({ { b, c }, { a } });
+    node.step(start, { b, a, 1, append_request {} });
+    node.takeReady();
+    CHECK(node.leader() == b);
+    node.advance(node.nextTimer());
+    CHECK_FALSE(node.leader());
+    CHECK(node.takeReady().isEmpty());
+}
+
 TEST_CASE("a leader without contact to a quorum steps down, and sends heartbeats only while idle")
 {
     raft_node node = makeNode({ { a, b, c }, {} });
--- a/src/protocol/claim_codec.cpp
+++ b/src/protocol/claim_codec.cpp
@@ -1,7 +1,7 @@
 // Writes and reads claim messages, commands and snapshots.
 #include "protocol/claim_codec.h"
 
-#include "protocol/internal/msgpack_codec.h"
+#include "protocol/internal/msgpack_fields.h"
 #include "protocol/raft_codec.h"
 
 #include <algorithm>
--- a/src/protocol/raft_codec.cpp
+++ b/src/protocol/raft_codec.cpp
@@ -1,7 +1,7 @@
 // Writes and reads the replicated log's messages and records.
 #include "protocol/raft_codec.h"
 
-#include "protocol/internal/msgpack_codec.h"
+#include "protocol/internal/msgpack_fields.h"
 
 namespace jackdaw::protocol {
 namespace {
