--- a/src/coordination/tests/raft_checker_tests.cpp
+++ b/src/coordination/tests/raft_checker_tests.cpp
@@ -92,6 +92,16 @@
     CHECK(seedThatFinds(raft_violation::state_diverged, mutation) > 0);
 }
 
+TEST_CASE("the checker notices a member that never catches up")
+{
+    raft_mutation mutation;
+    mutation.onMessage = [](raft_message& message) {
+        if (std::holds_alternative<snapshot_request>(message.body))
+            message.term = 0;
+    };
+    CHECK(seedThatFinds(raft_violation::not_rejoined, mutation) > 0);
+}
+
 TEST_CASE("the checker notices a member that lost its disk and kept its incarnation")
 {
     raft_mutation mutation;
--- a/src/coordination/tests/raft_simulation.cpp
+++ b/src/coordination/tests/raft_simulation.cpp
@@ -47,6 +47,8 @@
     }
     if (m_violation == raft_violation::none && m_committedCommands == before)
         fail(raft_violation::not_live);
+    if (m_violation == raft_violation::none && !areAllVoters())
+        fail(raft_violation::not_rejoined);
     return m_violation;
 }
 
@@ -165,13 +167,22 @@
 void raft_simulation::healAll()
 {
     m_link.heal();
-    m_link.settings.loss = 0;
+    m_link.settings = {};
     for (simulated_host& host : m_hosts) {
         if (!host.node)
             start(host);
     }
 }
 
+bool raft_simulation::areAllVoters() const
+{
+    constexpr std::size_t lagLimit = 40; // entries that the last heartbeat interval may have added
+    return std::ranges::all_of(m_hosts, [&](const simulated_host& host) {
+        const bool isVoter = std::ranges::find(host.node->membership().voters, host.id) != host.node->membership().voters.end();
+        return isVoter && host.applied + lagLimit >= m_committed.size();
+    });
+}
+
 void raft_simulation::propose()
 {
     m_nextProposal = m_now + std::chrono::milliseconds(5 + below(60));
--- a/src/coordination/tests/raft_simulation.h
+++ b/src/coordination/tests/raft_simulation.h
@@ -23,6 +23,7 @@
     state_diverged, // state machines differ after the same index
     voted_twice, // for two candidates in one term
     lost_incarnation_spoke, // a message of an incarnation whose disk was lost
+    not_rejoined, // healed for seconds, and yet a host is no voter or has not caught up
     not_live // healed for seconds, and yet nothing commits
 };
 
@@ -83,6 +84,7 @@
     void injectFault();
     void cutSomething();
     void healAll();
+    bool areAllVoters() const;
     void propose();
     void maintain(simulated_host& leader);
     void drain(simulated_host& host);
