--- a/src/apps/control/control_storage.cpp
+++ b/src/apps/control/control_storage.cpp
@@ -143,6 +143,7 @@
             return truncated;
     }
     std::vector<std::string> encoded;
+    encoded.reserve(entries.size());
     for (const raft_entry& entry : entries)
         encoded.push_back(protocol::encode(entry));
     std::vector<state::journal_record> records;
