--- a/bench/decision_cost.cpp
+++ b/bench/decision_cost.cpp
@@ -4,9 +4,12 @@
 #include "coordination/dispatcher.h"
 
 #include <chrono>
-#include <deque>
+#include <cmath>
+#include <functional>
+#include <queue>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace jackdaw::bench {
 namespace {
@@ -26,6 +29,13 @@
         return std::chrono::duration<double, std::nano>(stopwatch::now() - start).count();
     }
 
+    struct running_task {
+        time_point end {};
+        start_task started;
+
+        friend bool operator>(const running_task& a, const running_task& b) { return a.end > b.end; }
+    };
+
     class cost_run {
     public:
         explicit cost_run(std::size_t upstreams)
@@ -48,6 +58,7 @@
             job.deadline = 10h;
             for (std::size_t i = 0; i < tasksPerJob; ++i)
                 job.tasks.push_back({ "payload", { 500, 256, 0 }, std::chrono::milliseconds(50 + m_random() % 950) });
+            m_submitted.push_back(job.submission);
             const auto start = stopwatch::now();
             m_dispatcher.submit(m_now, std::move(job));
             return nanosecondsSince(start) / tasksPerJob;
@@ -55,28 +66,43 @@
 
         double reportOne()
         {
-            m_now += 1ms;
-            std::swap(m_running[m_random() % m_running.size()], m_running.back());
-            const start_task started = std::move(m_running.back());
-            m_running.pop_back();
+            const running_task next = m_running.top();
+            m_running.pop();
+            m_now = next.end;
+            const start_task& started = next.started;
             task_report report { started.task, started.upstream, task_outcome::finished, "result", {} };
             const auto start = stopwatch::now();
             m_dispatcher.report(m_now, std::move(report));
             return nanosecondsSince(start);
         }
 
+        // Cancels every job, the ones that run included. Returns the time for each task that was queued or running.
+        double cancelAll()
+        {
+            const auto tasks = static_cast<double>(queued() + m_running.size());
+            const auto start = stopwatch::now();
+            for (const protocol::submission_id& submission : m_submitted)
+                m_dispatcher.cancel(m_now, submission);
+            return nanosecondsSince(start) / tasks;
+        }
+
         std::size_t queued() const { return m_dispatcher.status().queuedTasks; }
 
     private:
         void take(dispatch_action&& action)
         {
-            if (auto* start = std::get_if<start_task>(&action))
-                m_running.push_back(std::move(*start));
+            const auto* start = std::get_if<start_task>(&action);
+            if (!start)
+                return;
+            // Factors from 1 to 4 by upstream.
+            const double factor = std::exp2(static_cast<double>(std::hash<std::string> {}(start->upstream.name) % 100) / 50);
+            m_running.push({ m_now + std::chrono::round<duration>(std::chrono::milliseconds(50 + m_random() % 950) * factor), *start });
         }
 
+        std::vector<protocol::submission_id> m_submitted;
         time_point m_now { 1000s };
         std::mt19937_64 m_random { 1 };
-        std::deque<start_task> m_running;
+        std::priority_queue<running_task, std::vector<running_task>, std::greater<>> m_running;
         dispatcher m_dispatcher;
     };
 
@@ -87,7 +113,7 @@
     cost_run run(upstreams);
     while (run.queued() < queuedTasks)
         run.submitOne();
-    decision_cost cost { upstreams, queuedTasks, 0, 0 };
+    decision_cost cost { upstreams, queuedTasks, 0, 0, 0 };
     std::size_t submissions = 0;
     for (std::size_t i = 0; i < decisions; ++i) {
         cost.reportNanoseconds += run.reportOne() / decisions;
@@ -96,6 +122,7 @@
         cost.submitNanoseconds += run.submitOne();
         ++submissions;
     }
+    cost.cancelNanoseconds = run.cancelAll();
     cost.submitNanoseconds /= static_cast<double>(submissions);
     return cost;
 }
--- a/bench/fake_zone.cpp
+++ b/bench/fake_zone.cpp
@@ -12,7 +12,6 @@
     constexpr duration oneWay = 300us; // between entry host and upstream
     constexpr duration announceInterval = 1s;
     constexpr duration announceTtl = 3s;
-    constexpr duration silenceTimeout = 1s; // after which the transport reports a lost answer
     constexpr double slowFactor = 4;
     constexpr std::size_t faultyEvery = 10;
 
@@ -51,9 +50,11 @@
         const duration wait = job.arrival - m_now;
         later(wait, [this, &job] { arrive(std::move(job)); });
     }
-    while (!m_events.empty()) {
+    for (;;) {
         const auto timer = m_dispatcher.nextTimer();
-        if (timer && *timer < m_events.top().at) {
+        if (m_events.empty() && !timer)
+            break;
+        if (timer && (m_events.empty() || *timer < m_events.top().at)) {
             m_now = std::max(m_now, *timer);
             m_dispatcher.advance(m_now);
             continue;
@@ -128,7 +129,7 @@
             return reply(upstream, key, task_outcome::not_started);
         const bool lost = m_settings.fault == fault_kind::silent && std::uniform_int_distribution<int>(0, 999)(m_random) == 0;
         if (lost)
-            later(silenceTimeout, [this, &upstream, key] { m_dispatcher.report(m_now, { key, upstream.id, task_outcome::silent, {}, {} }); });
+            later(lease, [this, &upstream, key] { m_dispatcher.report(m_now, { key, upstream.id, task_outcome::silent, {}, {} }); });
         if (lost && m_random() % 2 == 0)
             return;
         if (upstream.running >= m_settings.slots) {
