--- a/src/apps/control/tests/control_group_test.sh
+++ b/src/apps/control/tests/control_group_test.sh
@@ -42,6 +42,14 @@
     everyone_has_version "$version"
 done
 
+echo "== a frozen leader: the others take the next change, and it catches up"
+old=$(leader)
+kill -STOP "${pid[$old]}"
+apply 8 "$version" >/dev/null
+version=$((version + 1))
+kill -CONT "${pid[$old]}"
+everyone_has_version "$version"
+
 echo "== changes beyond compaction; all killed at once"
 for round in $(seq 10 50); do
     apply "$round" "$version" >/dev/null
