--- a/src/apps/control/control_process.cpp
+++ b/src/apps/control/control_process.cpp
@@ -25,7 +25,7 @@
 namespace {
 
     constexpr protocol::duration helloInterval = std::chrono::milliseconds(500);
-    constexpr protocol::duration pushAgainInterval = std::chrono::milliseconds(300);
+    constexpr protocol::duration pushAgainInterval = std::chrono::milliseconds(200);
     constexpr protocol::duration handOverTime = std::chrono::milliseconds(500); // for the transfer of leadership at a stop
 
     std::string toText(const transport::endpoint& address)
@@ -201,7 +201,7 @@
 void control_process::impl::publish()
 {
     const coordination::rules_version& inForce = node.rules().inForce();
-    publisher.publish(steadyNow(), inForce.version, node.rules().text(), node.isServingLeader());
+    publisher.publish(inForce.version, node.rules().text(), node.isServingLeader());
 }
 
 void control_process::impl::sayHello()
--- a/src/apps/control/rules_publisher.cpp
+++ b/src/apps/control/rules_publisher.cpp
@@ -15,12 +15,14 @@
         m_entries.emplace(std::move(host), entry_state {});
 }
 
-void rules_publisher::publish(protocol::time_point now, std::uint64_t version, std::string text, bool isLeader)
+void rules_publisher::publish(std::uint64_t version, std::string text, bool isLeader)
 {
     m_version = version;
     m_text = std::move(text);
-    if (isLeader)
-        pushAgain(now);
+    if (!isLeader)
+        return;
+    for (const auto& [host, entry] : m_entries)
+        push(host);
 }
 
 void rules_publisher::onPull(protocol::time_point now, std::string_view host, std::uint64_t version)
--- a/src/apps/control/rules_publisher.h
+++ b/src/apps/control/rules_publisher.h
@@ -26,8 +26,8 @@
 
     rules_publisher(std::vector<std::string> entryHosts, send_hook send);
 
-    // Another version is in force. Only a leader pushes; the others answer pulls.
-    void publish(protocol::time_point now, std::uint64_t version, std::string text, bool isLeader);
+    // Another version is in force. Only a leader pushes, also to silent hosts; the others answer pulls.
+    void publish(std::uint64_t version, std::string text, bool isLeader);
 
     // Unknown hosts are ignored.
     void onPull(protocol::time_point now, std::string_view host, std::uint64_t version);
--- a/src/apps/control/tests/rules_publisher_tests.cpp
+++ b/src/apps/control/tests/rules_publisher_tests.cpp
@@ -18,7 +18,7 @@
     const time_point start { std::chrono::seconds(100) };
     const auto take = [&] { return std::exchange(pushes, {}); };
 
-    publisher.publish(start, 4, "text", true);
+    publisher.publish(4, "text", true);
     CHECK(take() == std::vector<std::string> { "a1:4", "b1:4" });
     publisher.onPull(start, "a1", 4);
     publisher.onPull(start, "stranger", 0);
@@ -27,7 +27,7 @@
     CHECK(take() == std::vector<std::string> { "b1:4" });
     publisher.onPull(start, "b1", 3);
     CHECK(take() == std::vector<std::string> { "b1:4" });
-    publisher.publish(start, 5, "text", false);
+    publisher.publish(5, "text", false);
     CHECK(take().empty());
     publisher.pushAgain(start + std::chrono::seconds(60)); // both have gone silent: they will pull when they are back
     CHECK(take().empty());
