--- a/src/apps/control/tests/rules_spread_tests.cpp
+++ b/src/apps/control/tests/rules_spread_tests.cpp
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <utility>
 
 using namespace jackdaw;
 using namespace jackdaw::control;
@@ -51,7 +52,7 @@
 class spread_simulation {
 public:
     spread_simulation(spread_mode mode, double loss)
-        : m_mode(mode)
+        : m_mode(std::move(mode))
         , m_loss(loss)
         , m_publisher(names(), [this](const std::string& host, const config_message& message) {
             deliver([this, host, message] { static_cast<void>(m_followers.at(host)->onPush("control", std::get<protocol::rules_push>(message))); });
@@ -81,6 +82,7 @@
     static std::vector<std::string> names()
     {
         std::vector<std::string> all;
+        all.reserve(hostCount);
         for (int i = 0; i < hostCount; ++i)
             all.push_back("e" + std::to_string(i));
         return all;
