Load: tasks that never ran need no messages

Where the stand-ins count starts, the distinct tasks started take the place of the tasks sent; without failures the two are the same.

--- a/src/apps/load/tally.cpp
+++ b/src/apps/load/tally.cpp
@@ -77,15 +77,17 @@
     return m_broken == 0 && m_contradictions == 0 && m_untrueRefusals == 0;
 }
 
-// Two messages for each task, and two for each request of a caller.
-double tally::needed() const
+// Two messages for each task, and two for each request of a caller. Tasks of failed jobs that never ran needed none: that
+// is known when the stand-ins count starts.
+double tally::needed(const upstream_counts& upstreams) const
 {
-    return 2.0 * static_cast<double>(m_tasks) + 2.0 * static_cast<double>(m_jobs + m_resubmissions + m_cancels);
+    const std::uint64_t tasks = upstreams.started > 0 ? std::min(m_tasks, upstreams.started - upstreams.startedTwice) : m_tasks;
+    return 2.0 * static_cast<double>(tasks) + 2.0 * static_cast<double>(m_jobs + m_resubmissions + m_cancels);
 }
 
-double tally::wastedPerTask(const message_counts& messages) const
+double tally::wastedPerTask(const message_counts& messages, const upstream_counts& upstreams) const
 {
-    return m_tasks == 0 ? 0 : (messages.total() - needed()) / static_cast<double>(m_tasks);
+    return m_tasks == 0 ? 0 : (messages.total() - needed(upstreams)) / static_cast<double>(m_tasks);
 }
 
 nlohmann::ordered_json tally::summary(const message_counts& messages, const upstream_counts& upstreams) const
@@ -99,7 +101,7 @@
         { "started_twice", upstreams.startedTwice },
         { "slowdown_p50", rounded(quantile(m_slowdowns, 0.5)) },
         { "slowdown_p99", rounded(quantile(m_slowdowns, 0.99)) },
-        { "wasted_messages_per_task", rounded(wastedPerTask(messages)) },
+        { "wasted_messages_per_task", rounded(wastedPerTask(messages, upstreams)) },
     };
 }
 
@@ -119,7 +121,7 @@
     out["added_ms_p99"] = rounded(quantile(m_addedMs, 0.99));
     out["messages"] = messages.byPurpose;
     out["control_messages_per_task"] = rounded(messages.control() / tasks);
-    out["wasted_without_control_per_task"] = rounded(wastedPerTask(messages) - messages.control() / tasks);
+    out["wasted_without_control_per_task"] = rounded(wastedPerTask(messages, upstreams) - messages.control() / tasks);
     out["upstreams"] = { { "started", upstreams.started }, { "started_late", upstreams.startedLate }, { "over_slots", upstreams.overSlots }, { "refused", upstreams.refused } };
     return out;
 }
--- a/src/apps/load/tally.h
+++ b/src/apps/load/tally.h
@@ -47,8 +47,8 @@
     std::uint64_t complete() const { return m_complete; }
 
 private:
-    double wastedPerTask(const message_counts& messages) const;
-    double needed() const;
+    double wastedPerTask(const message_counts& messages, const upstream_counts& upstreams) const;
+    double needed(const upstream_counts& upstreams) const;
 
     std::uint64_t m_jobs = 0;
     std::uint64_t m_complete = 0;
--- a/src/apps/load/tests/tally_tests.cpp
+++ b/src/apps/load/tests/tally_tests.cpp
@@ -35,6 +35,8 @@
     const auto summary = counts.summary(messages, upstreams);
     CHECK(summary.dump() == R"({"jobs":4,"complete":1,"failed":2,"refused":1,"tasks":20,"started_twice":3,"slowdown_p50":1.5,"slowdown_p99":1.5,"wasted_messages_per_task":0.25})");
     CHECK(counts.isSound());
+    upstreams.started = 18;
+    CHECK(counts.summary(messages, upstreams)["wasted_messages_per_task"] == 0.75);
 }
 
 TEST_CASE("broken, contradictory and untrue answers make a run unsound")
