--- a/src/apps/entry/entry_mesh.cpp
+++ b/src/apps/entry/entry_mesh.cpp
@@ -176,6 +176,16 @@
     return m_impl->send(host, message);
 }
 
+std::uint64_t entry_mesh::sentFrames() const
+{
+    return m_impl->links.sentMessages();
+}
+
+std::uint64_t entry_mesh::sentBytes() const
+{
+    return m_impl->links.sentBytes();
+}
+
 void entry_mesh::startDrain()
 {
     m_impl->isDraining = true;
--- a/src/apps/entry/entry_mesh.h
+++ b/src/apps/entry/entry_mesh.h
@@ -46,6 +46,10 @@
     // False when the message was certainly not sent.
     bool send(std::string_view host, const protocol::mesh_message& message);
 
+    // What the links carried so far, with framing and acknowledgements.
+    std::uint64_t sentFrames() const;
+    std::uint64_t sentBytes() const;
+
     // Tells the peers at once that this host takes no forwarded jobs any more.
     void startDrain();
 
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -120,6 +120,8 @@
     serving_state m_state = serving_state::serving; // on the decision thread
     state::metrics m_metrics;
     entry_counters m_counters { m_metrics }; // of the decision thread
+    state::gauge& m_meshFrames = m_metrics.addGauge("jackdaw_mesh_sent_frames", "Frames sent to other hosts since the start");
+    state::gauge& m_meshBytes = m_metrics.addGauge("jackdaw_mesh_sent_bytes", "Bytes sent to other hosts since the start");
     apps::job_metrics m_services { m_metrics }; // of the decision thread
     entry_counters m_callerCounters { m_metrics };
     entry_counters m_operatorCounters { m_metrics };
@@ -206,6 +208,8 @@
 void entry_process::impl::tick()
 {
     m_jobs.tick();
+    m_meshFrames.set(static_cast<double>(m_mesh.sentFrames()));
+    m_meshBytes.set(static_cast<double>(m_mesh.sentBytes()));
     m_operatorApi.setReady(m_state == serving_state::serving && m_claims.isReady());
 }
 
