Refuse no reachable deadline after speeds and run times drifted apart

Cause: only the product of an upstream's speed factor and a client's run time is observed. Speeds are compared with the mean run time, whose logarithm lies above the median's, so each sample moves speeds a little down and run times a little up, without end. At about 0 ms and a wide spread the learned run time rose until, times the fastest speed band (1/8 is the pool's floor), it exceeded a 30 s deadline on an empty queue; refusals then brought no samples.

Mended: the speed factor is bounded at the fastest band, so both stop there; admission refuses only on samples of the last 5 s, and with nothing queued never if the longest task fits the deadline four times.

Test: 16 upstreams of 64 slots, 10,000 jobs of 8 undeclared tasks of 0-5 ms: 9,189 refused before, 0 now.

Not done: pinning the geometric mean of the speeds at 1, so the drift is bounded, not gone.

--- a/src/coordination/internal/admission.cpp
+++ b/src/coordination/internal/admission.cpp
@@ -16,6 +16,11 @@
     // A job is refused for its deadline only if it would miss it by so much: run times are estimates.
     constexpr double deadlineTolerance = 1.25;
 
+    // Older samples refuse nothing: a client that is refused brings no new ones to correct them.
+    constexpr duration freshness = std::chrono::seconds(5);
+    // With nothing queued a job is not refused if its longest task fits into its deadline so many times.
+    constexpr double wideMargin = 4;
+
     duration bounded(double microseconds)
     {
         const auto longest = static_cast<double>(longestRetryAfter.count());
@@ -59,16 +64,18 @@
         class_mask classes = 0;
         for (const protocol::task_spec& task : job.tasks) {
             const run_time_estimate estimated = conditions.runTimes.estimate(job.client, task.expected);
-            if (!estimated.learned)
+            if (!estimated.learned || conditions.now - estimated.lastNoted > freshness)
                 return std::nullopt;
             work += static_cast<double>(estimated.mean.count());
             longest = std::max(longest, static_cast<double>(estimated.mean.count()));
             classes |= conditions.upstreams.classesFor(task.needs);
         }
         const upstream_pool::class_capacity capacity = conditions.upstreams.capacityOf(classes);
+        const auto deadline = static_cast<double>((job.deadline > duration::zero() ? job.deadline : conditions.inForce.defaultDeadline).count());
+        if (conditions.queuedTasks == 0 && wideMargin * longest * capacity.fastestFactor <= deadline)
+            return std::nullopt;
         const double share = std::max(1.0, capacity.speed) * conditions.teams.shareOf(team);
         const double end = team.workAhead(work, conditions.inForce.order) / share + std::max(longest * capacity.fastestFactor, work / share);
-        const auto deadline = static_cast<double>((job.deadline > duration::zero() ? job.deadline : conditions.inForce.defaultDeadline).count());
         if (end <= deadlineTolerance * deadline)
             return std::nullopt;
         return job_failure { error_kind::deadline_unreachable, {}, bounded(end - deadline) };
--- a/src/coordination/internal/run_time_model.cpp
+++ b/src/coordination/internal/run_time_model.cpp
@@ -43,8 +43,9 @@
 
 } // namespace
 
-void run_time_model::statistics::note(double value)
+void run_time_model::statistics::note(time_point now, double value)
 {
+    lastNoted = now;
     samples = std::min(samples + 1, maxSamples);
     const double step = value - mean;
     mean += step / samples;
@@ -68,15 +69,21 @@
     const duration base = baseOf(declared);
     // Before anything is learned a declaration is taken at its word.
     const double known = std::min(variance, priorVariance / 2);
-    return { scaled(base, mean + known / 2), scaled(base, mean + highDeviations * std::sqrt(variance)), variance, ofClient && ofClient->samples >= learnedSamples };
+    run_time_estimate result;
+    result.mean = scaled(base, mean + known / 2);
+    result.high = scaled(base, mean + highDeviations * std::sqrt(variance));
+    result.logVariance = variance;
+    result.learned = ofClient && ofClient->samples >= learnedSamples;
+    result.lastNoted = ofClient ? ofClient->lastNoted : time_point {};
+    return result;
 }
 
-void run_time_model::note(std::string_view client, duration declared, duration atFactorOne)
+void run_time_model::note(time_point now, std::string_view client, duration declared, duration atFactorOne)
 {
     const double ratio = static_cast<double>(std::max<std::int64_t>(1, atFactorOne.count())) / static_cast<double>(baseOf(declared).count());
     const double value = std::clamp(std::log(ratio), -maxLogRatio, maxLogRatio);
-    noteIn(m_clients, clientKey(client, declared), value);
-    noteIn(m_kinds, kindKey(client, declared), value);
+    noteIn(m_clients, clientKey(client, declared), now, value);
+    noteIn(m_kinds, kindKey(client, declared), now, value);
 }
 
 const run_time_model::statistics* run_time_model::find(const std::unordered_map<std::uint64_t, statistics>& from, std::uint64_t key)
@@ -85,11 +92,11 @@
     return found == from.end() ? nullptr : &found->second;
 }
 
-void run_time_model::noteIn(std::unordered_map<std::uint64_t, statistics>& into, std::uint64_t key, double value)
+void run_time_model::noteIn(std::unordered_map<std::uint64_t, statistics>& into, std::uint64_t key, time_point now, double value)
 {
     if (into.size() >= maxEntries && !into.contains(key))
         into.clear();
-    into[key].note(value);
+    into[key].note(now, value);
 }
 
 } // namespace jackdaw::coordination
--- a/src/coordination/internal/speed_estimate.h
+++ b/src/coordination/internal/speed_estimate.h
@@ -20,11 +20,16 @@
         const double gain = m_variance / (m_variance + expectationVariance + measurementVariance);
         const double step = std::log(observedOverExpected) - m_logFactor;
         m_logFactor += gain * std::clamp(step, -largestStep, largestStep);
+        m_logFactor = std::clamp(m_logFactor, smallestLogFactor, largestLogFactor);
         m_variance *= 1 - gain;
         m_factor = std::exp(m_logFactor);
     }
 
 private:
+    // Only the product of a speed and a run time is observed. Speeds are compared with mean run times, whose logarithm
+    // lies above that of the median, so speeds drift down and run times up, until a bound stops both.
+    static constexpr double smallestLogFactor = -2.0794; // 8 times faster, the fastest speed band of the pool
+    static constexpr double largestLogFactor = 5; // about 150 times slower
     static constexpr double initialVariance = 0.5;
     static constexpr double driftVariance = 0.001; // added with each sample: speeds change
     static constexpr double measurementVariance = 0.01;
--- a/src/coordination/tests/admission_tests.cpp
+++ b/src/coordination/tests/admission_tests.cpp
@@ -3,6 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <random>
+#include <utility>
+
 using namespace jackdaw::coordination;
 using namespace jackdaw::coordination::tests;
 
@@ -67,3 +71,51 @@
     CHECK(refusal->kind == error_kind::deadline_unreachable);
     CHECK(refusal->retryAfter > 5s);
 }
+
+TEST_CASE("tasks of next to no run time, on an empty queue, never make a deadline look unreachable")
+{
+    dispatch_fixture fixture;
+    std::mt19937 random(7);
+    std::uniform_int_distribution<int> noise(0, 5000); // microseconds
+    std::size_t refused = 0;
+    for (std::uint64_t number = 1; number <= 10'000; ++number) {
+        for (int upstream = 0; upstream < 16; ++upstream)
+            fixture.core.hear(fixture.now, fixture.makeAnnouncement("u" + std::to_string(upstream), 64));
+        auto job = fixture.makeJob(number, 8);
+        job.deadline = 30s;
+        for (auto& task : job.tasks)
+            task.expected = 0ms;
+        refused += fixture.core.submit(fixture.now, job) ? 1 : 0;
+        while (fixture.core.status().jobs > 0) {
+            const auto running = std::exchange(fixture.starts, {});
+            if (running.empty())
+                fixture.pass(1ms);
+            std::vector<int> delays(running.size());
+            std::generate(delays.begin(), delays.end(), [&] { return noise(random); });
+            std::sort(delays.begin(), delays.end());
+            const time_point sent = fixture.now;
+            for (std::size_t i = 0; i < running.size(); ++i) {
+                fixture.now = sent + duration { delays[i] };
+                fixture.core.report(fixture.now, { running[i].task, running[i].upstream, task_outcome::finished, "", {} });
+            }
+        }
+    }
+    CHECK(refused == 0);
+}
+
+TEST_CASE("run times learned long ago refuse nothing")
+{
+    dispatch_fixture fixture;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+        fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+        CHECK_FALSE(fixture.core.submit(fixture.now, fixture.makeJob(i)));
+        fixture.now += 50ms;
+        fixture.reportLast(task_outcome::finished);
+    }
+    auto urgent = fixture.makeJob(100);
+    urgent.deadline = 20ms;
+    CHECK(fixture.core.submit(fixture.now, urgent)->kind == error_kind::deadline_unreachable);
+    fixture.pass(6s);
+    fixture.core.hear(fixture.now, fixture.makeAnnouncement("u1", 1));
+    CHECK_FALSE(fixture.core.submit(fixture.now, urgent));
+}
--- a/src/coordination/tests/run_time_model_tests.cpp
+++ b/src/coordination/tests/run_time_model_tests.cpp
@@ -11,7 +11,7 @@
 {
     run_time_model model;
     for (int i = 0; i < 50; ++i)
-        model.note("hasty", 50ms, 500ms);
+        model.note({}, "hasty", 50ms, 500ms);
     CHECK(model.estimate("hasty", 50ms).mean > 400ms);
     CHECK(model.estimate("hasty", 50ms).mean < 600ms);
     CHECK(model.estimate("hasty", 800ms).mean > 4s);
