Planned stops leave the claim group by a membership change

Cause: after a planned stop of one of two voters the other had no majority and answered claim_unavailable. Now the host hands leadership on, asks the leader to remove it, and ends once the leader says that the change is committed, after 3 s also without. It returns as a new incarnation, learner first.

Ruled out: leaving below minVoters. With three hosts and one voter left, the two that left could return, cut off from it, and found a second generation. Of two voters the bound is one already.

--- a/src/apps/entry/claim_groups.cpp
+++ b/src/apps/entry/claim_groups.cpp
@@ -72,10 +72,12 @@
 
         void startDrain()
         {
-            m_service.transferLeadership(steadyNow());
+            m_service.startLeaving(steadyNow());
             advanceSoon();
         }
 
+        bool hasLeft() const { return m_service.hasLeft(); }
+
         coordination::claim_service_status status() const { return m_service.status(); }
 
     private:
@@ -207,6 +209,11 @@
         group->startDrain();
 }
 
+bool claim_groups::hasLeft() const
+{
+    return std::ranges::all_of(m_impl->groups, [](const auto& group) { return group.second->hasLeft(); });
+}
+
 coordination::claim_service_status claim_groups::status() const
 {
     return m_impl->groups.at(m_impl->ownGroup)->status();
--- a/src/apps/entry/claim_groups.h
+++ b/src/apps/entry/claim_groups.h
@@ -35,8 +35,9 @@
     // Whether claims of new submissions can be granted now, as far as this host knows.
     bool isReady() const;
 
-    // Hands leadership to other hosts, before this one stops.
+    // Leaves the groups, before this host stops.
     void startDrain();
+    bool hasLeft() const;
 
     // Of this zone's group.
     coordination::claim_service_status status() const;
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -35,6 +35,7 @@
 
 namespace {
 
+    constexpr std::chrono::seconds leaveLimit { 3 }; // for leaving the claim groups
     constexpr protocol::duration tickInterval = std::chrono::milliseconds(100);
     constexpr protocol::duration rulesPullInterval = std::chrono::seconds(1);
     constexpr std::size_t maxSmallBodyBytes = 64 * 1024; // of upstreams' and operators' requests
@@ -148,6 +149,7 @@
     std::unique_ptr<transport::event_loop::timer> m_tick;
     std::unique_ptr<transport::event_loop::timer> m_pullTimer;
     std::unique_ptr<transport::event_loop::timer> m_drainTimer;
+    protocol::time_point m_leaveDeadline; // then the process ends also as a voter; set with the refusal of new jobs
 };
 
 entry_process::impl::impl(entry_settings entrySettings, std::string file)
@@ -331,6 +333,7 @@
     m_state = serving_state::refusing;
     m_jobs.refuseNewJobs();
     m_claims.startDrain();
+    m_leaveDeadline = protocol::steadyNow() + leaveLimit;
     m_decisions.post([this] {
         m_drainTimer = m_decisions.every(tickInterval, [this] { endWhenDone(); });
     });
@@ -338,7 +341,7 @@
 
 void entry_process::impl::endWhenDone()
 {
-    if (m_jobs.openJobs() > 0)
+    if (m_jobs.openJobs() > 0 || (!m_claims.hasLeft() && protocol::steadyNow() < m_leaveDeadline))
         return;
     m_callers.loop().post([this] {
         if (m_callerServer.openRequests() == 0)
--- a/src/coordination/claim_service.cpp
+++ b/src/coordination/claim_service.cpp
@@ -432,6 +432,17 @@
     m_impl->group.transferLeadership(now);
 }
 
+void claim_service::startLeaving(time_point now)
+{
+    m_impl->now = now;
+    m_impl->group.startLeaving(now);
+}
+
+bool claim_service::hasLeft() const
+{
+    return m_impl->group.hasLeft();
+}
+
 claim_service_status claim_service::status() const
 {
     const auto& generation = m_impl->group.generation();
--- a/src/coordination/claim_service.h
+++ b/src/coordination/claim_service.h
@@ -88,6 +88,11 @@
     // Hands leadership of the group to another voter, before a planned stop.
     void transferLeadership(time_point now);
 
+    // For a planned stop: leaves the group, so that the other voters go on without this host. Until hasLeft() the service is
+    // to be driven on; that never comes where too few voters would be left, so the wait needs a bound.
+    void startLeaving(time_point now);
+    bool hasLeft() const;
+
     claim_service_status status() const;
 
 private:
--- a/src/coordination/internal/claim_group.cpp
+++ b/src/coordination/internal/claim_group.cpp
@@ -82,6 +82,10 @@
     m_now = now;
     if (!isVoterHost() || std::ranges::find(m_settings.voters, from) == m_settings.voters.end())
         return;
+    if (m_leaving == leave_phase::asked && m_generation && hello.generation == m_generation && !hello.wantsReply)
+        finishLeaving();
+    if (hasLeft())
+        return;
     m_peers[from] = { hello.incarnation, hello.generation, now };
     if (hello.wantsReply && m_generation && hello.generation != m_generation)
         sayHello(from, false);
@@ -161,7 +165,7 @@
 {
     m_now = now;
     const bool isNamed = std::ranges::find(founding.voters, m_self) != founding.voters.end();
-    if (!m_generation && isNamed)
+    if (!m_generation && isNamed && m_leaving == leave_phase::none)
         join(founding.generation, founding.voters);
     drain();
 }
@@ -170,10 +174,13 @@
 {
     m_now = now;
     const bool isToSelf = raft.message.to == m_self && isVoterHost();
-    if (!m_generation && isToSelf)
+    if (!m_generation && isToSelf && m_leaving == leave_phase::none)
         join(raft.generation, {});
     if (m_generation != raft.generation || !isToSelf)
         return;
+    // A leader gets this message of its own term only from a voter that asks to be released.
+    if (isLeader() && std::holds_alternative<protocol::timeout_now_request>(raft.message.body))
+        releaseVoter(raft.message.from);
     m_node->step(now, raft.message);
     drain();
 }
@@ -183,11 +190,16 @@
 void claim_group::advance(time_point now)
 {
     m_now = now;
-    if (!isVoterHost())
+    if (!isVoterHost() || hasLeft())
         return;
     if (m_node)
         m_node->advance(now);
     drain();
+    if (m_leaving == leave_phase::asked && now >= m_nextHello) {
+        continueLeaving();
+        m_nextHello = now + m_settings.helloInterval;
+        return;
+    }
     if (now >= m_nextHello) {
         if (isLeader())
             maintain();
@@ -229,9 +241,9 @@
 
 time_point claim_group::nextTimer() const
 {
-    if (!isVoterHost())
+    if (!isVoterHost() || hasLeft())
         return time_point::max();
-    const time_point hello = leaderHost() && !isLeader() ? time_point::max() : m_nextHello;
+    const time_point hello = leaderHost() && m_leaving == leave_phase::none && !isLeader() ? time_point::max() : m_nextHello;
     return m_node ? std::min(hello, m_node->nextTimer()) : hello;
 }
 
@@ -272,6 +284,51 @@
         m_node->proposeMembership(m_now, *plan);
 }
 
+// Planned leaves
+
+void claim_group::startLeaving(time_point now)
+{
+    m_now = now;
+    if (m_leaving != leave_phase::none)
+        return;
+    m_leaving = leave_phase::asked;
+    m_nextHello = now;
+    continueLeaving();
+}
+
+void claim_group::continueLeaving()
+{
+    if (!m_node || (isLeader() && m_node->membership().voters.size() == 1))
+        return finishLeaving();
+    if (isLeader())
+        return transferLeadership(m_now);
+    const std::optional<raft_member_id> leader = m_node->leader();
+    if (leader)
+        m_hooks.send(leader->host, claim_raft { *m_generation, { m_self, *leader, m_node->term(), protocol::timeout_now_request {} } });
+}
+
+void claim_group::finishLeaving()
+{
+    m_leaving = leave_phase::left;
+    leave();
+}
+
+// The bound on voters holds here too: with fewer, those who left could return and found a second generation.
+void claim_group::releaseVoter(const raft_member_id& voter)
+{
+    raft_membership wanted = m_node->membership();
+    if (!isVoter(wanted, voter)) {
+        if (m_node->commitIndex() == m_node->lastIndex())
+            sayHello(voter.host, false);
+        return;
+    }
+    if (wanted.voters.size() <= minVoters())
+        return;
+    std::erase(wanted.voters, voter);
+    m_peers.erase(voter.host);
+    m_node->proposeMembership(m_now, wanted);
+}
+
 // The Raft member
 
 void claim_group::propose(time_point now, std::string_view command)
--- a/src/coordination/internal/claim_group.h
+++ b/src/coordination/internal/claim_group.h
@@ -53,6 +53,11 @@
     void propose(time_point now, std::string_view command);
     void transferLeadership(time_point now);
 
+    // For a planned stop: hands leadership on and asks the leader to remove this voter, until hasLeft(). From then on the
+    // host takes no part in any generation.
+    void startLeaving(time_point now);
+    bool hasLeft() const { return m_leaving == leave_phase::left; }
+
     bool isLeader() const { return m_node && m_node->role() == raft_role::leader; }
     bool isMember() const { return m_node.has_value(); }
     std::optional<std::string> leaderHost() const;
@@ -60,6 +65,12 @@
     const std::optional<protocol::claim_generation>& generation() const { return m_generation; }
 
 private:
+    enum class leave_phase {
+        none,
+        asked,
+        left
+    };
+
     struct known_peer {
         std::uint64_t incarnation = 0;
         std::optional<protocol::claim_generation> generation;
@@ -78,6 +89,9 @@
     void advanceLeaderless();
     bool isWorthLeaving() const;
     void maintain();
+    void continueLeaving();
+    void finishLeaving();
+    void releaseVoter(const raft_member_id& voter);
     std::vector<raft_member_id> liveMembers() const;
     bool isLostLearner(const raft_member_id& learner) const;
     bool isFresh(const known_peer& peer) const;
@@ -95,6 +109,7 @@
     std::map<std::string, known_peer> m_peers; // by host; what its last hello said
     time_point m_ledAt; // when a leader was last known, or the generation joined, or the last one left
     time_point m_nextHello;
+    leave_phase m_leaving = leave_phase::none;
     std::uint64_t m_ledTerm = 0; // the last term in which this host was seen to lead
     std::uint64_t m_applied = 0; // index of the last entry in the state machine
     std::size_t m_logBytes = 0; // of commands applied since the log was compacted
--- a/src/coordination/tests/claim_checker_tests.cpp
+++ b/src/coordination/tests/claim_checker_tests.cpp
@@ -20,7 +20,7 @@
 bool isNoticed(const claim_mutation& mutation, claim_violation wanted)
 {
     for (std::uint64_t seed = 1; seed <= mutationSeeds; ++seed) {
-        if (claim_simulation({ seed, 25s, mutation }).run() == wanted)
+        if (claim_simulation({ seed, 25s, 3, mutation }).run() == wanted)
             return true;
     }
     return false;
@@ -42,20 +42,23 @@
 TEST_CASE("no submission is granted twice under faults")
 {
     std::uint64_t grants = 0;
+    std::uint64_t leaves = 0;
     for (std::uint64_t seed = 1; seed <= checkedSeeds; ++seed) {
         CAPTURE(seed);
-        claim_simulation simulation({ seed, 25s, {} });
+        claim_simulation simulation({ seed, 25s, seed % 4 == 0 ? 2U : 3U });
         REQUIRE(simulation.run() == claim_violation::none);
         grants += simulation.grants();
+        leaves += simulation.leaves();
     }
-    MESSAGE("grants in all seeds: " << grants);
+    MESSAGE("grants in all seeds: " << grants << ", planned leaves: " << leaves);
+    CHECK(leaves > 0);
 }
 
 TEST_CASE("after the loss of the leader the next claim is granted within 3 s")
 {
     jackdaw::protocol::duration longest {};
     for (std::uint64_t seed = 1; seed <= timedSeeds; ++seed)
-        longest = std::max(longest, claim_simulation({ seed, 0s, {} }).timeToGrantAfterLeaderLoss());
+        longest = std::max(longest, claim_simulation({ seed, 0s }).timeToGrantAfterLeaderLoss());
     MESSAGE("longest: " << longest.count() << " us");
     CHECK(longest <= 3s);
 }
@@ -64,11 +67,35 @@
 {
     jackdaw::protocol::duration longest {};
     for (std::uint64_t seed = 1; seed <= timedSeeds; ++seed)
-        longest = std::max(longest, claim_simulation({ seed, 0s, {} }).timeToGrantAfterRestartOfAll());
+        longest = std::max(longest, claim_simulation({ seed, 0s }).timeToGrantAfterRestartOfAll());
     MESSAGE("longest: " << longest.count() << " us");
     CHECK(longest <= 10s);
 }
 
+TEST_CASE("after a planned stop of a voter claims go on, also with one voter left")
+{
+    jackdaw::protocol::duration longest {};
+    for (std::uint64_t seed = 1; seed <= timedSeeds; ++seed) {
+        claim_simulation simulation({ seed, 0s, seed % 2 == 0 ? 2U : 3U });
+        longest = std::max(longest, simulation.timeToGrantAfterPlannedStop(seed % 4 < 2));
+        CHECK(simulation.leaves() == 1);
+    }
+    MESSAGE("longest: " << longest.count() << " us");
+    CHECK(longest <= 3s);
+}
+
+TEST_CASE("a second planned stop leaves no fewer voters than keep returned hosts from founding beside them")
+{
+    CHECK(claim_simulation({ 1, 0s, 3 }).leavesOfTwoStops() == 1);
+}
+
+TEST_CASE("the checker notices a planned stop without a leave")
+{
+    claim_mutation mutation;
+    mutation.stopsWithoutLeaving = true;
+    CHECK(claim_simulation({ 1, 0s, 2, mutation }).timeToGrantAfterPlannedStop(true) > 3s);
+}
+
 TEST_CASE("the checker notices a host that restarts under its old incarnation")
 {
     claim_mutation mutation;
--- a/src/coordination/tests/claim_simulation.cpp
+++ b/src/coordination/tests/claim_simulation.cpp
@@ -42,13 +42,14 @@
 {
     if (!m_settings.mutation.keepsIncarnation || host.incarnation == 0)
         host.incarnation = 1000 * m_nextIncarnation++;
+    host.isStopping = false;
     host.startedAt = m_now;
     host.frozenUntil = m_now;
     claim_service_settings settings;
     settings.host = host.name;
     settings.incarnation = host.incarnation;
     settings.seed = m_random();
-    settings.voters = voterHosts;
+    settings.voters.assign(voterHosts.begin(), voterHosts.begin() + static_cast<std::ptrdiff_t>(m_settings.voters));
     settings.maxLogBytes = 2000;
     if (m_settings.seed % 2 == 0)
         settings.retention = 8s;
@@ -67,9 +68,20 @@
 
 void claim_simulation::crash(simulated_host& host)
 {
+    if (host.service && host.isStopping && host.service->hasLeft())
+        ++m_leaves;
     host.service.reset();
 }
 
+void claim_simulation::stop(simulated_host& host)
+{
+    host.isStopping = true;
+    if (m_settings.mutation.stopsWithoutLeaving)
+        host.service->transferLeadership(m_now);
+    else
+        host.service->startLeaving(m_now);
+}
+
 claim_simulation::simulated_host& claim_simulation::hostNamed(const std::string& name)
 {
     return *std::ranges::find(m_hosts, name, &simulated_host::name);
@@ -119,6 +131,38 @@
     return timeToGrant();
 }
 
+duration claim_simulation::timeToGrantAfterPlannedStop(bool ofLeader)
+{
+    m_isFaulty = false;
+    runUntil(m_now + 8s);
+    return stopOne(ofLeader) ? timeToGrant() : duration::max();
+}
+
+std::uint64_t claim_simulation::leavesOfTwoStops()
+{
+    m_isFaulty = false;
+    runUntil(m_now + 8s);
+    stopOne(true);
+    runUntil(m_now + 3s);
+    stopOne(true);
+    return m_leaves;
+}
+
+// False when no such host was found.
+bool claim_simulation::stopOne(bool ofLeader)
+{
+    const auto stopped = std::ranges::find_if(m_hosts, [&](const simulated_host& host) {
+        return host.service && host.service->status().isLeader == ofLeader;
+    });
+    if (stopped == m_hosts.end())
+        return false;
+    stop(*stopped);
+    for (const time_point limit = m_now + 3s; m_now < limit && !stopped->service->hasLeft();)
+        runEvent();
+    crash(*stopped);
+    return true;
+}
+
 duration claim_simulation::timeToGrant()
 {
     const time_point begin = m_now;
@@ -140,7 +184,7 @@
 bool claim_simulation::doVotersAgree() const
 {
     const claim_service_status first = m_hosts.front().service->status();
-    return std::all_of(m_hosts.begin(), m_hosts.begin() + static_cast<std::ptrdiff_t>(voterHosts.size()), [&](const simulated_host& host) {
+    return std::all_of(m_hosts.begin(), m_hosts.begin() + static_cast<std::ptrdiff_t>(m_settings.voters), [&](const simulated_host& host) {
         const claim_service_status status = host.service->status();
         return status.generation == first.generation && status.claims == first.claims && status.knownSince == first.knownSince;
     });
@@ -193,13 +237,15 @@
     simulated_host& host = m_hosts[below(m_hosts.size())];
     if (!host.service)
         return start(host);
+    if (host.isStopping)
+        return crash(host);
     const std::size_t choice = below(12);
     if (choice < 3)
         return cutSomething();
     if (choice < 5)
         return m_link.heal();
     if (choice < 6)
-        return host.service->transferLeadership(m_now);
+        return happens(0.5) ? host.service->transferLeadership(m_now) : stop(host);
     if (choice < 8) {
         host.frozenUntil = m_now + std::chrono::milliseconds(below(4000));
         return;
@@ -232,7 +278,7 @@
     m_link.settings = {};
     for (simulated_host& host : m_hosts) {
         host.frozenUntil = m_now;
-        if (!host.service)
+        if (!host.service || host.isStopping)
             start(host);
     }
 }
@@ -256,7 +302,7 @@
 
 void claim_simulation::submit(simulated_host& host, client_submission& submission)
 {
-    if (!host.service || host.frozenUntil > m_now)
+    if (!host.service || host.isStopping || host.frozenUntil > m_now)
         return;
     host.service->claim(m_now, submission.id, 7, submission.submitted++ == 0);
 }
--- a/src/coordination/tests/claim_simulation.h
+++ b/src/coordination/tests/claim_simulation.h
@@ -30,13 +30,15 @@
     bool hasStaleClockAtStart = false; // a minute behind in the first seconds of a process
     bool splitsVoterLists = false; // one host believes that it is the only voter
     bool resendsAtOnce = false;
+    bool stopsWithoutLeaving = false; // only hands leadership on
     std::function<void(protocol::claim_message& message)> onMessage; // empty: none
 };
 
 struct claim_simulation_settings {
     std::uint64_t seed = 1;
     duration faultyTime = std::chrono::seconds(25);
-    claim_mutation mutation;
+    std::size_t voters = 3; // the first of the hosts
+    claim_mutation mutation {};
 };
 
 class claim_simulation {
@@ -53,6 +55,15 @@
     // The same with all hosts restarted at once.
     duration timeToGrantAfterRestartOfAll();
 
+    // The same with a planned stop of the leader, or of a voter that follows; it ends once it has left, or after 3 s.
+    duration timeToGrantAfterPlannedStop(bool ofLeader);
+
+    // Without faults: planned stops of a leader and of the next one. How many of the two left the group.
+    std::uint64_t leavesOfTwoStops();
+
+    // How many planned stops ended with a leave.
+    std::uint64_t leaves() const { return m_leaves; }
+
     std::uint64_t grants() const { return m_holders.size(); }
 
 private:
@@ -63,6 +74,7 @@
         duration clockOffset {};
         time_point startedAt;
         time_point frozenUntil;
+        bool isStopping = false; // takes no submissions any more
     };
 
     struct client_submission {
@@ -75,6 +87,8 @@
 
     void start(simulated_host& host);
     void crash(simulated_host& host);
+    void stop(simulated_host& host);
+    bool stopOne(bool ofLeader);
     simulated_host& hostNamed(const std::string& name);
     void runEvent();
     void runUntil(time_point end);
@@ -105,6 +119,7 @@
     time_point m_nextSubmission;
     bool m_isFaulty = true;
     std::uint64_t m_nextIncarnation = 1;
+    std::uint64_t m_leaves = 0;
     time_point m_secondStart; // of the messages counted
     std::size_t m_messagesInSecond = 0;
     claim_violation m_violation = claim_violation::none;
