One msgpack codec for protocol, and one body for HTTP failures

Cause: four headers bounded and read msgpack in nearly the same way (msgpack_codec.h, packed.h, internal/msgpack_fields.h, internal/msgpack_array.h), and control and entry each built the same JSON failure.

msgpack_codec.h now holds the only unpacking. What the old ones did differently is data: messageRules (malformed_request, depth 32, bytes behind the value ignored) and recordRules (corrupt_data, depth 16, such bytes refused). internal/msgpack_array.h is the one reader for arrays read by hand; next/take demand a field, read keeps the default of an absent one. packed.h and msgpack_fields.h are gone. apps/shared/failure_body.h serves both pages. One difference: every std::exception while unpacking is now a refusal, as packed.h had it; the others let any but unpack and type errors escape.

Ruled out: MSGPACK_DEFINE for the raft and claim types. It accepts arrays that lack fields, where these codecs refuse them, so the behaviour would not be the same.

The sanitizer build stopped at config_messages.cpp (maybe-uninitialized in a moved variant of drain_request); decodeConfigMessage fills one initialised variant instead, and the file compiles there.

New tests pin both sets of rules: bytes behind a value, kinds of failure, false counts, depth.

--- a/src/apps/control/control_messages.cpp
+++ b/src/apps/control/control_messages.cpp
@@ -1,7 +1,7 @@
 // Codec of the messages between control processes.
 #include "apps/control/control_messages.h"
 
-#include "protocol/packed.h"
+#include "protocol/msgpack_codec.h"
 #include "protocol/raft_codec.h"
 
 namespace jackdaw::control {
@@ -40,12 +40,12 @@
         packed.host = hello.member.host;
         packed.incarnation = hello.member.incarnation;
     }
-    return protocol::pack(packed);
+    return protocol::packMessage(packed);
 }
 
 result<control_message> decodeControlMessage(std::string_view bytes)
 {
-    auto packed = protocol::unpack<packed_message>(bytes);
+    auto packed = protocol::unpackMessage<packed_message>(bytes, protocol::recordRules);
     if (!packed)
         return packed.error();
     packed_message& message = packed.value();
--- a/src/apps/control/operator_api.cpp
+++ b/src/apps/control/operator_api.cpp
@@ -1,6 +1,7 @@
 // Maps operators' requests onto the control node, and its answers onto JSON.
 #include "apps/control/operator_api.h"
 
+#include "apps/shared/failure_body.h"
 #include "state/rules_file.h"
 
 #include <nlohmann/json.hpp>
@@ -65,19 +66,13 @@
         return { { "version", version.version }, { "change", version.changeId }, { "operator", version.operatorName } };
     }
 
-    json failureBody(error_kind kind, const std::string& detail)
-    {
-        const protocol::error_answer& row = protocol::answerFor(kind);
-        return { { "error", row.name }, { "ran", protocol::toText(row.ran) }, { "text", row.text }, { "detail", detail } };
-    }
-
     void replyToChange(const change_answer& answer, http_responder& responder)
     {
         if (answer.outcome == change_outcome::accepted)
             return reply(responder, toJson(answer.inForce));
         const bool isConflict = answer.outcome == change_outcome::conflict;
         const error_kind kind = isConflict ? error_kind::version_conflict : error_kind::malformed_request;
-        json body = failureBody(kind, isConflict ? "version " + std::to_string(answer.inForce.version) + " is in force" : "the change id belongs to another change");
+        json body = apps::failureBody(kind, isConflict ? "version " + std::to_string(answer.inForce.version) + " is in force" : "the change id belongs to another change");
         if (isConflict)
             body["winner"] = toJson(answer.inForce);
         reply(responder, body, protocol::answerFor(kind).httpStatus);
@@ -247,7 +242,7 @@
 
 void operator_api::replyFailure(const protocol::error& failure, http_responder& responder) const
 {
-    json body = failureBody(failure.kind(), failure.detail);
+    json body = apps::failureBody(failure.kind(), failure.detail);
     const auto leader = m_node.leader();
     const control_member* known = leader ? m_settings.findMember(leader->host) : nullptr;
     if (failure.kind() == error_kind::not_leader && known && known->host != m_settings.host)
--- a/src/apps/entry/http_answers.cpp
+++ b/src/apps/entry/http_answers.cpp
@@ -1,7 +1,7 @@
 // HTTP answers that are not about one job.
 #include "apps/entry/http_answers.h"
 
-#include <nlohmann/json.hpp>
+#include "apps/shared/failure_body.h"
 
 #include <utility>
 
@@ -27,10 +27,9 @@
 
 http_response failureResponse(protocol::error_kind kind, const std::string& detail)
 {
-    const protocol::error_answer& row = protocol::answerFor(kind);
-    const nlohmann::json json { { "error", row.name }, { "ran", toText(row.ran) }, { "text", row.text }, { "detail", detail } };
+    const nlohmann::json json = apps::failureBody(kind, detail);
     http_response response = jsonResponse(json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-    response.status = row.httpStatus;
+    response.status = protocol::answerFor(kind).httpStatus;
     return response;
 }
 
--- a/src/coordination/rules_store.cpp
+++ b/src/coordination/rules_store.cpp
@@ -1,7 +1,7 @@
 // Compare-and-set on the version, remembered answers, and the traces of rules.
 #include "coordination/rules_store.h"
 
-#include "protocol/packed.h"
+#include "protocol/msgpack_codec.h"
 
 #include <xxhash.h>
 
@@ -106,12 +106,12 @@
     packed_change packed { formatVersion, change.changeId, change.expectedVersion, change.operatorName, change.text, {} };
     for (const state::rule_line& line : change.lines)
         packed.lines.push_back(toPacked(line));
-    return protocol::pack(packed);
+    return protocol::packMessage(packed);
 }
 
 result<rules_change> decodeRulesChange(std::string_view bytes)
 {
-    auto packed = protocol::unpack<packed_change>(bytes);
+    auto packed = protocol::unpackMessage<packed_change>(bytes, protocol::recordRules);
     if (!packed)
         return packed.error();
     packed_change& from = packed.value();
@@ -236,12 +236,12 @@
         const auto& known = m_impl->answers.at(changeId);
         packed.answers.push_back({ changeId, known.fingerprint, static_cast<std::uint8_t>(known.answer.outcome), toPacked(known.answer.inForce) });
     }
-    return protocol::pack(packed);
+    return protocol::packMessage(packed);
 }
 
 result<rules_store> rules_store::restore(std::string_view bytes)
 {
-    auto packed = protocol::unpack<packed_store>(bytes);
+    auto packed = protocol::unpackMessage<packed_store>(bytes, protocol::recordRules);
     if (!packed)
         return packed.error();
     packed_store& from = packed.value();
--- a/src/protocol/claim_codec.cpp
+++ b/src/protocol/claim_codec.cpp
@@ -1,7 +1,7 @@
 // Writes and reads claim messages, commands and snapshots.
 #include "protocol/claim_codec.h"
 
-#include "protocol/internal/msgpack_fields.h"
+#include "protocol/internal/msgpack_array.h"
 #include "protocol/raft_codec.h"
 
 #include <algorithm>
@@ -9,6 +9,13 @@
 namespace jackdaw::protocol {
 namespace {
 
+    using internal::decodeVersioned;
+    using internal::encodeVersioned;
+    using internal::msgpack_array_reader;
+    using internal::msgpack_writer;
+    using internal::takeBytes;
+    using internal::writeBytes;
+
     constexpr std::uint32_t formatVersion = 1;
 
     // Numbers of the messages; never reused. The order is that of the variant.
@@ -26,7 +33,7 @@
         writeBytes(writer, { reinterpret_cast<const char*>(submission.data), submission.size() });
     }
 
-    submission_id takeSubmission(msgpack_fields& fields)
+    submission_id takeSubmission(msgpack_array_reader& fields)
     {
         const std::string bytes = takeBytes(fields);
         submission_id submission;
@@ -48,7 +55,7 @@
     template <typename Named>
     Named readNamed(const msgpack::object& object)
     {
-        msgpack_fields fields(object);
+        msgpack_array_reader fields(object);
         Named named;
         named.host = fields.take<std::string>();
         named.incarnation = fields.take<std::uint64_t>();
@@ -83,7 +90,7 @@
             writer.pack_nil();
     }
 
-    std::optional<unix_milliseconds> takeTime(msgpack_fields& fields)
+    std::optional<unix_milliseconds> takeTime(msgpack_array_reader& fields)
     {
         const msgpack::object& object = fields.next();
         if (object.is_nil())
@@ -101,7 +108,7 @@
 
     claim_entry readClaim(const msgpack::object& object)
     {
-        msgpack_fields fields(object);
+        msgpack_array_reader fields(object);
         claim_entry claim;
         claim.submission = takeSubmission(fields);
         claim.attempt = fields.take<std::uint64_t>();
@@ -118,7 +125,7 @@
 
     claim_batch readBatch(const msgpack::object& object)
     {
-        msgpack_fields fields(object);
+        msgpack_array_reader fields(object);
         claim_batch batch;
         batch.coordinator = readNamed<claim_coordinator>(fields.next());
         batch.claims = readEach<claim_entry>(fields.next(), readClaim);
@@ -136,7 +143,7 @@
 
     claim_answer readAnswer(const msgpack::object& object)
     {
-        msgpack_fields fields(object);
+        msgpack_array_reader fields(object);
         claim_answer answer;
         answer.submission = takeSubmission(fields);
         answer.attempt = fields.take<std::uint64_t>();
@@ -159,7 +166,7 @@
 
     claim_record readRecord(const msgpack::object& object)
     {
-        msgpack_fields fields(object);
+        msgpack_array_reader fields(object);
         claim_record record;
         record.submission = takeSubmission(fields);
         record.coordinator = fields.take<std::uint32_t>();
@@ -179,7 +186,7 @@
         writer.pack(hello.wantsReply);
     }
 
-    claim_message readHello(msgpack_fields& fields)
+    claim_message readHello(msgpack_array_reader& fields)
     {
         claim_hello hello;
         hello.incarnation = fields.take<std::uint64_t>();
@@ -196,7 +203,7 @@
         writeEach(writer, founding.voters, writeNamed<raft_member_id>);
     }
 
-    claim_message readFounding(msgpack_fields& fields)
+    claim_message readFounding(msgpack_array_reader& fields)
     {
         claim_founding founding;
         founding.generation = readNamed<claim_generation>(fields.next());
@@ -211,7 +218,7 @@
         writeBytes(writer, encode(raft.message));
     }
 
-    claim_message readRaft(msgpack_fields& fields)
+    claim_message readRaft(msgpack_array_reader& fields)
     {
         claim_raft raft;
         raft.generation = readNamed<claim_generation>(fields.next());
@@ -235,7 +242,7 @@
         writeEach(writer, reply.answers, writeAnswer);
     }
 
-    claim_message readReply(msgpack_fields& fields)
+    claim_message readReply(msgpack_array_reader& fields)
     {
         claim_reply reply;
         reply.incarnation = fields.take<std::uint64_t>();
@@ -249,7 +256,7 @@
         writer.pack(redirect.leaderHost);
     }
 
-    claim_message readBody(message_kind kind, msgpack_fields& fields)
+    claim_message readBody(message_kind kind, msgpack_array_reader& fields)
     {
         switch (kind) {
         case message_kind::hello:
@@ -268,14 +275,14 @@
         throw msgpack::type_error();
     }
 
-    claim_message readMessage(msgpack_fields& fields)
+    claim_message readMessage(msgpack_array_reader& fields)
     {
         const auto kind = static_cast<message_kind>(fields.take<std::uint8_t>());
-        msgpack_fields body(fields.next());
+        msgpack_array_reader body(fields.next());
         return readBody(kind, body);
     }
 
-    claim_command readCommand(msgpack_fields& fields)
+    claim_command readCommand(msgpack_array_reader& fields)
     {
         claim_command command;
         command.time = unix_milliseconds(fields.take<std::int64_t>());
@@ -284,7 +291,7 @@
         return command;
     }
 
-    claim_snapshot readSnapshot(msgpack_fields& fields)
+    claim_snapshot readSnapshot(msgpack_array_reader& fields)
     {
         claim_snapshot snapshot;
         snapshot.knownSince = takeTime(fields);
--- a/src/protocol/config_messages.cpp
+++ b/src/protocol/config_messages.cpp
@@ -1,7 +1,7 @@
 // Codec of the configuration messages: an array of kind, format version, and the fields.
 #include "protocol/config_messages.h"
 
-#include "protocol/packed.h"
+#include "protocol/msgpack_codec.h"
 
 namespace jackdaw::protocol {
 namespace {
@@ -38,24 +38,27 @@
     } else {
         packed.kind = static_cast<std::uint32_t>(message_kind::drain);
     }
-    return pack(packed);
+    return packMessage(packed);
 }
 
 result<config_message> decodeConfigMessage(std::string_view bytes)
 {
-    auto packed = unpack<packed_message>(bytes);
+    auto packed = unpackMessage<packed_message>(bytes, recordRules);
     if (!packed)
         return packed.error();
     packed_message& message = packed.value();
     if (message.format == 0)
         return makeError(error_kind::corrupt_data, "configuration message without a format version");
+    config_message out;
     if (message.kind == static_cast<std::uint32_t>(message_kind::push))
-        return config_message(rules_push { message.version, std::move(message.text) });
-    if (message.kind == static_cast<std::uint32_t>(message_kind::pull))
-        return config_message(rules_pull { message.version });
-    if (message.kind == static_cast<std::uint32_t>(message_kind::drain))
-        return config_message(drain_request {});
-    return makeError(error_kind::corrupt_data, "configuration message of unknown kind " + std::to_string(message.kind));
+        out = rules_push { message.version, std::move(message.text) };
+    else if (message.kind == static_cast<std::uint32_t>(message_kind::pull))
+        out = rules_pull { message.version };
+    else if (message.kind == static_cast<std::uint32_t>(message_kind::drain))
+        out = drain_request {};
+    else
+        return makeError(error_kind::corrupt_data, "configuration message of unknown kind " + std::to_string(message.kind));
+    return out;
 }
 
 } // namespace jackdaw::protocol
--- a/src/protocol/internal/msgpack_array.h
+++ b/src/protocol/internal/msgpack_array.h
@@ -1,71 +1,125 @@
-// Checked reading of msgpack arrays field by field: absent fields keep their defaults, trailing ones are ignored.
+// Reading and writing of msgpack arrays field by field, with a format version in front where one is wanted.
 #pragma once
 
-#include <msgpack.hpp>
+#include "protocol/msgpack_codec.h"
 
+#include <cstdint>
 #include <string>
-#include <type_traits>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jackdaw::protocol::internal {
 
+using msgpack_writer = msgpack::packer<msgpack::sbuffer>;
+
+// Reads the fields of one array in order; trailing ones are ignored. Throws msgpack::type_error on a wrong type.
 class msgpack_array_reader {
 public:
     explicit msgpack_array_reader(const msgpack::object& object)
-        : m_object(object)
-        , m_hasFailed(object.type != msgpack::type::ARRAY)
     {
+        if (object.type != msgpack::type::ARRAY)
+            throw msgpack::type_error();
+        m_next = object.via.array.ptr;
+        m_left = object.via.array.size;
     }
 
-    bool hasFailed() const { return m_hasFailed; }
-    void fail() { m_hasFailed = true; }
-
     // The next field, or null when the array ends before it.
-    const msgpack::object* next()
+    const msgpack::object* nextIfAny()
     {
-        if (m_hasFailed || m_position >= m_object.via.array.size)
+        if (m_left == 0)
             return nullptr;
-        return &m_object.via.array.ptr[m_position++];
+        --m_left;
+        return m_next++;
     }
 
-    // Reads the next field as a number, a flag or a string.
-    template <typename Value>
-    void read(Value& out)
+    // The next field, which must be there.
+    const msgpack::object& next()
     {
-        const msgpack::object* field = next();
+        const msgpack::object* field = nextIfAny();
         if (!field)
-            return;
-        try {
+            throw msgpack::type_error();
+        return *field;
+    }
+
+    template <typename T>
+    T take()
+    {
+        return next().as<T>();
+    }
+
+    // Reads the next field; keeps the value when the array ends before it.
+    template <typename T>
+    void read(T& out)
+    {
+        if (const msgpack::object* field = nextIfAny())
             field->convert(out);
-        } catch (const msgpack::type_error&) {
-            m_hasFailed = true;
-        }
     }
 
-    // Reads the next field as an array of records, each by a function that returns false on failure.
+    // Reads the next field, if any, as an array of arrays, each by a function.
     template <typename Record, typename Function>
     void readRecords(std::vector<Record>& out, Function readRecord)
     {
-        const msgpack::object* field = next();
+        const msgpack::object* field = nextIfAny();
         if (!field)
             return;
         if (field->type != msgpack::type::ARRAY)
-            return fail();
+            throw msgpack::type_error();
         out.reserve(field->via.array.size);
         for (const msgpack::object& element : field->via.array) {
             msgpack_array_reader inner(element);
             Record record;
             readRecord(inner, record);
-            if (inner.hasFailed())
-                return fail();
             out.push_back(std::move(record));
         }
     }
 
 private:
-    const msgpack::object& m_object;
-    std::uint32_t m_position = 0;
-    bool m_hasFailed;
+    const msgpack::object* m_next = nullptr;
+    std::size_t m_left = 0; // fields not yet taken
 };
 
+inline void writeBytes(msgpack_writer& writer, std::string_view bytes)
+{
+    writer.pack_bin(static_cast<std::uint32_t>(bytes.size()));
+    writer.pack_bin_body(bytes.data(), static_cast<std::uint32_t>(bytes.size()));
+}
+
+inline std::string takeBytes(msgpack_array_reader& fields)
+{
+    const msgpack::object& object = fields.next();
+    if (object.type != msgpack::type::BIN)
+        throw msgpack::type_error();
+    return { object.via.bin.ptr, object.via.bin.size };
+}
+
+// write(writer) packs the fields after the version.
+template <typename Write>
+std::string encodeVersioned(std::uint32_t version, std::uint32_t fields, Write write)
+{
+    msgpack::sbuffer buffer;
+    msgpack_writer writer(buffer);
+    writer.pack_array(fields + 1);
+    writer.pack(version);
+    write(writer);
+    return { buffer.data(), buffer.size() };
+}
+
+// read(fields) builds the value from the fields after the version; name tells people what could not be read.
+template <typename Read>
+auto decodeVersioned(std::uint32_t version, std::string_view bytes, std::string_view name, Read read)
+    -> result<decltype(read(std::declval<msgpack_array_reader&>()))>
+{
+    constexpr unpack_rules rules { error_kind::corrupt_data, recordRules.maxDepth, false, "" };
+    auto value = unpackWith(bytes, rules, [&](const msgpack::object& object) {
+        msgpack_array_reader fields(object);
+        if (fields.take<std::uint32_t>() != version)
+            throw msgpack::type_error();
+        return read(fields);
+    });
+    if (!value)
+        return makeError(error_kind::corrupt_data, std::string(name) + " can't be read");
+    return value;
+}
+
 } // namespace jackdaw::protocol::internal
--- a/src/protocol/mesh_messages.cpp
+++ b/src/protocol/mesh_messages.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     using internal::msgpack_array_reader;
-    using packer = msgpack::packer<msgpack::sbuffer>;
+    using packer = internal::msgpack_writer;
 
     constexpr std::uint32_t formatVersion = 1;
     constexpr std::uint32_t headFields = 2; // version and kind
@@ -46,16 +46,15 @@
 
     void packSubmission(packer& out, const submission_id& id)
     {
-        out.pack_bin(static_cast<std::uint32_t>(id.size()));
-        out.pack_bin_body(reinterpret_cast<const char*>(id.data), static_cast<std::uint32_t>(id.size()));
+        internal::writeBytes(out, { reinterpret_cast<const char*>(id.data), id.size() });
     }
 
     void readSubmission(msgpack_array_reader& in, submission_id& out)
     {
-        const msgpack::object* field = in.next();
-        if (!field || field->type != msgpack::type::BIN || field->via.bin.size != out.size())
-            return in.fail();
-        std::copy_n(field->via.bin.ptr, out.size(), reinterpret_cast<char*>(out.data));
+        const std::string bytes = internal::takeBytes(in);
+        if (bytes.size() != out.size())
+            throw msgpack::type_error();
+        std::copy(bytes.begin(), bytes.end(), out.begin());
     }
 
     // Resources.
@@ -102,13 +101,8 @@
     void readRelayed(msgpack_array_reader& in, relayed_announcement& out)
     {
         readDuration(in, out.age);
-        const msgpack::object* content = in.next();
-        if (!content)
-            return in.fail();
-        msgpack_array_reader inner(*content);
+        msgpack_array_reader inner(in.next());
         readAnnouncement(inner, out.content);
-        if (inner.hasFailed())
-            in.fail();
     }
 
     // Heartbeats.
@@ -192,7 +186,7 @@
         in.read(out.job.bodyHash);
         in.readRecords(out.job.tasks, readTask);
         if (out.job.tasks.empty() || out.job.deadline <= duration::zero())
-            in.fail();
+            throw msgpack::type_error();
         return out;
     }
 
@@ -232,17 +226,7 @@
     job_results readResults(msgpack_array_reader& in)
     {
         job_results out;
-        const msgpack::object* bodies = in.next();
-        if (!bodies || bodies->type != msgpack::type::ARRAY) {
-            in.fail();
-            return out;
-        }
-        msgpack_array_reader inner(*bodies);
-        out.bodies.resize(bodies->via.array.size);
-        for (std::string& body : out.bodies)
-            inner.read(body);
-        if (inner.hasFailed())
-            in.fail();
+        out.bodies = in.take<std::vector<std::string>>();
         return out;
     }
 
@@ -288,7 +272,7 @@
         in.read(out.bytes);
         in.read(out.scope);
         if (service > static_cast<std::uint32_t>(mesh_service::configuration))
-            in.fail();
+            throw msgpack::type_error();
         out.service = static_cast<mesh_service>(service);
         return out;
     }
@@ -307,27 +291,20 @@
         case message_kind::service:
             return readService(in);
         }
-        in.fail();
-        return {};
+        throw msgpack::type_error();
     }
 
-    // The message with its envelope, as the codec sees it.
-    struct envelope {
-        mesh_message message;
-
-        // Called by the codec library, which takes an exception for a failure.
-        void msgpack_unpack(const msgpack::object& object)
-        {
-            msgpack_array_reader in(object);
-            std::uint32_t version = 0;
-            std::uint32_t kind = 0;
-            in.read(version);
-            in.read(kind);
-            message = readBody(static_cast<message_kind>(kind), in);
-            if (in.hasFailed() || version == 0)
-                throw msgpack::type_error();
-        }
-    };
+    mesh_message readMessage(const msgpack::object& object)
+    {
+        msgpack_array_reader in(object);
+        std::uint32_t version = 0;
+        std::uint32_t kind = 0;
+        in.read(version);
+        in.read(kind);
+        if (version == 0)
+            throw msgpack::type_error();
+        return readBody(static_cast<message_kind>(kind), in);
+    }
 
 } // namespace
 
@@ -341,10 +318,7 @@
 
 result<mesh_message> decodeMeshMessage(std::string_view bytes)
 {
-    auto unpacked = unpackMessage<envelope>(bytes);
-    if (!unpacked)
-        return unpacked.error();
-    return std::move(unpacked.value().message);
+    return unpackWith(bytes, messageRules, readMessage);
 }
 
 std::uint64_t contentHash(const announcement& announcement)
--- a/src/protocol/msgpack_codec.h
+++ b/src/protocol/msgpack_codec.h
@@ -1,15 +1,32 @@
-// Packs typed messages with msgpack and unpacks bytes that can't be trusted.
+// Packs typed messages with msgpack and unpacks bytes that can't be trusted. Types that declare their fields with
+// MSGPACK_DEFINE_ARRAY ignore the fields that a newer release appended and keep the defaults of those an older one lacks.
 #pragma once
 
 #include "protocol/result.h"
 
 #include <msgpack.hpp>
 
+#include <exception>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace jackdaw::protocol {
 
+// How bytes are unpacked and how a failure is told.
+struct unpack_rules {
+    error_kind failure;
+    std::size_t maxDepth; // of arrays and maps within each other
+    bool refusesTrailingBytes;
+    std::string_view failurePrefix;
+};
+
+// Messages of a peer or client; bytes behind the message are ignored.
+constexpr unpack_rules messageRules { error_kind::malformed_request, 32, false, "" };
+
+// Values that the service wrote itself: the bytes are exactly one value.
+constexpr unpack_rules recordRules { error_kind::corrupt_data, 16, true, "packed value: " };
+
 template <typename Message>
 std::string packMessage(const Message& message)
 {
@@ -18,22 +35,31 @@
     return { buffer.data(), buffer.size() };
 }
 
-// malformed_request when the bytes are no such message. Trailing fields of a later version are ignored.
-template <typename Message>
-result<Message> unpackMessage(std::string_view bytes)
+// read(object) builds the value from the unpacked object, which refers to the bytes; it may throw msgpack::type_error.
+template <typename Read>
+auto unpackWith(std::string_view bytes, const unpack_rules& rules, Read read)
+    -> result<decltype(read(std::declval<const msgpack::object&>()))>
 {
-    constexpr std::size_t maxDepth = 32;
-    // Every element takes at least one byte: a larger count is false and must not be allocated.
-    const std::size_t limit = bytes.size();
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), nullptr, nullptr,
-            msgpack::unpack_limit(limit, limit, limit, limit, limit, maxDepth));
-        return handle.get().as<Message>();
-    } catch (const msgpack::unpack_error& failure) {
-        return makeError(error_kind::malformed_request, failure.what());
-    } catch (const msgpack::type_error& failure) {
-        return makeError(error_kind::malformed_request, failure.what());
+        // Every element takes at least one byte: a larger count is false and must not be allocated.
+        const std::size_t most = bytes.size();
+        const msgpack::unpack_limit limit(most, most, most, most, most, rules.maxDepth);
+        const auto refersToBytes = [](auto, auto, auto) { return true; };
+        std::size_t offset = 0;
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset, refersToBytes, nullptr, limit);
+        if (rules.refusesTrailingBytes && offset != bytes.size())
+            return makeError(rules.failure, "bytes follow the packed value");
+        return read(handle.get());
+    } catch (const std::exception& failure) {
+        return makeError(rules.failure, std::string(rules.failurePrefix) + failure.what());
     }
 }
 
+// The rules' failure when the bytes are no such message. Trailing fields of a later version are ignored.
+template <typename Message>
+result<Message> unpackMessage(std::string_view bytes, const unpack_rules& rules = messageRules)
+{
+    return unpackWith(bytes, rules, [](const msgpack::object& object) { return object.as<Message>(); });
+}
+
 } // namespace jackdaw::protocol
--- a/src/protocol/raft_codec.cpp
+++ b/src/protocol/raft_codec.cpp
@@ -1,11 +1,18 @@
 // Writes and reads the replicated log's messages and records.
 #include "protocol/raft_codec.h"
 
-#include "protocol/internal/msgpack_fields.h"
+#include "protocol/internal/msgpack_array.h"
 
 namespace jackdaw::protocol {
 namespace {
 
+    using internal::decodeVersioned;
+    using internal::encodeVersioned;
+    using internal::msgpack_array_reader;
+    using internal::msgpack_writer;
+    using internal::takeBytes;
+    using internal::writeBytes;
+
     constexpr std::uint32_t formatVersion = 1;
     constexpr std::uint32_t entryFields = 5;
     constexpr std::uint32_t snapshotFields = 4;
@@ -30,7 +37,7 @@
 
     raft_member_id readMember(const msgpack::object& object)
     {
-        msgpack_fields fields(object);
+        msgpack_array_reader fields(object);
         raft_member_id member;
         member.host = fields.take<std::string>();
         member.incarnation = fields.take<std::uint64_t>();
@@ -63,7 +70,7 @@
 
     raft_membership readMembership(const msgpack::object& object)
     {
-        msgpack_fields fields(object);
+        msgpack_array_reader fields(object);
         raft_membership membership;
         membership.voters = readMembers(fields.next());
         membership.learners = readMembers(fields.next());
@@ -83,7 +90,7 @@
             writer.pack_nil();
     }
 
-    raft_entry readEntry(msgpack_fields& fields)
+    raft_entry readEntry(msgpack_array_reader& fields)
     {
         raft_entry entry;
         entry.index = fields.take<std::uint64_t>();
@@ -106,7 +113,7 @@
         writeBytes(writer, snapshot.data);
     }
 
-    raft_snapshot readSnapshot(msgpack_fields& fields)
+    raft_snapshot readSnapshot(msgpack_array_reader& fields)
     {
         raft_snapshot snapshot;
         snapshot.index = fields.take<std::uint64_t>();
@@ -164,7 +171,7 @@
         writer.pack_array(0);
     }
 
-    vote_request readVoteRequest(msgpack_fields& fields)
+    vote_request readVoteRequest(msgpack_array_reader& fields)
     {
         vote_request request;
         request.preVote = fields.take<bool>();
@@ -174,7 +181,7 @@
         return request;
     }
 
-    vote_reply readVoteReply(msgpack_fields& fields)
+    vote_reply readVoteReply(msgpack_array_reader& fields)
     {
         vote_reply reply;
         reply.preVote = fields.take<bool>();
@@ -182,7 +189,7 @@
         return reply;
     }
 
-    append_request readAppendRequest(msgpack_fields& fields)
+    append_request readAppendRequest(msgpack_array_reader& fields)
     {
         append_request request;
         request.previousIndex = fields.take<std::uint64_t>();
@@ -192,13 +199,13 @@
         if (entries.type != msgpack::type::ARRAY)
             throw msgpack::type_error();
         for (std::uint32_t i = 0; i < entries.via.array.size; ++i) {
-            msgpack_fields entryReader(entries.via.array.ptr[i]);
+            msgpack_array_reader entryReader(entries.via.array.ptr[i]);
             request.entries.push_back(readEntry(entryReader));
         }
         return request;
     }
 
-    append_reply readAppendReply(msgpack_fields& fields)
+    append_reply readAppendReply(msgpack_array_reader& fields)
     {
         append_reply reply;
         reply.accepted = fields.take<bool>();
@@ -207,7 +214,7 @@
         return reply;
     }
 
-    void readBody(raft_message& message, body_kind kind, msgpack_fields& fields)
+    void readBody(raft_message& message, body_kind kind, msgpack_array_reader& fields)
     {
         switch (kind) {
         case body_kind::vote_request:
@@ -232,19 +239,19 @@
         throw msgpack::type_error();
     }
 
-    raft_message readMessage(msgpack_fields& fields)
+    raft_message readMessage(msgpack_array_reader& fields)
     {
         raft_message message;
         message.from = readMember(fields.next());
         message.to = readMember(fields.next());
         message.term = fields.take<std::uint64_t>();
         const auto kind = static_cast<body_kind>(fields.take<std::uint8_t>());
-        msgpack_fields body(fields.next());
+        msgpack_array_reader body(fields.next());
         readBody(message, kind, body);
         return message;
     }
 
-    raft_hard_state readHardState(msgpack_fields& fields)
+    raft_hard_state readHardState(msgpack_array_reader& fields)
     {
         raft_hard_state state;
         state.term = fields.take<std::uint64_t>();
--- /dev/null
+++ b/src/protocol/tests/msgpack_codec_tests.cpp
@@ -0,0 +1,37 @@
+// Tests of the bounds on unpacked bytes.
+#include "protocol/msgpack_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <cstdint>
+#include <vector>
+
+using namespace jackdaw::protocol;
+
+namespace {
+
+using numbers = std::vector<std::uint32_t>;
+
+} // namespace
+
+TEST_CASE("only records refuse bytes behind the value, and each failure has its kind")
+{
+    const std::string bytes = packMessage(numbers { 1, 2 });
+    CHECK(unpackMessage<numbers>(bytes).value() == numbers { 1, 2 });
+    CHECK(unpackMessage<numbers>(bytes, recordRules).value() == numbers { 1, 2 });
+    CHECK(unpackMessage<numbers>(bytes + "x").value() == numbers { 1, 2 });
+    CHECK(unpackMessage<numbers>(bytes + "x", recordRules).error().kind() == error_kind::corrupt_data);
+    CHECK(unpackMessage<numbers>("\xa1x").error().kind() == error_kind::malformed_request);
+    CHECK(unpackMessage<numbers>("\xa1x", recordRules).error().kind() == error_kind::corrupt_data);
+}
+
+TEST_CASE("counts beyond the bytes and deep nesting are refused")
+{
+    for (const unpack_rules& rules : { messageRules, recordRules }) {
+        CHECK_FALSE(unpackMessage<numbers>("\xdd\xff\xff\xff\xff", rules)); // an array that claims 4 G elements
+        CHECK_FALSE(unpackMessage<std::string>("\xdb\xff\xff\xff\xff", rules)); // a string that claims 4 GB
+        const auto ignore = [](const msgpack::object& /*object*/) { return true; };
+        CHECK(unpackWith(std::string(rules.maxDepth - 1, '\x91') + '\x01', rules, ignore));
+        CHECK_FALSE(unpackWith(std::string(rules.maxDepth + 1, '\x91') + '\x01', rules, ignore));
+    }
+}
