Let time pass after a refusal in the test of next to no run times

Cause: the test's clock stood still while jobs were refused, so it said nothing of the ageing of samples. Now 1 ms passes after each job. The test of aged samples fails on the old code.

--- a/src/coordination/tests/admission_tests.cpp
+++ b/src/coordination/tests/admission_tests.cpp
@@ -99,6 +99,7 @@
                 fixture.core.report(fixture.now, { running[i].task, running[i].upstream, task_outcome::finished, "", {} });
             }
         }
+        fixture.pass(1ms); // also after a refusal
     }
     CHECK(refused == 0);
 }
