--- a/src/coordination/tests/claim_checker_tests.cpp
+++ b/src/coordination/tests/claim_checker_tests.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr std::uint64_t checkedSeeds = 1000;
+constexpr std::uint64_t twoVoterSeeds = 100; // more, after the others
 constexpr std::uint64_t timedSeeds = 200;
 constexpr std::uint64_t mutationSeeds = 400;
 
@@ -43,9 +44,9 @@
 {
     std::uint64_t grants = 0;
     std::uint64_t leaves = 0;
-    for (std::uint64_t seed = 1; seed <= checkedSeeds; ++seed) {
+    for (std::uint64_t seed = 1; seed <= checkedSeeds + twoVoterSeeds; ++seed) {
         CAPTURE(seed);
-        claim_simulation simulation({ seed, 25s, seed % 4 == 0 ? 2U : 3U });
+        claim_simulation simulation({ seed, 25s, seed > checkedSeeds ? 2U : 3U });
         REQUIRE(simulation.run() == claim_violation::none);
         grants += simulation.grants();
         leaves += simulation.leaves();
--- a/src/coordination/tests/claim_simulation.cpp
+++ b/src/coordination/tests/claim_simulation.cpp
@@ -239,17 +239,19 @@
         return start(host);
     if (host.isStopping)
         return crash(host);
-    const std::size_t choice = below(12);
+    const std::size_t choice = below(13);
     if (choice < 3)
         return cutSomething();
     if (choice < 5)
         return m_link.heal();
     if (choice < 6)
-        return happens(0.5) ? host.service->transferLeadership(m_now) : stop(host);
+        return host.service->transferLeadership(m_now);
     if (choice < 8) {
         host.frozenUntil = m_now + std::chrono::milliseconds(below(4000));
         return;
     }
+    if (choice == 12)
+        return stop(host);
     crash(host);
     if (choice == 11) {
         for (simulated_host& other : m_hosts)
