Control: a lost incarnation never returns to the group as a learner

Cause: heardMembers kept a killed incarnation until the silence limit. Once it was voted out, planReplacement found it live and neither voter nor learner, and took it in again; control_group_test failed on that once ('members' named a host twice). Ruled out: a pause after each replacement (a late message would still bring it back). Now each host has one incarnation, the newest heard; late messages of a replaced one change nothing (heard_members).

--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -1,6 +1,7 @@
 // Drives the replicated log: stores, then sends, then applies.
 #include "apps/control/control_node.h"
 
+#include "apps/control/heard_members.h"
 #include "coordination/raft_replacement.h"
 
 #include <algorithm>
@@ -69,7 +70,7 @@
 
     std::optional<rules_store> served; // after a reopening: the newer one of before, until the log has caught up
     std::map<std::uint64_t, pending_change> pending; // by log index
-    std::map<raft_member_id, time_point> heardMembers;
+    heard_members heardMembers { memberSilenceLimit };
     std::string storageFailure; // not empty: nothing is stored, sent or applied
     time_point reopenAt; // valid while storageFailure is set
 
@@ -245,12 +246,11 @@
 
 void control_node::impl::replaceMembers(time_point now)
 {
-    std::erase_if(heardMembers, [now](const auto& heard) { return heard.second + memberSilenceLimit < now; });
-    if (raft->role() != raft_role::leader || heardMembers.empty())
+    if (raft->role() != raft_role::leader)
+        return;
+    const std::vector<raft_member_id> live = heardMembers.live(now);
+    if (live.empty())
         return;
-    std::vector<raft_member_id> live;
-    for (const auto& [member, heardAt] : heardMembers)
-        live.push_back(member);
     const auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
     if (plan)
         raft->proposeMembership(now, *plan);
@@ -273,7 +273,7 @@
 void control_node::hearMember(time_point now, const raft_member_id& member)
 {
     if (member.host != m_impl->selfId.host)
-        m_impl->heardMembers[member] = now;
+        m_impl->heardMembers.hear(now, member);
 }
 
 void control_node::advance(time_point now)
--- /dev/null
+++ b/src/apps/control/heard_members.h
@@ -0,0 +1,37 @@
+// Which members of the control group were heard lately: one incarnation of each host.
+#pragma once
+
+#include "protocol/raft_messages.h"
+#include "protocol/time.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jackdaw::control {
+
+class heard_members {
+public:
+    // A member that was not heard for so long is not live.
+    explicit heard_members(protocol::duration silenceLimit);
+
+    // The first message of a new incarnation replaces the host's former one. Late messages of a replaced incarnation are
+    // ignored: it has ended, and must not be taken into the group again.
+    void hear(protocol::time_point now, const protocol::raft_member_id& member);
+
+    std::vector<protocol::raft_member_id> live(protocol::time_point now) const;
+
+private:
+    struct heard_host {
+        std::uint64_t incarnation = 0;
+        protocol::time_point heardAt;
+        std::deque<std::uint64_t> replaced; // former incarnations, newest last; bounded
+    };
+
+    std::map<std::string, heard_host> m_hosts;
+    protocol::duration m_silenceLimit;
+};
+
+} // namespace jackdaw::control
