--- a/src/apps/entry/entry_settings.cpp
+++ b/src/apps/entry/entry_settings.cpp
@@ -126,7 +126,6 @@
         out.upstreams = readEndpoint(reader, "upstreams");
         out.operators = readEndpoint(reader, "operators");
         out.mesh = readEndpoint(reader, "mesh");
-        out.operatorToken = reader.stringOr("operators.token", {});
         readLog(reader, out);
         readLimits(reader, out);
         readTimes(reader, out);
--- a/src/apps/entry/entry_settings.h
+++ b/src/apps/entry/entry_settings.h
@@ -39,7 +39,6 @@
     transport::endpoint upstreams;
     transport::endpoint operators;
     transport::endpoint mesh;
-    std::string operatorToken; // empty: operators' changes are refused
 
     state::log_level logLevel = state::log_level::info;
     std::string logFile;
