--- a/src/transport/internal/mesh_listener.cpp
+++ b/src/transport/internal/mesh_listener.cpp
@@ -42,8 +42,8 @@
         std::string bytes(static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message));
         nng_msg_free(message);
         self->loop.post([weak = self->weak_from_this(), bytes = std::move(bytes)]() mutable {
-            if (const std::shared_ptr<impl> listener = weak.lock())
-                listener->onBytes(std::move(bytes));
+            if (const std::shared_ptr<impl> held = weak.lock())
+                held->onBytes(std::move(bytes));
         });
         nng_recv_aio(self->socket, self->operation);
     }
