--- /dev/null
+++ b/src/coordination/internal/raft_election.cpp
@@ -0,0 +1,158 @@
+// Terms, votes and the transfer of leadership.
+#include "coordination/internal/raft_node_impl.h"
+
+#include <algorithm>
+
+namespace jackdaw::coordination {
+
+void raft_node::impl::resetElectionDeadline()
+{
+    std::uniform_int_distribution<duration::rep> wait(settings.minElectionTimeout.count(), settings.maxElectionTimeout.count());
+    electionDeadline = now + duration(wait(random));
+}
+
+void raft_node::impl::becomeFollower(std::uint64_t term, std::optional<raft_member_id> newLeader)
+{
+    if (term > hardState.term)
+        hardState = { term, std::nullopt };
+    if (isLeader || phase != vote_phase::none || newLeader != leader)
+        resetElectionDeadline();
+    isLeader = false;
+    phase = vote_phase::none;
+    votes.clear();
+    peers.clear();
+    transferTarget.reset();
+    leader = std::move(newLeader);
+}
+
+void raft_node::impl::loseLeader()
+{
+    if (isSelfVoter())
+        campaign(vote_phase::pre_vote, false);
+    else
+        leader.reset();
+}
+
+void raft_node::impl::campaign(vote_phase newPhase, bool isTransfer)
+{
+    becomeFollower(hardState.term, std::nullopt);
+    resetElectionDeadline();
+    phase = newPhase;
+    if (phase == vote_phase::vote)
+        hardState = { hardState.term + 1, settings.self };
+    const bool isPreVote = phase == vote_phase::pre_vote;
+    const vote_request request { isPreVote, isTransfer, log.lastIndex(), log.lastTerm() };
+    for (const raft_member_id& voter : log.membership().voters) {
+        if (voter != settings.self)
+            send(voter, request, hardState.term + (isPreVote ? 1 : 0));
+    }
+    countVote(settings.self);
+}
+
+void raft_node::impl::countVote(const raft_member_id& voter)
+{
+    votes.insert(voter);
+    const auto granted = std::ranges::count_if(log.membership().voters, [this](const raft_member_id& member) { return votes.contains(member); });
+    if (static_cast<std::size_t>(granted) < majorityOf(log.membership()))
+        return;
+    if (phase == vote_phase::pre_vote)
+        campaign(vote_phase::vote, false);
+    else
+        becomeLeader();
+}
+
+void raft_node::impl::becomeLeader()
+{
+    phase = vote_phase::none;
+    votes.clear();
+    isLeader = true;
+    leader = settings.self;
+    quorumCheckAt = now + settings.minElectionTimeout;
+    firstOfTerm = log.lastIndex() + 1;
+    updatePeers();
+    appendOwn({ 0, 0, raft_entry_kind::noop, {}, {} });
+}
+
+bool raft_node::impl::isSticky() const
+{
+    return isLeader || (leader && now - leaderContact < settings.minElectionTimeout);
+}
+
+bool raft_node::impl::isUpToDate(const vote_request& request) const
+{
+    return std::pair(request.lastTerm, request.lastIndex) >= std::pair(log.lastTerm(), log.lastIndex());
+}
+
+void raft_node::impl::handle(const raft_message& message, const vote_request& request)
+{
+    if (request.preVote) {
+        const bool granted = message.term > hardState.term && isUpToDate(request);
+        send(message.from, vote_reply { true, granted }, granted ? message.term : hardState.term);
+        return;
+    }
+    const bool isFree = !hardState.vote || hardState.vote == message.from;
+    const bool granted = isFree && !isLeader && isUpToDate(request);
+    if (granted) {
+        hardState.vote = message.from;
+        resetElectionDeadline();
+    }
+    send(message.from, vote_reply { false, granted }, hardState.term);
+}
+
+void raft_node::impl::handle(const raft_message& message, const vote_reply& reply)
+{
+    const vote_phase asked = reply.preVote ? vote_phase::pre_vote : vote_phase::vote;
+    const std::uint64_t askedTerm = hardState.term + (reply.preVote ? 1 : 0);
+    if (reply.granted && phase == asked && message.term == askedTerm)
+        countVote(message.from);
+}
+
+void raft_node::impl::handle(const raft_message& /*message*/, const timeout_now_request& /*request*/)
+{
+    if (isSelfVoter() && !isLeader)
+        campaign(vote_phase::vote, true);
+}
+
+void raft_node::impl::startTransfer()
+{
+    if (!isLeader || transferTarget)
+        return;
+    std::uint64_t best = 0;
+    for (const raft_member_id& voter : log.membership().voters) {
+        if (voter == settings.self || !isReachable(voter) || (transferTarget && peers[voter].match <= best))
+            continue;
+        best = peers[voter].match;
+        transferTarget = voter;
+    }
+    transferDeadline = now + settings.maxElectionTimeout;
+    continueTransfer();
+}
+
+void raft_node::impl::continueTransfer()
+{
+    if (transferTarget && peers[*transferTarget].match == log.lastIndex())
+        send(*transferTarget, timeout_now_request {}, hardState.term);
+}
+
+void raft_node::impl::answerStale(const raft_message& message)
+{
+    const auto* request = std::get_if<vote_request>(&message.body);
+    if (request && request->preVote)
+        send(message.from, vote_reply { true, false }, hardState.term);
+    if (std::holds_alternative<append_request>(message.body) || std::holds_alternative<snapshot_request>(message.body))
+        send(message.from, append_reply { false, 0, 0 }, hardState.term);
+}
+
+bool raft_node::impl::adoptTerm(const raft_message& message)
+{
+    const auto* request = std::get_if<vote_request>(&message.body);
+    if (request && !request->transfer && isSticky())
+        return false;
+    const auto* reply = std::get_if<vote_reply>(&message.body);
+    const bool isQuestion = (request && request->preVote) || (reply && reply->preVote && reply->granted);
+    if (!isQuestion)
+        becomeFollower(message.term, std::nullopt);
+    return true;
+}
+
+} // namespace jackdaw::coordination
