--- a/src/coordination/claim_service.h
+++ b/src/coordination/claim_service.h
@@ -31,9 +31,9 @@
     protocol::unix_milliseconds retention = std::chrono::minutes(15); // longer than any deadline plus resubmissions
     protocol::unix_milliseconds clockMargin = std::chrono::seconds(1); // between the clocks of clients and hosts
     std::size_t maxLogBytes = 4 * 1024 * 1024; // of applied commands that are kept for voters that lag
-    duration heartbeat = std::chrono::milliseconds(100);
-    duration minElectionTimeout = std::chrono::milliseconds(500);
-    duration maxElectionTimeout = std::chrono::milliseconds(1000);
+    duration heartbeat = std::chrono::milliseconds(200);
+    duration minElectionTimeout = std::chrono::milliseconds(700);
+    duration maxElectionTimeout = std::chrono::milliseconds(1400);
 };
 
 enum class claim_verdict {
