--- a/cmake/JackdawTargets.cmake
+++ b/cmake/JackdawTargets.cmake
@@ -3,7 +3,9 @@
 add_library(jackdaw_options INTERFACE)
 target_compile_options(jackdaw_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wzero-as-null-pointer-constant -Werror)
 target_include_directories(jackdaw_options INTERFACE ${CMAKE_SOURCE_DIR}/src)
+set(JACKDAW_TEST_TIMEOUT 300) # seconds; ends a test that hangs
 if(JACKDAW_SANITIZE)
+    set(JACKDAW_TEST_TIMEOUT 1200)
     # With sanitizers g++ 12 warns of uninitialized and overlapping objects inside headers of Boost and of its own library.
     target_compile_options(jackdaw_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all
         -Wno-error=maybe-uninitialized -Wno-error=restrict)
@@ -31,5 +33,5 @@
     add_executable(${name} ${ARG_SOURCES})
     target_link_libraries(${name} PRIVATE jackdaw_options jackdaw_doctest_main ${ARG_LIBRARIES})
     add_test(NAME ${name} COMMAND ${name})
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    set_tests_properties(${name} PROPERTIES TIMEOUT ${JACKDAW_TEST_TIMEOUT})
 endfunction()
