Scenario runner: one verb for cutting and healing

Cause: cut and heal, and the same for zones, were the same function twice with another constant. They are templates on it now. Names and behaviour of the verbs are unchanged. Measured: the scenarios cut_zone_serves_its_own, silent_links_between_hosts and cancel_wave pass, the file is linted; the rest of ctest was not run again.

--- a/tests/scenarios/runner/scenario_verbs.cpp
+++ b/tests/scenarios/runner/scenario_verbs.cpp
@@ -109,27 +109,17 @@
         return 0;
     }
 
-    int cut(lua_State* lua, scenario& target)
+    template <bool IsCut>
+    int setCut(lua_State* lua, scenario& target)
     {
-        target.setCut(argument(lua, 1), argument(lua, 2), true);
+        target.setCut(argument(lua, 1), argument(lua, 2), IsCut);
         return 0;
     }
 
-    int heal(lua_State* lua, scenario& target)
+    template <bool IsCut>
+    int setZonesCut(lua_State* lua, scenario& target)
     {
-        target.setCut(argument(lua, 1), argument(lua, 2), false);
-        return 0;
-    }
-
-    int cutZones(lua_State* lua, scenario& target)
-    {
-        target.setZonesCut(argument(lua, 1), argument(lua, 2), true);
-        return 0;
-    }
-
-    int healZones(lua_State* lua, scenario& target)
-    {
-        target.setZonesCut(argument(lua, 1), argument(lua, 2), false);
+        target.setZonesCut(argument(lua, 1), argument(lua, 2), IsCut);
         return 0;
     }
 
@@ -258,10 +248,10 @@
     add<&exitCode>(lua, target, "exit_code");
     add<&upstreams>(lua, target, "upstreams");
     add<&fault>(lua, target, "fault");
-    add<&cut>(lua, target, "cut");
-    add<&heal>(lua, target, "heal");
-    add<&cutZones>(lua, target, "cut_zones");
-    add<&healZones>(lua, target, "heal_zones");
+    add<&setCut<true>>(lua, target, "cut");
+    add<&setCut<false>>(lua, target, "heal");
+    add<&setZonesCut<true>>(lua, target, "cut_zones");
+    add<&setZonesCut<false>>(lua, target, "heal_zones");
     add<&silence>(lua, target, "silence");
     add<&newSubmission>(lua, target, "new_submission");
     add<&submit>(lua, target, "submit");
