--- a/cmake/JackdawTargets.cmake
+++ b/cmake/JackdawTargets.cmake
@@ -29,6 +29,9 @@
 
 # jackdaw_test(NAME SOURCES... LIBRARIES...): the one test program of a library; doctest's main is linked in.
 function(jackdaw_test name)
+    if(JACKDAW_PLATFORM_ONLY)
+        return()
+    endif()
     cmake_parse_arguments(ARG "" "" "SOURCES;LIBRARIES" ${ARGN})
     add_executable(${name} ${ARG_SOURCES})
     target_link_libraries(${name} PRIVATE jackdaw_options jackdaw_doctest_main ${ARG_LIBRARIES})
--- /dev/null
+++ b/src/apps/cell_host/cell_host_settings.cpp
@@ -0,0 +1,56 @@
+// Reads the settings of a cell host.
+#include "apps/cell_host/cell_host_settings.h"
+
+#include "apps/shared/settings_list.h"
+#include "apps/shared/zone_address.h"
+#include "state/settings_reader.h"
+
+namespace jackdaw::cell_host {
+namespace {
+
+    constexpr double millicoresPerCore = 1000;
+    constexpr double millisecondsPerSecond = 1000;
+
+    protocol::duration toDuration(double milliseconds)
+    {
+        return std::chrono::duration_cast<protocol::duration>(std::chrono::duration<double, std::milli>(milliseconds));
+    }
+
+    void readEndpoint(state::settings_reader& reader, std::string_view key, transport::endpoint& out)
+    {
+        auto address = apps::parseEndpoint(reader.requiredString(key));
+        if (address)
+            out = std::move(address.value());
+        else
+            reader.fail(key, address.error().detail);
+    }
+
+} // namespace
+
+protocol::result<cell_host_settings> readCellHostSettings(const std::string& path)
+{
+    auto opened = state::settings_reader::open(path);
+    if (!opened)
+        return opened.error();
+    state::settings_reader& reader = opened.value();
+    cell_host_settings settings;
+    settings.name = reader.requiredString("name");
+    settings.host = reader.requiredString("host");
+    settings.zone = reader.requiredString("zone");
+    settings.processorMillicores = static_cast<std::uint32_t>(reader.numberOr("processor_cores", 1, 0.01, 1024) * millicoresPerCore);
+    for (transport::endpoint& seed : apps::readList<transport::endpoint>(reader, "seeds", apps::parseEndpoint))
+        settings.seeds.push_back(std::move(seed.host));
+    readEndpoint(reader, "callers", settings.callers);
+    readEndpoint(reader, "readiness", settings.readiness);
+    settings.meshPort = static_cast<std::uint16_t>(reader.requiredInteger("entry_mesh_port", 1, 65535));
+    settings.controlMeshPort = static_cast<std::uint16_t>(reader.requiredInteger("control_mesh_port", 1, 65535));
+    settings.maxLease = toDuration(reader.numberOr("max_lease_ms", 1000, 100, 60000));
+    settings.stopTime = toDuration(reader.numberOr("task_stop_ms", 50, 1, 60000));
+    settings.grace = toDuration(reader.numberOr("grace_s", 6, 0.1, 600) * millisecondsPerSecond);
+    settings.logLevel = state::parseLogLevel(reader.stringOr("log_level", "info"));
+    if (auto finished = reader.finish(); !finished)
+        return finished.error();
+    return settings;
+}
+
+} // namespace jackdaw::cell_host
--- /dev/null
+++ b/src/apps/cell_host/cell_host_settings.h
@@ -0,0 +1,34 @@
+// Settings of a cell host: an entry host that finds the others by the control hosts. The keys are documented in
+// docs/OPERATIONS.md.
+#pragma once
+
+#include "protocol/result.h"
+#include "protocol/time.h"
+#include "state/log.h"
+#include "transport/http_client.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jackdaw::cell_host {
+
+struct cell_host_settings {
+    std::string name; // for logs
+    std::string host; // IP address; names the host in the mesh
+    std::string zone;
+    std::uint32_t processorMillicores = 0;
+    std::vector<std::string> seeds; // IP addresses of control hosts
+    transport::endpoint callers;
+    transport::endpoint readiness;
+    std::uint16_t meshPort = 0; // of every entry host
+    std::uint16_t controlMeshPort = 0; // of every control host
+    protocol::duration maxLease {}; // of what runs on an upstream
+    protocol::duration stopTime {}; // in which an upstream ends a stopped task
+    protocol::duration grace {}; // from SIGTERM to the end by force
+    state::log_level logLevel = state::log_level::info;
+};
+
+protocol::result<cell_host_settings> readCellHostSettings(const std::string& path);
+
+} // namespace jackdaw::cell_host
--- /dev/null
+++ b/src/apps/cell_host/upstream_driver.h
@@ -0,0 +1,20 @@
+// How the upstreams are called: another module speaks their protocol.
+#pragma once
+
+#include "coordination/cells/upstream_calls.h"
+
+#include <functional>
+
+namespace jackdaw::cell_host {
+
+// Each completion runs once, on the loop's thread, and never before the call has returned.
+struct upstream_driver {
+    using call_completion = std::function<void(const cells::call_answer& answer)>;
+    using look_completion = std::function<void(const cells::look_answer& answer)>;
+
+    std::function<void(const cells::start_order& order, call_completion done)> start;
+    std::function<void(const cells::stop_order& order, call_completion done)> stop;
+    std::function<void(const cells::look_order& order, look_completion done)> look;
+};
+
+} // namespace jackdaw::cell_host
--- a/src/apps/control/control_process.cpp
+++ b/src/apps/control/control_process.cpp
@@ -4,6 +4,7 @@
 #include "apps/control/control_messages.h"
 #include "apps/control/operator_api.h"
 #include "apps/control/rules_publisher.h"
+#include "apps/shared/zone_address.h"
 #include "protocol/mesh_messages.h"
 #include "state/log.h"
 #include "transport/event_loop.h"
@@ -28,11 +29,6 @@
     constexpr protocol::duration pushAgainInterval = std::chrono::milliseconds(200);
     constexpr protocol::duration handOverTime = std::chrono::milliseconds(500); // for the transfer of leadership at a stop
 
-    std::string toText(const transport::endpoint& address)
-    {
-        return address.host + ':' + std::to_string(address.port);
-    }
-
     std::vector<std::string> entryNames(const control_settings& settings)
     {
         std::vector<std::string> names;
@@ -82,7 +78,7 @@
         transport::mesh_settings out;
         out.host = protocol::controlMeshName(settings.host);
         out.incarnation = seed;
-        out.listenAddress = toText(settings.self().mesh);
+        out.listenAddress = apps::toText(settings.self().mesh);
         return out;
     }
 
@@ -127,10 +123,10 @@
         return listening;
     for (const control_member& member : settings.members) {
         if (member.host != settings.host)
-            links.setPeer(protocol::controlMeshName(member.host), toText(member.mesh));
+            links.setPeer(protocol::controlMeshName(member.host), apps::toText(member.mesh));
     }
     for (const entry_address& entry : settings.entries)
-        links.setPeer(entry.host, toText(entry.mesh));
+        links.setPeer(entry.host, apps::toText(entry.mesh));
     return boost::outcome_v2::success();
 }
 
@@ -145,7 +141,7 @@
     });
     publish();
     rearm();
-    logEvent(log_level::info, "started", { { "host", settings.host }, { "incarnation", std::to_string(node.self().incarnation) }, { "operators", toText(settings.self().operators) } });
+    logEvent(log_level::info, "started", { { "host", settings.host }, { "incarnation", std::to_string(node.self().incarnation) }, { "operators", apps::toText(settings.self().operators) } });
     loop.run();
     logEvent(log_level::info, "stopped", { { "host", settings.host } });
 }
--- a/src/apps/control/main.cpp
+++ b/src/apps/control/main.cpp
@@ -1,12 +1,11 @@
 // jackdaw-control: keeps the rules and the membership on the hosts with a disk, replicated.
 #include "apps/control/control_process.h"
 #include "apps/control/group_probe.h"
+#include "apps/control/storage_opening.h"
 #include "apps/shared/command_line.h"
 #include "state/log.h"
 
-#include <filesystem>
 #include <iostream>
-#include <random>
 #include <span>
 
 using namespace jackdaw;
@@ -14,7 +13,6 @@
 namespace {
 
 constexpr std::string_view programName = "jackdaw-control";
-constexpr std::uint64_t incarnationMask = (1ULL << 62) - 1;
 
 int fail(const protocol::error& failure)
 {
@@ -22,48 +20,13 @@
     return apps::exitFailed;
 }
 
-std::uint64_t randomNumber()
-{
-    std::random_device device;
-    return ((static_cast<std::uint64_t>(device()) << 32) | device()) & incarnationMask;
-}
-
-// A member whose acknowledged entries are gone must not vote as the one that acknowledged them: its folder is set aside,
-// and it returns as a new incarnation.
-protocol::result<control::control_storage> rejoin(const control::storage_settings& settings)
-{
-    const std::string aside = settings.folder + ".set-aside-" + std::to_string(protocol::unixNow().count());
-    std::error_code failure;
-    std::filesystem::rename(settings.folder, aside, failure);
-    if (failure)
-        return protocol::makeError(protocol::error_kind::storage_failed, settings.folder + ": can't be set aside: " + failure.message());
-    state::logEvent(state::log_level::error, "acknowledged_entries_lost", { { "set_aside", aside } });
-    if (const auto created = control::control_storage::create(settings, randomNumber(), false); !created)
-        return created.error();
-    return control::control_storage::open(settings);
-}
-
-protocol::result<control::control_storage> openStorage(const control::storage_settings& settings)
-{
-    bool isOnlyVoter = false;
-    {
-        auto opened = control::control_storage::open(settings);
-        if (!opened || !opened.value().hasLostEntries())
-            return opened;
-        isOnlyVoter = opened.value().membership().voters.size() <= 1;
-    }
-    if (isOnlyVoter)
-        return protocol::makeError(protocol::error_kind::corrupt_data, settings.folder + ": acknowledged entries are missing, and no other voter is known to have them; see 'Lost disk' in the operators' page");
-    return rejoin(settings);
-}
-
 int create(const control::control_settings& settings, bool isFounder)
 {
     if (isFounder) {
         if (const std::string host = control::findGroupMember(settings); !host.empty())
             return fail(protocol::makeError(protocol::error_kind::version_conflict, "'" + host + "' belongs to the group '" + settings.group + "' already: use --join"));
     }
-    if (const auto created = control::control_storage::create({ settings.dataFolder, settings.host, settings.group, {} }, randomNumber(), isFounder); !created)
+    if (const auto created = control::control_storage::create({ settings.dataFolder, settings.host, settings.group, {} }, control::randomIncarnation(), isFounder); !created)
         return fail(created.error());
     std::cout << settings.dataFolder << (isFounder ? ": new group '" : ": new member for group '") << settings.group << "'\n";
     return apps::exitDone;
@@ -72,10 +35,10 @@
 int serve(control::control_settings settings, control::operator_tokens tokens)
 {
     state::configureLog({ settings.logLevel, std::string(programName), settings.logFile });
-    auto storage = openStorage({ settings.dataFolder, settings.host, settings.group, {} });
+    auto storage = control::openStorage({ settings.dataFolder, settings.host, settings.group, {} });
     if (!storage)
         return fail(storage.error());
-    control::control_process process(std::move(settings), std::move(tokens), std::move(storage.value()), randomNumber());
+    control::control_process process(std::move(settings), std::move(tokens), std::move(storage.value()), control::randomIncarnation());
     if (const auto opened = process.open(); !opened)
         return fail(opened.error());
     process.run();
--- a/src/apps/control/operator_api.cpp
+++ b/src/apps/control/operator_api.cpp
@@ -2,6 +2,7 @@
 #include "apps/control/operator_api.h"
 
 #include "apps/shared/failure_body.h"
+#include "apps/shared/zone_address.h"
 #include "state/rules_file.h"
 
 #include <nlohmann/json.hpp>
@@ -48,11 +49,6 @@
         return "learner";
     }
 
-    std::string toText(const transport::endpoint& address)
-    {
-        return address.host + ':' + std::to_string(address.port);
-    }
-
     void reply(http_responder& responder, const json& body, int status = 200)
     {
         http_response response;
@@ -232,7 +228,7 @@
         json out = json::array();
         for (const raft_member_id& member : members) {
             const control_member* known = m_settings.findMember(member.host);
-            out.push_back({ { "host", member.host }, { "incarnation", member.incarnation }, { "address", known ? toText(known->operators) : "" } });
+            out.push_back({ { "host", member.host }, { "incarnation", member.incarnation }, { "address", known ? apps::toText(known->operators) : "" } });
         }
         return out;
     };
@@ -246,7 +242,7 @@
     const auto leader = m_node.leader();
     const control_member* known = leader ? m_settings.findMember(leader->host) : nullptr;
     if (failure.kind() == error_kind::not_leader && known && known->host != m_settings.host)
-        body["leader"] = { { "host", known->host }, { "address", toText(known->operators) } };
+        body["leader"] = { { "host", known->host }, { "address", apps::toText(known->operators) } };
     reply(responder, body, protocol::answerFor(failure.kind()).httpStatus);
 }
 
--- /dev/null
+++ b/src/apps/control/storage_opening.h
@@ -0,0 +1,17 @@
+// Opens the data folder of a control member; one that lost acknowledged entries rejoins as a new incarnation.
+#pragma once
+
+#include "apps/control/control_storage.h"
+#include "protocol/result.h"
+
+#include <cstdint>
+
+namespace jackdaw::control {
+
+// A number for an incarnation, from the system's random device.
+std::uint64_t randomIncarnation();
+
+// corrupt_data when entries are lost that no other voter is known to have.
+protocol::result<control_storage> openStorage(const storage_settings& settings);
+
+} // namespace jackdaw::control
--- /dev/null
+++ b/src/apps/hub/host_directory.cpp
@@ -0,0 +1,114 @@
+// Directory of hosts and upstreams.
+#include "apps/hub/host_directory.h"
+
+#include <algorithm>
+
+namespace jackdaw::hub {
+namespace {
+
+    constexpr duration silenceLimit = std::chrono::seconds(5); // ten hellos
+    constexpr duration repeatFor = std::chrono::seconds(3); // two reports of a leaving upstream come in it
+    constexpr duration fullInterval = std::chrono::seconds(1); // hosts that a lost batch left unknown
+
+} // namespace
+
+host_directory::host_directory(std::string self)
+    : m_self(std::move(self))
+{
+}
+
+bool host_directory::hearEntry(time_point now, const protocol::entry_hello& hello)
+{
+    const auto [found, isNew] = m_entries.try_emplace(hello.host);
+    const bool isBack = isNew || now - found->second.heardAt > silenceLimit;
+    m_hasNewHosts = m_hasNewHosts || isBack;
+    found->second = { hello, now };
+    return isBack;
+}
+
+bool host_directory::hearControl(time_point now, const protocol::control_hello& hello)
+{
+    const auto [found, isNew] = m_controls.try_emplace(hello.host);
+    const bool isBack = isNew || now - found->second.heardAt > silenceLimit;
+    m_hasNewHosts = m_hasNewHosts || isBack;
+    found->second = { hello, now };
+    return isBack;
+}
+
+bool host_directory::hearUpstream(time_point now, const protocol::upstream_report& report)
+{
+    const auto [found, isNew] = m_upstreams.try_emplace(report.id);
+    heard_upstream& known = found->second;
+    const bool isOlder = report.bornUnixMs < known.report.bornUnixMs
+        || (report.bornUnixMs == known.report.bornUnixMs && report.sequence <= known.report.sequence);
+    if (!isNew && isOlder)
+        return false;
+    known = { report, now, false };
+    return true;
+}
+
+void host_directory::forgetUpstream(std::string_view id)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    found->second.report.isLeaving = true;
+    found->second.isTold = false;
+}
+
+bool host_directory::hasNews(time_point now) const
+{
+    if (m_hasNewHosts || now - m_lastBatch >= fullInterval)
+        return true;
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& item) { return !item.second.isTold; });
+}
+
+protocol::directory_update host_directory::takeBatch(time_point now)
+{
+    protocol::directory_update update { liveEntries(now), liveControls(now), {} };
+    update.controlHosts.push_back(m_self);
+    for (auto& [id, upstream] : m_upstreams) {
+        const bool isRepeated = upstream.report.isLeaving && now - upstream.heardAt <= repeatFor;
+        if (!upstream.isTold || isRepeated)
+            update.reports.push_back(upstream.report);
+        upstream.isTold = true;
+    }
+    std::erase_if(m_upstreams, [now](const auto& item) { return now - item.second.heardAt > 2 * silenceLimit; });
+    m_hasNewHosts = false;
+    m_lastBatch = now;
+    return update;
+}
+
+std::vector<std::string> host_directory::liveEntries(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [host, entry] : m_entries) {
+        if (now - entry.heardAt <= silenceLimit)
+            out.push_back(host);
+    }
+    return out;
+}
+
+std::vector<std::string> host_directory::liveControls(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [host, control] : m_controls) {
+        if (now - control.heardAt <= silenceLimit)
+            out.push_back(host);
+    }
+    return out;
+}
+
+std::string host_directory::operatorAddressOf(std::string_view controlHost) const
+{
+    const auto found = m_controls.find(controlHost);
+    return found == m_controls.end() ? std::string() : found->second.hello.operatorAddress;
+}
+
+std::uint64_t host_directory::versionOf(std::string_view entryHost) const
+{
+    const auto found = m_entries.find(entryHost);
+    return found == m_entries.end() ? 0 : found->second.hello.configurationVersion;
+}
+
+} // namespace jackdaw::hub
--- /dev/null
+++ b/src/apps/hub/host_directory.h
@@ -0,0 +1,67 @@
+// What a control host knows of the entry hosts, the other control hosts and the upstreams, and what it tells whom.
+//
+// Load pattern: some hundred reports a second from upstreams, links that lose a message now and then. Reports go out in
+// batches; those of leaving upstreams are repeated, because work that is sent to one of them is lost with it.
+#pragma once
+
+#include "protocol/cell_messages.h"
+#include "protocol/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jackdaw::hub {
+
+using protocol::duration;
+using protocol::time_point;
+
+class host_directory {
+public:
+    explicit host_directory(std::string self);
+
+    // True when the host was not known, or had not been heard for the silence limit.
+    bool hearEntry(time_point now, const protocol::entry_hello& hello);
+    bool hearControl(time_point now, const protocol::control_hello& hello);
+
+    // False when an upstream said something newer before.
+    bool hearUpstream(time_point now, const protocol::upstream_report& report);
+
+    // The upstream has ended.
+    void forgetUpstream(std::string_view id);
+
+    // What is new since the last batch; empty reports when nothing is.
+    protocol::directory_update takeBatch(time_point now);
+    bool hasNews(time_point now) const;
+
+    std::vector<std::string> liveEntries(time_point now) const;
+    std::vector<std::string> liveControls(time_point now) const; // without this host
+    std::string operatorAddressOf(std::string_view controlHost) const; // empty when unknown
+    std::uint64_t versionOf(std::string_view entryHost) const;
+
+private:
+    struct heard_entry {
+        protocol::entry_hello hello;
+        time_point heardAt;
+    };
+    struct heard_control {
+        protocol::control_hello hello;
+        time_point heardAt;
+    };
+    struct heard_upstream {
+        protocol::upstream_report report;
+        time_point heardAt;
+        bool isTold = false; // in a batch already
+    };
+
+    std::string m_self;
+    std::map<std::string, heard_entry, std::less<>> m_entries;
+    std::map<std::string, heard_control, std::less<>> m_controls;
+    std::map<std::string, heard_upstream, std::less<>> m_upstreams;
+    bool m_hasNewHosts = false;
+    time_point m_lastBatch;
+};
+
+} // namespace jackdaw::hub
--- /dev/null
+++ b/src/apps/hub/hub_process.cpp
@@ -0,0 +1,330 @@
+// One event loop: mesh, replicated log, directory, timers, signals.
+#include "apps/hub/hub_process.h"
+
+#include "apps/control/control_messages.h"
+#include "apps/control/control_node.h"
+#include "apps/control/storage_opening.h"
+#include "apps/hub/host_directory.h"
+#include "apps/shared/zone_address.h"
+#include "protocol/config_messages.h"
+#include "state/log.h"
+#include "transport/mesh.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+
+namespace jackdaw::hub {
+
+using protocol::cell_message;
+using protocol::controlMeshName;
+using protocol::error_kind;
+using protocol::makeError;
+using protocol::result;
+using protocol::steadyNow;
+using state::log_level;
+using state::logEvent;
+
+namespace {
+
+    constexpr auto groupName = "hubs";
+    constexpr duration helloInterval = std::chrono::milliseconds(500);
+    constexpr duration batchInterval = std::chrono::milliseconds(100); // a twentieth of the time an upstream drains
+    constexpr duration handOverTime = std::chrono::milliseconds(500); // for the transfer of leadership at a stop
+    constexpr duration changeTimeout = std::chrono::milliseconds(900); // operators' tools wait a second for an answer
+    constexpr duration linkSilenceLimit = std::chrono::milliseconds(900); // shorter than the longest election timeout
+    constexpr std::size_t fullGroup = 3; // voters before the first change is accepted, if there are as many seeds
+
+    bool isFounder(const hub_settings& settings)
+    {
+        return settings.isFirstStart && !settings.seeds.empty() && *std::min_element(settings.seeds.begin(), settings.seeds.end()) == settings.host;
+    }
+
+} // namespace
+
+class hub_process::impl {
+public:
+    impl(hub_settings wanted, control::control_storage storage, std::uint64_t incarnation)
+        : settings(std::move(wanted))
+        , links(loop, meshSettings(incarnation), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
+        , directory(settings.host)
+        , node(nodeSettings(incarnation), std::move(storage), nodeHooks(), steadyNow())
+    {
+    }
+
+    const hub_settings settings;
+    transport::event_loop loop;
+    transport::mesh links;
+    host_directory directory;
+    control::control_node node;
+    std::unique_ptr<transport::event_loop::timer> nodeTimer;
+    std::unique_ptr<transport::event_loop::timer> helloTimer;
+    std::unique_ptr<transport::event_loop::timer> batchTimer;
+    std::unique_ptr<transport::event_loop::timer> stopTimer;
+    bool wasLeader = false;
+    std::string loggedFailure;
+    std::uint64_t changeNumber = 0;
+
+    transport::mesh_settings meshSettings(std::uint64_t incarnation) const
+    {
+        transport::mesh_settings out;
+        out.host = controlMeshName(settings.host);
+        out.incarnation = incarnation;
+        out.listenAddress = settings.host + ':' + std::to_string(settings.meshPort);
+        out.silenceLimit = linkSilenceLimit;
+        return out;
+    }
+
+    control::control_node_settings nodeSettings(std::uint64_t incarnation) const
+    {
+        control::control_node_settings out;
+        out.storage = { settings.dataFolder, settings.host, groupName, {} };
+        out.seed = incarnation;
+        out.changeTimeout = changeTimeout;
+        return out;
+    }
+
+    control::control_node_hooks nodeHooks()
+    {
+        return { [this](const protocol::raft_message& message) { sendRaft(message); }, [this] { publish(); } };
+    }
+
+    void sendRaft(const protocol::raft_message& message)
+    {
+        sendToControl(message.to.host, protocol::group_message { control::encode({ groupName, message }) });
+    }
+
+    void sendToControl(const std::string& host, const cell_message& message)
+    {
+        links.send(controlMeshName(host), protocol::encodeCellMessage(message));
+    }
+
+    void addControl(const std::string& host)
+    {
+        if (host != settings.host)
+            links.setPeer(controlMeshName(host), host + ':' + std::to_string(settings.meshPort));
+    }
+
+    void onDelivery(const transport::mesh_delivery& delivery);
+    void onEntryHello(const protocol::entry_hello& hello);
+    void onControlHello(const protocol::control_hello& hello);
+    void onGroupMessage(const protocol::group_message& message);
+    void publish();
+    void push(const std::string& entry);
+    void sayHello();
+    void sendBatch();
+    void rearm();
+    void logChanges();
+    void stop();
+    void change(configuration wanted, change_completion done);
+};
+
+void hub_process::impl::onDelivery(const transport::mesh_delivery& delivery)
+{
+    const auto message = protocol::decodeCellMessage(delivery.body);
+    if (!message)
+        return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(delivery.sender) }, { "reason", message.error().detail } });
+    if (const auto* hello = std::get_if<protocol::entry_hello>(&message.value()))
+        return onEntryHello(*hello);
+    if (const auto* hello = std::get_if<protocol::control_hello>(&message.value()))
+        onControlHello(*hello);
+    else if (const auto* group = std::get_if<protocol::group_message>(&message.value()))
+        onGroupMessage(*group);
+    rearm();
+}
+
+void hub_process::impl::onEntryHello(const protocol::entry_hello& hello)
+{
+    links.setPeer(hello.host, hello.host + ':' + std::to_string(settings.entryMeshPort));
+    if (directory.hearEntry(steadyNow(), hello))
+        logEvent(log_level::info, "entry_host_heard", { { "host", hello.host }, { "version", std::to_string(hello.configurationVersion) } });
+    if (hello.configurationVersion < node.rules().inForce().version)
+        push(hello.host);
+}
+
+void hub_process::impl::onControlHello(const protocol::control_hello& hello)
+{
+    addControl(hello.host);
+    if (directory.hearControl(steadyNow(), hello))
+        logEvent(log_level::info, "control_host_heard", { { "host", hello.host }, { "incarnation", std::to_string(hello.incarnation) } });
+    node.hearMember(steadyNow(), { hello.host, hello.incarnation });
+}
+
+void hub_process::impl::onGroupMessage(const protocol::group_message& message)
+{
+    const auto decoded = control::decodeControlMessage(message.bytes);
+    if (!decoded)
+        return logEvent(log_level::warning, "damaged_message", { { "reason", decoded.error().detail } });
+    if (const auto* raft = std::get_if<protocol::raft_message>(&decoded.value().body))
+        node.step(steadyNow(), *raft);
+}
+
+void hub_process::impl::publish()
+{
+    logEvent(log_level::info, "configuration_stored", { { "version", std::to_string(node.rules().inForce().version) } });
+    if (!node.isServingLeader())
+        return; // the others answer hellos
+    for (const std::string& entry : directory.liveEntries(steadyNow()))
+        push(entry);
+}
+
+void hub_process::impl::push(const std::string& entry)
+{
+    links.send(entry, protocol::encodeCellMessage(protocol::configuration_push { node.rules().inForce().version, node.rules().text() }));
+}
+
+void hub_process::impl::sayHello()
+{
+    const protocol::control_hello hello { settings.host, node.self().incarnation, apps::toText(settings.operators) };
+    std::vector<std::string> known = directory.liveControls(steadyNow());
+    known.insert(known.end(), settings.seeds.begin(), settings.seeds.end());
+    std::sort(known.begin(), known.end());
+    known.erase(std::unique(known.begin(), known.end()), known.end());
+    for (const std::string& host : known)
+        sendToControl(host, hello);
+}
+
+void hub_process::impl::sendBatch()
+{
+    const time_point now = steadyNow();
+    if (!directory.hasNews(now))
+        return;
+    const std::string bytes = protocol::encodeCellMessage(directory.takeBatch(now));
+    for (const std::string& entry : directory.liveEntries(now))
+        links.send(entry, bytes);
+}
+
+void hub_process::impl::rearm()
+{
+    logChanges();
+    const auto delay = std::max(node.nextTimer() - steadyNow(), duration::zero());
+    nodeTimer = loop.after(delay, [this] {
+        node.advance(steadyNow());
+        rearm();
+    });
+}
+
+void hub_process::impl::logChanges()
+{
+    const control::control_node_status status = node.status();
+    if (status.storageFailure != loggedFailure) {
+        loggedFailure = status.storageFailure;
+        logEvent(loggedFailure.empty() ? log_level::info : log_level::error, loggedFailure.empty() ? "storage_reopened" : "storage_failed", { { "reason", loggedFailure } });
+    }
+    const bool isLeader = status.role == coordination::raft_role::leader;
+    if (isLeader != wasLeader)
+        logEvent(log_level::info, isLeader ? "leadership_won" : "leadership_ended", { { "term", std::to_string(status.term) }, { "voters", std::to_string(node.membership().voters.size()) } });
+    wasLeader = isLeader;
+}
+
+void hub_process::impl::stop()
+{
+    if (stopTimer)
+        return;
+    logEvent(log_level::info, "stopping", { { "leader", wasLeader ? "yes" : "no" } });
+    node.transferLeadership(steadyNow());
+    stopTimer = loop.after(wasLeader ? handOverTime : duration::zero(), [this] { loop.stop(); });
+}
+
+void hub_process::impl::change(configuration wanted, change_completion done)
+{
+    const std::size_t enough = std::min(fullGroup, settings.seeds.size());
+    if (node.isServingLeader() && node.membership().voters.size() < enough)
+        return done(makeError(error_kind::not_leader, "the group is not complete yet"));
+    coordination::rules_change change;
+    change.changeId = settings.host + '/' + std::to_string(++changeNumber);
+    change.operatorName = "operator";
+    change.text = std::move(wanted.text);
+    change.ownVersion = wanted.version;
+    node.change(steadyNow(), change, [done = std::move(done)](const result<coordination::change_answer>& answer) {
+        if (answer)
+            return done(boost::outcome_v2::success());
+        done(answer.error());
+    });
+    rearm();
+}
+
+result<control::control_storage> hub_process::openStorage(const hub_settings& settings)
+{
+    const control::storage_settings storage { settings.dataFolder, settings.host, groupName, {} };
+    std::error_code failure;
+    const bool exists = std::filesystem::exists(settings.dataFolder, failure);
+    if (exists)
+        return control::openStorage(storage);
+    const bool founds = isFounder(settings);
+    if (const auto created = control::control_storage::create(storage, control::randomIncarnation(), founds); !created)
+        return created.error();
+    logEvent(log_level::info, "data_folder_made", { { "folder", settings.dataFolder }, { "founder", founds ? "yes" : "no" } });
+    return control::openStorage(storage);
+}
+
+hub_process::hub_process(hub_settings settings, control::control_storage storage, std::uint64_t incarnation)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(storage), incarnation))
+{
+}
+hub_process::~hub_process() = default;
+
+transport::event_loop& hub_process::loop()
+{
+    return m_impl->loop;
+}
+
+result<void> hub_process::open()
+{
+    if (auto listening = m_impl->links.listen(); !listening)
+        return listening;
+    for (const std::string& seed : m_impl->settings.seeds)
+        m_impl->addControl(seed);
+    return boost::outcome_v2::success();
+}
+
+void hub_process::run()
+{
+    impl& self = *m_impl;
+    self.loop.onSignal(SIGTERM, [&self] { self.stop(); });
+    self.loop.onSignal(SIGINT, [&self] { self.stop(); });
+    self.helloTimer = self.loop.every(helloInterval, [&self] { self.sayHello(); });
+    self.batchTimer = self.loop.every(batchInterval, [&self] { self.sendBatch(); });
+    self.sayHello();
+    self.rearm();
+    logEvent(log_level::info, "started", { { "host", self.settings.host }, { "incarnation", std::to_string(self.node.self().incarnation) }, { "version", std::to_string(self.node.rules().inForce().version) } });
+    self.loop.run();
+    logEvent(log_level::info, "stopped", { { "host", self.settings.host } });
+}
+
+void hub_process::replaceConfiguration(configuration wanted, change_completion done)
+{
+    m_impl->change(std::move(wanted), std::move(done));
+}
+
+// A change with version 0 changes nothing; once a majority has stored it, everything accepted before is known here.
+void hub_process::readConfiguration(read_completion done)
+{
+    m_impl->change({}, [this, done = std::move(done)](const result<void>& outcome) {
+        if (!outcome)
+            return done(outcome.error());
+        done(configuration { m_impl->node.rules().inForce().version, m_impl->node.rules().text() });
+    });
+}
+
+std::string hub_process::leaderAddress() const
+{
+    const auto leader = m_impl->node.leader();
+    if (!leader || leader->host == m_impl->settings.host)
+        return {};
+    return m_impl->directory.operatorAddressOf(leader->host);
+}
+
+void hub_process::hearUpstream(const protocol::upstream_report& report)
+{
+    if (m_impl->directory.hearUpstream(steadyNow(), report) && report.isLeaving)
+        logEvent(log_level::info, "upstream_leaving", { { "upstream", report.id }, { "sequence", std::to_string(report.sequence) } });
+}
+
+void hub_process::forgetUpstream(const std::string& id)
+{
+    logEvent(log_level::info, "upstream_ended", { { "upstream", id } });
+    m_impl->directory.forgetUpstream(id);
+}
+
+} // namespace jackdaw::hub
--- /dev/null
+++ b/src/apps/hub/hub_settings.h
@@ -0,0 +1,28 @@
+// Settings of a hub: a control host that finds its group by seeds. The keys are documented in docs/OPERATIONS.md.
+#pragma once
+
+#include "protocol/result.h"
+#include "state/log.h"
+#include "transport/http_client.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace jackdaw::hub {
+
+struct hub_settings {
+    std::string name; // for logs
+    std::string host; // IP address; names the host in its group and in the mesh
+    std::string dataFolder;
+    std::vector<std::string> seeds; // IP addresses of control hosts
+    bool isFirstStart = false; // of the whole system, with empty disks
+    transport::endpoint operators; // operators and upstreams call here
+    std::uint16_t meshPort = 0; // of every control host
+    std::uint16_t entryMeshPort = 0; // of every entry host
+    state::log_level logLevel = state::log_level::info;
+};
+
+protocol::result<hub_settings> readHubSettings(const std::string& path);
+
+} // namespace jackdaw::hub
--- a/src/apps/shared/zone_address.cpp
+++ b/src/apps/shared/zone_address.cpp
@@ -23,6 +23,11 @@
     return transport::endpoint { std::string(text.substr(0, colon)), port };
 }
 
+std::string toText(const transport::endpoint& address)
+{
+    return address.host + ':' + std::to_string(address.port);
+}
+
 result<zone_address> parseZoneAddress(std::string_view text)
 {
     const auto equals = text.find('=');
--- a/src/apps/shared/zone_address.h
+++ b/src/apps/shared/zone_address.h
@@ -19,6 +19,9 @@
 // Reads "ip:port".
 protocol::result<transport::endpoint> parseEndpoint(std::string_view text);
 
+// "ip:port".
+std::string toText(const transport::endpoint& address);
+
 // Reads "zone=ip:port" or "ip:port".
 protocol::result<zone_address> parseZoneAddress(std::string_view text);
 
--- /dev/null
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -0,0 +1,299 @@
+// Passes over waiting jobs, starts and their answers, timers.
+#include "coordination/cells/cell_dispatcher.h"
+
+#include "coordination/cells/internal/cell_admission.h"
+#include "coordination/cells/internal/cell_dispatcher_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdaw::cells {
+
+using internal::run_state;
+using internal::task_state;
+using protocol::resource_vector;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr duration busyInterval = milliseconds(20); // an eighth of the shortest objective seen, 156 ms
+    constexpr duration idleInterval = milliseconds(250);
+    constexpr duration settleTime = milliseconds(1600); // lease and drift, and one interval of the upstreams' reports
+    constexpr duration refusalClosure = milliseconds(200); // doubled with each refusal in a row
+    constexpr int maxRefusalDoublings = 4;
+    constexpr std::uint32_t supersededJump = 16; // past the runs that an owner before the last can have started
+
+} // namespace
+
+cell_dispatcher::impl::impl(cell_settings wanted, cell_hooks wantedHooks, time_point now)
+    : settings(std::move(wanted))
+    , hooks(std::move(wantedHooks))
+    , ownedSince(now)
+{
+}
+
+void cell_dispatcher::impl::note(std::string_view event, std::string_view subject, std::string inputs) const
+{
+    if (hooks.onDecision)
+        hooks.onDecision({ event, std::string(subject), std::move(inputs) });
+}
+
+double cell_dispatcher::impl::ratioOf(std::string_view service) const
+{
+    const auto found = serviceRatios.find(service);
+    return found == serviceRatios.end() ? 1 : found->second.value();
+}
+
+// Every upstream's list is known, or no earlier owner's lease can last.
+bool cell_dispatcher::impl::isSettled(time_point now) const
+{
+    if (now - ownedSince >= settleTime)
+        return true;
+    return !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
+}
+
+bool cell_dispatcher::impl::couldEverRun(const cell_job& job) const
+{
+    return std::all_of(job.order.steps.begin(), job.order.steps.end(), [&](const protocol::job_step& step) {
+        const internal::task_demand demand { &step, job.order.service, job.order.id, 0, {} };
+        return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) { return internal::couldRun(item.second, demand); });
+    });
+}
+
+bool cell_dispatcher::impl::fitsNow(time_point now, const cell_job& job) const
+{
+    const bool isBehind = std::any_of(jobs.begin(), jobs.end(), [&](const auto& item) {
+        return item.second.get() != &job && item.second->waitingTasks() > 0 && item.second->rank() < job.rank();
+    });
+    if (isBehind)
+        return false;
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        if (!job.isReady(number))
+            continue;
+        const protocol::job_step& step = job.order.steps[number];
+        const internal::task_demand demand { &step, job.order.service, job.order.id, static_cast<std::uint32_t>(number), {} };
+        std::vector<std::int64_t> rooms;
+        for (const auto& [id, upstream] : upstreams) {
+            if (internal::isOpen(upstream, now) && internal::couldRun(upstream, demand))
+                rooms.push_back(upstream.room().millicores);
+        }
+        if (!internal::fitsIn(std::move(rooms), step.need.millicores, job.steps[number].waiting))
+            return false;
+    }
+    return true;
+}
+
+duration cell_dispatcher::impl::waitOf(time_point now, const cell_job& job) const
+{
+    std::size_t ahead = job.waitingTasks();
+    for (const auto& [id, other] : jobs) {
+        if (other.get() != &job && other->rank() < job.rank())
+            ahead += other->waitingTasks();
+    }
+    std::vector<duration> untilEnds;
+    for (const auto& [id, upstream] : upstreams) {
+        if (!internal::isOpen(upstream, now) || upstream.facts.service != job.order.service)
+            continue;
+        const double ratio = (upstream.ratio.value() + ratioOf(job.order.service)) / 2;
+        for (const auto& [name, record] : upstream.runs) {
+            const duration expected = duration_cast<duration>(std::chrono::duration<double, std::milli>(record.expectedMs * ratio));
+            untilEnds.push_back(std::max(expected - (now - record.since), expected / 8));
+        }
+        // A free place counts as one that is about to become free.
+        const protocol::job_step& shape = job.order.steps.front();
+        if (shape.need.millicores > 0)
+            untilEnds.insert(untilEnds.end(), static_cast<std::size_t>(std::max<std::int64_t>(upstream.room().millicores / shape.need.millicores, 0)), duration::zero());
+    }
+    return internal::expectedWait(std::move(untilEnds), ahead);
+}
+
+duration cell_dispatcher::impl::fastestRun(time_point now, const cell_job& job) const
+{
+    double fastest = 0;
+    for (const auto& [id, upstream] : upstreams) {
+        if (upstream.facts.service != job.order.service || !internal::isOpen(upstream, now))
+            continue;
+        const double ratio = internal::expectedRatio(upstream, job.order.steps.front(), ratioOf(job.order.service), now);
+        fastest = fastest == 0 ? ratio : std::min(fastest, ratio);
+    }
+    return duration_cast<duration>(job.declaredChain() * (fastest == 0 ? 1 : fastest));
+}
+
+void cell_dispatcher::impl::dispatch(time_point now)
+{
+    if (isFenced)
+        return;
+    std::vector<cell_job*> waiting;
+    for (const auto& [id, job] : jobs) {
+        if (job->isAccepted && job->waitingTasks() > 0 && (job->order.handOver == 0 || isSettled(now)))
+            waiting.push_back(job.get());
+    }
+    std::sort(waiting.begin(), waiting.end(), [](const cell_job* left, const cell_job* right) { return left->rank() < right->rank(); });
+    bool isStarved = false;
+    for (cell_job* job : waiting)
+        isStarved = !dispatchJob(now, *job) || isStarved;
+    counted.starvedPasses += isStarved ? 1 : 0;
+}
+
+// False when a ready task found no room.
+bool cell_dispatcher::impl::dispatchJob(time_point now, cell_job& job)
+{
+    for (std::size_t number = 0; number < job.steps.size(); ++number) {
+        internal::cell_step& step = job.steps[number];
+        if (step.waiting == 0 || !job.isReady(number))
+            continue;
+        for (std::size_t index = 0; index < step.tasks.size(); ++index) {
+            if (step.tasks[index].state != task_state::waiting)
+                continue;
+            const internal::task_demand demand { &job.order.steps[number], job.order.service, job.order.id, static_cast<std::uint32_t>(number), step.tasks[index].lastUpstream };
+            internal::upstream_ledger* upstream = internal::chooseUpstream(upstreams, demand, ratioOf(job.order.service), now);
+            if (!upstream)
+                return false;
+            start(now, job, number, index, *upstream);
+        }
+    }
+    return true;
+}
+
+void cell_dispatcher::impl::start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_ledger& upstream)
+{
+    internal::cell_task& task = job.steps[step].tasks[index];
+    const protocol::job_step& shape = job.order.steps[step];
+    run_record record;
+    record.job = job.order.id;
+    record.step = static_cast<std::uint32_t>(step);
+    record.index = static_cast<std::uint32_t>(index);
+    record.need = shape.need;
+    record.expectedMs = shape.estimateMs;
+    record.since = now;
+    const run_name name { job.taskName(step, index), ++task.lastRun };
+    task.lastUpstream = upstream.facts.id;
+    job.setState(step, index, task_state::active);
+    job.hasBegun = true;
+    upstream.runs[name] = record;
+    ++counted.starts;
+    actions.emplace_back(start_order { { upstream.facts.id, upstream.facts.address }, name, job.order.spec, upstream.extendLease(now, settings.maxLease), settings.token });
+    if (!upstream.isLookOpen)
+        look(now, upstream);
+}
+
+cell_dispatcher::cell_dispatcher(cell_settings settings, cell_hooks hooks, time_point now)
+    : m_impl(std::make_unique<impl>(std::move(settings), std::move(hooks), now))
+{
+}
+cell_dispatcher::~cell_dispatcher() = default;
+
+void cell_dispatcher::onStart(time_point now, const start_order& order, const call_answer& answer)
+{
+    if (m_impl->takeCommonOutcome(now, order.target, answer))
+        return;
+    const auto found = m_impl->upstreams.find(order.target.id);
+    if (found == m_impl->upstreams.end())
+        return;
+    internal::upstream_ledger& upstream = found->second;
+    const auto run = upstream.runs.find(order.run);
+    if (run == upstream.runs.end())
+        return; // it has ended meanwhile
+    internal::run_record& record = run->second;
+    if (answer.outcome == call_outcome::done) {
+        m_impl->noteClock(now, upstream, answer);
+        upstream.refusedInRow = 0;
+        if (record.state == run_state::starting) {
+            record.state = run_state::running;
+            record.confirmedAt = now;
+        }
+        return;
+    }
+    m_impl->note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::to_string(static_cast<int>(answer.outcome)));
+    if (answer.outcome == call_outcome::silent) {
+        if (record.state == run_state::starting) {
+            m_impl->stopRun(now, upstream, order.run, record);
+            record.state = run_state::unsettled;
+        }
+        return;
+    }
+    // It was refused without effect: the run does not exist.
+    const internal::run_record refused = record;
+    upstream.runs.erase(run);
+    if (answer.outcome == call_outcome::unhealthy || answer.outcome == call_outcome::notReceived || answer.outcome == call_outcome::noRoom) {
+        upstream.refusedInRow = std::min(upstream.refusedInRow + 1, maxRefusalDoublings);
+        upstream.closedUntil = now + refusalClosure * (1 << (upstream.refusedInRow - 1));
+    }
+    if (answer.clockMs > 0)
+        m_impl->noteClock(now, upstream, answer);
+    if (internal::cell_job* job = m_impl->findJob(refused.job)) {
+        if (answer.outcome == call_outcome::invalid)
+            return m_impl->finish(now, *job, { job->order.id, protocol::job_outcome::unfinished, "the upstream can't read the start", 0, {}, {} });
+        if (answer.outcome == call_outcome::superseded)
+            job->steps[refused.step].tasks[refused.index].lastRun += supersededJump;
+    }
+    m_impl->requeueRun(refused);
+    m_impl->dispatch(now);
+}
+
+void cell_dispatcher::advance(time_point now)
+{
+    std::vector<std::string> names;
+    for (auto& [id, upstream] : m_impl->upstreams)
+        m_impl->checkUpstream(now, upstream);
+    for (const auto& [id, job] : m_impl->jobs)
+        names.push_back(id);
+    for (const std::string& id : names) {
+        if (internal::cell_job* job = m_impl->findJob(id))
+            m_impl->checkJob(now, *job);
+    }
+    std::erase_if(m_impl->ended, [now](const auto& item) { return item.second.until <= now; });
+    std::erase_if(m_impl->doneOrphans, [now](const auto& item) { return item.second <= now; });
+    m_impl->dispatch(now);
+}
+
+time_point cell_dispatcher::nextTimer(time_point now) const
+{
+    const bool hasRuns = std::any_of(m_impl->upstreams.begin(), m_impl->upstreams.end(), [](const auto& item) { return !item.second.runs.empty(); });
+    return now + (hasRuns || !m_impl->jobs.empty() ? busyInterval : idleInterval);
+}
+
+bool cell_dispatcher::isFenced() const
+{
+    return m_impl->isFenced;
+}
+
+std::vector<cell_action> cell_dispatcher::takeActions()
+{
+    return std::exchange(m_impl->actions, {});
+}
+
+std::vector<protocol::service_room> cell_dispatcher::rooms(time_point now) const
+{
+    std::map<std::string, protocol::service_room> byService;
+    for (const auto& [id, upstream] : m_impl->upstreams) {
+        protocol::service_room& room = byService[upstream.facts.service];
+        room.service = upstream.facts.service;
+        const std::int64_t millicores = upstream.room().millicores;
+        if (internal::isOpen(upstream, now) && millicores > 0)
+            room.millicores.push_back(static_cast<std::uint32_t>(millicores));
+    }
+    for (const auto& [id, job] : m_impl->jobs) {
+        if (job->waitingTasks() > 0)
+            byService[job->order.service].millicores.clear();
+    }
+    std::vector<protocol::service_room> out;
+    for (auto& [service, room] : byService)
+        out.push_back(std::move(room));
+    return out;
+}
+
+cell_counts cell_dispatcher::counts() const
+{
+    cell_counts out = m_impl->counted;
+    out.jobs = m_impl->jobs.size();
+    out.knownUpstreams = m_impl->upstreams.size();
+    for (const auto& [id, job] : m_impl->jobs)
+        out.waitingTasks += job->waitingTasks();
+    for (const auto& [id, upstream] : m_impl->upstreams)
+        out.adoptedUpstreams += upstream.isAdopted ? 1 : 0;
+    return out;
+}
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -0,0 +1,194 @@
+// Claims, and who takes a cell without an owner.
+#include "coordination/cells/cell_ownership.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+
+namespace jackdaw::cells {
+namespace {
+
+    // A token is a time stamp with a host's mark behind it: unique for the host, and higher than older ones.
+    constexpr int markBits = 10;
+    constexpr std::uint64_t markMask = (1U << markBits) - 1;
+
+    constexpr duration afterFence = std::chrono::seconds(2); // time for the other owner's gossip to arrive, or its cut to end
+
+} // namespace
+
+cell_ownership::cell_ownership(ownership_settings settings, time_point now)
+    : m_settings(std::move(settings))
+    , m_startedAt(now)
+    , m_cells({ m_settings.zone })
+{
+}
+
+std::vector<std::string> cell_ownership::hear(time_point now, const protocol::host_gossip& gossip)
+{
+    std::vector<std::string> ended;
+    const auto known = m_hosts.find(gossip.host);
+    if (known != m_hosts.end() && known->second.gossip.incarnation != gossip.incarnation)
+        ended.push_back(gossip.host);
+    m_hosts[gossip.host] = { gossip, now };
+    m_cells.insert(gossip.zone);
+    for (const protocol::cell_claim& claim : gossip.claims)
+        m_highestToken = std::max(m_highestToken, claim.token);
+    return ended;
+}
+
+void cell_ownership::hearUpstreamIn(std::string_view zone)
+{
+    if (!m_cells.contains(zone))
+        m_cells.emplace(zone);
+}
+
+void cell_ownership::leave()
+{
+    m_isLeaving = true;
+}
+
+void cell_ownership::noteFenced(time_point now, std::string_view cell)
+{
+    m_notBefore[std::string(cell)] = now + afterFence;
+}
+
+bool cell_ownership::isLive(time_point now, std::string_view host) const
+{
+    if (host == m_settings.host)
+        return true;
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && now - found->second.heardAt < m_settings.silenceLimit;
+}
+
+std::vector<std::string> cell_ownership::silentHosts(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [host, heard] : m_hosts) {
+        if (!isLive(now, host))
+            out.push_back(host);
+    }
+    return out;
+}
+
+const protocol::cell_claim* cell_ownership::claimOf(time_point now, std::string_view cell) const
+{
+    const protocol::cell_claim* best = nullptr;
+    for (const auto& [host, heard] : m_hosts) {
+        if (!isLive(now, host))
+            continue;
+        for (const protocol::cell_claim& claim : heard.gossip.claims) {
+            if (claim.cell == cell && (!best || claim.token > best->token))
+                best = &claim;
+        }
+    }
+    return best;
+}
+
+std::optional<cell_owner> cell_ownership::ownerOf(time_point now, std::string_view cell) const
+{
+    std::optional<cell_owner> best;
+    if (const auto own = m_claims.find(cell); own != m_claims.end())
+        best = cell_owner { m_settings.host, own->second, true };
+    for (const auto& [host, heard] : m_hosts) {
+        if (!isLive(now, host))
+            continue;
+        for (const protocol::cell_claim& claim : heard.gossip.claims) {
+            if (claim.cell == cell && (!best || claim.token > best->token))
+                best = cell_owner { host, claim.token, false };
+        }
+    }
+    return best;
+}
+
+std::vector<std::string> cell_ownership::ownersBesidesSelf(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [host, heard] : m_hosts) {
+        if (isLive(now, host) && !heard.gossip.claims.empty())
+            out.push_back(host);
+    }
+    return out;
+}
+
+std::vector<std::string> cell_ownership::cells() const
+{
+    return { m_cells.begin(), m_cells.end() };
+}
+
+bool cell_ownership::hasLiveHost(time_point now, std::string_view zone) const
+{
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
+        return item.second.gossip.zone == zone && !item.second.gossip.isLeaving && isLive(now, item.first);
+    });
+}
+
+// The most processor first, then the fewest cells, then the lowest address.
+bool cell_ownership::isBestFor(time_point now, std::string_view zone) const
+{
+    const bool wantsForeign = zone != m_settings.zone;
+    if (wantsForeign && hasLiveHost(now, zone))
+        return false;
+    const auto rank = [](std::uint32_t processor, std::size_t claims, std::string_view host) { return std::tuple(-static_cast<std::int64_t>(processor), claims, host); };
+    const auto own = rank(m_settings.processorMillicores, m_claims.size(), m_settings.host);
+    return std::none_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
+        const protocol::host_gossip& gossip = item.second.gossip;
+        if (gossip.isLeaving || !isLive(now, item.first) || (!wantsForeign && gossip.zone != zone))
+            return false;
+        return rank(gossip.processorMillicores, gossip.claims.size(), item.first) < own;
+    });
+}
+
+std::uint64_t cell_ownership::nextToken(std::int64_t unixMs) const
+{
+    const std::uint64_t mark = XXH3_64bits(m_settings.host.data(), m_settings.host.size()) & markMask;
+    std::uint64_t stamp = std::max(static_cast<std::uint64_t>(unixMs), (m_highestToken >> markBits) + 1);
+    for (const auto& [cell, token] : m_claims)
+        stamp = std::max(stamp, (token >> markBits) + 1);
+    return (stamp << markBits) | mark;
+}
+
+std::vector<ownership_change> cell_ownership::advance(time_point now, std::int64_t unixMs)
+{
+    std::vector<ownership_change> changes;
+    for (const std::string& cell : m_cells) {
+        const auto own = m_claims.find(cell);
+        if (own != m_claims.end()) {
+            const auto fenced = m_notBefore.find(cell);
+            const bool isFenced = fenced != m_notBefore.end() && fenced->second > now;
+            const bool isOutbid = !ownerOf(now, cell)->isSelf;
+            // A zone's own host has come back; it is nearer to the upstreams.
+            const bool isReturned = cell != m_settings.zone && hasLiveHost(now, cell);
+            if (m_isLeaving || isFenced || isOutbid || isReturned) {
+                m_highestToken = std::max(m_highestToken, own->second);
+                m_claims.erase(own);
+                m_unclaimedSince.erase(cell);
+                changes.push_back({ cell, 0 });
+            }
+            continue;
+        }
+        if (ownerOf(now, cell)) {
+            m_unclaimedSince.erase(cell);
+            continue;
+        }
+        const time_point since = m_unclaimedSince.try_emplace(cell, now).first->second;
+        const bool isHeldBack = m_notBefore.contains(cell) && now < m_notBefore.at(cell);
+        const duration patience = cell == m_settings.zone ? duration::zero() : m_settings.foreignDelay;
+        if (m_isLeaving || isHeldBack || now - m_startedAt < m_settings.listenTime || now - since < patience || !isBestFor(now, cell))
+            continue;
+        const std::uint64_t token = nextToken(unixMs);
+        m_claims[cell] = token;
+        changes.push_back({ cell, token });
+    }
+    return changes;
+}
+
+protocol::host_gossip cell_ownership::gossip() const
+{
+    protocol::host_gossip out { m_settings.host, m_settings.incarnation, m_settings.zone, m_settings.processorMillicores, m_isLeaving, {} };
+    for (const auto& [cell, token] : m_claims)
+        out.claims.push_back({ cell, token, {} });
+    return out;
+}
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/cell_ownership.h
@@ -0,0 +1,97 @@
+// Which entry host owns which cell, from gossip alone. Safety does not rest on it: the upstreams refuse lower tokens.
+//
+// Load pattern: hosts that die, freeze, leave or are cut off, on small processors that answer late at times. A claim stays
+// with its host while it is heard; the best host that is left takes an unclaimed cell over.
+#pragma once
+
+#include "protocol/cell_messages.h"
+#include "protocol/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jackdaw::cells {
+
+using protocol::duration;
+using protocol::time_point;
+
+struct ownership_settings {
+    std::string host; // this host's address
+    std::uint64_t incarnation = 0;
+    std::string zone;
+    std::uint32_t processorMillicores = 0;
+    duration silenceLimit = std::chrono::milliseconds(1000); // five intervals of gossip
+    duration listenTime = std::chrono::milliseconds(1000); // before a host that has just started claims anything
+    duration foreignDelay = std::chrono::seconds(3); // before a zone without a live host is taken over from another zone
+};
+
+struct cell_owner {
+    std::string host;
+    std::uint64_t token = 0;
+    bool isSelf = false;
+};
+
+struct ownership_change {
+    std::string cell;
+    std::uint64_t token = 0; // 0: this host owns the cell no longer
+};
+
+class cell_ownership {
+public:
+    cell_ownership(ownership_settings settings, time_point now);
+
+    // Names of hosts whose process has ended: the same address came back as another incarnation.
+    std::vector<std::string> hear(time_point now, const protocol::host_gossip& gossip);
+
+    // There are upstreams in this zone, so its cell wants an owner.
+    void hearUpstreamIn(std::string_view zone);
+
+    // This host claims nothing any more.
+    void leave();
+
+    // An upstream has seen a higher token than the one of this host's claim.
+    void noteFenced(time_point now, std::string_view cell);
+
+    // Takes over and drops cells. unixMs makes new tokens higher than those of hosts that were never heard.
+    std::vector<ownership_change> advance(time_point now, std::int64_t unixMs);
+
+    std::optional<cell_owner> ownerOf(time_point now, std::string_view cell) const;
+
+    // What another owner last said of its room; null when no other live host claims the cell.
+    const protocol::cell_claim* claimOf(time_point now, std::string_view cell) const;
+
+    std::vector<std::string> cells() const;
+    bool isLive(time_point now, std::string_view host) const;
+    std::vector<std::string> silentHosts(time_point now) const;
+    std::vector<std::string> ownersBesidesSelf(time_point now) const;
+
+    // This host's gossip; the rooms are left to the caller.
+    protocol::host_gossip gossip() const;
+
+private:
+    struct heard_host {
+        protocol::host_gossip gossip;
+        time_point heardAt;
+    };
+
+    bool isBestFor(time_point now, std::string_view zone) const;
+    bool hasLiveHost(time_point now, std::string_view zone) const;
+    std::uint64_t nextToken(std::int64_t unixMs) const;
+
+    ownership_settings m_settings;
+    time_point m_startedAt;
+    bool m_isLeaving = false;
+    std::map<std::string, heard_host, std::less<>> m_hosts; // without this one
+    std::map<std::string, std::uint64_t, std::less<>> m_claims; // cell and token
+    std::map<std::string, time_point, std::less<>> m_unclaimedSince; // cells that want an owner
+    std::map<std::string, time_point, std::less<>> m_notBefore; // after a fence
+    std::set<std::string, std::less<>> m_cells;
+    std::uint64_t m_highestToken = 0;
+};
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -0,0 +1,86 @@
+// State of a cell's dispatcher, and the steps that its public face puts together.
+#pragma once
+
+#include "coordination/cells/cell_dispatcher.h"
+#include "coordination/cells/internal/cell_job.h"
+#include "coordination/cells/internal/placement.h"
+#include "coordination/cells/internal/upstream_ledger.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jackdaw::cells {
+
+class cell_dispatcher::impl {
+public:
+    using cell_job = internal::cell_job;
+    using upstream_ledger = internal::upstream_ledger;
+    using run_record = internal::run_record;
+
+    impl(cell_settings wanted, cell_hooks wantedHooks, time_point now);
+
+    const cell_settings settings;
+    const cell_hooks hooks;
+    const time_point ownedSince;
+    internal::upstream_book upstreams;
+    std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
+    std::map<std::string, internal::time_ratio, std::less<>> serviceRatios;
+    std::vector<cell_action> actions;
+    cell_counts counted;
+    bool isFenced = false;
+
+    // Answers of ended jobs, for copies that arrive late, and tasks of unknown jobs that were seen done.
+    struct remembered_answer {
+        protocol::job_answer answer;
+        std::uint64_t submission = 0; // of the order that it answers
+        std::uint32_t handOver = 0;
+        time_point until;
+    };
+    std::map<std::string, remembered_answer, std::less<>> ended;
+    std::map<std::string, time_point, std::less<>> doneOrphans; // task name, forgotten at
+
+    // Upstreams.
+    void hear(time_point now, const protocol::upstream_report& report);
+    void loseRuns(time_point now, upstream_ledger& upstream, std::string_view cause);
+    void removeUpstream(time_point now, const std::string& id, std::string_view cause);
+    void look(time_point now, upstream_ledger& upstream);
+    void takeLists(time_point now, upstream_ledger& upstream, const look_order& order, const look_answer& answer);
+    void takeRunning(time_point now, upstream_ledger& upstream, const look_answer& answer);
+    void dropUnlisted(time_point now, upstream_ledger& upstream, const look_answer& answer);
+    void endRun(time_point now, upstream_ledger& upstream, const ended_task& end);
+    void judgeUpstream(time_point now, upstream_ledger& upstream, end_kind how);
+    void checkUpstream(time_point now, upstream_ledger& upstream);
+    void stopRun(time_point now, upstream_ledger& upstream, const run_name& name, run_record& record);
+    void noteClock(time_point now, upstream_ledger& upstream, const call_answer& answer);
+    // What every call's answer may say; true when it left nothing more to do.
+    bool takeCommonOutcome(time_point now, const upstream_target& target, const call_answer& answer);
+
+    // Jobs.
+    void submit(time_point now, const protocol::job_order& order, std::string_view desk);
+    const protocol::job_answer* findAnswer(const protocol::job_order& order) const;
+    bool admit(time_point now, cell_job& job);
+    void claimRuns(time_point now, cell_job& job);
+    void requeue(cell_job& job, std::size_t step, std::size_t index);
+    void requeueRun(const run_record& record);
+    void finish(time_point now, cell_job& job, protocol::job_answer answer);
+    void finishIfDone(time_point now, cell_job& job);
+    void checkJob(time_point now, cell_job& job);
+    cell_job* findJob(std::string_view id);
+
+    // Placement.
+    void dispatch(time_point now);
+    bool dispatchJob(time_point now, cell_job& job);
+    void start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_ledger& upstream);
+    bool couldEverRun(const cell_job& job) const;
+    bool fitsNow(time_point now, const cell_job& job) const;
+    duration waitOf(time_point now, const cell_job& job) const;
+    duration fastestRun(time_point now, const cell_job& job) const;
+    bool isSettled(time_point now) const;
+    double ratioOf(std::string_view service) const;
+
+    void note(std::string_view event, std::string_view subject, std::string inputs) const;
+};
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -0,0 +1,113 @@
+// States of a job's tasks.
+#include "coordination/cells/internal/cell_job.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace jackdaw::cells::internal {
+
+using std::chrono::milliseconds;
+
+cell_job::cell_job(const job_order& wanted, time_point now)
+    : order(wanted)
+    , submittedAt(now)
+{
+    for (const protocol::job_step& step : order.steps) {
+        cell_step state;
+        state.tasks.resize(step.count);
+        state.waiting = step.count;
+        steps.push_back(std::move(state));
+    }
+    const time_point sentAt = now - milliseconds(order.ageMs);
+    objectiveEnd = sentAt + std::chrono::duration_cast<duration>(declaredChain() * order.slackFactor) + milliseconds(order.targetMs);
+    deadline = now + milliseconds(order.timeLeftMs);
+    for (const std::string& task : order.doneTasks)
+        markDone(task);
+}
+
+bool cell_job::isReady(std::size_t step) const
+{
+    const auto& after = order.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [this](std::uint32_t earlier) { return steps[earlier].done == steps[earlier].tasks.size(); });
+}
+
+bool cell_job::isDone() const
+{
+    return std::all_of(steps.begin(), steps.end(), [](const cell_step& step) { return step.done == step.tasks.size(); });
+}
+
+std::uint32_t cell_job::waitingTasks() const
+{
+    std::uint32_t sum = 0;
+    for (const cell_step& step : steps)
+        sum += step.waiting;
+    return sum;
+}
+
+duration cell_job::declaredChain() const
+{
+    std::vector<std::uint64_t> ends; // of each step, in milliseconds from the first start
+    std::uint64_t longest = 0;
+    for (const protocol::job_step& step : order.steps) {
+        std::uint64_t begin = 0;
+        for (const std::uint32_t earlier : step.after)
+            begin = std::max(begin, ends[earlier]);
+        ends.push_back(begin + step.estimateMs);
+        longest = std::max(longest, ends.back());
+    }
+    return milliseconds(longest);
+}
+
+double cell_job::waitingWork() const
+{
+    double work = 0;
+    for (std::size_t step = 0; step < steps.size(); ++step) {
+        const protocol::job_step& shape = order.steps[step];
+        work += static_cast<double>(steps[step].waiting) * static_cast<double>(shape.need.millicores) / 1000 * shape.estimateMs;
+    }
+    return work;
+}
+
+std::string cell_job::taskName(std::size_t step, std::size_t index) const
+{
+    return order.id + ".0." + std::to_string(step) + '.' + std::to_string(index);
+}
+
+void cell_job::markDone(std::string_view task)
+{
+    std::size_t step = 0;
+    std::size_t index = 0;
+    if (findTask(*this, task, step, index))
+        setState(step, index, task_state::done);
+}
+
+void cell_job::setState(std::size_t step, std::size_t index, task_state state)
+{
+    cell_step& owner = steps[step];
+    cell_task& task = owner.tasks[index];
+    owner.waiting -= task.state == task_state::waiting ? 1 : 0;
+    owner.done -= task.state == task_state::done ? 1 : 0;
+    task.state = state;
+    owner.waiting += state == task_state::waiting ? 1 : 0;
+    owner.done += state == task_state::done ? 1 : 0;
+}
+
+bool findTask(const cell_job& job, std::string_view task, std::size_t& step, std::size_t& index)
+{
+    const std::string prefix = job.order.id + ".0.";
+    if (!task.starts_with(prefix))
+        return false;
+    const char* const end = task.data() + task.size();
+    const auto stepEnd = std::from_chars(task.data() + prefix.size(), end, step);
+    if (stepEnd.ec != std::errc() || stepEnd.ptr == end || *stepEnd.ptr != '.')
+        return false;
+    const auto indexEnd = std::from_chars(stepEnd.ptr + 1, end, index);
+    return indexEnd.ec == std::errc() && indexEnd.ptr == end && step < job.steps.size() && index < job.steps[step].tasks.size();
+}
+
+std::string_view jobOfTask(std::string_view task)
+{
+    return task.substr(0, task.find('.'));
+}
+
+} // namespace jackdaw::cells::internal
--- /dev/null
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -0,0 +1,225 @@
+// Jobs of a cell: admission, claims on running tasks, ends.
+#include "coordination/cells/internal/cell_dispatcher_impl.h"
+
+#include "coordination/cells/internal/cell_admission.h"
+
+#include <algorithm>
+
+namespace jackdaw::cells {
+
+using internal::run_state;
+using internal::task_state;
+using protocol::job_answer;
+using protocol::job_outcome;
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr duration rememberAnswers = std::chrono::seconds(10); // copies of a job arrive seconds later
+    constexpr std::uint32_t retryWithoutUpstreams = 1000; // ms; reports come every 1 to 2 s
+    // Above the numbers that an earlier owner can have given: attempts are below it.
+    constexpr std::uint32_t runsPerHandOver = 16;
+
+    std::string toMs(duration value)
+    {
+        return std::to_string(duration_cast<milliseconds>(value).count());
+    }
+
+} // namespace
+
+cell_dispatcher::impl::cell_job* cell_dispatcher::impl::findJob(std::string_view id)
+{
+    const auto found = jobs.find(id);
+    return found == jobs.end() ? nullptr : found->second.get();
+}
+
+void cell_dispatcher::impl::submit(time_point now, const protocol::job_order& order, std::string_view desk)
+{
+    if (cell_job* known = findJob(order.id)) {
+        known->desks.emplace(desk);
+        return;
+    }
+    if (const job_answer* answer = findAnswer(order)) {
+        actions.emplace_back(owner_answer { { std::string(desk) }, *answer });
+        return;
+    }
+    auto owned = std::make_unique<cell_job>(order, now);
+    cell_job& job = *owned;
+    job.desks.emplace(desk);
+    for (internal::cell_step& step : job.steps) {
+        for (internal::cell_task& task : step.tasks)
+            task.lastRun = order.handOver * runsPerHandOver;
+    }
+    jobs.emplace(order.id, std::move(owned));
+    claimRuns(now, job);
+    if (job.isDone())
+        return finishIfDone(now, job);
+    if (!job.hasBegun && order.handOver == 0 && !admit(now, job))
+        return;
+    job.isAccepted = true;
+    dispatch(now);
+}
+
+// A result answers every copy of a job; any other answer only the order that it was given to, when that is sent again.
+const job_answer* cell_dispatcher::impl::findAnswer(const protocol::job_order& order) const
+{
+    const auto found = ended.find(order.id);
+    if (found == ended.end())
+        return nullptr;
+    const remembered_answer& known = found->second;
+    const bool isResult = known.answer.outcome == job_outcome::completed || known.answer.outcome == job_outcome::failed;
+    const bool isSameOrder = known.submission == order.submission && known.handOver == order.handOver;
+    return isResult || isSameOrder ? &known.answer : nullptr;
+}
+
+// False when the job was answered.
+bool cell_dispatcher::impl::admit(time_point now, cell_job& job)
+{
+    const auto serves = [&](const auto& item) { return item.second.facts.service == job.order.service; };
+    if (std::none_of(upstreams.begin(), upstreams.end(), serves)) {
+        finish(now, job, { job.order.id, job_outcome::rejected, "no upstream of the service is known", retryWithoutUpstreams, {}, {} });
+        return false;
+    }
+    if (!couldEverRun(job)) {
+        finish(now, job, { job.order.id, job_outcome::failed, "a task fits no upstream of the service", 0, {}, {} });
+        return false;
+    }
+    if (fitsNow(now, job))
+        return true;
+    if (job.order.mayMove && hooks.findOtherCell) {
+        if (const std::string cell = hooks.findOtherCell(job.order); !cell.empty()) {
+            finish(now, job, { job.order.id, job_outcome::moved, "full", 0, cell, {} });
+            return false;
+        }
+    }
+    const duration wait = waitOf(now, job);
+    const duration run = fastestRun(now, job);
+    if (now + wait + run <= job.objectiveEnd)
+        return true;
+    note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
+    finish(now, job, { job.order.id, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait, job.order.id), {}, {} });
+    return false;
+}
+
+// Tasks that an earlier owner started, or that ended before the job was handed over.
+void cell_dispatcher::impl::claimRuns(time_point now, cell_job& job)
+{
+    std::size_t step = 0;
+    std::size_t index = 0;
+    for (auto& [id, upstream] : upstreams) {
+        for (auto& [name, record] : upstream.runs) {
+            if (!record.job.empty() || !internal::findTask(job, name.task, step, index))
+                continue;
+            internal::cell_task& task = job.steps[step].tasks[index];
+            record.job = job.order.id;
+            record.step = static_cast<std::uint32_t>(step);
+            record.index = static_cast<std::uint32_t>(index);
+            record.need = job.order.steps[step].need;
+            task.lastRun = std::max(task.lastRun, name.run);
+            job.hasBegun = true;
+            if (task.state == task_state::waiting)
+                job.setState(step, index, task_state::active);
+            note("run_claimed", name.task, "upstream=" + id + " run=" + std::to_string(name.run));
+        }
+    }
+    if (job.order.handOver == 0 && doneOrphans.empty())
+        return;
+    for (const auto& [name, until] : doneOrphans)
+        job.markDone(name);
+    (void)now;
+}
+
+void cell_dispatcher::impl::requeue(cell_job& job, std::size_t step, std::size_t index)
+{
+    if (job.steps[step].tasks[index].state == task_state::active)
+        job.setState(step, index, task_state::waiting);
+}
+
+void cell_dispatcher::impl::requeueRun(const run_record& record)
+{
+    if (cell_job* job = record.job.empty() ? nullptr : findJob(record.job))
+        requeue(*job, record.step, record.index);
+}
+
+void cell_dispatcher::impl::finishIfDone(time_point now, cell_job& job)
+{
+    if (job.isDone())
+        finish(now, job, { job.order.id, job_outcome::completed, {}, 0, {}, {} });
+}
+
+// The job goes; what it still runs is stopped.
+void cell_dispatcher::impl::finish(time_point now, cell_job& job, job_answer answer)
+{
+    for (auto& [id, upstream] : upstreams) {
+        for (auto& [name, record] : upstream.runs) {
+            if (record.job == job.order.id && record.state != run_state::stopping && record.state != run_state::unsettled)
+                stopRun(now, upstream, name, record);
+        }
+    }
+    ended[job.order.id] = { answer, job.order.submission, job.order.handOver, now + rememberAnswers };
+    note("job_ended", job.order.id, "outcome=" + std::to_string(static_cast<int>(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
+    actions.emplace_back(owner_answer { { job.desks.begin(), job.desks.end() }, std::move(answer) });
+    jobs.erase(jobs.find(job.order.id));
+}
+
+void cell_dispatcher::impl::checkJob(time_point now, cell_job& job)
+{
+    if (now >= job.deadline)
+        return finish(now, job, { job.order.id, job.hasBegun ? job_outcome::unfinished : job_outcome::rejected, "the caller's deadline passed", 1000, {}, {} });
+    const bool isHopeless = !job.hasBegun && now + fastestRun(now, job) > job.objectiveEnd;
+    if (!isHopeless)
+        return;
+    const duration wait = waitOf(now, job);
+    note("job_given_up", job.order.id, "wait_ms=" + toMs(wait) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
+    finish(now, job, { job.order.id, job_outcome::rejected, "other work went first", internal::retryAfterMs(wait, job.order.id), {}, {} });
+}
+
+void cell_dispatcher::submit(time_point now, const protocol::job_order& job, std::string_view desk)
+{
+    m_impl->submit(now, job, desk);
+}
+
+void cell_dispatcher::cancel(time_point now, std::string_view job, std::string_view desk)
+{
+    internal::cell_job* known = m_impl->findJob(job);
+    if (!known)
+        return;
+    if (const auto waiting = known->desks.find(desk); waiting != known->desks.end())
+        known->desks.erase(waiting);
+    if (!known->desks.empty())
+        return;
+    m_impl->finish(now, *known, { std::string(job), job_outcome::unfinished, "cancelled", 0, {}, {} });
+    m_impl->dispatch(now);
+}
+
+void cell_dispatcher::loseDesk(time_point now, std::string_view desk)
+{
+    std::vector<std::string> affected;
+    for (const auto& [id, job] : m_impl->jobs) {
+        if (job->desks.contains(desk))
+            affected.push_back(id);
+    }
+    for (const std::string& id : affected)
+        cancel(now, id, desk);
+}
+
+void cell_dispatcher::release(time_point now)
+{
+    for (auto& [id, job] : m_impl->jobs) {
+        job_answer answer { id, job_outcome::released, "the owner of the cell changes", 0, {}, {} };
+        for (std::size_t step = 0; step < job->steps.size(); ++step) {
+            for (std::size_t index = 0; index < job->steps[step].tasks.size(); ++index) {
+                if (job->steps[step].tasks[index].state == task_state::done)
+                    answer.doneTasks.push_back(job->taskName(step, index));
+            }
+        }
+        m_impl->actions.emplace_back(owner_answer { { job->desks.begin(), job->desks.end() }, std::move(answer) });
+    }
+    m_impl->note("cell_released", m_impl->settings.cell, "jobs=" + std::to_string(m_impl->jobs.size()));
+    m_impl->jobs.clear();
+    m_impl->upstreams.clear();
+    (void)now;
+}
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -0,0 +1,315 @@
+// Upstreams of a cell: adoption, lists, ends, leases, health.
+#include "coordination/cells/internal/cell_dispatcher_impl.h"
+
+#include <algorithm>
+
+namespace jackdaw::cells {
+
+using internal::run_state;
+using internal::task_state;
+using protocol::upstream_report;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr std::uint32_t lookWaitMs = 300; // three renewals within the shortest lease of 1 s
+    constexpr duration idleLookInterval = std::chrono::seconds(1); // keeps an idle upstream known when no reports arrive
+    constexpr duration repeatInterval = milliseconds(150); // of calls that were not answered; several within a lease
+    constexpr duration orphanGrace = milliseconds(400); // for the desk of a lost owner's job to hand it over
+    constexpr duration forgetAfter = std::chrono::seconds(10); // without report or answer
+    constexpr int failuresToClose = 2; // in a row; with the usual 0.2 % of failures such a pair is rare
+    constexpr duration firstClosure = milliseconds(500); // some run times of a short task
+    constexpr duration longestClosure = std::chrono::seconds(4); // half of how long such disturbances use to last
+    constexpr std::size_t maxClosedShare = 2; // at most one upstream in so many is closed for failures
+
+    std::string quoted(std::string_view key, std::string_view value)
+    {
+        return std::string(key) + '=' + std::string(value);
+    }
+
+} // namespace
+
+void cell_dispatcher::impl::hear(time_point now, const upstream_report& report)
+{
+    for (const auto& [id, other] : upstreams) {
+        if (other.facts.address != report.address || id == report.id)
+            continue;
+        if (other.facts.bornUnixMs > report.bornUnixMs)
+            return; // a late report of a life that has ended
+        removeUpstream(now, std::string(id), "another life reports at its address");
+        break;
+    }
+    const auto [found, isNew] = upstreams.try_emplace(report.id, report);
+    upstream_ledger& upstream = found->second;
+    const upstream_report& known = upstream.facts;
+    const bool isOlder = report.bornUnixMs < known.bornUnixMs || (report.bornUnixMs == known.bornUnixMs && report.sequence <= known.sequence);
+    if (!isNew && isOlder)
+        return;
+    if (!isNew && report.bornUnixMs > known.bornUnixMs) {
+        loseRuns(now, upstream, "restarted");
+        upstream.restart(report);
+    }
+    if (isNew || known.isLeaving != report.isLeaving)
+        note("upstream_state", report.id, quoted("leaving", report.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
+    upstream.facts = report;
+    upstream.heardAt = now;
+    if (!upstream.isAdopted && !upstream.isLookOpen && now >= upstream.nextLookAt)
+        look(now, upstream);
+}
+
+void cell_dispatcher::impl::loseRuns(time_point now, upstream_ledger& upstream, std::string_view cause)
+{
+    if (!upstream.runs.empty())
+        note("runs_lost", upstream.facts.id, quoted("cause", cause) + " runs=" + std::to_string(upstream.runs.size()));
+    const auto lost = std::exchange(upstream.runs, {});
+    for (const auto& [name, record] : lost)
+        requeueRun(record);
+    (void)now;
+}
+
+void cell_dispatcher::impl::removeUpstream(time_point now, const std::string& id, std::string_view cause)
+{
+    const auto found = upstreams.find(id);
+    if (found == upstreams.end())
+        return;
+    note("upstream_gone", id, quoted("cause", cause));
+    loseRuns(now, found->second, cause);
+    upstreams.erase(found);
+}
+
+void cell_dispatcher::impl::look(time_point now, upstream_ledger& upstream)
+{
+    look_order order;
+    order.target = { upstream.facts.id, upstream.facts.address };
+    order.ackCursor = upstream.cursor;
+    order.token = settings.token;
+    order.onNewConnection = upstream.wantsNewConnection;
+    if (!upstream.runs.empty()) {
+        order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
+        order.waitMs = upstream.wantsNewConnection ? 0 : lookWaitMs;
+    }
+    upstream.isLookOpen = true;
+    upstream.lookSentAt = now;
+    actions.emplace_back(std::move(order));
+}
+
+void cell_dispatcher::impl::noteClock(time_point now, upstream_ledger& upstream, const call_answer& answer)
+{
+    upstream.answeredAt = now;
+    upstream.heardAt = now;
+    // Answers overtake each other on different connections: the clock never goes back.
+    if (answer.clockMs > 0 && (!upstream.clock.isKnown() || answer.clockMs >= upstream.clock.clockMs))
+        upstream.clock = { answer.clockMs, now };
+}
+
+bool cell_dispatcher::impl::takeCommonOutcome(time_point now, const upstream_target& target, const call_answer& answer)
+{
+    if (answer.outcome == call_outcome::fenced) {
+        if (!isFenced)
+            note("fenced", target.id, "token=" + std::to_string(settings.token));
+        isFenced = true;
+        return true;
+    }
+    if (answer.outcome == call_outcome::otherLife) {
+        removeUpstream(now, target.id, "another life answers at its address");
+        return true;
+    }
+    return false;
+}
+
+void cell_dispatcher::impl::takeLists(time_point now, upstream_ledger& upstream, const look_order& order, const look_answer& answer)
+{
+    if (answer.bornUnixMs != 0 && answer.bornUnixMs != upstream.facts.bornUnixMs) {
+        upstream_report report = upstream.facts;
+        report.bornUnixMs = answer.bornUnixMs;
+        report.sequence = 0;
+        loseRuns(now, upstream, "restarted");
+        upstream.restart(report);
+        upstream.nextLookAt = now;
+        return;
+    }
+    if (upstream.wantsNewConnection)
+        note("upstream_answers", upstream.facts.id, "runs=" + std::to_string(upstream.runs.size()));
+    upstream.wantsNewConnection = false;
+    noteClock(now, upstream, answer.call);
+    for (const ended_task& end : answer.ended) {
+        if (end.number <= upstream.cursor)
+            continue;
+        upstream.cursor = end.number;
+        endRun(now, upstream, end);
+    }
+    takeRunning(now, upstream, answer);
+    dropUnlisted(now, upstream, answer);
+    if (!upstream.isAdopted) {
+        upstream.isAdopted = true;
+        note("upstream_adopted", upstream.facts.id, "runs=" + std::to_string(upstream.runs.size()));
+    }
+    const bool hasUnsaidEnds = order.ackCursor < upstream.cursor;
+    upstream.nextLookAt = upstream.runs.empty() && !hasUnsaidEnds ? now + idleLookInterval : now;
+}
+
+void cell_dispatcher::impl::takeRunning(time_point now, upstream_ledger& upstream, const look_answer& answer)
+{
+    for (const running_task& running : answer.running) {
+        const auto [found, isUnknown] = upstream.runs.try_emplace(running.run);
+        run_record& record = found->second;
+        if (isUnknown) {
+            record.state = run_state::running;
+            record.since = now;
+            record.confirmedAt = now;
+        } else if (record.state == run_state::starting || (record.state == run_state::unsettled && !record.isStopSettled)) {
+            record.state = run_state::running;
+            record.confirmedAt = now;
+        }
+    }
+    if (!upstream.hasUnknownRuns())
+        return;
+    for (const auto& [id, job] : jobs)
+        claimRuns(now, *job);
+}
+
+// A run that the list leaves out, though it was confirmed or its stop was answered before the list was asked for, is gone.
+void cell_dispatcher::impl::dropUnlisted(time_point now, upstream_ledger& upstream, const look_answer& answer)
+{
+    for (auto item = upstream.runs.begin(); item != upstream.runs.end();) {
+        const run_record& record = item->second;
+        const bool isListed = std::any_of(answer.running.begin(), answer.running.end(), [&](const running_task& running) { return running.run == item->first; });
+        const bool wasConfirmed = record.state == run_state::running && record.confirmedAt < upstream.lookSentAt;
+        const bool wasSettled = record.isStopSettled && record.settledAt <= upstream.lookSentAt;
+        if (isListed || !(wasConfirmed || wasSettled)) {
+            ++item;
+            continue;
+        }
+        const run_record gone = record;
+        item = upstream.runs.erase(item);
+        requeueRun(gone);
+    }
+    (void)now;
+}
+
+void cell_dispatcher::impl::endRun(time_point now, upstream_ledger& upstream, const ended_task& end)
+{
+    const auto found = upstream.runs.find(end.run);
+    if (found == upstream.runs.end() || found->second.job.empty()) {
+        if (end.how == end_kind::done)
+            doneOrphans[end.run.task] = now + forgetAfter;
+        if (found != upstream.runs.end())
+            upstream.runs.erase(found);
+        return;
+    }
+    const run_record record = found->second;
+    upstream.runs.erase(found);
+    judgeUpstream(now, upstream, end.how);
+    if (end.how == end_kind::done && record.expectedMs > 0) {
+        const double ratio = std::chrono::duration<double, std::milli>(now - record.since).count() / record.expectedMs;
+        upstream.ratio.add(ratio);
+        serviceRatios[upstream.facts.service].add(ratio);
+    }
+    cell_job* job = findJob(record.job);
+    if (!job)
+        return;
+    internal::cell_task& task = job->steps[record.step].tasks[record.index];
+    if (task.lastRun != end.run.run && end.how != end_kind::done)
+        return; // an earlier run; a later one is under way
+    if (end.how == end_kind::done) {
+        job->setState(record.step, record.index, task_state::done);
+        return finishIfDone(now, *job);
+    }
+    note("run_ended_early", end.run.task, "upstream=" + upstream.facts.id + " run=" + std::to_string(end.run.run) + " how=" + std::to_string(static_cast<int>(end.how)));
+    if (end.how == end_kind::failed && ++task.failedRuns >= job->order.maxAttempts) {
+        return finish(now, *job, { job->order.id, protocol::job_outcome::failed, "task " + end.run.task + " failed on " + upstream.facts.id + ", attempt " + std::to_string(task.failedRuns), 0, {}, {} });
+    }
+    requeue(*job, record.step, record.index);
+}
+
+// Load pattern: upstreams that fail all that they start look idle and draw ever more work. After some failures in a row an
+// upstream is left alone, for longer each time; one task then shows whether it works again.
+void cell_dispatcher::impl::judgeUpstream(time_point now, upstream_ledger& upstream, end_kind how)
+{
+    if (how == end_kind::done) {
+        upstream.failedInRow = 0;
+        upstream.closedFor = duration::zero();
+        return;
+    }
+    if (how != end_kind::failed || ++upstream.failedInRow < failuresToClose)
+        return;
+    const auto closed = static_cast<std::size_t>(std::count_if(upstreams.begin(), upstreams.end(), [now](const auto& item) { return item.second.closedUntil > now; }));
+    if ((closed + 1) * maxClosedShare > upstreams.size())
+        return;
+    upstream.closedFor = upstream.closedFor == duration::zero() ? firstClosure : std::min(upstream.closedFor * 2, longestClosure);
+    upstream.closedUntil = now + upstream.closedFor;
+    note("upstream_closed", upstream.facts.id, "failed_in_row=" + std::to_string(upstream.failedInRow) + " for_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(upstream.closedFor).count()));
+}
+
+void cell_dispatcher::impl::stopRun(time_point now, upstream_ledger& upstream, const run_name& name, run_record& record)
+{
+    const bool isUncertain = record.state == run_state::unsettled || record.state == run_state::starting;
+    if (record.state != run_state::unsettled)
+        record.state = run_state::stopping;
+    record.stopAgainAt = now + repeatInterval * 2;
+    actions.emplace_back(stop_order { { upstream.facts.id, upstream.facts.address }, name, settings.token, isUncertain });
+}
+
+void cell_dispatcher::impl::checkUpstream(time_point now, upstream_ledger& upstream)
+{
+    if (upstream.wantsNewConnection && !upstream.runs.empty() && now >= upstream.leaseEnd)
+        loseRuns(now, upstream, "lease ran out without an answer");
+    for (auto& [name, record] : upstream.runs) {
+        const bool isOrphan = record.job.empty() && record.state == run_state::running && now - record.since >= orphanGrace;
+        const bool isStopDue = (record.state == run_state::stopping || record.state == run_state::unsettled) && !record.isStopSettled && now >= record.stopAgainAt;
+        if (isOrphan || isStopDue)
+            stopRun(now, upstream, name, record);
+    }
+    if (!upstream.isLookOpen && now >= upstream.nextLookAt)
+        look(now, upstream);
+}
+
+void cell_dispatcher::hearUpstream(time_point now, const upstream_report& report)
+{
+    m_impl->hear(now, report);
+    m_impl->dispatch(now);
+}
+
+void cell_dispatcher::onLook(time_point now, const look_order& order, const look_answer& answer)
+{
+    if (m_impl->takeCommonOutcome(now, order.target, answer.call))
+        return;
+    const auto found = m_impl->upstreams.find(order.target.id);
+    if (found == m_impl->upstreams.end())
+        return;
+    internal::upstream_ledger& upstream = found->second;
+    upstream.isLookOpen = false;
+    if (answer.call.outcome == call_outcome::done) {
+        m_impl->takeLists(now, upstream, order, answer);
+    } else {
+        if (!upstream.wantsNewConnection)
+            m_impl->note("upstream_silent", order.target.id, "outcome=" + std::to_string(static_cast<int>(answer.call.outcome)) + " runs=" + std::to_string(upstream.runs.size()));
+        upstream.wantsNewConnection = true;
+        upstream.nextLookAt = now + repeatInterval;
+        if (now - upstream.heardAt > forgetAfter)
+            return m_impl->removeUpstream(now, order.target.id, "not heard");
+    }
+    if (!upstream.isLookOpen && now >= upstream.nextLookAt)
+        m_impl->look(now, upstream);
+    m_impl->dispatch(now);
+}
+
+void cell_dispatcher::onStop(time_point now, const stop_order& order, const call_answer& answer)
+{
+    if (m_impl->takeCommonOutcome(now, order.target, answer))
+        return;
+    const auto upstream = m_impl->upstreams.find(order.target.id);
+    if (upstream == m_impl->upstreams.end())
+        return;
+    const auto run = upstream->second.runs.find(order.run);
+    if (run == upstream->second.runs.end() || answer.outcome != call_outcome::done)
+        return;
+    m_impl->noteClock(now, upstream->second, answer);
+    run->second.isStopSettled = true;
+    run->second.settledAt = now;
+    upstream->second.nextLookAt = now;
+    if (!upstream->second.isLookOpen)
+        m_impl->look(now, upstream->second);
+}
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/internal/upstream_ledger.cpp
@@ -0,0 +1,49 @@
+// Room, lease and clock of one upstream.
+#include "coordination/cells/internal/upstream_ledger.h"
+
+#include <algorithm>
+
+namespace jackdaw::cells::internal {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+std::int64_t clock_estimate::now(time_point localNow) const
+{
+    return clockMs + duration_cast<milliseconds>(localNow - at).count();
+}
+
+resource_vector upstream_ledger::room() const
+{
+    resource_vector room = facts.capacity;
+    for (const auto& [name, record] : runs) {
+        if (record.job.empty())
+            return {};
+        room -= record.need;
+    }
+    return room;
+}
+
+bool upstream_ledger::hasUnknownRuns() const
+{
+    return std::any_of(runs.begin(), runs.end(), [](const auto& item) { return item.second.job.empty(); });
+}
+
+std::int64_t upstream_ledger::extendLease(time_point now, duration lease)
+{
+    if (!clock.isKnown())
+        return 0;
+    constexpr duration transit = milliseconds(20); // what the estimate of the clock may be behind
+    const auto longest = duration_cast<duration>(lease * (1 + clockDrift)) + transit;
+    leaseEnd = std::max(leaseEnd, now + longest);
+    return clock.now(now) + duration_cast<milliseconds>(lease).count();
+}
+
+void upstream_ledger::restart(const protocol::upstream_report& report)
+{
+    const time_ratio learned = ratio;
+    *this = upstream_ledger(report);
+    ratio = learned;
+}
+
+} // namespace jackdaw::cells::internal
--- /dev/null
+++ b/src/coordination/cells/internal/upstream_ledger.h
@@ -0,0 +1,92 @@
+// What one upstream of a cell runs, as far as its owner can know: room, lease, cursor, clock, health.
+#pragma once
+
+#include "coordination/cells/internal/speed_book.h"
+#include "coordination/cells/upstream_calls.h"
+#include "protocol/cell_messages.h"
+#include "protocol/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace jackdaw::cells::internal {
+
+using protocol::duration;
+using protocol::resource_vector;
+using protocol::time_point;
+
+enum class run_state {
+    starting, // sent, no answer yet
+    running,
+    unsettled, // the start got no answer: it may run, or may yet start
+    stopping
+};
+
+// One run that may hold room on the upstream.
+struct run_record {
+    run_state state = run_state::starting;
+    std::string job; // empty: found in the upstream's list, not claimed by a job yet
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    resource_vector need;
+    double expectedMs = 0; // declared run time
+    time_point since; // sent, or first seen
+    time_point confirmedAt; // valid while running: when it was first known to run
+    time_point stopAgainAt; // valid while stopping or unsettled
+    bool isStopSettled = false; // a stop was answered: the run can't begin any more
+    time_point settledAt; // valid once isStopSettled
+};
+
+// The upstream's steady clock, estimated from its last answer. Never ahead of the real one by more than its drift.
+struct clock_estimate {
+    std::int64_t clockMs = 0; // 0: never heard
+    time_point at;
+
+    bool isKnown() const { return clockMs > 0; }
+    std::int64_t now(time_point localNow) const;
+};
+
+class upstream_ledger {
+public:
+    // A clock that is this much slow lets a lease last longer; the platform's bound.
+    static constexpr double clockDrift = 0.02;
+
+    explicit upstream_ledger(protocol::upstream_report report)
+        : facts(std::move(report))
+    {
+    }
+
+    protocol::upstream_report facts;
+    bool isAdopted = false; // it has seen this owner's token, and its list is known
+    std::map<run_name, run_record> runs;
+    std::uint64_t cursor = 0; // the last end taken note of
+    clock_estimate clock;
+    time_point leaseEnd; // local; whatever ran is gone by then, unless renewed
+
+    bool isLookOpen = false;
+    bool wantsNewConnection = false; // the last look got no answer
+    time_point lookSentAt;
+    time_point nextLookAt; // valid while no look is open
+    time_point heardAt; // last report or answer
+    time_point answeredAt; // last answer to a call
+
+    time_ratio ratio;
+    int failedInRow = 0; // runs that ended failed, with no other end between
+    int refusedInRow = 0;
+    time_point closedUntil; // no starts before: it fails or refuses what it is sent
+    duration closedFor {};
+
+    // Free for new starts. Nothing while a run of unknown size is there.
+    resource_vector room() const;
+    bool hasUnknownRuns() const;
+
+    // A lease asked for now, at the latest bound.
+    std::int64_t extendLease(time_point now, duration lease);
+
+    // Another life: all that was known of runs is void.
+    void restart(const protocol::upstream_report& report);
+};
+
+} // namespace jackdaw::cells::internal
--- /dev/null
+++ b/src/coordination/cells/job_desk.cpp
@@ -0,0 +1,173 @@
+// Hand-over of jobs to owners.
+#include "coordination/cells/job_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jackdaw::cells {
+
+using protocol::job_answer;
+using protocol::job_outcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr duration answerSlack = milliseconds(200); // for the owner's own answer at the deadline to arrive
+    constexpr duration resendInterval = milliseconds(500); // an order or its answer was lost with a connection
+    constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a lost owner is replaced within it
+
+} // namespace
+
+job_desk::job_desk(std::string homeCell, owner_hook ownerOf)
+    : m_homeCell(std::move(homeCell))
+    , m_ownerOf(std::move(ownerOf))
+{
+}
+
+void job_desk::submit(time_point now, protocol::job_order order, caller_number caller)
+{
+    m_jobOfCaller[caller] = order.id;
+    const auto known = m_jobs.find(order.id);
+    if (known != m_jobs.end()) {
+        known->second.callers.push_back(caller);
+        return;
+    }
+    desk_job job;
+    job.deadline = now + milliseconds(order.timeLeftMs);
+    job.arrivedAt = now;
+    job.callers = { caller };
+    job.cell = m_homeCell;
+    job.order = std::move(order);
+    job.order.submission = ++m_lastSubmission;
+    const std::string id = job.order.id;
+    hand(now, m_jobs.emplace(id, std::move(job)).first->second);
+}
+
+void job_desk::hand(time_point now, desk_job& job)
+{
+    const std::optional<std::string> owner = m_ownerOf(job.cell);
+    if (!owner) {
+        job.host.clear();
+        if (!job.mayHaveRun)
+            finish(std::string(job.order.id), { job.order.id, job_outcome::rejected, "no host serves the zone", retryWithoutOwnerMs, {}, {} });
+        return;
+    }
+    job.host = *owner;
+    job.mayHaveRun = true;
+    send(now, job);
+}
+
+void job_desk::send(time_point now, desk_job& job)
+{
+    job.sentAt = now;
+    protocol::job_order order = job.order;
+    order.cell = job.cell;
+    const auto age = std::chrono::duration_cast<milliseconds>(now - job.arrivedAt).count();
+    const auto left = std::chrono::duration_cast<milliseconds>(job.deadline - now).count();
+    order.ageMs += static_cast<std::uint32_t>(age);
+    order.timeLeftMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
+    m_actions.emplace_back(send_order { job.host, std::move(order) });
+}
+
+void job_desk::loseCaller(caller_number caller)
+{
+    const auto found = m_jobOfCaller.find(caller);
+    if (found == m_jobOfCaller.end())
+        return;
+    const std::string id = found->second;
+    m_jobOfCaller.erase(found);
+    const auto known = m_jobs.find(id);
+    if (known == m_jobs.end())
+        return;
+    std::erase(known->second.callers, caller);
+    if (known->second.callers.empty())
+        cancel(id);
+}
+
+bool job_desk::cancel(std::string_view job)
+{
+    const auto known = m_jobs.find(job);
+    if (known == m_jobs.end())
+        return false;
+    if (!known->second.host.empty())
+        m_actions.emplace_back(send_cancel { known->second.host, known->first });
+    finish(known->first, { known->first, job_outcome::unfinished, "cancelled", 0, {}, {} });
+    return true;
+}
+
+void job_desk::finish(const std::string& id, job_answer answer)
+{
+    const auto known = m_jobs.find(id);
+    for (const caller_number caller : known->second.callers)
+        m_jobOfCaller.erase(caller);
+    m_actions.emplace_back(answer_callers { std::move(known->second.callers), std::move(answer) });
+    m_jobs.erase(known);
+}
+
+void job_desk::onAnswer(time_point now, std::string_view host, const job_answer& answer)
+{
+    const auto known = m_jobs.find(answer.id);
+    if (known == m_jobs.end())
+        return;
+    desk_job& job = known->second;
+    const bool isResult = answer.outcome == job_outcome::completed || answer.outcome == job_outcome::failed;
+    if (job.host != host && !isResult)
+        return; // an earlier owner; the job is in other hands
+    if (answer.outcome == job_outcome::moved) {
+        job.cell = answer.cell;
+        job.order.mayMove = false;
+        job.mayHaveRun = false;
+        return hand(now, job);
+    }
+    if (answer.outcome == job_outcome::released) {
+        for (const std::string& task : answer.doneTasks) {
+            if (std::find(job.order.doneTasks.begin(), job.order.doneTasks.end(), task) == job.order.doneTasks.end())
+                job.order.doneTasks.push_back(task);
+        }
+        ++job.order.handOver;
+        job.host.clear(); // advance() hands it on as soon as there is another owner
+        return;
+    }
+    if (answer.outcome == job_outcome::notOwned) {
+        job.host.clear(); // gossip will tell who owns it
+        return;
+    }
+    // Refused by this owner; an earlier one may have started tasks.
+    if (answer.outcome == job_outcome::rejected && job.order.handOver > 0)
+        return finish(std::string(known->first), { answer.id, job_outcome::unfinished, answer.reason, 0, {}, {} });
+    finish(std::string(known->first), answer);
+}
+
+void job_desk::advance(time_point now)
+{
+    std::vector<std::string> overdue;
+    for (auto& [id, job] : m_jobs) {
+        if (now >= job.deadline + answerSlack) {
+            overdue.push_back(id);
+            continue;
+        }
+        const std::optional<std::string> owner = m_ownerOf(job.cell);
+        if (!owner)
+            continue;
+        if (job.host == *owner) {
+            if (now - job.sentAt >= resendInterval)
+                send(now, job);
+            continue;
+        }
+        if (!job.host.empty())
+            ++job.order.handOver;
+        hand(now, job);
+    }
+    for (const std::string& id : overdue) {
+        if (const std::string& host = m_jobs.at(id).host; !host.empty())
+            m_actions.emplace_back(send_cancel { host, id });
+        finish(id, { id, job_outcome::unfinished, "no answer before the caller's deadline", 0, {}, {} });
+    }
+}
+
+std::vector<desk_action> job_desk::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/job_desk.h
@@ -0,0 +1,92 @@
+// Jobs of the callers that are connected to this host: handed to the owner of a cell, handed over again when the owner
+// changes, answered once.
+//
+// Load pattern: owners that die or freeze with work in hand. A job whose tasks may have run is never answered as if it had
+// not, and is handed to the next owner with what the last one saw done.
+#pragma once
+
+#include "protocol/cell_messages.h"
+#include "protocol/time.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace jackdaw::cells {
+
+using protocol::duration;
+using protocol::time_point;
+
+using caller_number = std::uint64_t; // one request of a caller
+
+struct send_order {
+    std::string host;
+    protocol::job_order order;
+};
+
+struct send_cancel {
+    std::string host;
+    std::string job;
+};
+
+struct answer_callers {
+    std::vector<caller_number> callers;
+    protocol::job_answer answer;
+};
+
+using desk_action = std::variant<send_order, send_cancel, answer_callers>;
+
+class job_desk {
+public:
+    // The host that owns a cell now.
+    using owner_hook = std::function<std::optional<std::string>(std::string_view cell)>;
+
+    job_desk(std::string homeCell, owner_hook ownerOf);
+
+    // A copy of a job that is under way joins it.
+    void submit(time_point now, protocol::job_order order, caller_number caller);
+
+    // The caller's connection is lost, or it waits no longer.
+    void loseCaller(caller_number caller);
+
+    // False when the job is not under way here.
+    bool cancel(std::string_view job);
+
+    void onAnswer(time_point now, std::string_view host, const protocol::job_answer& answer);
+
+    // Hands over the jobs whose owner has changed, sends unanswered orders again, and ends those whose time is up.
+    void advance(time_point now);
+
+    std::vector<desk_action> takeActions();
+    std::size_t size() const { return m_jobs.size(); }
+
+private:
+    struct desk_job {
+        protocol::job_order order;
+        std::vector<caller_number> callers;
+        std::string cell;
+        std::string host; // that has the job in hand; empty: none
+        time_point arrivedAt;
+        time_point deadline;
+        time_point sentAt; // valid while host is set
+        bool mayHaveRun = false; // it was handed to an owner that did not answer that it has not
+    };
+
+    void hand(time_point now, desk_job& job);
+    void send(time_point now, desk_job& job);
+    void finish(const std::string& id, protocol::job_answer answer);
+
+    std::string m_homeCell;
+    owner_hook m_ownerOf;
+    std::map<std::string, desk_job, std::less<>> m_jobs;
+    std::map<caller_number, std::string> m_jobOfCaller;
+    std::vector<desk_action> m_actions;
+    std::uint64_t m_lastSubmission = 0;
+};
+
+} // namespace jackdaw::cells
--- a/src/coordination/rules_store.cpp
+++ b/src/coordination/rules_store.cpp
@@ -35,8 +35,10 @@
         std::string operatorName;
         std::string text;
         std::vector<packed_line> lines;
+        bool hasOwnVersion = false;
+        std::uint64_t ownVersion = 0; // only with hasOwnVersion
 
-        MSGPACK_DEFINE_ARRAY(format, changeId, expectedVersion, operatorName, text, lines)
+        MSGPACK_DEFINE_ARRAY(format, changeId, expectedVersion, operatorName, text, lines, hasOwnVersion, ownVersion)
     };
 
     struct packed_version {
@@ -103,7 +105,7 @@
 
 std::string encodeRulesChange(const rules_change& change)
 {
-    packed_change packed { formatVersion, change.changeId, change.expectedVersion, change.operatorName, change.text, {} };
+    packed_change packed { formatVersion, change.changeId, change.expectedVersion, change.operatorName, change.text, {}, change.ownVersion.has_value(), change.ownVersion.value_or(0) };
     for (const state::rule_line& line : change.lines)
         packed.lines.push_back(toPacked(line));
     return protocol::packMessage(packed);
@@ -117,7 +119,9 @@
     packed_change& from = packed.value();
     if (from.format == 0 || from.changeId.empty())
         return makeError(error_kind::corrupt_data, "rules change without format or change id");
-    rules_change change { std::move(from.changeId), from.expectedVersion, std::move(from.operatorName), std::move(from.text), {} };
+    rules_change change { std::move(from.changeId), from.expectedVersion, std::move(from.operatorName), std::move(from.text), {}, std::nullopt };
+    if (from.hasOwnVersion)
+        change.ownVersion = from.ownVersion;
     for (packed_line& line : from.lines)
         change.lines.push_back(fromPacked(std::move(line)));
     return change;
@@ -151,7 +155,7 @@
 
     void replaceRules(const rules_change& change)
     {
-        inForce = { change.expectedVersion + 1, change.changeId, change.operatorName };
+        inForce = { change.ownVersion.value_or(change.expectedVersion + 1), change.changeId, change.operatorName };
         text = change.text;
         std::vector<rule_trace> next;
         for (const state::rule_line& line : change.lines)
@@ -189,6 +193,11 @@
 
 change_answer rules_store::apply(const rules_change& change)
 {
+    if (change.ownVersion) {
+        if (*change.ownVersion > m_impl->inForce.version)
+            m_impl->replaceRules(change);
+        return { change_outcome::accepted, m_impl->inForce };
+    }
     const std::uint64_t fingerprint = fingerprintOf(change);
     if (const auto known = m_impl->answers.find(change.changeId); known != m_impl->answers.end()) {
         if (known->second.fingerprint == fingerprint)
--- a/src/coordination/rules_store.h
+++ b/src/coordination/rules_store.h
@@ -1,6 +1,7 @@
 // Replicated state machine of the configuration: the rules in force, their versions, and who brought each rule in.
 //
-// A change is compare-and-set on the version. Every replica applies the same changes in the same order and reaches the
+// A change is compare-and-set on the version, or brings its own version: then the highest takes effect, and any other is
+// accepted and changes nothing. A store is written in one of the two modes. Every replica applies the same changes in the same order and reaches the
 // same state: nothing here depends on a clock, on random numbers, or on how a release parses the rules file (the parsed
 // lines travel within the change).
 #pragma once
@@ -25,6 +26,7 @@
     std::string operatorName; // whose token came with the change
     std::string text; // the rules file
     std::vector<state::rule_line> lines; // parsed from the text
+    std::optional<std::uint64_t> ownVersion = std::nullopt; // set: the highest version takes effect, expectedVersion is not looked at
 
     friend bool operator==(const rules_change&, const rules_change&) = default;
 };
@@ -73,7 +75,8 @@
     rules_store& operator=(rules_store&&) noexcept;
     ~rules_store();
 
-    // Applies a change, or gives its first answer again.
+    // Applies a change, or gives its first answer again. A change with its own version is always accepted; the answer names
+    // the version that is in force after it.
     change_answer apply(const rules_change& change);
 
     const rules_version& inForce() const; // version 0 before the first change
--- /dev/null
+++ b/src/protocol/cell_messages.cpp
@@ -0,0 +1,47 @@
+// Codec of the cell messages: the kind in front of the packed fields.
+#include "protocol/cell_messages.h"
+
+#include <optional>
+#include <utility>
+
+namespace jackdaw::protocol {
+namespace {
+
+    template <std::size_t Kind = 0>
+    std::optional<cell_message> readFields(std::size_t kind, const msgpack::object& fields)
+    {
+        if constexpr (Kind < std::variant_size_v<cell_message>) {
+            if (kind == Kind)
+                return cell_message(fields.as<std::variant_alternative_t<Kind, cell_message>>());
+            return readFields<Kind + 1>(kind, fields);
+        }
+        return std::nullopt;
+    }
+
+} // namespace
+
+std::string encodeCellMessage(const cell_message& message)
+{
+    msgpack::sbuffer buffer;
+    msgpack::packer<msgpack::sbuffer> packer(buffer);
+    packer.pack_array(2);
+    packer.pack(static_cast<std::uint32_t>(message.index()));
+    std::visit([&](const auto& fields) { packer.pack(fields); }, message);
+    return { buffer.data(), buffer.size() };
+}
+
+result<cell_message> decodeCellMessage(std::string_view bytes)
+{
+    auto message = unpackWith(bytes, messageRules, [](const msgpack::object& object) -> std::optional<cell_message> {
+        if (object.type != msgpack::type::ARRAY || object.via.array.size < 2)
+            throw msgpack::type_error();
+        return readFields(object.via.array.ptr[0].as<std::uint32_t>(), object.via.array.ptr[1]);
+    });
+    if (!message)
+        return message.error();
+    if (!message.value())
+        return makeError(error_kind::malformed_request, "cell message of unknown kind");
+    return std::move(*message.value());
+}
+
+} // namespace jackdaw::protocol
--- /dev/null
+++ b/src/protocol/cell_messages.h
@@ -0,0 +1,207 @@
+// Messages between the hosts that serve cells: gossip, the directory of hosts and upstreams, and jobs on their way from the
+// host that holds the caller's connection (the desk) to the owner of a cell.
+//
+// Each travels as an array of its kind and its fields; trailing fields of a later release are ignored.
+#pragma once
+
+#include "protocol/resources.h"
+#include "protocol/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace jackdaw::protocol {
+
+// What an upstream says of itself.
+struct upstream_report {
+    std::string id;
+    std::int64_t bornUnixMs = 0; // start of this life; a restart under the same id has another
+    std::uint64_t sequence = 0; // of the reports of one life
+    std::string service;
+    std::string address; // "ip:port"
+    std::string zone;
+    resource_vector capacity;
+    std::vector<std::string> labels; // kind and rack among them
+    bool isLeaving = false;
+
+    friend bool operator==(const upstream_report&, const upstream_report&) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, bornUnixMs, sequence, service, address, zone, capacity, labels, isLeaving)
+};
+
+// Tasks of one shape within a job.
+struct job_step {
+    std::uint32_t count = 0;
+    resource_vector need; // of each task
+    std::uint32_t estimateMs = 0; // run time the caller expects; often far off
+    std::vector<std::uint32_t> after; // numbers of the steps that must be done first
+    std::string requiredLabel; // empty: any upstream
+    std::string dataRack; // label of the rack near the data; empty: none
+    std::uint32_t maxPerUpstream = 0; // 0: no bound
+
+    friend bool operator==(const job_step&, const job_step&) = default;
+
+    MSGPACK_DEFINE_ARRAY(count, need, estimateMs, after, requiredLabel, dataRack, maxPerUpstream)
+};
+
+// A job on its way to the owner of a cell.
+struct job_order {
+    std::string id;
+    std::string cell; // whose owner it is handed to
+    std::string spec; // opaque; handed to the upstream with each start
+    std::vector<job_step> steps;
+    std::string service;
+    std::uint32_t priority = 0; // 0 comes first
+    std::uint32_t maxAttempts = 1; // failed runs of a task before the job fails
+    double slackFactor = 1; // objective = slackFactor * longest chain of run times + targetMs
+    std::uint32_t targetMs = 0;
+    std::uint32_t ageMs = 0; // since the caller sent it, as far as the desk knows
+    std::uint32_t timeLeftMs = 0; // until the caller stops waiting
+    std::uint64_t submission = 0; // the desk's number for it; a resent order carries the same
+    std::uint32_t handOver = 0; // how often the desk handed it to another owner before
+    bool mayMove = true; // the owner may name another cell instead of queueing it
+    std::vector<std::string> doneTasks; // names of tasks that an earlier owner saw done
+
+    friend bool operator==(const job_order&, const job_order&) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, cell, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submission, handOver, mayMove, doneTasks)
+};
+
+enum class job_outcome : std::uint8_t {
+    completed, // each task is done
+    failed, // a task failed maxAttempts times
+    rejected, // nothing has run and nothing will
+    unfinished, // tasks may have run; the owner gave the job up
+    moved, // nothing has run here; cell names where to hand it
+    released, // the owner lost the cell; doneTasks says what is done
+    notOwned // nothing has run here; the host does not own the cell
+};
+
+} // namespace jackdaw::protocol
+
+MSGPACK_ADD_ENUM(jackdaw::protocol::job_outcome)
+
+namespace jackdaw::protocol {
+
+struct job_answer {
+    std::string id;
+    job_outcome outcome = job_outcome::unfinished;
+    std::string reason;
+    std::uint32_t retryAfterMs = 0;
+    std::string cell;
+    std::vector<std::string> doneTasks;
+
+    friend bool operator==(const job_answer&, const job_answer&) = default;
+
+    MSGPACK_DEFINE_ARRAY(id, outcome, reason, retryAfterMs, cell, doneTasks)
+};
+
+// The caller no longer waits for the job, or cancels it.
+struct job_cancel {
+    std::string id;
+
+    friend bool operator==(const job_cancel&, const job_cancel&) = default;
+
+    MSGPACK_DEFINE_ARRAY(id)
+};
+
+// What is free for one service's tasks; empty while tasks wait there.
+struct service_room {
+    std::string service;
+    std::vector<std::uint32_t> millicores; // one number for each upstream that has any
+
+    friend bool operator==(const service_room&, const service_room&) = default;
+
+    MSGPACK_DEFINE_ARRAY(service, millicores)
+};
+
+// A host owns a cell under a fencing token.
+struct cell_claim {
+    std::string cell;
+    std::uint64_t token = 0;
+    std::vector<service_room> rooms;
+
+    friend bool operator==(const cell_claim&, const cell_claim&) = default;
+
+    MSGPACK_DEFINE_ARRAY(cell, token, rooms)
+};
+
+// A sign of life between entry hosts.
+struct host_gossip {
+    std::string host; // its address
+    std::uint64_t incarnation = 0;
+    std::string zone;
+    std::uint32_t processorMillicores = 0;
+    bool isLeaving = false;
+    std::vector<cell_claim> claims;
+
+    friend bool operator==(const host_gossip&, const host_gossip&) = default;
+
+    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, claims)
+};
+
+// An entry host asks a control host for the directory, and tells which configuration it has in force.
+struct entry_hello {
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::uint64_t configurationVersion = 0;
+    bool isLeaving = false;
+
+    friend bool operator==(const entry_hello&, const entry_hello&) = default;
+
+    MSGPACK_DEFINE_ARRAY(host, incarnation, configurationVersion, isLeaving)
+};
+
+// A sign of life between control hosts.
+struct control_hello {
+    std::string host;
+    std::uint64_t incarnation = 0;
+    std::string operatorAddress; // "ip:port"
+
+    friend bool operator==(const control_hello&, const control_hello&) = default;
+
+    MSGPACK_DEFINE_ARRAY(host, incarnation, operatorAddress)
+};
+
+// Who is there, from a control host to the entry hosts.
+struct directory_update {
+    std::vector<std::string> entryHosts;
+    std::vector<std::string> controlHosts;
+    std::vector<upstream_report> reports;
+
+    friend bool operator==(const directory_update&, const directory_update&) = default;
+
+    MSGPACK_DEFINE_ARRAY(entryHosts, controlHosts, reports)
+};
+
+// A configuration in force, whole.
+struct configuration_push {
+    std::uint64_t version = 0;
+    std::string text;
+
+    friend bool operator==(const configuration_push&, const configuration_push&) = default;
+
+    MSGPACK_DEFINE_ARRAY(version, text)
+};
+
+// A message of the control group's replicated log, encoded by protocol/raft_codec.h.
+struct group_message {
+    std::string bytes;
+
+    friend bool operator==(const group_message&, const group_message&) = default;
+
+    MSGPACK_DEFINE_ARRAY(bytes)
+};
+
+// The position in this list is the kind on the wire: append only.
+using cell_message = std::variant<host_gossip, entry_hello, control_hello, directory_update, configuration_push, group_message, job_order, job_answer, job_cancel>;
+
+std::string encodeCellMessage(const cell_message& message);
+
+// malformed_request when the bytes are not such a message.
+result<cell_message> decodeCellMessage(std::string_view bytes);
+
+} // namespace jackdaw::protocol
--- /dev/null
+++ b/src/protocol/resources.h
@@ -0,0 +1,42 @@
+// What an upstream has and what a task needs, as a vector.
+#pragma once
+
+#include "protocol/msgpack_codec.h"
+
+#include <cstdint>
+
+namespace jackdaw::protocol {
+
+struct resource_vector {
+    std::int64_t millicores = 0;
+    std::int64_t memoryMb = 0;
+    std::int64_t accelerators = 0;
+
+    bool fitsIn(const resource_vector& room) const
+    {
+        return millicores <= room.millicores && memoryMb <= room.memoryMb && accelerators <= room.accelerators;
+    }
+
+    resource_vector& operator+=(const resource_vector& other)
+    {
+        millicores += other.millicores;
+        memoryMb += other.memoryMb;
+        accelerators += other.accelerators;
+        return *this;
+    }
+
+    resource_vector& operator-=(const resource_vector& other)
+    {
+        millicores -= other.millicores;
+        memoryMb -= other.memoryMb;
+        accelerators -= other.accelerators;
+        return *this;
+    }
+
+    friend resource_vector operator-(resource_vector left, const resource_vector& right) { return left -= right; }
+    friend bool operator==(const resource_vector&, const resource_vector&) = default;
+
+    MSGPACK_DEFINE_ARRAY(millicores, memoryMb, accelerators)
+};
+
+} // namespace jackdaw::protocol
--- /dev/null
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -0,0 +1,41 @@
+// Round trips of the cell messages, and bytes that are none.
+#include "protocol/cell_messages.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdaw::protocol;
+
+TEST_CASE("a job order survives the round trip")
+{
+    job_order order;
+    order.id = "5c0e7a21d94b36f8";
+    order.spec = std::string("a\0b", 3);
+    order.steps = { { 8, { 14000, 64, 0 }, 60, {}, "a", "r1-3", 2 }, { 1, { 500, 64, 1 }, 20, { 0 }, "", "", 0 } };
+    order.slackFactor = 1.6;
+    order.doneTasks = { "5c0e7a21d94b36f8.0.0.3" };
+    const auto back = decodeCellMessage(encodeCellMessage(order));
+    REQUIRE(back);
+    CHECK(std::get<job_order>(back.value()) == order);
+}
+
+TEST_CASE("an answer keeps its outcome, and gossip its claims")
+{
+    const job_answer answer { "1", job_outcome::moved, "full", 250, "zone-b", {} };
+    const auto answerBack = decodeCellMessage(encodeCellMessage(answer));
+    REQUIRE(answerBack);
+    CHECK(std::get<job_answer>(answerBack.value()) == answer);
+    const host_gossip gossip { "10.0.0.1", 7, "zone-a", 250, true, { { "zone-a", 99, { { "planning", { 4000, 2000 } } } } } };
+    const auto gossipBack = decodeCellMessage(encodeCellMessage(gossip));
+    REQUIRE(gossipBack);
+    CHECK(std::get<host_gossip>(gossipBack.value()) == gossip);
+}
+
+TEST_CASE("damaged and unknown bytes are refused")
+{
+    const std::string bytes = encodeCellMessage(job_cancel { "5c0e7a21d94b36f8" });
+    for (std::size_t length = 0; length < bytes.size(); ++length)
+        CHECK_FALSE(decodeCellMessage(std::string_view(bytes).substr(0, length)));
+    std::string unknown = bytes;
+    unknown[1] = 0x7f;
+    CHECK_FALSE(decodeCellMessage(unknown));
+}
