HTTP client: idle pooled connections stay open

Cause: evhttp applies the timeout of the last call (300 ms for a start) to the idle connection, which closes it. Ruled out: the upstream closing it (the new test closes nothing on the server's side and failed the same way). Conclusion: a connection that goes idle gets a timeout of its own. The server can now close a connection with its response.

--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -14,6 +14,9 @@
 
     constexpr ev_ssize_t maxResponseBytes = 64 * 1024 * 1024;
 
+    // evhttp applies a connection's timeout to its idle time as well; servers close idle connections earlier.
+    constexpr protocol::duration idleTimeout = std::chrono::minutes(5);
+
     evhttp_cmd_type toCommand(http_method method)
     {
         switch (method) {
@@ -192,8 +195,11 @@
             return;
         pool& pool = pools[target];
         --pool.busy;
-        if (isKept)
+        if (isKept) {
+            const timeval timeout = toTimeval(idleTimeout);
+            evhttp_connection_set_timeout_tv(link.handle, &timeout);
             pool.idle.push_back(&link);
+        }
         if (pool.waiting.empty())
             return;
         pending_call next = std::move(pool.waiting.front());
--- a/src/transport/http_message.h
+++ b/src/transport/http_message.h
@@ -43,6 +43,7 @@
     std::string contentType = "application/json";
     std::string body;
     std::vector<http_header> headers;
+    bool closesConnection = false; // the server ends the connection once the response is sent
 
     // As http_request::header().
     std::string_view header(std::string_view name) const;
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -75,6 +75,8 @@
         addHeader(request, "Content-Type", response.contentType);
         for (const http_header& header : response.headers)
             addHeader(request, header.name, header.value);
+        if (response.closesConnection)
+            addHeader(request, "Connection", "close");
         evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
         evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
     }
@@ -317,4 +319,9 @@
     return m_impl->openRequests;
 }
 
+std::size_t http_server::openConnections() const
+{
+    return m_impl->connections.size();
+}
+
 } // namespace jackdaw::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -48,6 +48,7 @@
     void stopAccepting();
 
     std::size_t openRequests() const;
+    std::size_t openConnections() const;
 
 private:
     class impl;
--- a/src/transport/tests/http_tests.cpp
+++ b/src/transport/tests/http_tests.cpp
@@ -123,6 +123,50 @@
     CHECK(mostOpen <= 2);
 }
 
+TEST_CASE("an idle pooled connection outlives the timeout of its last call")
+{
+    http_fixture fixture;
+    fixture.serve([](const http_request&, const std::shared_ptr<http_responder>& responder) { responder->reply({}); });
+    constexpr auto shortTimeout = std::chrono::milliseconds(100);
+    http_call call = makePost("a");
+    call.timeout = shortTimeout;
+    std::unique_ptr<event_loop::timer> pause;
+    fixture.client.call(fixture.target(), call, [&](const http_result& first) {
+        CHECK(first.outcome == request_outcome::answered);
+        pause = fixture.loop.after(4 * shortTimeout, [&] {
+            // The idle connection is still open.
+            CHECK(fixture.server->openConnections() == 1);
+            fixture.client.call(fixture.target(), call, [&](const http_result& second) {
+                CHECK(second.outcome == request_outcome::answered);
+                CHECK(fixture.server->openConnections() == 1);
+                fixture.finish();
+            });
+        });
+    });
+    fixture.run();
+}
+
+TEST_CASE("a response that closes its connection is read whole, and the connection ends")
+{
+    http_fixture fixture;
+    fixture.serve([](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        http_response response;
+        response.body = "last";
+        response.closesConnection = true;
+        responder->reply(std::move(response));
+    });
+    std::unique_ptr<event_loop::timer> pause;
+    fixture.client.call(fixture.target(), makePost("a"), [&](const http_result& result) {
+        CHECK(result.outcome == request_outcome::answered);
+        CHECK(result.response.body == "last");
+        pause = fixture.loop.after(std::chrono::milliseconds(200), [&] {
+            CHECK(fixture.server->openConnections() == 0);
+            fixture.finish();
+        });
+    });
+    fixture.run();
+}
+
 TEST_CASE("a refused connection and a silent one are told apart, and the silent one is not used again")
 {
     http_fixture fixture;
