--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -44,11 +44,8 @@
         , incarnation(hostIncarnation)
         , hooks(std::move(wantedHooks))
         , links(loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
-        , ownership(ownershipSettings(), steadyNow())
-        , desk(settings.zone, [this](std::string_view cell) -> std::optional<std::string> {
-            const auto owner = ownership.ownerOf(steadyNow(), cell);
-            return owner ? std::optional(owner->host) : std::nullopt;
-        })
+        , ownership(ownershipSettings())
+        , desk(settings.zone, [this](std::string_view cell) { return ownership.ownerOf(steadyNow(), cell); })
     {
     }
 
@@ -77,6 +74,7 @@
     bool isLeaving = false;
     bool isPumping = false;
     bool hadOwner = false;
+    time_point directorySince = time_point::max(); // the first directory update
     std::vector<std::unique_ptr<transport::event_loop::timer>> timers;
     std::unique_ptr<transport::event_loop::timer> tickTimer;
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
@@ -166,6 +164,8 @@
 
 void cell_host::impl::onDirectory(const protocol::directory_update& update)
 {
+    ownership.hearDirectory(steadyNow());
+    directorySince = std::min(directorySince, steadyNow());
     for (const std::string& host : update.entryHosts) {
         if (host == settings.host || !entryPeers.insert(host).second)
             continue;
@@ -191,7 +191,7 @@
     if (!isNew && isOlder)
         return;
     known = { report, now };
-    ownership.hearUpstreamIn(report.zone);
+    ownership.hearUpstreamIn(now, report.zone);
     if (const auto dispatcher = dispatchers.find(report.zone); dispatcher != dispatchers.end())
         dispatcher->second->hearUpstream(now, report);
 }
@@ -210,7 +210,7 @@
 {
     if (const auto dispatcher = dispatchers.find(order.cell); dispatcher != dispatchers.end())
         return dispatcher->second->submit(steadyNow(), order, deskHost);
-    answerDesks({ { std::string(deskHost) }, { order.id, protocol::job_outcome::notOwned, "this host does not own the cell", 0, {}, {} } });
+    answerDesks({ { std::string(deskHost) }, { order.id, order.submission, order.handOver, protocol::job_outcome::notOwned, "this host does not own the cell", 0, {}, {} } });
 }
 
 void cell_host::impl::sayHello()
@@ -253,6 +253,8 @@
     wanted.token = token;
     wanted.maxLease = settings.maxLease;
     wanted.stopTime = settings.stopTime;
+    wanted.reportInterval = settings.reportInterval;
+    wanted.directorySince = directorySince;
     cells::cell_hooks decisions;
     decisions.onDecision = [cell](const cells::cell_decision& decision) {
         logEvent(log_level::info, decision.event, { { "subject", decision.subject }, { "cell", cell }, { "inputs", decision.inputs } });
--- a/src/apps/cell_host/cell_host_settings.cpp
+++ b/src/apps/cell_host/cell_host_settings.cpp
@@ -45,6 +45,7 @@
     settings.meshPort = static_cast<std::uint16_t>(reader.requiredInteger("entry_mesh_port", 1, 65535));
     settings.controlMeshPort = static_cast<std::uint16_t>(reader.requiredInteger("control_mesh_port", 1, 65535));
     settings.maxLease = toDuration(reader.numberOr("max_lease_ms", 1000, 100, 60000));
+    settings.reportInterval = toDuration(reader.numberOr("report_interval_ms", 1500, 10, 60000));
     settings.stopTime = toDuration(reader.numberOr("task_stop_ms", 50, 1, 60000));
     settings.grace = toDuration(reader.numberOr("grace_s", 6, 0.1, 600) * millisecondsPerSecond);
     settings.logLevel = state::parseLogLevel(reader.stringOr("log_level", "info"));
--- a/src/apps/cell_host/cell_host_settings.h
+++ b/src/apps/cell_host/cell_host_settings.h
@@ -24,6 +24,7 @@
     std::uint16_t meshPort = 0; // of every entry host
     std::uint16_t controlMeshPort = 0; // of every control host
     protocol::duration maxLease {}; // of what runs on an upstream
+    protocol::duration reportInterval {}; // between two reports of an upstream
     protocol::duration stopTime {}; // in which an upstream ends a stopped task
     protocol::duration grace {}; // from SIGTERM to the end by force
     state::log_level logLevel = state::log_level::info;
--- a/src/apps/hub/hub_process.cpp
+++ b/src/apps/hub/hub_process.cpp
@@ -283,6 +283,7 @@
     impl& self = *m_impl;
     self.loop.onSignal(SIGTERM, [&self] { self.stop(); });
     self.loop.onSignal(SIGINT, [&self] { self.stop(); });
+    self.loop.onSignal(SIGHUP, [] { logEvent(log_level::info, "reload_ignored", { { "reason", "no setting of this program changes while it runs" } }); });
     self.helloTimer = self.loop.every(helloInterval, [&self] { self.sayHello(); });
     self.batchTimer = self.loop.every(batchInterval, [&self] { self.sendBatch(); });
     self.sayHello();
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -45,12 +45,13 @@
     return found == serviceRatios.end() ? 1 : found->second.value();
 }
 
-// Every upstream's list is known, or no earlier owner's lease can last.
+// Every upstream is known and its list as well, or no earlier owner's lease can last.
 bool cell_dispatcher::impl::isSettled(time_point now) const
 {
     if (now - ownedSince >= settleTime)
         return true;
-    return !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
+    const bool hasHeardAll = now - settings.directorySince >= 2 * settings.reportInterval;
+    return hasHeardAll && !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
 }
 
 bool cell_dispatcher::impl::couldEverRun(const cell_job& job) const
@@ -224,7 +225,7 @@
         m_impl->noteClock(now, upstream, answer);
     if (internal::cell_job* job = m_impl->findJob(refused.job)) {
         if (answer.outcome == call_outcome::invalid)
-            return m_impl->finish(now, *job, { job->order.id, protocol::job_outcome::unfinished, "the upstream can't read the start", 0, {}, {} });
+            return m_impl->finish(now, *job, internal::makeAnswer(*job, protocol::job_outcome::unfinished, "the upstream can't read the start"));
         if (answer.outcome == call_outcome::superseded)
             job->steps[refused.step].tasks[refused.index].lastRun += supersededJump;
     }
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -28,6 +28,8 @@
     std::string cell;
     std::uint64_t token = 0; // of this ownership; higher than that of every earlier owner
     duration maxLease = std::chrono::milliseconds(1000); // the platform's bound on a lease
+    duration reportInterval = std::chrono::milliseconds(1500); // between two reports of an upstream
+    time_point directorySince; // this host has heard reports of upstreams since then
     duration stopTime = std::chrono::milliseconds(50); // an upstream ends a stopped task within it
 };
 
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -13,13 +13,16 @@
     constexpr int markBits = 10;
     constexpr std::uint64_t markMask = (1U << markBits) - 1;
 
-    constexpr duration afterFence = std::chrono::seconds(2); // time for the other owner's gossip to arrive, or its cut to end
+    // Pauses after a fence: time for the other owner's gossip to arrive, then for the cut between the two to end.
+    constexpr duration firstPause = std::chrono::milliseconds(300);
+    constexpr duration firstForeignPause = std::chrono::seconds(10); // the zone's own host is there after all
+    constexpr duration longestPause = std::chrono::seconds(20);
+    constexpr duration pausesForgottenAfter = std::chrono::seconds(20);
 
 } // namespace
 
-cell_ownership::cell_ownership(ownership_settings settings, time_point now)
+cell_ownership::cell_ownership(ownership_settings settings)
     : m_settings(std::move(settings))
-    , m_startedAt(now)
     , m_cells({ m_settings.zone })
 {
 }
@@ -37,10 +40,16 @@
     return ended;
 }
 
-void cell_ownership::hearUpstreamIn(std::string_view zone)
+void cell_ownership::hearDirectory(time_point now)
 {
-    if (!m_cells.contains(zone))
-        m_cells.emplace(zone);
+    if (!m_listeningSince)
+        m_listeningSince = now;
+}
+
+void cell_ownership::hearUpstreamIn(time_point now, std::string_view zone)
+{
+    m_cells.emplace(zone);
+    m_reportsHeardAt[std::string(zone)] = now;
 }
 
 void cell_ownership::leave()
@@ -50,7 +59,12 @@
 
 void cell_ownership::noteFenced(time_point now, std::string_view cell)
 {
-    m_notBefore[std::string(cell)] = now + afterFence;
+    const duration first = cell == m_settings.zone ? firstPause : firstForeignPause;
+    const auto [found, isNew] = m_fencePauses.try_emplace(std::string(cell));
+    fence_pause& pause = found->second;
+    const bool isForgotten = isNew || now - pause.until > pausesForgottenAfter;
+    pause.length = isForgotten ? first : std::min(pause.length * 2, longestPause);
+    pause.until = now + pause.length;
 }
 
 bool cell_ownership::isLive(time_point now, std::string_view host) const
@@ -123,6 +137,19 @@
     });
 }
 
+bool cell_ownership::hasLeavingHost(time_point now, std::string_view zone) const
+{
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
+        return item.second.gossip.zone == zone && item.second.gossip.isLeaving && isLive(now, item.first);
+    });
+}
+
+bool cell_ownership::isForeignTo(std::string_view host, std::string_view zone) const
+{
+    const auto known = m_hosts.find(host);
+    return known != m_hosts.end() && known->second.gossip.zone != zone;
+}
+
 // The most processor first, then the fewest cells, then the lowest address.
 bool cell_ownership::isBestFor(time_point now, std::string_view zone) const
 {
@@ -148,33 +175,50 @@
     return (stamp << markBits) | mark;
 }
 
+bool cell_ownership::mustDrop(time_point now, const std::string& cell) const
+{
+    const auto pause = m_fencePauses.find(cell);
+    const bool isFenced = pause != m_fencePauses.end() && pause->second.until > now;
+    return m_isLeaving || isFenced || !ownerOf(now, cell)->isSelf;
+}
+
+bool cell_ownership::mayClaim(time_point now, const std::string& cell)
+{
+    const bool isOwnZone = cell == m_settings.zone;
+    const auto owner = ownerOf(now, cell);
+    // A zone's own hosts are nearer to the upstreams than an owner elsewhere, who stepped in for them.
+    if (owner && !(isOwnZone && isForeignTo(owner->host, cell))) {
+        m_unclaimedSince.erase(cell);
+        return false;
+    }
+    const time_point since = m_unclaimedSince.try_emplace(cell, now).first->second;
+    const auto pause = m_fencePauses.find(cell);
+    const bool isPaused = pause != m_fencePauses.end() && pause->second.until > now;
+    const bool isListening = !m_listeningSince || now - *m_listeningSince < m_settings.listenTime;
+    if (m_isLeaving || isPaused || isListening || !isBestFor(now, cell))
+        return false;
+    if (isOwnZone)
+        return true;
+    const auto heard = m_reportsHeardAt.find(cell);
+    const bool isReachable = heard != m_reportsHeardAt.end() && now - heard->second <= m_settings.reportFreshness;
+    const bool isPlanned = hasLeavingHost(now, cell);
+    return isReachable && (isPlanned || now - since >= m_settings.foreignDelay);
+}
+
 std::vector<ownership_change> cell_ownership::advance(time_point now, std::int64_t unixMs)
 {
     std::vector<ownership_change> changes;
     for (const std::string& cell : m_cells) {
         const auto own = m_claims.find(cell);
-        if (own != m_claims.end()) {
-            const auto fenced = m_notBefore.find(cell);
-            const bool isFenced = fenced != m_notBefore.end() && fenced->second > now;
-            const bool isOutbid = !ownerOf(now, cell)->isSelf;
-            // A zone's own host has come back; it is nearer to the upstreams.
-            const bool isReturned = cell != m_settings.zone && hasLiveHost(now, cell);
-            if (m_isLeaving || isFenced || isOutbid || isReturned) {
-                m_highestToken = std::max(m_highestToken, own->second);
-                m_claims.erase(own);
-                m_unclaimedSince.erase(cell);
-                changes.push_back({ cell, 0 });
-            }
+        if (own != m_claims.end() && !mustDrop(now, cell))
             continue;
-        }
-        if (ownerOf(now, cell)) {
+        if (own != m_claims.end()) {
+            m_highestToken = std::max(m_highestToken, own->second);
+            m_claims.erase(own);
             m_unclaimedSince.erase(cell);
-            continue;
+            changes.push_back({ cell, 0 });
         }
-        const time_point since = m_unclaimedSince.try_emplace(cell, now).first->second;
-        const bool isHeldBack = m_notBefore.contains(cell) && now < m_notBefore.at(cell);
-        const duration patience = cell == m_settings.zone ? duration::zero() : m_settings.foreignDelay;
-        if (m_isLeaving || isHeldBack || now - m_startedAt < m_settings.listenTime || now - since < patience || !isBestFor(now, cell))
+        if (!mayClaim(now, cell))
             continue;
         const std::uint64_t token = nextToken(unixMs);
         m_claims[cell] = token;
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -26,8 +26,9 @@
     std::string zone;
     std::uint32_t processorMillicores = 0;
     duration silenceLimit = std::chrono::milliseconds(1000); // five intervals of gossip
-    duration listenTime = std::chrono::milliseconds(1000); // before a host that has just started claims anything
-    duration foreignDelay = std::chrono::seconds(3); // before a zone without a live host is taken over from another zone
+    duration listenTime = std::chrono::milliseconds(600); // three intervals of gossip, before a new host claims anything
+    duration foreignDelay = std::chrono::seconds(3); // before a zone of silent hosts is taken over from another zone
+    duration reportFreshness = std::chrono::milliseconds(2500); // two reports of an upstream come in it
 };
 
 struct cell_owner {
@@ -43,13 +44,16 @@
 
 class cell_ownership {
 public:
-    cell_ownership(ownership_settings settings, time_point now);
+    explicit cell_ownership(ownership_settings settings);
+
+    // The other hosts are known from now on. A host claims nothing before.
+    void hearDirectory(time_point now);
 
     // Names of hosts whose process has ended: the same address came back as another incarnation.
     std::vector<std::string> hear(time_point now, const protocol::host_gossip& gossip);
 
-    // There are upstreams in this zone, so its cell wants an owner.
-    void hearUpstreamIn(std::string_view zone);
+    // An upstream of this zone has reported: its cell wants an owner, and this host can reach what reports there.
+    void hearUpstreamIn(time_point now, std::string_view zone);
 
     // This host claims nothing any more.
     void leave();
@@ -79,17 +83,27 @@
         time_point heardAt;
     };
 
+    struct fence_pause {
+        time_point until;
+        duration length {};
+    };
+
     bool isBestFor(time_point now, std::string_view zone) const;
     bool hasLiveHost(time_point now, std::string_view zone) const;
+    bool hasLeavingHost(time_point now, std::string_view zone) const;
+    bool isForeignTo(std::string_view host, std::string_view zone) const;
+    bool mustDrop(time_point now, const std::string& cell) const;
+    bool mayClaim(time_point now, const std::string& cell);
     std::uint64_t nextToken(std::int64_t unixMs) const;
 
     ownership_settings m_settings;
-    time_point m_startedAt;
+    std::optional<time_point> m_listeningSince;
     bool m_isLeaving = false;
     std::map<std::string, heard_host, std::less<>> m_hosts; // without this one
     std::map<std::string, std::uint64_t, std::less<>> m_claims; // cell and token
     std::map<std::string, time_point, std::less<>> m_unclaimedSince; // cells that want an owner
-    std::map<std::string, time_point, std::less<>> m_notBefore; // after a fence
+    std::map<std::string, fence_pause, std::less<>> m_fencePauses;
+    std::map<std::string, time_point, std::less<>> m_reportsHeardAt; // by zone
     std::set<std::string, std::less<>> m_cells;
     std::uint64_t m_highestToken = 0;
 };
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -34,8 +34,6 @@
     // Answers of ended jobs, for copies that arrive late, and tasks of unknown jobs that were seen done.
     struct remembered_answer {
         protocol::job_answer answer;
-        std::uint64_t submission = 0; // of the order that it answers
-        std::uint32_t handOver = 0;
         time_point until;
     };
     std::map<std::string, remembered_answer, std::less<>> ended;
--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -105,9 +105,9 @@
     return indexEnd.ec == std::errc() && indexEnd.ptr == end && step < job.steps.size() && index < job.steps[step].tasks.size();
 }
 
-std::string_view jobOfTask(std::string_view task)
+protocol::job_answer makeAnswer(const cell_job& job, protocol::job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs)
 {
-    return task.substr(0, task.find('.'));
+    return { job.order.id, job.order.submission, job.order.handOver, outcome, std::string(reason), retryAfterMs, {}, {} };
 }
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -75,7 +75,7 @@
 // Finds step and index in the name of one of the job's tasks; false when it is none.
 bool findTask(const cell_job& job, std::string_view task, std::size_t& step, std::size_t& index);
 
-// The job's part of a task's name.
-std::string_view jobOfTask(std::string_view task);
+// An answer to the job's order.
+protocol::job_answer makeAnswer(const cell_job& job, protocol::job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0);
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -41,7 +41,10 @@
         return;
     }
     if (const job_answer* answer = findAnswer(order)) {
-        actions.emplace_back(owner_answer { { std::string(desk) }, *answer });
+        job_answer copy = *answer;
+        copy.submission = order.submission;
+        copy.handOver = order.handOver;
+        actions.emplace_back(owner_answer { { std::string(desk) }, std::move(copy) });
         return;
     }
     auto owned = std::make_unique<cell_job>(order, now);
@@ -69,7 +72,7 @@
         return nullptr;
     const remembered_answer& known = found->second;
     const bool isResult = known.answer.outcome == job_outcome::completed || known.answer.outcome == job_outcome::failed;
-    const bool isSameOrder = known.submission == order.submission && known.handOver == order.handOver;
+    const bool isSameOrder = known.answer.submission == order.submission && known.answer.handOver == order.handOver;
     return isResult || isSameOrder ? &known.answer : nullptr;
 }
 
@@ -78,18 +81,20 @@
 {
     const auto serves = [&](const auto& item) { return item.second.facts.service == job.order.service; };
     if (std::none_of(upstreams.begin(), upstreams.end(), serves)) {
-        finish(now, job, { job.order.id, job_outcome::rejected, "no upstream of the service is known", retryWithoutUpstreams, {}, {} });
+        finish(now, job, internal::makeAnswer(job, job_outcome::rejected, "no upstream of the service is known", retryWithoutUpstreams));
         return false;
     }
     if (!couldEverRun(job)) {
-        finish(now, job, { job.order.id, job_outcome::failed, "a task fits no upstream of the service", 0, {}, {} });
+        finish(now, job, internal::makeAnswer(job, job_outcome::failed, "a task fits no upstream of the service", 0));
         return false;
     }
     if (fitsNow(now, job))
         return true;
     if (job.order.mayMove && hooks.findOtherCell) {
         if (const std::string cell = hooks.findOtherCell(job.order); !cell.empty()) {
-            finish(now, job, { job.order.id, job_outcome::moved, "full", 0, cell, {} });
+            job_answer moved = internal::makeAnswer(job, job_outcome::moved, "full");
+            moved.cell = cell;
+            finish(now, job, std::move(moved));
             return false;
         }
     }
@@ -98,7 +103,7 @@
     if (now + wait + run <= job.objectiveEnd)
         return true;
     note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
-    finish(now, job, { job.order.id, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait, job.order.id), {}, {} });
+    finish(now, job, internal::makeAnswer(job, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait, job.order.id)));
     return false;
 }
 
@@ -145,7 +150,7 @@
 void cell_dispatcher::impl::finishIfDone(time_point now, cell_job& job)
 {
     if (job.isDone())
-        finish(now, job, { job.order.id, job_outcome::completed, {}, 0, {}, {} });
+        finish(now, job, internal::makeAnswer(job, job_outcome::completed, {}));
 }
 
 // The job goes; what it still runs is stopped.
@@ -157,7 +162,7 @@
                 stopRun(now, upstream, name, record);
         }
     }
-    ended[job.order.id] = { answer, job.order.submission, job.order.handOver, now + rememberAnswers };
+    ended[job.order.id] = { answer, now + rememberAnswers };
     note("job_ended", job.order.id, "outcome=" + std::to_string(static_cast<int>(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
     actions.emplace_back(owner_answer { { job.desks.begin(), job.desks.end() }, std::move(answer) });
     jobs.erase(jobs.find(job.order.id));
@@ -166,13 +171,13 @@
 void cell_dispatcher::impl::checkJob(time_point now, cell_job& job)
 {
     if (now >= job.deadline)
-        return finish(now, job, { job.order.id, job.hasBegun ? job_outcome::unfinished : job_outcome::rejected, "the caller's deadline passed", 1000, {}, {} });
+        return finish(now, job, internal::makeAnswer(job, job.hasBegun ? job_outcome::unfinished : job_outcome::rejected, "the caller's deadline passed", retryWithoutUpstreams));
     const bool isHopeless = !job.hasBegun && now + fastestRun(now, job) > job.objectiveEnd;
     if (!isHopeless)
         return;
     const duration wait = waitOf(now, job);
     note("job_given_up", job.order.id, "wait_ms=" + toMs(wait) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
-    finish(now, job, { job.order.id, job_outcome::rejected, "other work went first", internal::retryAfterMs(wait, job.order.id), {}, {} });
+    finish(now, job, internal::makeAnswer(job, job_outcome::rejected, "other work went first", internal::retryAfterMs(wait, job.order.id)));
 }
 
 void cell_dispatcher::submit(time_point now, const protocol::job_order& job, std::string_view desk)
@@ -189,7 +194,7 @@
         known->desks.erase(waiting);
     if (!known->desks.empty())
         return;
-    m_impl->finish(now, *known, { std::string(job), job_outcome::unfinished, "cancelled", 0, {}, {} });
+    m_impl->finish(now, *known, internal::makeAnswer(*known, job_outcome::unfinished, "cancelled"));
     m_impl->dispatch(now);
 }
 
@@ -207,7 +212,7 @@
 void cell_dispatcher::release(time_point now)
 {
     for (auto& [id, job] : m_impl->jobs) {
-        job_answer answer { id, job_outcome::released, "the owner of the cell changes", 0, {}, {} };
+        job_answer answer = internal::makeAnswer(*job, job_outcome::released, "the owner of the cell changes");
         for (std::size_t step = 0; step < job->steps.size(); ++step) {
             for (std::size_t index = 0; index < job->steps[step].tasks.size(); ++index) {
                 if (job->steps[step].tasks[index].state == task_state::done)
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -217,7 +217,8 @@
     }
     note("run_ended_early", end.run.task, "upstream=" + upstream.facts.id + " run=" + std::to_string(end.run.run) + " how=" + std::to_string(static_cast<int>(end.how)));
     if (end.how == end_kind::failed && ++task.failedRuns >= job->order.maxAttempts) {
-        return finish(now, *job, { job->order.id, protocol::job_outcome::failed, "task " + end.run.task + " failed on " + upstream.facts.id + ", attempt " + std::to_string(task.failedRuns), 0, {}, {} });
+        const std::string reason = "task " + end.run.task + " failed on " + upstream.facts.id + ", attempt " + std::to_string(task.failedRuns);
+        return finish(now, *job, internal::makeAnswer(*job, protocol::job_outcome::failed, reason));
     }
     requeue(*job, record.step, record.index);
 }
--- a/src/coordination/cells/job_desk.cpp
+++ b/src/coordination/cells/job_desk.cpp
@@ -16,6 +16,11 @@
     constexpr duration resendInterval = milliseconds(500); // an order or its answer was lost with a connection
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a lost owner is replaced within it
 
+    job_answer makeOwnAnswer(const protocol::job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0)
+    {
+        return { order.id, order.submission, order.handOver, outcome, std::string(reason), retryAfterMs, {}, {} };
+    }
+
 } // namespace
 
 job_desk::job_desk(std::string homeCell, owner_hook ownerOf)
@@ -45,14 +50,15 @@
 
 void job_desk::hand(time_point now, desk_job& job)
 {
-    const std::optional<std::string> owner = m_ownerOf(job.cell);
+    const std::optional<cell_owner> owner = m_ownerOf(job.cell);
     if (!owner) {
         job.host.clear();
         if (!job.mayHaveRun)
-            finish(std::string(job.order.id), { job.order.id, job_outcome::rejected, "no host serves the zone", retryWithoutOwnerMs, {}, {} });
+            finish(std::string(job.order.id), makeOwnAnswer(job.order, job_outcome::rejected, "no host serves the zone", retryWithoutOwnerMs));
         return;
     }
-    job.host = *owner;
+    job.host = owner->host;
+    job.token = owner->token;
     job.mayHaveRun = true;
     send(now, job);
 }
@@ -91,7 +97,7 @@
         return false;
     if (!known->second.host.empty())
         m_actions.emplace_back(send_cancel { known->second.host, known->first });
-    finish(known->first, { known->first, job_outcome::unfinished, "cancelled", 0, {}, {} });
+    finish(std::string(known->first), makeOwnAnswer(known->second.order, job_outcome::unfinished, "cancelled"));
     return true;
 }
 
@@ -111,7 +117,8 @@
         return;
     desk_job& job = known->second;
     const bool isResult = answer.outcome == job_outcome::completed || answer.outcome == job_outcome::failed;
-    if (job.host != host && !isResult)
+    const bool isOfThisOrder = job.host == host && answer.submission == job.order.submission && answer.handOver == job.order.handOver;
+    if (!isOfThisOrder && !isResult)
         return; // an earlier owner; the job is in other hands
     if (answer.outcome == job_outcome::moved) {
         job.cell = answer.cell;
@@ -134,7 +141,7 @@
     }
     // Refused by this owner; an earlier one may have started tasks.
     if (answer.outcome == job_outcome::rejected && job.order.handOver > 0)
-        return finish(std::string(known->first), { answer.id, job_outcome::unfinished, answer.reason, 0, {}, {} });
+        return finish(std::string(known->first), makeOwnAnswer(job.order, job_outcome::unfinished, answer.reason));
     finish(std::string(known->first), answer);
 }
 
@@ -146,10 +153,10 @@
             overdue.push_back(id);
             continue;
         }
-        const std::optional<std::string> owner = m_ownerOf(job.cell);
+        const std::optional<cell_owner> owner = m_ownerOf(job.cell);
         if (!owner)
             continue;
-        if (job.host == *owner) {
+        if (job.host == owner->host && job.token == owner->token) {
             if (now - job.sentAt >= resendInterval)
                 send(now, job);
             continue;
@@ -159,9 +166,10 @@
         hand(now, job);
     }
     for (const std::string& id : overdue) {
-        if (const std::string& host = m_jobs.at(id).host; !host.empty())
-            m_actions.emplace_back(send_cancel { host, id });
-        finish(id, { id, job_outcome::unfinished, "no answer before the caller's deadline", 0, {}, {} });
+        const desk_job& job = m_jobs.at(id);
+        if (!job.host.empty())
+            m_actions.emplace_back(send_cancel { job.host, id });
+        finish(id, makeOwnAnswer(job.order, job_outcome::unfinished, "no answer before the caller's deadline"));
     }
 }
 
--- a/src/coordination/cells/job_desk.h
+++ b/src/coordination/cells/job_desk.h
@@ -5,6 +5,7 @@
 // not, and is handed to the next owner with what the last one saw done.
 #pragma once
 
+#include "coordination/cells/cell_ownership.h"
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
 
@@ -43,8 +44,7 @@
 
 class job_desk {
 public:
-    // The host that owns a cell now.
-    using owner_hook = std::function<std::optional<std::string>(std::string_view cell)>;
+    using owner_hook = std::function<std::optional<cell_owner>(std::string_view cell)>;
 
     job_desk(std::string homeCell, owner_hook ownerOf);
 
@@ -71,6 +71,7 @@
         std::vector<caller_number> callers;
         std::string cell;
         std::string host; // that has the job in hand; empty: none
+        std::uint64_t token = 0; // of the ownership that the job was handed to
         time_point arrivedAt;
         time_point deadline;
         time_point sentAt; // valid while host is set
--- /dev/null
+++ b/src/coordination/cells/tests/job_desk_tests.cpp
@@ -0,0 +1,163 @@
+// Jobs between callers and changing owners.
+#include "coordination/cells/job_desk.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdaw::cells;
+using jackdaw::protocol::job_answer;
+using jackdaw::protocol::job_order;
+using jackdaw::protocol::job_outcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+struct desk_fixture {
+    std::optional<cell_owner> owner = cell_owner { "h1", 10, false };
+    job_desk desk { "a", [this](std::string_view) { return owner; } };
+    time_point now;
+
+    job_order makeOrder(const std::string& id) const
+    {
+        job_order order;
+        order.id = id;
+        order.steps = { { 2, { 1000, 0, 0 }, 100, {}, "", "", 0 } };
+        order.timeLeftMs = 1500;
+        return order;
+    }
+
+    std::vector<send_order> sent()
+    {
+        std::vector<send_order> out;
+        for (const desk_action& action : desk.takeActions()) {
+            if (const auto* send = std::get_if<send_order>(&action))
+                out.push_back(*send);
+            else if (const auto* answer = std::get_if<answer_callers>(&action))
+                answers.push_back(*answer);
+        }
+        return out;
+    }
+
+    // As the owner would answer this order.
+    static job_answer answerTo(const job_order& order, job_outcome outcome)
+    {
+        return { order.id, order.submission, order.handOver, outcome, "", 0, {}, {} };
+    }
+
+    std::vector<answer_callers> answers;
+};
+
+} // namespace
+
+TEST_CASE("a result goes to every caller of the job")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    f.desk.submit(f.now, f.makeOrder("1"), 2);
+    const auto sent = f.sent();
+    REQUIRE(sent.size() == 1);
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(sent[0].order, job_outcome::completed));
+    CHECK(f.sent().empty());
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0].callers == std::vector<caller_number> { 1, 2 });
+    CHECK(f.desk.size() == 0);
+}
+
+TEST_CASE("a job is handed over when the same host owns the cell under another token")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    CHECK(f.sent().front().order.handOver == 0);
+    f.owner->token = 11;
+    f.now += milliseconds(20);
+    f.desk.advance(f.now);
+    const auto again = f.sent();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].order.handOver == 1);
+}
+
+TEST_CASE("a refusal after a hand-over does not say that nothing has run")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    f.sent();
+    f.owner = cell_owner { "h2", 12, false };
+    f.desk.advance(f.now);
+    const auto again = f.sent();
+    f.desk.onAnswer(f.now, "h2", desk_fixture::answerTo(again.at(0).order, job_outcome::rejected));
+    f.sent();
+    CHECK(f.answers.at(0).answer.outcome == job_outcome::unfinished);
+}
+
+TEST_CASE("a refusal of an earlier hand-over is not taken for the present one")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    const auto first = f.sent();
+    f.owner->token = 11;
+    f.desk.advance(f.now);
+    f.sent();
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(first.at(0).order, job_outcome::rejected));
+    f.sent();
+    CHECK(f.answers.empty());
+    CHECK(f.desk.size() == 1);
+}
+
+TEST_CASE("done tasks of a released job travel to the next owner")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    const auto first = f.sent();
+    job_answer released = desk_fixture::answerTo(first.at(0).order, job_outcome::released);
+    released.doneTasks = { "1.0.0.0" };
+    f.desk.onAnswer(f.now, "h1", released);
+    f.owner = std::nullopt;
+    f.desk.advance(f.now);
+    CHECK(f.sent().empty());
+    CHECK(f.answers.empty());
+    f.owner = cell_owner { "h2", 12, false };
+    f.desk.advance(f.now);
+    const auto second = f.sent();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].host == "h2");
+    CHECK(second[0].order.doneTasks == std::vector<std::string> { "1.0.0.0" });
+    CHECK(second[0].order.handOver == 1);
+}
+
+TEST_CASE("without an owner a new job is refused as not run, at once")
+{
+    desk_fixture f;
+    f.owner = std::nullopt;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    f.sent();
+    CHECK(f.answers.at(0).answer.outcome == job_outcome::rejected);
+    CHECK(f.answers.at(0).answer.retryAfterMs > 0);
+}
+
+TEST_CASE("an order without an answer is sent again, and its caller answered after the deadline")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    f.sent();
+    std::size_t resent = 0;
+    for (int i = 0; i < 100; ++i) {
+        f.now += milliseconds(20);
+        f.desk.advance(f.now);
+        resent += f.sent().size();
+    }
+    CHECK(resent == 3);
+    CHECK(f.answers.at(0).answer.outcome == job_outcome::unfinished);
+}
+
+TEST_CASE("the job of a caller that went away is cancelled at its owner")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    f.sent();
+    f.desk.loseCaller(1);
+    bool isCancelled = false;
+    for (const desk_action& action : f.desk.takeActions())
+        isCancelled = isCancelled || std::holds_alternative<send_cancel>(action);
+    CHECK(isCancelled);
+    CHECK(f.desk.size() == 0);
+}
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -88,6 +88,8 @@
 
 struct job_answer {
     std::string id;
+    std::uint64_t submission = 0; // of the order that it answers
+    std::uint32_t handOver = 0; // of the order that it answers
     job_outcome outcome = job_outcome::unfinished;
     std::string reason;
     std::uint32_t retryAfterMs = 0;
@@ -96,7 +98,7 @@
 
     friend bool operator==(const job_answer&, const job_answer&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, outcome, reason, retryAfterMs, cell, doneTasks)
+    MSGPACK_DEFINE_ARRAY(id, submission, handOver, outcome, reason, retryAfterMs, cell, doneTasks)
 };
 
 // The caller no longer waits for the job, or cancels it.
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -20,7 +20,7 @@
 
 TEST_CASE("an answer keeps its outcome, and gossip its claims")
 {
-    const job_answer answer { "1", job_outcome::moved, "full", 250, "zone-b", {} };
+    const job_answer answer { "1", 7, 1, job_outcome::moved, "full", 250, "zone-b", {} };
     const auto answerBack = decodeCellMessage(encodeCellMessage(answer));
     REQUIRE(answerBack);
     CHECK(std::get<job_answer>(answerBack.value()) == answer);
