Control: a silent voter beyond the wanted size leaves; entry hosts pull newer configurations from each other

Cause: a control host that is replaced at another address stays a voter, so that two live ones of four have no majority when the next one is lost. Entry hosts now also pull from each other by gossip.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -28,6 +28,7 @@
 
     constexpr duration gossipInterval = milliseconds(200); // five within the time after which a host counts as silent
     constexpr duration roomInterval = milliseconds(50); // between owners: a third of the shortest objective
+    constexpr duration pullInterval = milliseconds(300); // a whole configuration may take 100 ms on a slow link
     constexpr duration helloInterval = milliseconds(500);
     constexpr duration busyTick = milliseconds(20);
     constexpr duration idleTick = milliseconds(100);
@@ -70,7 +71,8 @@
     // Room of other cells, less what was sent there since their last gossip.
     std::map<std::string, std::vector<protocol::service_room>, std::less<>> otherRooms;
     cells::caller_number lastCaller = 0;
-    std::uint64_t configurationVersion = 0; // in force; only goes up
+    protocol::configuration_push inForce; // its version only goes up
+    time_point lastPull;
     bool isLeaving = false;
     bool isPumping = false;
     bool hadOwner = false;
@@ -141,7 +143,10 @@
         onOrder(*order, delivery.sender);
     else if (const auto* answer = std::get_if<protocol::job_answer>(&message))
         desk.onAnswer(steadyNow(), delivery.sender, *answer);
-    else if (const auto* cancel = std::get_if<protocol::job_cancel>(&message)) {
+    else if (const auto* pull = std::get_if<protocol::configuration_pull>(&message)) {
+        if (pull->version < inForce.version)
+            sendTo(std::string(delivery.sender), inForce);
+    } else if (const auto* cancel = std::get_if<protocol::job_cancel>(&message)) {
         for (const auto& [cell, dispatcher] : dispatchers)
             dispatcher->cancel(steadyNow(), cancel->id, delivery.sender);
     }
@@ -156,6 +161,11 @@
         for (const auto& [cell, dispatcher] : dispatchers)
             dispatcher->loseDesk(now, ended);
     }
+    // The control hosts push; this is the way round a broken link to them.
+    if (gossip.configurationVersion > inForce.version && now - lastPull >= pullInterval) {
+        lastPull = now;
+        sendTo(gossip.host, protocol::configuration_pull { inForce.version });
+    }
     for (const protocol::cell_claim& claim : gossip.claims)
         otherRooms[claim.cell] = claim.rooms;
     applyOwnership();
@@ -198,12 +208,12 @@
 
 void cell_host::impl::onConfiguration(const protocol::configuration_push& push)
 {
-    if (push.version <= configurationVersion)
+    if (push.version <= inForce.version)
         return;
     if (!hooks.onConfiguration(push))
         return logEvent(log_level::error, "configuration_unreadable", { { "version", std::to_string(push.version) } });
-    logEvent(log_level::info, "configuration_in_force", { { "version", std::to_string(push.version) }, { "before", std::to_string(configurationVersion) } });
-    configurationVersion = push.version;
+    logEvent(log_level::info, "configuration_in_force", { { "version", std::to_string(push.version) }, { "before", std::to_string(inForce.version) } });
+    inForce = push;
 }
 
 void cell_host::impl::onOrder(const protocol::job_order& order, std::string_view deskHost)
@@ -215,7 +225,7 @@
 
 void cell_host::impl::sayHello()
 {
-    const std::string bytes = protocol::encodeCellMessage(protocol::entry_hello { settings.host, incarnation, configurationVersion, isLeaving });
+    const std::string bytes = protocol::encodeCellMessage(protocol::entry_hello { settings.host, incarnation, inForce.version, isLeaving });
     for (const std::string& host : controlPeers)
         links.send(controlMeshName(host), bytes);
 }
@@ -223,6 +233,7 @@
 void cell_host::impl::gossip(const std::vector<std::string>& hosts)
 {
     protocol::host_gossip gossip = ownership.gossip();
+    gossip.configurationVersion = inForce.version;
     for (protocol::cell_claim& claim : gossip.claims) {
         if (const auto dispatcher = dispatchers.find(claim.cell); dispatcher != dispatchers.end())
             claim.rooms = dispatcher->second->rooms(steadyNow());
@@ -513,7 +524,7 @@
 
 bool cell_host::isReady() const
 {
-    return !m_impl->isLeaving && m_impl->configurationVersion > 0 && m_impl->hadOwner;
+    return !m_impl->isLeaving && m_impl->inForce.version > 0 && m_impl->hadOwner;
 }
 
 void cell_host::leave()
--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -248,10 +248,13 @@
 {
     if (raft->role() != raft_role::leader)
         return;
-    const std::vector<raft_member_id> live = heardMembers.live(now);
+    std::vector<raft_member_id> live = heardMembers.live(now);
     if (live.empty())
         return;
-    const auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
+    live.push_back(selfId);
+    auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
+    if (!plan)
+        plan = coordination::planRemoval(raft->membership(), live, settings.wantedVoters);
     if (plan)
         raft->proposeMembership(now, *plan);
 }
--- a/src/apps/control/control_node.h
+++ b/src/apps/control/control_node.h
@@ -28,6 +28,7 @@
     duration changeTimeout = std::chrono::seconds(5);
     duration reopenInterval = std::chrono::seconds(5); // between two tries to open a storage that failed
     std::size_t compactAfterEntries = 256;
+    std::size_t wantedVoters = SIZE_MAX; // silent voters beyond so many are removed
 };
 
 struct control_node_hooks {
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -229,7 +229,7 @@
 
 protocol::host_gossip cell_ownership::gossip() const
 {
-    protocol::host_gossip out { m_settings.host, m_settings.incarnation, m_settings.zone, m_settings.processorMillicores, m_isLeaving, {} };
+    protocol::host_gossip out { m_settings.host, m_settings.incarnation, m_settings.zone, m_settings.processorMillicores, m_isLeaving, 0, {} };
     for (const auto& [cell, token] : m_claims)
         out.claims.push_back({ cell, token, {} });
     return out;
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -74,7 +74,7 @@
     std::vector<std::string> silentHosts(time_point now) const;
     std::vector<std::string> ownersBesidesSelf(time_point now) const;
 
-    // This host's gossip; the rooms are left to the caller.
+    // This host's gossip; rooms and configuration are left to the caller.
     protocol::host_gossip gossip() const;
 
 private:
--- a/src/coordination/raft_replacement.cpp
+++ b/src/coordination/raft_replacement.cpp
@@ -49,4 +49,16 @@
     return std::nullopt;
 }
 
+std::optional<raft_membership> planRemoval(const raft_membership& current, std::span<const raft_member_id> live, std::size_t wantedVoters)
+{
+    if (current.voters.size() <= wantedVoters)
+        return std::nullopt;
+    const auto silent = std::ranges::find_if(current.voters, [&](const raft_member_id& voter) { return std::ranges::find(live, voter) == live.end(); });
+    if (silent == current.voters.end())
+        return std::nullopt;
+    raft_membership without = current;
+    std::erase(without.voters, raft_member_id(*silent));
+    return without;
+}
+
 } // namespace jackdaw::coordination
--- a/src/coordination/raft_replacement.h
+++ b/src/coordination/raft_replacement.h
@@ -18,4 +18,9 @@
 std::optional<protocol::raft_membership> planReplacement(const protocol::raft_membership& current,
     std::span<const protocol::raft_member_id> live, std::size_t minVoters, const raft_member_predicate& isCaughtUp);
 
+// The membership without a voter that is not live, when there are more voters than wanted: a host that was replaced by one at
+// another address must not count towards majorities any more. std::nullopt when there is none to remove.
+std::optional<protocol::raft_membership> planRemoval(const protocol::raft_membership& current,
+    std::span<const protocol::raft_member_id> live, std::size_t wantedVoters);
+
 } // namespace jackdaw::coordination
--- a/src/coordination/tests/raft_node_tests.cpp
+++ b/src/coordination/tests/raft_node_tests.cpp
@@ -1,5 +1,6 @@
 // Tests of single decisions that the seeded checker reaches too seldom.
 #include "coordination/raft_node.h"
+#include "coordination/raft_replacement.h"
 
 #include <doctest/doctest.h>
 
@@ -137,3 +138,17 @@
         node.propose(start + 1s, "x");
     CHECK(node.takeReady().messages.size() == 2);
 }
+
+TEST_CASE("a silent voter is removed only where there are more voters than wanted")
+{
+    const raft_member_id a { "a", 1 };
+    const raft_member_id b { "b", 1 };
+    const raft_member_id c { "c", 1 };
+    const raft_member_id d { "d", 1 };
+    const std::vector<raft_member_id> live { a, b, d };
+    const auto plan = planRemoval({ { a, b, c, d }, {} }, live, 3);
+    REQUIRE(plan);
+    CHECK(plan->voters == std::vector<raft_member_id> { a, b, d });
+    CHECK_FALSE(planRemoval({ { a, b, c }, {} }, live, 3));
+    CHECK_FALSE(planRemoval({ { a, b, d }, { c } }, live, 2));
+}
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -138,11 +138,12 @@
     std::string zone;
     std::uint32_t processorMillicores = 0;
     bool isLeaving = false;
+    std::uint64_t configurationVersion = 0; // in force
     std::vector<cell_claim> claims;
 
     friend bool operator==(const host_gossip&, const host_gossip&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, claims)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, configurationVersion, claims)
 };
 
 // An entry host asks a control host for the directory, and tells which configuration it has in force.
@@ -189,6 +190,15 @@
     MSGPACK_DEFINE_ARRAY(version, text)
 };
 
+// An entry host has heard of a newer configuration and asks for it.
+struct configuration_pull {
+    std::uint64_t version = 0; // that it has in force
+
+    friend bool operator==(const configuration_pull&, const configuration_pull&) = default;
+
+    MSGPACK_DEFINE_ARRAY(version)
+};
+
 // A message of the control group's replicated log, encoded by protocol/raft_codec.h.
 struct group_message {
     std::string bytes;
@@ -199,7 +209,7 @@
 };
 
 // The position in this list is the kind on the wire: append only.
-using cell_message = std::variant<host_gossip, entry_hello, control_hello, directory_update, configuration_push, group_message, job_order, job_answer, job_cancel>;
+using cell_message = std::variant<host_gossip, entry_hello, control_hello, directory_update, configuration_push, group_message, job_order, job_answer, job_cancel, configuration_pull>;
 
 std::string encodeCellMessage(const cell_message& message);
 
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -24,7 +24,7 @@
     const auto answerBack = decodeCellMessage(encodeCellMessage(answer));
     REQUIRE(answerBack);
     CHECK(std::get<job_answer>(answerBack.value()) == answer);
-    const host_gossip gossip { "10.0.0.1", 7, "zone-a", 250, true, { { "zone-a", 99, { { "planning", { 4000, 2000 } } } } } };
+    const host_gossip gossip { "10.0.0.1", 7, "zone-a", 250, true, 3, { { "zone-a", 99, { { "planning", { 4000, 2000 } } } } } };
     const auto gossipBack = decodeCellMessage(encodeCellMessage(gossip));
     REQUIRE(gossipBack);
     CHECK(std::get<host_gossip>(gossipBack.value()) == gossip);
