--- a/src/apps/hub/hub_process.cpp
+++ b/src/apps/hub/hub_process.cpp
@@ -33,6 +33,7 @@
     constexpr duration handOverTime = std::chrono::milliseconds(500); // for the transfer of leadership at a stop
     constexpr duration changeTimeout = std::chrono::milliseconds(900); // operators' tools wait a second for an answer
     constexpr duration linkSilenceLimit = std::chrono::milliseconds(900); // shorter than the longest election timeout
+    constexpr duration minElectionTimeout = std::chrono::milliseconds(300); // three heartbeats; the longest is twice as long
     constexpr std::size_t fullGroup = 3; // voters that bear the loss of one; fewer only where there are fewer seeds
 
     bool isFounder(const hub_settings& settings)
@@ -80,6 +81,7 @@
         control::control_node_settings out;
         out.storage = { settings.dataFolder, settings.host, groupName, {} };
         out.seed = incarnation;
+        out.minElectionTimeout = minElectionTimeout;
         out.changeTimeout = changeTimeout;
         out.wantedVoters = fullGroup;
         return out;
--- a/src/transport/internal/mesh_link.cpp
+++ b/src/transport/internal/mesh_link.cpp
@@ -12,7 +12,7 @@
 namespace {
 
     constexpr nng_duration minReconnectMs = 50;
-    constexpr nng_duration maxReconnectMs = 1000;
+    constexpr nng_duration maxReconnectMs = 100; // a host that has just started is reached within it
 
 } // namespace
 
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -13,7 +13,10 @@
 
     using protocol::time_point;
 
-    constexpr int ticksPerSilenceLimit = 3;
+    constexpr int ticksPerSilenceLimit = 6;
+
+    // A host that has just got power loses the first packet of a connection, which the kernel sends again after a second.
+    constexpr protocol::duration firstDialPatience = std::chrono::milliseconds(200);
 
     struct peer {
         std::string address;
@@ -25,6 +28,10 @@
         time_point unackedSince; // valid while ackedSequence < lastSequence
         std::uint64_t heardIncarnation = 0;
         std::uint64_t heardSequence = 0;
+        time_point dialledAt;
+        protocol::duration dialPatience = firstDialPatience;
+        bool hasSent = false; // over the present link, so it was open
+        std::string unsent; // the frame that the link has in hand
         bool isFlushPosted = false;
         bool owesAck = false; // heard a frame with bodies since the last frame to this peer
     };
@@ -53,7 +60,9 @@
 
     void dial(const std::string& host, peer& peer)
     {
-        peer.link = std::make_unique<internal::mesh_link>(loop, peer.address, [this, host] { flush(host); });
+        peer.link = std::make_unique<internal::mesh_link>(loop, peer.address, [this, host] { onSent(host); });
+        peer.dialledAt = protocol::steadyNow();
+        peer.hasSent = false;
         peer.ackedSequence = peer.lastSequence;
     }
 
@@ -77,6 +86,29 @@
         return true;
     }
 
+    void onSent(const std::string& host)
+    {
+        if (const auto found = peers.find(host); found != peers.end()) {
+            found->second.hasSent = true;
+            found->second.unsent.clear();
+            found->second.dialPatience = firstDialPatience;
+        }
+        flush(host);
+    }
+
+    // A link that never opened has sent nothing: its frame goes out over the next one.
+    void dialUnopened(const std::string& host, peer& peer)
+    {
+        const std::string frame = peer.unsent;
+        const std::uint64_t acked = peer.ackedSequence;
+        dial(host, peer);
+        peer.dialPatience = std::min(peer.dialPatience * 2, settings.silenceLimit);
+        peer.ackedSequence = acked;
+        peer.unackedSince = peer.dialledAt;
+        peer.ackedSequence = std::min(peer.ackedSequence, peer.lastSequence);
+        peer.link->send(frame);
+    }
+
     void flush(const std::string& host)
     {
         const auto found = peers.find(host);
@@ -103,10 +135,10 @@
             ++peer.lastSequence;
         }
         frame.sequence = peer.lastSequence;
-        const std::string bytes = internal::encodeFrame(frame);
-        peer.link->send(bytes);
+        peer.unsent = internal::encodeFrame(frame);
+        peer.link->send(peer.unsent);
         ++sentMessages;
-        sentBytes += bytes.size();
+        sentBytes += peer.unsent.size();
     }
 
     void receive(const std::string& bytes)
@@ -140,8 +172,11 @@
     {
         const time_point now = protocol::steadyNow();
         for (auto& [host, peer] : peers) {
+            const bool isUnopened = !peer.hasSent && peer.link->isSending() && now - peer.dialledAt >= peer.dialPatience;
             const bool isSilent = peer.ackedSequence < peer.lastSequence && now - peer.unackedSince >= settings.silenceLimit;
-            if (isSilent)
+            if (isUnopened)
+                dialUnopened(host, peer);
+            else if (isSilent)
                 dial(host, peer);
             if (peer.owesAck && !peer.link->isSending())
                 sendFrame(peer);
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -154,3 +154,40 @@
     }
     CHECK_FALSE(internal::decodeFrame(""));
 }
+
+TEST_CASE("a message to a host whose connections hang arrives once, when the host listens")
+{
+    mesh_fixture fixture;
+    const std::string address = freeAddress();
+    // A listener with a full queue: the kernel drops the first packet of further connections.
+    const int deaf = socket(AF_INET, SOCK_STREAM, 0);
+    const int reuse = 1;
+    setsockopt(deaf, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+    sockaddr_in name {};
+    name.sin_family = AF_INET;
+    name.sin_port = htons(portOf(address));
+    inet_pton(AF_INET, "127.0.0.1", &name.sin_addr);
+    REQUIRE(bind(deaf, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
+    REQUIRE(listen(deaf, 0) == 0);
+    std::vector<int> fillers;
+    for (int i = 0; i < 4; ++i) {
+        fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
+        connect(fillers.back(), reinterpret_cast<sockaddr*>(&name), sizeof(name));
+    }
+
+    const auto sender = fixture.start("a", 1, freeAddress(), [](const mesh_delivery&) {});
+    sender->setPeer("b", address);
+    sender->send("b", "first");
+    int rounds = 0;
+    const auto timer = fixture.loop.every(std::chrono::milliseconds(100), [&] { ++rounds; });
+    fixture.runUntil([&] { return rounds >= 6; });
+    for (const int filler : fillers)
+        close(filler);
+    close(deaf);
+    std::vector<std::string> heard;
+    const auto receiver = fixture.start("b", 1, address, [&](const mesh_delivery& delivery) { heard.emplace_back(delivery.body); });
+    fixture.runUntil([&] { return !heard.empty(); });
+    rounds = 0;
+    fixture.runUntil([&] { return rounds >= 6; });
+    CHECK(heard == std::vector<std::string> { "first" });
+}
