--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -26,7 +26,7 @@
 
 namespace {
 
-    constexpr duration gossipInterval = milliseconds(200); // five within the time after which a host counts as silent
+    constexpr duration gossipInterval = milliseconds(150); // six within the time after which a host counts as silent
     constexpr duration roomInterval = milliseconds(50); // between owners: a third of the shortest objective
     constexpr duration pullInterval = milliseconds(300); // a whole configuration may take 100 ms on a slow link
     constexpr duration helloInterval = milliseconds(500);
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -26,7 +26,7 @@
     std::string zone;
     std::uint32_t processorMillicores = 0;
     duration silenceLimit = std::chrono::milliseconds(1000); // five intervals of gossip
-    duration listenTime = std::chrono::milliseconds(600); // three intervals of gossip, before a new host claims anything
+    duration listenTime = std::chrono::milliseconds(450); // three intervals of gossip, before a new host claims anything
     duration foreignDelay = std::chrono::seconds(3); // before a zone of silent hosts is taken over from another zone
     duration reportFreshness = std::chrono::milliseconds(2500); // two reports of an upstream come in it
 };
