--- /dev/null
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -0,0 +1,243 @@
+// The dispatcher of a cell against simulated upstreams: placement, losses, takeovers.
+#include "coordination/cells/tests/cell_simulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdaw::cells;
+using namespace jackdaw::cells::tests;
+using jackdaw::protocol::job_order;
+using jackdaw::protocol::job_outcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// Waits until the owner has adopted its upstreams.
+void settle(cell_simulation& sim)
+{
+    sim.pass(milliseconds(100));
+}
+
+void checkSafe(const cell_simulation& sim)
+{
+    CHECK(sim.doubleRuns() == 0);
+    CHECK(sim.overfills() == 0);
+}
+
+job_outcome outcomeOf(const cell_simulation& sim, const std::string& id)
+{
+    REQUIRE(sim.outcomes().contains(id));
+    return sim.outcomes().at(id).answer.outcome;
+}
+
+} // namespace
+
+TEST_CASE("a job that fits starts whole and ends in time")
+{
+    cell_simulation sim(1);
+    for (const char* id : { "u1", "u2", "u3", "u4" })
+        sim.addUpstream(id, 32000);
+    sim.addOwner();
+    settle(sim);
+    sim.submit(0, sim.makeJob("1", 8, 14000, 60));
+    sim.pass(seconds(1));
+    CHECK(sim.outcomes().at("1").isInTime);
+    checkSafe(sim);
+}
+
+TEST_CASE("fast upstreams are preferred once their speed is known")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("fast", 32000, 0.6);
+    sim.addUpstream("slow", 32000, 1.6);
+    sim.addOwner();
+    settle(sim);
+    for (int i = 0; i < 40; ++i) {
+        sim.submit(0, sim.makeJob(std::to_string(i), 1, 14000, 100));
+        sim.pass(milliseconds(300));
+    }
+    CHECK(sim.startsOn("fast") > 3 * sim.startsOn("slow"));
+}
+
+TEST_CASE("a job that can't be in time is refused at once, truthfully, with a time to come back")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000);
+    sim.addOwner();
+    settle(sim);
+    sim.submit(0, sim.makeJob("long", 2, 14000, 900));
+    sim.pass(milliseconds(50));
+    sim.submit(0, sim.makeJob("late", 2, 14000, 60));
+    CHECK(outcomeOf(sim, "late") == job_outcome::rejected);
+    CHECK(sim.outcomes().at("late").answer.retryAfterMs >= 1000);
+    sim.pass(seconds(3));
+    CHECK(sim.runsOf("late.0.0.0") == 0);
+    CHECK(outcomeOf(sim, "long") == job_outcome::completed);
+}
+
+TEST_CASE("a job that fits nowhere ever fails instead of being asked to return")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000);
+    sim.addOwner();
+    settle(sim);
+    sim.submit(0, sim.makeJob("wide", 1, 64000, 60));
+    CHECK(outcomeOf(sim, "wide") == job_outcome::failed);
+}
+
+TEST_CASE("a task that fails goes elsewhere until its attempts are used up")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("bad", 32000).fault = upstream_fault::failing;
+    sim.addUpstream("good", 32000);
+    sim.addOwner();
+    settle(sim);
+    for (int i = 0; i < 10; ++i) {
+        sim.submit(0, sim.makeJob(std::to_string(i), 2, 14000, 200));
+        sim.pass(milliseconds(400));
+        CHECK(outcomeOf(sim, std::to_string(i)) == job_outcome::completed);
+    }
+    CHECK(sim.startsOn("bad") < 8); // left alone after some failures
+    checkSafe(sim);
+}
+
+TEST_CASE("runs on a crashed upstream start elsewhere, also when it is back under its old id")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000, 0.6);
+    sim.addUpstream("u2", 32000);
+    sim.addOwner();
+    settle(sim);
+    sim.submit(0, sim.makeJob("1", 2, 14000, 600));
+    sim.pass(milliseconds(100));
+    const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
+    sim.crash(home);
+    sim.pass(milliseconds(200));
+    sim.restart(home);
+    sim.pass(seconds(3));
+    CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+    checkSafe(sim);
+}
+
+TEST_CASE("a start without an answer is settled before the task starts elsewhere")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000);
+    sim.addUpstream("u2", 32000);
+    sim.addOwner();
+    settle(sim);
+    sim.upstream("u1").fault = upstream_fault::muteButWorking;
+    sim.upstream("u2").fault = upstream_fault::muteButWorking;
+    sim.submit(0, sim.makeJob("1", 4, 14000, 300));
+    sim.pass(milliseconds(400));
+    sim.upstream("u1").fault = upstream_fault::none;
+    sim.upstream("u2").fault = upstream_fault::none;
+    sim.pass(seconds(3));
+    checkSafe(sim);
+}
+
+TEST_CASE("an owner that is shut out stops, and the next one takes its running tasks over")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000);
+    sim.addUpstream("u2", 32000);
+    sim.addOwner();
+    settle(sim);
+    job_order job = sim.makeJob("1", 4, 14000, 600);
+    sim.submit(0, job);
+    sim.pass(milliseconds(100));
+    const std::size_t second = sim.addOwner();
+    sim.pass(milliseconds(350)); // the former owner's look returns within its wait
+    CHECK(sim.owner(0).isFenced());
+    sim.owner(0).release(sim.now());
+    job.handOver = 1;
+    sim.submit(second, job);
+    sim.pass(seconds(2));
+    CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+    for (int i = 0; i < 4; ++i)
+        CHECK(sim.runsOf("1.0.0." + std::to_string(i)) == 1);
+    checkSafe(sim);
+}
+
+TEST_CASE("a job that is handed over starts nothing while an upstream's list is unknown")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000);
+    sim.addUpstream("u2", 32000);
+    sim.addOwner();
+    settle(sim);
+    job_order job = sim.makeJob("1", 2, 14000, 600);
+    sim.submit(0, job);
+    sim.pass(milliseconds(50));
+    const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
+    sim.upstream(home).fault = upstream_fault::muteButWorking;
+    const std::size_t second = sim.addOwner();
+    job.handOver = 1;
+    sim.submit(second, job);
+    sim.pass(milliseconds(500));
+    sim.upstream(home).fault = upstream_fault::none;
+    sim.pass(seconds(3));
+    checkSafe(sim);
+}
+
+TEST_CASE("tasks that nobody claims after a takeover are stopped, and their room is used again")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000);
+    sim.addOwner();
+    settle(sim);
+    sim.submit(0, sim.makeJob("1", 2, 14000, 5000));
+    sim.pass(milliseconds(50));
+    const std::size_t second = sim.addOwner();
+    sim.pass(seconds(1));
+    CHECK(sim.upstream("u1").running.empty());
+    sim.submit(second, sim.makeJob("2", 2, 14000, 100));
+    sim.pass(seconds(1));
+    CHECK(outcomeOf(sim, "2") == job_outcome::completed);
+    checkSafe(sim);
+}
+
+TEST_CASE("a leaving upstream gets no new tasks")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000).isLeaving = true;
+    sim.addUpstream("u2", 32000);
+    sim.addOwner();
+    settle(sim);
+    for (int i = 0; i < 5; ++i) {
+        sim.submit(0, sim.makeJob(std::to_string(i), 2, 14000, 50));
+        sim.pass(milliseconds(200));
+    }
+    CHECK(sim.startsOn("u1") == 0);
+}
+
+TEST_CASE("random faults never overfill an upstream nor run a task twice at a time")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        const std::vector<std::string> ids { "u1", "u2", "u3", "u4", "u5", "u6" };
+        for (const std::string& id : ids)
+            sim.addUpstream(id, sim.random()() % 2 == 0 ? 32000 : 48000, 0.6 + static_cast<double>(sim.random()() % 10) / 10);
+        sim.addOwner();
+        settle(sim);
+        std::size_t owner = 0;
+        for (int i = 0; i < 200; ++i) {
+            sim.submit(owner, sim.makeJob(std::to_string(i), 1 + sim.random()() % 8, 10000 + static_cast<std::int64_t>(sim.random()() % 10000), 40 + sim.random()() % 400, sim.random()() % 3));
+            sim.pass(milliseconds(sim.random()() % 60));
+            sim_upstream& upstream = sim.upstream(ids[sim.random()() % ids.size()]);
+            if (upstream.fault == upstream_fault::crashed)
+                sim.restart(upstream.id);
+            else if (sim.random()() % 8 == 0)
+                sim.crash(upstream.id);
+            else if (sim.random()() % 4 == 0)
+                upstream.fault = static_cast<upstream_fault>(sim.random()() % 5);
+            else
+                upstream.fault = upstream_fault::none;
+            if (sim.random()() % 50 == 0)
+                owner = sim.addOwner();
+        }
+        sim.pass(seconds(5));
+        checkSafe(sim);
+    }
+}
--- /dev/null
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -0,0 +1,334 @@
+// Events of the simulated cell.
+#include "coordination/cells/tests/cell_simulation.h"
+
+#include <algorithm>
+
+namespace jackdaw::cells::tests {
+
+using protocol::job_order;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr duration callTime = milliseconds(1); // one way
+    constexpr duration callTimeout = milliseconds(300);
+    constexpr duration reportInterval = milliseconds(1500);
+    constexpr duration refusalTime = milliseconds(2);
+    constexpr auto serviceName = "planning";
+    constexpr auto cellName = "a";
+
+    std::string jobOf(const std::string& task)
+    {
+        return task.substr(0, task.find('.'));
+    }
+
+} // namespace
+
+cell_simulation::cell_simulation(std::uint64_t seed)
+    : m_random(seed)
+{
+}
+
+sim_upstream& cell_simulation::addUpstream(const std::string& id, std::int64_t millicores, double slowness)
+{
+    sim_upstream& upstream = m_upstreams[id];
+    upstream.id = id;
+    upstream.capacity = { millicores, 65536, 0 };
+    upstream.slowness = slowness;
+    report(upstream);
+    return upstream;
+}
+
+std::size_t cell_simulation::addOwner()
+{
+    cell_settings settings;
+    settings.cell = cellName;
+    settings.token = m_owners.size() + 1;
+    settings.directorySince = m_now - std::chrono::seconds(10);
+    sim_owner owner;
+    owner.token = settings.token;
+    owner.dispatcher = std::make_unique<cell_dispatcher>(settings, cell_hooks {}, m_now);
+    owner.nextAdvance = m_now;
+    m_owners.push_back(std::move(owner));
+    for (auto& [id, upstream] : m_upstreams) {
+        m_owners.back().dispatcher->hearUpstream(m_now, { id, upstream.bornUnixMs, ++upstream.reports, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving });
+    }
+    pump(m_owners.size() - 1);
+    return m_owners.size() - 1;
+}
+
+job_order cell_simulation::makeJob(const std::string& id, std::uint32_t tasks, std::int64_t millicores, std::uint32_t runMs, std::uint32_t priority) const
+{
+    job_order job;
+    job.id = id;
+    job.cell = cellName;
+    job.steps = { { tasks, { millicores, 64, 0 }, runMs, {}, "", "", 0 } };
+    job.service = serviceName;
+    job.priority = priority;
+    job.maxAttempts = 3;
+    job.slackFactor = 1.6;
+    job.targetMs = 60;
+    job.timeLeftMs = 1500;
+    return job;
+}
+
+void cell_simulation::submit(std::size_t owner, const job_order& job)
+{
+    m_runMs[job.id] = job.steps.front().estimateMs;
+    m_needs[job.id] = job.steps.front().need.millicores;
+    m_objectives[job.id] = milliseconds(static_cast<std::int64_t>(job.slackFactor * job.steps.front().estimateMs) + job.targetMs);
+    m_submittedAt.try_emplace(job.id, m_now);
+    m_owners[owner].dispatcher->submit(m_now, job, "desk");
+    pump(owner);
+}
+
+void cell_simulation::schedule(duration delay, std::function<void()> work)
+{
+    m_events.push({ m_now + delay, ++m_eventNumber, std::move(work) });
+}
+
+void cell_simulation::report(sim_upstream& upstream)
+{
+    const std::string id = upstream.id;
+    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent) {
+        for (std::size_t i = 0; i < m_owners.size(); ++i) {
+            m_owners[i].dispatcher->hearUpstream(m_now, { id, upstream.bornUnixMs, ++upstream.reports, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving });
+            pump(i);
+        }
+    }
+    schedule(reportInterval, [this, id] { report(m_upstreams.at(id)); });
+}
+
+void cell_simulation::pass(duration length)
+{
+    const time_point until = m_now + length;
+    while (true) {
+        time_point next = until;
+        for (const sim_owner& owner : m_owners)
+            next = std::min(next, owner.nextAdvance);
+        if (!m_events.empty())
+            next = std::min(next, m_events.top().at);
+        m_now = std::max(m_now, next);
+        if (next >= until)
+            return;
+        while (!m_events.empty() && m_events.top().at <= m_now) {
+            const auto work = m_events.top().work;
+            m_events.pop();
+            work();
+        }
+        for (std::size_t i = 0; i < m_owners.size(); ++i) {
+            if (m_owners[i].nextAdvance > m_now)
+                continue;
+            m_owners[i].dispatcher->advance(m_now);
+            m_owners[i].nextAdvance = m_owners[i].dispatcher->nextTimer(m_now);
+            pump(i);
+        }
+    }
+}
+
+void cell_simulation::pump(std::size_t owner)
+{
+    for (const cell_action& action : m_owners[owner].dispatcher->takeActions())
+        perform(owner, action);
+    m_owners[owner].nextAdvance = std::min(m_owners[owner].nextAdvance, m_owners[owner].dispatcher->nextTimer(m_now));
+}
+
+void cell_simulation::perform(std::size_t owner, const cell_action& action)
+{
+    if (const auto* answer = std::get_if<owner_answer>(&action)) {
+        sim_outcome outcome;
+        outcome.answer = answer->answer;
+        outcome.took = m_now - m_submittedAt.at(answer->answer.id);
+        outcome.isInTime = answer->answer.outcome == protocol::job_outcome::completed && outcome.took <= m_objectives.at(answer->answer.id);
+        m_outcomes[answer->answer.id] = outcome;
+    } else if (const auto* start = std::get_if<start_order>(&action)) {
+        schedule(callTime, [this, owner, order = *start] { arriveStart(owner, order); });
+    } else if (const auto* stop = std::get_if<stop_order>(&action)) {
+        schedule(callTime, [this, owner, order = *stop] { arriveStop(owner, order); });
+    } else if (const auto* look = std::get_if<look_order>(&action)) {
+        schedule(callTime, [this, owner, order = *look] { arriveLook(owner, order); });
+    }
+}
+
+std::int64_t cell_simulation::clockOf() const
+{
+    return std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+}
+
+call_outcome cell_simulation::check(sim_upstream& upstream, std::uint64_t token) const
+{
+    if (token < upstream.token)
+        return call_outcome::fenced;
+    upstream.token = token;
+    return call_outcome::done;
+}
+
+void cell_simulation::answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> take, call_outcome outcome)
+{
+    const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::muteButWorking;
+    call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf() };
+    duration delay = callTime;
+    if (isSilent)
+        delay = callTimeout;
+    else if (outcome == call_outcome::notReceived)
+        delay = refusalTime;
+    schedule(delay, [this, owner, take = std::move(take), answer] {
+        take(answer);
+        pump(owner);
+    });
+}
+
+void cell_simulation::arriveStart(std::size_t owner, const start_order& order)
+{
+    sim_upstream& upstream = m_upstreams.at(order.target.id);
+    const auto take = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStart(m_now, order, answer); };
+    if (upstream.fault == upstream_fault::crashed)
+        return answerCall(owner, upstream, take, call_outcome::notReceived);
+    if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
+        return answerCall(owner, upstream, take, call_outcome::silent);
+    call_outcome outcome = check(upstream, order.token);
+    const auto stopped = upstream.lastStopped.find(order.run.task);
+    if (outcome == call_outcome::done && stopped != upstream.lastStopped.end() && order.run.run <= stopped->second)
+        outcome = call_outcome::superseded;
+    if (outcome == call_outcome::done && order.expiresAtMs <= clockOf())
+        outcome = call_outcome::expired;
+    if (outcome == call_outcome::done)
+        begin(upstream, order);
+    answerCall(owner, upstream, take, outcome);
+}
+
+void cell_simulation::begin(sim_upstream& upstream, const start_order& order)
+{
+    const std::string job = jobOf(order.run.task);
+    sim_task_run run { order.run, m_needs.at(job), {}, ++m_runNumber };
+    const duration length = std::chrono::duration_cast<duration>(milliseconds(m_runMs.at(job)) * upstream.slowness);
+    run.end = m_now + (upstream.fault == upstream_fault::failing ? milliseconds(1) : length);
+    std::int64_t used = run.needMillicores;
+    for (auto& [id, other] : m_upstreams) {
+        for (const sim_task_run& running : other.running) {
+            m_doubleRuns += running.run.task == order.run.task ? 1 : 0;
+            used += id == upstream.id ? running.needMillicores : 0;
+        }
+    }
+    m_overfills += used > upstream.capacity.millicores ? 1 : 0;
+    upstream.running.push_back(run);
+    upstream.leaseMs = std::max(upstream.leaseMs, order.expiresAtMs);
+    ++m_runs[order.run.task];
+    ++m_starts[upstream.id];
+    if (upstream.fault == upstream_fault::standingStill)
+        return;
+    const std::string id = upstream.id;
+    const auto how = upstream.fault == upstream_fault::failing ? end_kind::failed : end_kind::done;
+    schedule(run.end - m_now, [this, id, number = run.number, how] { end(m_upstreams.at(id), number, how); });
+}
+
+void cell_simulation::end(sim_upstream& upstream, std::uint64_t number, end_kind how)
+{
+    const auto run = std::find_if(upstream.running.begin(), upstream.running.end(), [number](const sim_task_run& item) { return item.number == number; });
+    if (run == upstream.running.end())
+        return;
+    upstream.lastStopped[run->run.task] = std::max(upstream.lastStopped[run->run.task], run->run.run);
+    upstream.ended.push_back({ ++upstream.ends, run->run, how });
+    upstream.running.erase(run);
+    answerLooks(upstream, false);
+}
+
+void cell_simulation::arriveStop(std::size_t owner, const stop_order& order)
+{
+    sim_upstream& upstream = m_upstreams.at(order.target.id);
+    const auto take = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
+    if (upstream.fault == upstream_fault::crashed)
+        return answerCall(owner, upstream, take, call_outcome::notReceived);
+    if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
+        return answerCall(owner, upstream, take, call_outcome::silent);
+    const call_outcome outcome = check(upstream, order.token);
+    if (outcome == call_outcome::done) {
+        upstream.lastStopped[order.run.task] = std::max(upstream.lastStopped[order.run.task], order.run.run);
+        for (const sim_task_run& run : upstream.running) {
+            if (run.run == order.run)
+                schedule(milliseconds(20), [this, id = upstream.id, number = run.number] { end(m_upstreams.at(id), number, end_kind::stopped); });
+        }
+    }
+    answerCall(owner, upstream, take, outcome);
+}
+
+void cell_simulation::arriveLook(std::size_t owner, const look_order& order)
+{
+    sim_upstream& upstream = m_upstreams.at(order.target.id);
+    const open_look look { owner, order, m_now + milliseconds(order.waitMs) };
+    if (upstream.fault == upstream_fault::crashed)
+        return answerLook(look, upstream, call_outcome::notReceived);
+    if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
+        return answerLook(look, upstream, call_outcome::silent);
+    const call_outcome outcome = check(upstream, order.token);
+    if (outcome != call_outcome::done)
+        return answerLook(look, upstream, outcome);
+    upstream.leaseMs = std::max(upstream.leaseMs, order.expiresAtMs);
+    std::erase_if(upstream.ended, [&](const ended_task& item) { return item.number <= order.ackCursor; });
+    if (order.waitMs == 0 || !upstream.ended.empty())
+        return answerLook(look, upstream, call_outcome::done);
+    m_looks[upstream.id].push_back(look);
+    schedule(milliseconds(order.waitMs), [this, id = upstream.id] { answerLooks(m_upstreams.at(id), true); });
+}
+
+void cell_simulation::answerLooks(sim_upstream& upstream, bool isOver)
+{
+    std::vector<open_look> waiting = std::exchange(m_looks[upstream.id], {});
+    for (const open_look& look : waiting) {
+        if (isOver && look.until > m_now)
+            m_looks[upstream.id].push_back(look);
+        else
+            answerLook(look, upstream, upstream.fault == upstream_fault::crashed ? call_outcome::silent : call_outcome::done);
+    }
+}
+
+void cell_simulation::answerLook(const open_look& look, sim_upstream& upstream, call_outcome outcome)
+{
+    look_answer answer;
+    answer.bornUnixMs = upstream.bornUnixMs;
+    for (const sim_task_run& run : upstream.running)
+        answer.running.push_back({ run.run });
+    answer.ended = upstream.ended;
+    answerCall(
+        look.owner, upstream, [this, look, answer](const call_answer& call) {
+            look_answer whole = answer;
+            whole.call = call;
+            m_owners[look.owner].dispatcher->onLook(m_now, look.order, whole);
+        },
+        outcome);
+}
+
+void cell_simulation::crash(const std::string& id)
+{
+    sim_upstream& upstream = m_upstreams.at(id);
+    upstream.fault = upstream_fault::crashed;
+    upstream.running.clear();
+    upstream.ended.clear();
+    upstream.lastStopped.clear();
+    upstream.ends = 0;
+    upstream.token = 0;
+    answerLooks(upstream, false);
+}
+
+void cell_simulation::restart(const std::string& id)
+{
+    sim_upstream& upstream = m_upstreams.at(id);
+    upstream.fault = upstream_fault::none;
+    upstream.bornUnixMs = clockOf();
+    upstream.reports = 0;
+    report(upstream);
+}
+
+std::size_t cell_simulation::runsOf(const std::string& task) const
+{
+    const auto found = m_runs.find(task);
+    return found == m_runs.end() ? 0 : found->second;
+}
+
+std::size_t cell_simulation::startsOn(const std::string& upstream) const
+{
+    const auto found = m_starts.find(upstream);
+    return found == m_starts.end() ? 0 : found->second;
+}
+
+} // namespace jackdaw::cells::tests
--- /dev/null
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -0,0 +1,139 @@
+// A cell whose upstreams are simulated under a fake clock: tasks run for as long as they take, calls take a millisecond, and
+// upstreams fail in the ways that the dispatcher is built for. Checks that no upstream is overfilled and no task runs twice.
+#pragma once
+
+#include "coordination/cells/cell_dispatcher.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jackdaw::cells::tests {
+
+enum class upstream_fault {
+    none,
+    silent, // answers nothing, and does nothing
+    muteButWorking, // does what it is told, answers nothing
+    failing, // ends every run as failed, at once
+    standingStill, // runs never end
+    crashed // nothing runs, connections are refused
+};
+
+struct sim_task_run {
+    run_name run;
+    std::int64_t needMillicores = 0;
+    time_point end;
+    std::uint64_t number = 0; // tells runs apart whose ends are due
+};
+
+struct sim_upstream {
+    std::string id;
+    protocol::resource_vector capacity;
+    double slowness = 1;
+    upstream_fault fault = upstream_fault::none;
+    std::int64_t bornUnixMs = 1000;
+    std::uint64_t reports = 0;
+    std::uint64_t token = 0;
+    bool isLeaving = false;
+    std::vector<sim_task_run> running;
+    std::vector<ended_task> ended;
+    std::uint64_t ends = 0;
+    std::map<std::string, std::uint32_t> lastStopped; // no run up to this number starts any more
+    std::int64_t leaseMs = 0; // on its clock
+};
+
+struct sim_outcome {
+    protocol::job_answer answer;
+    duration took {};
+    bool isInTime = false; // completed within its objective
+};
+
+class cell_simulation {
+public:
+    explicit cell_simulation(std::uint64_t seed);
+
+    sim_upstream& addUpstream(const std::string& id, std::int64_t millicores, double slowness = 1);
+
+    // Another owner with a higher token; the former one goes on unless it is released.
+    std::size_t addOwner();
+    cell_dispatcher& owner(std::size_t number) { return *m_owners[number].dispatcher; }
+    void setOwnerCut(std::size_t number, bool isCut) { m_owners[number].isCut = isCut; }
+
+    // Each task of the job runs for runMs on an upstream of slowness 1.
+    protocol::job_order makeJob(const std::string& id, std::uint32_t tasks, std::int64_t millicores, std::uint32_t runMs, std::uint32_t priority = 0) const;
+    void submit(std::size_t owner, const protocol::job_order& job);
+
+    void pass(duration length);
+    time_point now() const { return m_now; }
+
+    sim_upstream& upstream(const std::string& id) { return m_upstreams.at(id); }
+    void crash(const std::string& id); // it restarts under the same id with restart()
+    void restart(const std::string& id);
+
+    const std::map<std::string, sim_outcome>& outcomes() const { return m_outcomes; }
+    std::size_t runsOf(const std::string& task) const; // how often it began
+    std::size_t startsOn(const std::string& upstream) const;
+    std::size_t doubleRuns() const { return m_doubleRuns; } // two runs of a task at the same time
+    std::size_t overfills() const { return m_overfills; }
+    std::mt19937_64& random() { return m_random; }
+
+private:
+    struct sim_owner {
+        std::unique_ptr<cell_dispatcher> dispatcher;
+        std::uint64_t token = 0;
+        bool isCut = false; // from all upstreams
+        time_point nextAdvance;
+    };
+    struct due_event {
+        time_point at;
+        std::uint64_t number = 0;
+        std::function<void()> work;
+        bool operator<(const due_event& other) const { return std::tie(other.at, other.number) < std::tie(at, number); }
+    };
+    struct open_look {
+        std::size_t owner = 0;
+        look_order order;
+        time_point until;
+    };
+
+    void schedule(duration delay, std::function<void()> work);
+    void report(sim_upstream& upstream);
+    void pump(std::size_t owner);
+    void perform(std::size_t owner, const cell_action& action);
+    void arriveStart(std::size_t owner, const start_order& order);
+    void arriveStop(std::size_t owner, const stop_order& order);
+    void arriveLook(std::size_t owner, const look_order& order);
+    void answerLooks(sim_upstream& upstream, bool isOver);
+    void answerLook(const open_look& look, sim_upstream& upstream, call_outcome outcome);
+    void begin(sim_upstream& upstream, const start_order& order);
+    void end(sim_upstream& upstream, std::uint64_t number, end_kind how);
+    call_outcome check(sim_upstream& upstream, std::uint64_t token) const;
+    void answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> take, call_outcome outcome);
+    std::int64_t clockOf() const;
+
+    std::mt19937_64 m_random;
+    time_point m_now { std::chrono::seconds(100) };
+    std::map<std::string, sim_upstream> m_upstreams;
+    std::vector<sim_owner> m_owners;
+    std::priority_queue<due_event> m_events;
+    std::map<std::string, std::vector<open_look>> m_looks;
+    std::uint64_t m_eventNumber = 0;
+    std::uint64_t m_runNumber = 0;
+    std::map<std::string, std::uint32_t> m_runMs; // by job
+    std::map<std::string, time_point> m_submittedAt;
+    std::map<std::string, duration> m_objectives;
+    std::map<std::string, std::int64_t> m_needs;
+    std::map<std::string, sim_outcome> m_outcomes;
+    std::map<std::string, std::size_t> m_runs;
+    std::map<std::string, std::size_t> m_starts;
+    std::size_t m_doubleRuns = 0;
+    std::size_t m_overfills = 0;
+};
+
+} // namespace jackdaw::cells::tests
