--- a/src/coordination/cells/tests/cell_load_tests.cpp
+++ b/src/coordination/cells/tests/cell_load_tests.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int seeds = 4;
+constexpr int seeds = 8;
 
 double meanWorth(const load_pattern& pattern)
 {
@@ -48,6 +48,7 @@
     CHECK(meanWorth({ .jobsPerSecond = 50, .fault = upstream_fault::standingStill }) >= 0.9);
 }
 
+// 0.94 at this load, less the share of the cores that is lost: 3 of 16 for half of the time, by five sixths.
 TEST_CASE("three upstreams that turn six times slower are found out by their running tasks")
 {
     CHECK(meanWorth({ .jobsPerSecond = 50, .slowdown = 6 }) >= 0.86);
