--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -36,6 +36,10 @@
 
 void cell_dispatcher::impl::submit(time_point now, const protocol::job_order& order, std::string_view desk)
 {
+    if (order.token != settings.token) {
+        actions.emplace_back(owner_answer { { std::string(desk) }, { order.id, order.submission, order.handOver, job_outcome::notOwned, "the cell is owned under another token", 0, {}, {} } });
+        return;
+    }
     if (cell_job* known = findJob(order.id)) {
         known->desks.emplace(desk);
         return;
--- a/src/coordination/cells/job_desk.cpp
+++ b/src/coordination/cells/job_desk.cpp
@@ -59,15 +59,18 @@
     }
     job.host = owner->host;
     job.token = owner->token;
-    job.mayHaveRun = true;
+    job.sends = 0;
     send(now, job);
 }
 
 void job_desk::send(time_point now, desk_job& job)
 {
     job.sentAt = now;
+    ++job.sends;
+    job.mayHaveRun = true;
     protocol::job_order order = job.order;
     order.cell = job.cell;
+    order.token = job.token;
     const auto age = std::chrono::duration_cast<milliseconds>(now - job.arrivedAt).count();
     const auto left = std::chrono::duration_cast<milliseconds>(job.deadline - now).count();
     order.ageMs += static_cast<std::uint32_t>(age);
@@ -123,7 +126,7 @@
     if (answer.outcome == job_outcome::moved) {
         job.cell = answer.cell;
         job.order.mayMove = false;
-        job.mayHaveRun = false;
+        job.mayHaveRun = job.order.handOver > 0;
         return hand(now, job);
     }
     if (answer.outcome == job_outcome::released) {
@@ -136,7 +139,12 @@
         return;
     }
     if (answer.outcome == job_outcome::notOwned) {
-        job.host.clear(); // gossip will tell who owns it
+        // An order that was sent again may have been taken the first time, by an ownership that has ended since.
+        if (job.sends > 1)
+            ++job.order.handOver;
+        else
+            job.mayHaveRun = job.order.handOver > 0;
+        job.host.clear(); // gossip will tell who owns the cell
         return;
     }
     // Refused by this owner; an earlier one may have started tasks.
--- a/src/coordination/cells/job_desk.h
+++ b/src/coordination/cells/job_desk.h
@@ -72,6 +72,7 @@
         std::string cell;
         std::string host; // that has the job in hand; empty: none
         std::uint64_t token = 0; // of the ownership that the job was handed to
+        std::uint32_t sends = 0; // of the order to that ownership
         time_point arrivedAt;
         time_point deadline;
         time_point sentAt; // valid while host is set
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -197,6 +197,22 @@
     checkSafe(sim);
 }
 
+TEST_CASE("an order for another ownership of the cell is not taken")
+{
+    cell_settings settings;
+    settings.cell = "a";
+    settings.token = 7;
+    cell_dispatcher dispatcher(settings, {}, {});
+    const cell_simulation sim(1);
+    job_order job = sim.makeJob("1", 1, 14000, 60);
+    job.token = 6;
+    dispatcher.submit({}, job, "desk");
+    const auto actions = dispatcher.takeActions();
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<owner_answer>(actions[0]).answer.outcome == job_outcome::notOwned);
+    CHECK(dispatcher.counts().jobs == 0);
+}
+
 TEST_CASE("a leaving upstream gets no new tasks")
 {
     cell_simulation sim(1);
--- a/src/coordination/cells/tests/job_desk_tests.cpp
+++ b/src/coordination/cells/tests/job_desk_tests.cpp
@@ -161,3 +161,39 @@
     CHECK(isCancelled);
     CHECK(f.desk.size() == 0);
 }
+
+TEST_CASE("an order that was sent again, then not taken, may have run the first time")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    f.sent();
+    f.now += milliseconds(600);
+    f.desk.advance(f.now);
+    const auto again = f.sent();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].order.token == 10);
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(again[0].order, job_outcome::notOwned));
+    f.owner->token = 11;
+    f.desk.advance(f.now);
+    const auto third = f.sent();
+    REQUIRE(third.size() == 1);
+    CHECK(third[0].order.handOver == 1);
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(third[0].order, job_outcome::rejected));
+    f.sent();
+    CHECK(f.answers.at(0).answer.outcome == job_outcome::unfinished);
+}
+
+TEST_CASE("an order that was sent once and not taken has not run")
+{
+    desk_fixture f;
+    f.desk.submit(f.now, f.makeOrder("1"), 1);
+    const auto first = f.sent();
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(first.at(0).order, job_outcome::notOwned));
+    f.owner->token = 11;
+    f.desk.advance(f.now);
+    const auto second = f.sent();
+    CHECK(second.at(0).order.handOver == 0);
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(second[0].order, job_outcome::rejected));
+    f.sent();
+    CHECK(f.answers.at(0).answer.outcome == job_outcome::rejected);
+}
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -51,6 +51,7 @@
 struct job_order {
     std::string id;
     std::string cell; // whose owner it is handed to
+    std::uint64_t token = 0; // of the ownership that it is handed to; any other one must not take it
     std::string spec; // opaque; handed to the upstream with each start
     std::vector<job_step> steps;
     std::string service;
@@ -67,7 +68,7 @@
 
     friend bool operator==(const job_order&, const job_order&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, cell, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submission, handOver, mayMove, doneTasks)
+    MSGPACK_DEFINE_ARRAY(id, cell, token, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submission, handOver, mayMove, doneTasks)
 };
 
 enum class job_outcome : std::uint8_t {
@@ -77,7 +78,7 @@
     unfinished, // tasks may have run; the owner gave the job up
     moved, // nothing has run here; cell names where to hand it
     released, // the owner lost the cell; doneTasks says what is done
-    notOwned // nothing has run here; the host does not own the cell
+    notOwned // nothing has run here for this order; the host does not own the cell, or under another token
 };
 
 } // namespace jackdaw::protocol
