Cells: unanswered calls cost less room

Load pattern: upstreams leave some calls unanswered and carry them out seconds later. Cause: a run whose start got no answer held its room until a list that was asked for after its stop left it out; the list in hand waits up to 300 ms. A stop that was answered now ends its run after the upstream's bound for stops.

--- a/bench/cell_load_bench.cpp
+++ b/bench/cell_load_bench.cpp
@@ -46,7 +46,8 @@
              { "50/s, two fail all", { 50, 1, length, upstream_fault::failing } },
              { "50/s, two stand still", { 50, 1, length, upstream_fault::standingStill } },
              { "50/s, two silent", { 50, 1, length, upstream_fault::silent } },
-             { "50/s, three 6 times slower", { 50, 1, length, upstream_fault::none, 6 } } })
+             { "50/s, all carry out 5 % late", { 50, 1, length, upstream_fault::lateOrders, 16 } },
+             { "50/s, three 6 times slower", { 50, 1, length, upstream_fault::none, 2, 6 } } })
         print(named);
     return 0;
 }
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -209,6 +209,7 @@
     }
     m_impl->note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::to_string(static_cast<int>(answer.outcome)));
     if (answer.outcome == call_outcome::silent) {
+        ++upstream.silentInRow;
         if (record.state == run_state::starting) {
             m_impl->stopRun(now, upstream, order.run, record);
             record.state = run_state::unsettled;
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -50,6 +50,7 @@
     void endRun(time_point now, upstream_ledger& upstream, const ended_task& end);
     void judgeUpstream(time_point now, upstream_ledger& upstream, end_kind how);
     void checkUpstream(time_point now, upstream_ledger& upstream);
+    void dropStopped(time_point now, upstream_ledger& upstream);
     void stopRun(time_point now, upstream_ledger& upstream, const run_name& name, run_record& record);
     void noteClock(time_point now, upstream_ledger& upstream, const call_answer& answer);
     // What every call's answer may say; true when it left nothing more to do.
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -15,6 +15,7 @@
     constexpr std::uint32_t lookWaitMs = 300; // three renewals within the shortest lease of 1 s
     constexpr duration idleLookInterval = std::chrono::seconds(1); // keeps an idle upstream known when no reports arrive
     constexpr duration repeatInterval = milliseconds(150); // of calls that were not answered; several within a lease
+    constexpr duration stopSlack = milliseconds(20); // drift of the upstream's clock, and the wake-up of its timer
     constexpr duration orphanGrace = milliseconds(400); // for the desk of a lost owner's job to hand it over
     constexpr duration forgetAfter = std::chrono::seconds(10); // without report or answer
     constexpr int failuresToClose = 2; // in a row; with the usual 0.2 % of failures such a pair is rare
@@ -96,6 +97,7 @@
 void cell_dispatcher::impl::noteClock(time_point now, upstream_ledger& upstream, const call_answer& answer)
 {
     upstream.answeredAt = now;
+    upstream.silentInRow = 0;
     upstream.heardAt = now;
     // Answers overtake each other on different connections: the clock never goes back.
     if (answer.clockMs > 0 && (!upstream.clock.isKnown() || answer.clockMs >= upstream.clock.clockMs))
@@ -247,14 +249,29 @@
     const bool isUncertain = record.state == run_state::unsettled || record.state == run_state::starting;
     if (record.state != run_state::unsettled)
         record.state = run_state::stopping;
-    record.stopAgainAt = now + repeatInterval * 2;
+    record.stopAgainAt = now + repeatInterval;
     actions.emplace_back(stop_order { { upstream.facts.id, upstream.facts.address }, name, settings.token, isUncertain });
 }
 
+// A stop that was answered has ended its run within the upstream's bound, whether or not a list has said so.
+void cell_dispatcher::impl::dropStopped(time_point now, upstream_ledger& upstream)
+{
+    for (auto item = upstream.runs.begin(); item != upstream.runs.end();) {
+        if (!item->second.isStopSettled || now < item->second.settledAt + settings.stopTime + stopSlack) {
+            ++item;
+            continue;
+        }
+        const run_record stopped = item->second;
+        item = upstream.runs.erase(item);
+        requeueRun(stopped);
+    }
+}
+
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_ledger& upstream)
 {
     if (upstream.wantsNewConnection && !upstream.runs.empty() && now >= upstream.leaseEnd)
         loseRuns(now, upstream, "lease ran out without an answer");
+    dropStopped(now, upstream);
     for (auto& [name, record] : upstream.runs) {
         const bool isOrphan = record.job.empty() && record.state == run_state::running && now - record.since >= orphanGrace;
         const bool isStopDue = (record.state == run_state::stopping || record.state == run_state::unsettled) && !record.isStopSettled && now >= record.stopAgainAt;
@@ -286,6 +303,7 @@
         if (!upstream.wantsNewConnection)
             m_impl->note("upstream_silent", order.target.id, "outcome=" + std::to_string(static_cast<int>(answer.call.outcome)) + " runs=" + std::to_string(upstream.runs.size()));
         upstream.wantsNewConnection = true;
+        ++upstream.silentInRow;
         upstream.nextLookAt = now + repeatInterval;
         if (now - upstream.heardAt > forgetAfter)
             return m_impl->removeUpstream(now, order.target.id, "not heard");
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -9,6 +9,9 @@
     constexpr double otherRackRatio = 2.0; // run time away from the data; the platform's bound lies between 1.5 and 2
     constexpr double speedStep = 0.15; // speeds that differ by less count as equal
 
+    // Calls without an answer in a row; single ones are lost with connections, or carried out late, on sound upstreams.
+    constexpr int silentCallsToClose = 2;
+
     // Samples of an upstream that weigh as much as what is known of its service.
     constexpr double priorSamples = 3;
 
@@ -35,8 +38,7 @@
 
 bool isOpen(const upstream_ledger& upstream, time_point now)
 {
-    const bool isUncertain = std::any_of(upstream.runs.begin(), upstream.runs.end(), [](const auto& item) { return item.second.state == run_state::unsettled; });
-    return upstream.isAdopted && !upstream.facts.isLeaving && !upstream.wantsNewConnection && now >= upstream.closedUntil && !isUncertain;
+    return upstream.isAdopted && !upstream.facts.isLeaving && upstream.silentInRow < silentCallsToClose && now >= upstream.closedUntil;
 }
 
 double expectedRatio(const upstream_ledger& upstream, const protocol::job_step& step, double serviceRatio, time_point now)
--- a/src/coordination/cells/internal/upstream_ledger.h
+++ b/src/coordination/cells/internal/upstream_ledger.h
@@ -75,6 +75,7 @@
     time_ratio ratio;
     int failedInRow = 0; // runs that ended failed, with no other end between
     int refusedInRow = 0;
+    int silentInRow = 0; // calls without an answer, with no answer between
     time_point closedUntil; // no starts before: it fails or refuses what it is sent
     duration closedFor {};
 
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -247,7 +247,7 @@
             else if (sim.random()() % 8 == 0)
                 sim.crash(upstream.id);
             else if (sim.random()() % 4 == 0)
-                upstream.fault = static_cast<upstream_fault>(sim.random()() % 5);
+                upstream.fault = static_cast<upstream_fault>(sim.random()() % 6);
             else
                 upstream.fault = upstream_fault::none;
             if (sim.random()() % 50 == 0)
--- a/src/coordination/cells/tests/cell_load.h
+++ b/src/coordination/cells/tests/cell_load.h
@@ -13,7 +13,8 @@
     double jobsPerSecond = 30;
     double burst = 1; // times as many jobs for four of every twelve seconds
     duration length = std::chrono::seconds(24);
-    upstream_fault fault = upstream_fault::none; // of two upstreams, for six of every twelve seconds
+    upstream_fault fault = upstream_fault::none; // of some upstreams, for six of every twelve seconds
+    int faultyUpstreams = 2;
     double slowdown = 1; // of three upstreams, for six of every twelve seconds
 };
 
--- a/src/coordination/cells/tests/cell_load_tests.cpp
+++ b/src/coordination/cells/tests/cell_load_tests.cpp
@@ -48,6 +48,12 @@
     CHECK(meanWorth({ .jobsPerSecond = 50, .fault = upstream_fault::standingStill }) >= 0.9);
 }
 
+// 0.94 at this load, less the jobs with an unanswered start, which for half of the time are a third of the widest.
+TEST_CASE("upstreams that leave a twentieth of the calls unanswered still serve")
+{
+    CHECK(meanWorth({ .jobsPerSecond = 50, .fault = upstream_fault::lateOrders, .faultyUpstreams = 16 }) >= 0.78);
+}
+
 // 0.94 at this load, less the share of the cores that is lost: 3 of 16 for half of the time, by five sixths.
 TEST_CASE("three upstreams that turn six times slower are found out by their running tasks")
 {
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -11,9 +11,10 @@
 namespace {
 
     constexpr duration callTime = milliseconds(1); // one way
-    constexpr duration callTimeout = milliseconds(300);
+    constexpr duration callTimeout = milliseconds(120);
     constexpr duration reportInterval = milliseconds(1500);
     constexpr duration refusalTime = milliseconds(2);
+    constexpr double lateOrderShare = 0.05;
     constexpr auto serviceName = "planning";
     constexpr auto cellName = "a";
 
@@ -170,7 +171,7 @@
     const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::muteButWorking;
     call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf() };
     duration delay = callTime;
-    if (isSilent)
+    if (answer.outcome == call_outcome::silent)
         delay = callTimeout;
     else if (outcome == call_outcome::notReceived)
         delay = refusalTime;
@@ -180,6 +181,23 @@
     });
 }
 
+// Decides whether a call is carried out later and without an answer.
+bool cell_simulation::isDelayed(const sim_upstream& upstream, std::function<void()> later)
+{
+    if (upstream.fault != upstream_fault::lateOrders || std::uniform_real_distribution<double>(0, 1)(m_random) >= lateOrderShare)
+        return false;
+    schedule(std::chrono::seconds(2 + m_random() % 10), std::move(later));
+    return true;
+}
+
+void cell_simulation::carryOutStart(sim_upstream& upstream, const start_order& order)
+{
+    const auto stopped = upstream.lastStopped.find(order.run.task);
+    const bool isOver = stopped != upstream.lastStopped.end() && order.run.run <= stopped->second;
+    if (upstream.fault != upstream_fault::crashed && check(upstream, order.token) == call_outcome::done && !isOver && order.expiresAtMs > clockOf())
+        begin(upstream, order);
+}
+
 void cell_simulation::arriveStart(std::size_t owner, const start_order& order)
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
@@ -188,6 +206,8 @@
         return answerCall(owner, upstream, take, call_outcome::notReceived);
     if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
         return answerCall(owner, upstream, take, call_outcome::silent);
+    if (isDelayed(upstream, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
+        return answerCall(owner, upstream, take, call_outcome::silent);
     call_outcome outcome = check(upstream, order.token);
     const auto stopped = upstream.lastStopped.find(order.run.task);
     if (outcome == call_outcome::done && stopped != upstream.lastStopped.end() && order.run.run <= stopped->second)
@@ -243,6 +263,8 @@
         return answerCall(owner, upstream, take, call_outcome::notReceived);
     if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
         return answerCall(owner, upstream, take, call_outcome::silent);
+    if (isDelayed(upstream, [] {}))
+        return answerCall(owner, upstream, take, call_outcome::silent);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done) {
         upstream.lastStopped[order.run.task] = std::max(upstream.lastStopped[order.run.task], order.run.run);
@@ -262,6 +284,8 @@
         return answerLook(look, upstream, call_outcome::notReceived);
     if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
         return answerLook(look, upstream, call_outcome::silent);
+    if (isDelayed(upstream, [] {}))
+        return answerLook(look, upstream, call_outcome::silent);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome != call_outcome::done)
         return answerLook(look, upstream, outcome);
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -22,6 +22,7 @@
     muteButWorking, // does what it is told, answers nothing
     failing, // ends every run as failed, at once
     standingStill, // runs never end
+    lateOrders, // a twentieth of the calls gets no answer and is carried out seconds later
     crashed // nothing runs, connections are refused
 };
 
@@ -115,6 +116,8 @@
     void begin(sim_upstream& upstream, const start_order& order);
     void end(sim_upstream& upstream, std::uint64_t number, end_kind how);
     call_outcome check(sim_upstream& upstream, std::uint64_t token) const;
+    bool isDelayed(const sim_upstream& upstream, std::function<void()> later);
+    void carryOutStart(sim_upstream& upstream, const start_order& order);
     void answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> take, call_outcome outcome);
     std::int64_t clockOf() const;
 
