Logs that never wait, metrics pages

State: lines go to standard output through a writer that polls first; lines that nobody reads, or over 2000 a second, are left out and counted, and a line tells so. Tested with a pipe that nobody reads.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -1,6 +1,7 @@
 // Wires ownership, dispatchers and desk to the mesh and the upstreams' driver.
 #include "apps/cell_host/cell_host.h"
 
+#include "apps/cell_host/cell_host_metrics.h"
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
 #include "protocol/config_messages.h"
@@ -64,7 +65,13 @@
     cells::job_desk desk;
     std::map<std::string, std::shared_ptr<cells::cell_dispatcher>, std::less<>> dispatchers; // by cell
     std::map<std::string, known_report, std::less<>> reports; // by upstream
-    std::map<cells::caller_number, job_completion> completions;
+    struct waiting_caller {
+        job_completion done;
+        time_point since;
+    };
+    std::map<cells::caller_number, waiting_caller> completions;
+    state::metrics allMetrics;
+    cell_host_metrics metrics { allMetrics };
     std::set<std::string> entryPeers;
     std::set<std::string> controlPeers;
     std::set<std::string> silentDesks; // whose loss the dispatchers were told
@@ -252,6 +259,7 @@
         else
             own(change.cell, change.token);
     }
+    metrics.ownershipChanges.add(changes.size());
     if (!changes.empty())
         gossip({ entryPeers.begin(), entryPeers.end() });
 }
@@ -409,6 +417,7 @@
 {
     const std::weak_ptr<cells::cell_dispatcher> weak = dispatcher;
     if (const auto* start = std::get_if<cells::start_order>(&action)) {
+        metrics.starts.add();
         hooks.upstreams.start(*start, [this, weak, order = *start](const cells::call_answer& answer) {
             if (const auto held = weak.lock()) {
                 held->onStart(steadyNow(), order, answer);
@@ -462,8 +471,10 @@
     }
     const auto& answer = std::get<cells::answer_callers>(action);
     for (const cells::caller_number caller : answer.callers) {
-        if (auto completion = completions.extract(caller); !completion.empty())
-            completion.mapped()(answer.answer);
+        if (auto completion = completions.extract(caller); !completion.empty()) {
+            metrics.countAnswer(answer.answer.outcome, steadyNow() - completion.mapped().since);
+            completion.mapped().done(answer.answer);
+        }
     }
 }
 
@@ -502,7 +513,7 @@
 cells::caller_number cell_host::submit(protocol::job_order order, job_completion done)
 {
     const cells::caller_number caller = ++m_impl->lastCaller;
-    m_impl->completions.emplace(caller, std::move(done));
+    m_impl->completions.emplace(caller, impl::waiting_caller { std::move(done), steadyNow() });
     m_impl->desk.submit(steadyNow(), std::move(order), caller);
     m_impl->pump();
     return caller;
@@ -541,6 +552,25 @@
     return m_impl->isLeaving;
 }
 
+std::string cell_host::metricsPage()
+{
+    impl& self = *m_impl;
+    std::size_t waiting = 0;
+    std::size_t adopted = 0;
+    for (const auto& [cell, dispatcher] : self.dispatchers) {
+        const cells::cell_counts counts = dispatcher->counts();
+        waiting += counts.waitingTasks;
+        adopted += counts.adoptedUpstreams;
+    }
+    self.metrics.openJobs.set(static_cast<double>(self.desk.size()));
+    self.metrics.waitingTasks.set(static_cast<double>(waiting));
+    self.metrics.ownedCells.set(static_cast<double>(self.dispatchers.size()));
+    self.metrics.upstreams.set(static_cast<double>(adopted));
+    self.metrics.configurationVersion.set(static_cast<double>(self.inForce.version));
+    self.metrics.logLinesLeftOut.set(static_cast<double>(state::logLinesLeftOut()));
+    return self.allMetrics.toPrometheus();
+}
+
 std::size_t cell_host::openJobs() const
 {
     return m_impl->desk.size();
--- a/src/apps/cell_host/cell_host.h
+++ b/src/apps/cell_host/cell_host.h
@@ -47,6 +47,9 @@
     bool isLeaving() const;
     std::size_t openJobs() const;
 
+    // In the Prometheus text format.
+    std::string metricsPage();
+
 private:
     class impl;
     std::unique_ptr<impl> m_impl;
--- a/src/apps/cell_host/cell_host_settings.cpp
+++ b/src/apps/cell_host/cell_host_settings.cpp
@@ -42,6 +42,7 @@
         settings.seeds.push_back(std::move(seed.host));
     readEndpoint(reader, "callers", settings.callers);
     readEndpoint(reader, "readiness", settings.readiness);
+    settings.metricsPort = static_cast<std::uint16_t>(reader.integerOr("metrics_port", 0, 0, 65535));
     settings.meshPort = static_cast<std::uint16_t>(reader.requiredInteger("entry_mesh_port", 1, 65535));
     settings.controlMeshPort = static_cast<std::uint16_t>(reader.requiredInteger("control_mesh_port", 1, 65535));
     settings.maxLease = toDuration(reader.numberOr("max_lease_ms", 1000, 100, 60000));
--- a/src/apps/cell_host/cell_host_settings.h
+++ b/src/apps/cell_host/cell_host_settings.h
@@ -21,6 +21,7 @@
     std::vector<std::string> seeds; // IP addresses of control hosts
     transport::endpoint callers;
     transport::endpoint readiness;
+    std::uint16_t metricsPort = 0; // 0: no metrics page
     std::uint16_t meshPort = 0; // of every entry host
     std::uint16_t controlMeshPort = 0; // of every control host
     protocol::duration maxLease {}; // of what runs on an upstream
--- a/src/apps/hub/hub_process.cpp
+++ b/src/apps/hub/hub_process.cpp
@@ -8,6 +8,7 @@
 #include "apps/shared/zone_address.h"
 #include "protocol/config_messages.h"
 #include "state/log.h"
+#include "state/metrics.h"
 #include "transport/mesh.h"
 
 #include <algorithm>
@@ -62,6 +63,14 @@
     std::unique_ptr<transport::event_loop::timer> helloTimer;
     std::unique_ptr<transport::event_loop::timer> batchTimer;
     std::unique_ptr<transport::event_loop::timer> stopTimer;
+    state::metrics allMetrics;
+    state::counter& reports = allMetrics.addCounter("jackdaw_upstream_reports_total", "Reports received from upstreams.");
+    state::counter& changes = allMetrics.addCounter("jackdaw_configuration_calls_total", "Changes and sure reads of the configuration.");
+    state::gauge& isLeaderGauge = allMetrics.addGauge("jackdaw_group_leader", "1 on the leader of the control group.");
+    state::gauge& votersGauge = allMetrics.addGauge("jackdaw_group_voters", "Voters of the control group.");
+    state::gauge& versionGauge = allMetrics.addGauge("jackdaw_configuration_version", "Newest version applied here; 0: none yet.");
+    state::gauge& entriesGauge = allMetrics.addGauge("jackdaw_entry_hosts", "Entry hosts heard in the last seconds.");
+    state::gauge& linesGauge = allMetrics.addGauge("jackdaw_log_lines_left_out", "Log lines that were not written since the start.");
     bool wasLeader = false;
     std::string loggedFailure;
     std::uint64_t changeNumber = 0;
@@ -231,6 +240,7 @@
 
 void hub_process::impl::change(configuration wanted, change_completion done)
 {
+    changes.add();
     const std::size_t enough = std::min(fullGroup, settings.seeds.size());
     if (node.isServingLeader() && node.membership().voters.size() < enough)
         return done(makeError(error_kind::not_leader, "the group is not complete yet"));
@@ -321,10 +331,22 @@
 
 void hub_process::hearUpstream(const protocol::upstream_report& report)
 {
+    m_impl->reports.add();
     if (m_impl->directory.hearUpstream(steadyNow(), report) && report.isLeaving)
         logEvent(log_level::info, "upstream_leaving", { { "upstream", report.id }, { "sequence", std::to_string(report.sequence) } });
 }
 
+std::string hub_process::metricsPage()
+{
+    impl& self = *m_impl;
+    self.isLeaderGauge.set(self.node.isServingLeader() ? 1 : 0);
+    self.votersGauge.set(static_cast<double>(self.node.membership().voters.size()));
+    self.versionGauge.set(static_cast<double>(self.node.rules().inForce().version));
+    self.entriesGauge.set(static_cast<double>(self.directory.liveEntries(steadyNow()).size()));
+    self.linesGauge.set(static_cast<double>(state::logLinesLeftOut()));
+    return self.allMetrics.toPrometheus();
+}
+
 void hub_process::forgetUpstream(const std::string& id)
 {
     logEvent(log_level::info, "upstream_ended", { { "upstream", id } });
--- a/src/apps/hub/hub_process.h
+++ b/src/apps/hub/hub_process.h
@@ -48,6 +48,9 @@
     void hearUpstream(const protocol::upstream_report& report);
     void forgetUpstream(const std::string& id);
 
+    // In the Prometheus text format.
+    std::string metricsPage();
+
 private:
     class impl;
     std::unique_ptr<impl> m_impl;
--- a/src/apps/hub/hub_settings.cpp
+++ b/src/apps/hub/hub_settings.cpp
@@ -18,6 +18,7 @@
     settings.host = reader.requiredString("host");
     settings.dataFolder = reader.requiredString("data_folder") + "/control";
     settings.isFirstStart = reader.booleanOr("first_start", false);
+    settings.metricsPort = static_cast<std::uint16_t>(reader.integerOr("metrics_port", 0, 0, 65535));
     settings.meshPort = static_cast<std::uint16_t>(reader.requiredInteger("control_mesh_port", 1, 65535));
     settings.entryMeshPort = static_cast<std::uint16_t>(reader.requiredInteger("entry_mesh_port", 1, 65535));
     settings.logLevel = state::parseLogLevel(reader.stringOr("log_level", "info"));
--- a/src/apps/hub/hub_settings.h
+++ b/src/apps/hub/hub_settings.h
@@ -18,6 +18,7 @@
     std::vector<std::string> seeds; // IP addresses of control hosts
     bool isFirstStart = false; // of the whole system, with empty disks
     transport::endpoint operators; // operators and upstreams call here
+    std::uint16_t metricsPort = 0; // 0: no metrics page
     std::uint16_t meshPort = 0; // of every control host
     std::uint16_t entryMeshPort = 0; // of every entry host
     state::log_level logLevel = state::log_level::info;
--- a/src/state/log.cpp
+++ b/src/state/log.cpp
@@ -1,9 +1,16 @@
 // Structured logs: formats key=value lines and hands them to easylogging++.
 #include "state/log.h"
 
+#include "protocol/time.h"
+#include "state/internal/line_writer.h"
+
 #include <easylogging++.h>
 
+#include <unistd.h>
+
 #include <atomic>
+#include <mutex>
+#include <optional>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -13,6 +20,23 @@
     std::atomic<log_level> lowestLevel { log_level::info };
     std::string programName = "jackdaw";
 
+    std::mutex outputMutex;
+    std::optional<internal::line_writer> output; // guarded by outputMutex; empty: the library writes to a file
+
+    // Takes the place of the library's own dispatch to standard output, which waits for the reader.
+    class output_dispatch final : public el::LogDispatchCallback {
+    protected:
+        void handle(const el::LogDispatchData* data) override
+        {
+            const el::LogMessage* message = data->logMessage();
+            const std::string line = message->logger()->logBuilder()->build(message, false);
+            const bool isUrgent = message->level() == el::Level::Warning || message->level() == el::Level::Error;
+            const std::lock_guard lock(outputMutex);
+            if (output)
+                output->write(line, isUrgent, protocol::steadyNow());
+        }
+    };
+
     bool needsQuotes(std::string_view value)
     {
         if (value.empty())
@@ -77,10 +101,21 @@
     configurations.setToDefault();
     configurations.setGlobally(el::ConfigurationType::Format, "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
     configurations.setGlobally(el::ConfigurationType::ToFile, settings.file.empty() ? "false" : "true");
-    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, settings.file.empty() ? "true" : "false");
+    configurations.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     if (!settings.file.empty())
         configurations.setGlobally(el::ConfigurationType::Filename, settings.file);
     el::Loggers::reconfigureLogger("default", configurations);
+    const std::lock_guard lock(outputMutex);
+    output.reset();
+    if (settings.file.empty())
+        output.emplace(STDOUT_FILENO, settings.maxLinesPerSecond);
+    el::Helpers::installLogDispatchCallback<output_dispatch>("jackdaw_output");
+}
+
+std::uint64_t logLinesLeftOut()
+{
+    const std::lock_guard lock(outputMutex);
+    return output ? output->linesLeftOut() : 0;
 }
 
 bool isLogged(log_level level)
--- a/src/state/tests/log_tests.cpp
+++ b/src/state/tests/log_tests.cpp
@@ -1,8 +1,12 @@
 // Tests of the structured log.
+#include "state/internal/line_writer.h"
 #include "state/log.h"
 
 #include <doctest/doctest.h>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -25,3 +29,65 @@
     CHECK_FALSE(std::getline(file, line));
     std::filesystem::remove(path);
 }
+
+namespace {
+
+// A pipe whose reader reads when it is told to.
+struct slow_pipe {
+    int ends[2] {};
+
+    slow_pipe() { REQUIRE(pipe(ends) == 0); }
+    ~slow_pipe()
+    {
+        close(ends[0]);
+        close(ends[1]);
+    }
+    slow_pipe(const slow_pipe&) = delete;
+    slow_pipe& operator=(const slow_pipe&) = delete;
+
+    std::string readAll() const
+    {
+        std::string out;
+        char buffer[65536];
+        pollfd entry { ends[0], POLLIN, 0 };
+        while (poll(&entry, 1, 0) == 1) {
+            const ssize_t count = read(ends[0], buffer, sizeof(buffer));
+            if (count <= 0)
+                break;
+            out.append(buffer, static_cast<std::size_t>(count));
+        }
+        return out;
+    }
+};
+
+} // namespace
+
+TEST_CASE("a reader that does not read costs lines, not time, and is told how many when it reads again")
+{
+    const slow_pipe pipe;
+    internal::line_writer writer(pipe.ends[1], 0);
+    constexpr int lines = 20000;
+    for (int i = 0; i < lines; ++i)
+        writer.write("event=work number=" + std::to_string(i), false, {});
+    CHECK(writer.linesLeftOut() > 0);
+    const std::uint64_t leftOut = writer.linesLeftOut();
+    pipe.readAll();
+    writer.write("event=after", false, {});
+    const std::string rest = pipe.readAll();
+    CHECK(rest.find("event=log_lines_left_out over_bound=0 unread=" + std::to_string(leftOut)) != std::string::npos);
+    CHECK(rest.find("event=after\n") != std::string::npos);
+}
+
+TEST_CASE("lines over the bound of a second are counted, warnings are written all the same")
+{
+    const slow_pipe pipe;
+    internal::line_writer writer(pipe.ends[1], 3);
+    const jackdaw::protocol::time_point start(std::chrono::seconds(5));
+    for (int i = 0; i < 10; ++i)
+        writer.write("event=work", false, start);
+    writer.write("event=trouble", true, start);
+    CHECK(writer.linesLeftOut() == 7);
+    writer.write("event=next", false, start + std::chrono::seconds(1));
+    const std::string text = pipe.readAll();
+    CHECK(text == "event=work\nevent=work\nevent=work\nlevel=WARNING event=log_lines_left_out over_bound=7 unread=0\nevent=trouble\nevent=next\n");
+}
