--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -4,6 +4,7 @@
 #include "apps/cell_host/cell_host_metrics.h"
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
+#include "coordination/cells/neighbour_rooms.h"
 #include "protocol/config_messages.h"
 #include "state/log.h"
 #include "transport/mesh.h"
@@ -75,8 +76,7 @@
     std::set<std::string> entryPeers;
     std::set<std::string> controlPeers;
     std::set<std::string> silentDesks; // whose loss the dispatchers were told
-    // Room of other cells, less what was sent there since their last gossip.
-    std::map<std::string, std::vector<protocol::service_room>, std::less<>> otherRooms;
+    cells::neighbour_rooms otherRooms;
     cells::caller_number lastCaller = 0;
     protocol::configuration_push inForce; // its version only goes up
     time_point lastPull;
@@ -174,7 +174,7 @@
         sendTo(gossip.host, protocol::configuration_pull { inForce.version });
     }
     for (const protocol::cell_claim& claim : gossip.claims)
-        otherRooms[claim.cell] = claim.rooms;
+        otherRooms.hear(claim);
     applyOwnership();
     desk.advance(now);
 }
@@ -303,35 +303,12 @@
     logEvent(log_level::info, "cell_given_up", { { "cell", cell } });
 }
 
-// A cell with room for all tasks of a job of one step; jobs of several steps stay, since their later steps want room too.
 std::string cell_host::impl::findOtherCell(const protocol::job_order& order)
 {
-    const time_point now = steadyNow();
-    const protocol::job_step& step = order.steps.front();
-    if (order.steps.size() != 1 || step.need.millicores <= 0)
-        return {};
-    for (auto& [cell, rooms] : otherRooms) {
-        const auto owner = ownership.ownerOf(now, cell);
-        if (dispatchers.contains(cell) || !owner || owner->isSelf)
-            continue;
-        const auto room = std::find_if(rooms.begin(), rooms.end(), [&](const protocol::service_room& known) { return known.service == order.service; });
-        if (room == rooms.end())
-            continue;
-        const auto need = static_cast<std::uint32_t>(step.need.millicores);
-        std::vector<std::uint32_t> left = room->millicores;
-        std::uint32_t placed = 0;
-        for (std::uint32_t& free : left) {
-            while (free >= need && placed < step.count) {
-                free -= need;
-                ++placed;
-            }
-        }
-        if (placed < step.count)
-            continue;
-        room->millicores = std::move(left);
-        return cell;
-    }
-    return {};
+    return otherRooms.take(order, [this](std::string_view cell) {
+        const auto owner = ownership.ownerOf(steadyNow(), cell);
+        return !dispatchers.contains(cell) && owner && !owner->isSelf;
+    });
 }
 
 void cell_host::impl::noteSilentDesks()
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -48,7 +48,8 @@
     void fillRequest(evhttp_request* request, const endpoint& target, const http_call& call)
     {
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
-        evhttp_add_header(headers, "Host", target.host.c_str());
+        if (findHeader(call.headers, "Host").empty())
+            evhttp_add_header(headers, "Host", target.host.c_str());
         for (const http_header& header : call.headers)
             evhttp_add_header(headers, header.name.c_str(), header.value.c_str());
         evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
