--- a/bench/cell_load_bench.cpp
+++ b/bench/cell_load_bench.cpp
@@ -44,9 +44,9 @@
              { "67/s, bursts of 1.8", { 67, 1.8, length } },
              { "87/s, bursts of 1.8", { 87, 1.8, length } },
              { "50/s, two fail all", { 50, 1, length, upstream_fault::failing } },
-             { "50/s, two stand still", { 50, 1, length, upstream_fault::standingStill } },
+             { "50/s, two stand still", { 50, 1, length, upstream_fault::standing_still } },
              { "50/s, two silent", { 50, 1, length, upstream_fault::silent } },
-             { "50/s, all carry out 5 % late", { 50, 1, length, upstream_fault::lateOrders, 16 } },
+             { "50/s, all carry out 5 % late", { 50, 1, length, upstream_fault::late_orders, 16 } },
              { "50/s, three 6 times slower", { 50, 1, length, upstream_fault::none, 2, 6 } } })
         print(named);
     return 0;
--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -227,7 +227,7 @@
 {
     if (const auto dispatcher = dispatchers.find(order.cell); dispatcher != dispatchers.end())
         return dispatcher->second->submit(steadyNow(), order, deskHost);
-    answerDesks({ { std::string(deskHost) }, { order.id, order.submission, order.handOver, protocol::job_outcome::notOwned, "this host does not own the cell", 0, {}, {} } });
+    answerDesks({ { std::string(deskHost) }, { order.id, order.submission, order.handOver, protocol::job_outcome::not_owned, "this host does not own the cell", 0, {}, {} } });
 }
 
 void cell_host::impl::sayHello()
@@ -433,6 +433,8 @@
 void cell_host::impl::perform(const cells::desk_action& action)
 {
     if (const auto* send = std::get_if<cells::send_order>(&action)) {
+        const protocol::job_order& order = send->order;
+        logEvent(log_level::info, "job_handed", { { "subject", order.id }, { "cell", order.cell }, { "owner", send->host }, { "token", std::to_string(order.token) }, { "hand_over", std::to_string(order.handOver) }, { "age_ms", std::to_string(order.ageMs) }, { "time_left_ms", std::to_string(order.timeLeftMs) } });
         if (send->host == settings.host)
             onOrder(send->order, settings.host);
         else
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -79,7 +79,7 @@
             if (internal::isOpen(upstream, now) && internal::couldRun(upstream, demand))
                 rooms.push_back(upstream.room().millicores);
         }
-        if (!internal::fitsIn(std::move(rooms), step.need.millicores, job.steps[number].waiting))
+        if (!internal::fitsIn(rooms, step.need.millicores, job.steps[number].waiting))
             return false;
     }
     return true;
@@ -141,6 +141,7 @@
 bool cell_dispatcher::impl::dispatchJob(time_point now, cell_job& job)
 {
     const duration fastest = fastestRun(now, job);
+    const bool hadWaiting = job.waitingTasks() > 0;
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
         internal::cell_step& step = job.steps[number];
         if (step.waiting == 0 || !job.isReady(number))
@@ -155,6 +156,8 @@
             start(now, job, number, index, *upstream);
         }
     }
+    if (hadWaiting && job.waitingTasks() == 0)
+        note("job_started", job.order.id, "waited_ms=" + std::to_string(duration_cast<milliseconds>(now - job.submittedAt).count()) + " hand_over=" + std::to_string(job.order.handOver) + " until_objective_ms=" + std::to_string(duration_cast<milliseconds>(job.objectiveEnd - now).count()));
     return true;
 }
 
@@ -207,7 +210,7 @@
         }
         return;
     }
-    m_impl->note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::to_string(static_cast<int>(answer.outcome)));
+    m_impl->note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::string(toText(answer.outcome)));
     if (answer.outcome == call_outcome::silent) {
         ++upstream.silentInRow;
         if (record.state == run_state::starting) {
@@ -219,7 +222,7 @@
     // It was refused without effect: the run does not exist.
     const internal::run_record refused = record;
     upstream.runs.erase(run);
-    if (answer.outcome == call_outcome::unhealthy || answer.outcome == call_outcome::notReceived || answer.outcome == call_outcome::noRoom) {
+    if (answer.outcome == call_outcome::unhealthy || answer.outcome == call_outcome::not_received || answer.outcome == call_outcome::no_room) {
         upstream.refusedInRow = std::min(upstream.refusedInRow + 1, maxRefusalDoublings);
         upstream.closedUntil = now + refusalClosure * (1 << (upstream.refusedInRow - 1));
     }
@@ -282,6 +285,7 @@
             byService[job->order.service].millicores.clear();
     }
     std::vector<protocol::service_room> out;
+    out.reserve(byService.size());
     for (auto& [service, room] : byService)
         out.push_back(std::move(room));
     return out;
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -37,7 +37,7 @@
 void cell_dispatcher::impl::submit(time_point now, const protocol::job_order& order, std::string_view desk)
 {
     if (order.token != settings.token) {
-        actions.emplace_back(owner_answer { { std::string(desk) }, { order.id, order.submission, order.handOver, job_outcome::notOwned, "the cell is owned under another token", 0, {}, {} } });
+        actions.emplace_back(owner_answer { { std::string(desk) }, { order.id, order.submission, order.handOver, job_outcome::not_owned, "the cell is owned under another token", 0, {}, {} } });
         return;
     }
     if (cell_job* known = findJob(order.id)) {
@@ -167,7 +167,7 @@
         }
     }
     ended[job.order.id] = { answer, now + rememberAnswers };
-    note("job_ended", job.order.id, "outcome=" + std::to_string(static_cast<int>(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
+    note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
     actions.emplace_back(owner_answer { { job.desks.begin(), job.desks.end() }, std::move(answer) });
     jobs.erase(jobs.find(job.order.id));
 }
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -112,7 +112,7 @@
         isFenced = true;
         return true;
     }
-    if (answer.outcome == call_outcome::otherLife) {
+    if (answer.outcome == call_outcome::other_life) {
         removeUpstream(now, target.id, "another life answers at its address");
         return true;
     }
@@ -217,7 +217,7 @@
         job->setState(record.step, record.index, task_state::done);
         return finishIfDone(now, *job);
     }
-    note("run_ended_early", end.run.task, "upstream=" + upstream.facts.id + " run=" + std::to_string(end.run.run) + " how=" + std::to_string(static_cast<int>(end.how)));
+    note("run_ended_early", end.run.task, "upstream=" + upstream.facts.id + " run=" + std::to_string(end.run.run) + " how=" + std::string(toText(end.how)));
     if (end.how == end_kind::failed && ++task.failedRuns >= job->order.maxAttempts) {
         const std::string reason = "task " + end.run.task + " failed on " + upstream.facts.id + ", attempt " + std::to_string(task.failedRuns);
         return finish(now, *job, internal::makeAnswer(*job, protocol::job_outcome::failed, reason));
@@ -301,7 +301,7 @@
         m_impl->takeLists(now, upstream, order, answer);
     } else {
         if (!upstream.wantsNewConnection)
-            m_impl->note("upstream_silent", order.target.id, "outcome=" + std::to_string(static_cast<int>(answer.call.outcome)) + " runs=" + std::to_string(upstream.runs.size()));
+            m_impl->note("upstream_silent", order.target.id, quoted("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
         upstream.wantsNewConnection = true;
         ++upstream.silentInRow;
         upstream.nextLookAt = now + repeatInterval;
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -82,7 +82,7 @@
     return best;
 }
 
-bool fitsIn(std::vector<std::int64_t> rooms, std::int64_t need, std::uint32_t count)
+bool fitsIn(std::span<const std::int64_t> rooms, std::int64_t need, std::uint32_t count)
 {
     if (need <= 0)
         return !rooms.empty();
--- a/src/coordination/cells/internal/placement.h
+++ b/src/coordination/cells/internal/placement.h
@@ -10,6 +10,7 @@
 #include "coordination/cells/internal/upstream_ledger.h"
 
 #include <map>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,6 @@
 upstream_ledger* chooseUpstream(upstream_book& upstreams, const task_demand& demand, double serviceRatio, time_point now);
 
 // Whether so many tasks with this need find room now, one after the other, largest room first.
-bool fitsIn(std::vector<std::int64_t> rooms, std::int64_t need, std::uint32_t count);
+bool fitsIn(std::span<const std::int64_t> rooms, std::int64_t need, std::uint32_t count);
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/job_desk.cpp
+++ b/src/coordination/cells/job_desk.cpp
@@ -138,7 +138,7 @@
         job.host.clear(); // advance() hands it on as soon as there is another owner
         return;
     }
-    if (answer.outcome == job_outcome::notOwned) {
+    if (answer.outcome == job_outcome::not_owned) {
         // An order that was sent again may have been taken the first time, by an ownership that has ended since.
         if (job.sends > 1)
             ++job.order.handOver;
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -126,8 +126,8 @@
     sim.addUpstream("u2", 32000);
     sim.addOwner();
     settle(sim);
-    sim.upstream("u1").fault = upstream_fault::muteButWorking;
-    sim.upstream("u2").fault = upstream_fault::muteButWorking;
+    sim.upstream("u1").fault = upstream_fault::mute_but_working;
+    sim.upstream("u2").fault = upstream_fault::mute_but_working;
     sim.submit(0, sim.makeJob("1", 4, 14000, 300));
     sim.pass(milliseconds(400));
     sim.upstream("u1").fault = upstream_fault::none;
@@ -170,7 +170,7 @@
     sim.submit(0, job);
     sim.pass(milliseconds(50));
     const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
-    sim.upstream(home).fault = upstream_fault::muteButWorking;
+    sim.upstream(home).fault = upstream_fault::mute_but_working;
     const std::size_t second = sim.addOwner();
     job.handOver = 1;
     sim.submit(second, job);
@@ -209,7 +209,7 @@
     dispatcher.submit({}, job, "desk");
     const auto actions = dispatcher.takeActions();
     REQUIRE(actions.size() == 1);
-    CHECK(std::get<owner_answer>(actions[0]).answer.outcome == job_outcome::notOwned);
+    CHECK(std::get<owner_answer>(actions[0]).answer.outcome == job_outcome::not_owned);
     CHECK(dispatcher.counts().jobs == 0);
 }
 
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -168,12 +168,12 @@
 
 void cell_simulation::answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> take, call_outcome outcome)
 {
-    const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::muteButWorking;
+    const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::mute_but_working;
     call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf() };
     duration delay = callTime;
     if (answer.outcome == call_outcome::silent)
         delay = callTimeout;
-    else if (outcome == call_outcome::notReceived)
+    else if (outcome == call_outcome::not_received)
         delay = refusalTime;
     schedule(delay, [this, owner, take = std::move(take), answer] {
         take(answer);
@@ -184,7 +184,7 @@
 // Decides whether a call is carried out later and without an answer.
 bool cell_simulation::isDelayed(const sim_upstream& upstream, std::function<void()> later)
 {
-    if (upstream.fault != upstream_fault::lateOrders || std::uniform_real_distribution<double>(0, 1)(m_random) >= lateOrderShare)
+    if (upstream.fault != upstream_fault::late_orders || std::uniform_real_distribution<double>(0, 1)(m_random) >= lateOrderShare)
         return false;
     schedule(std::chrono::seconds(2 + m_random() % 10), std::move(later));
     return true;
@@ -203,7 +203,7 @@
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const auto take = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStart(m_now, order, answer); };
     if (upstream.fault == upstream_fault::crashed)
-        return answerCall(owner, upstream, take, call_outcome::notReceived);
+        return answerCall(owner, upstream, take, call_outcome::not_received);
     if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
         return answerCall(owner, upstream, take, call_outcome::silent);
     if (isDelayed(upstream, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
@@ -237,7 +237,7 @@
     upstream.leaseMs = std::max(upstream.leaseMs, order.expiresAtMs);
     ++m_runs[order.run.task];
     ++m_starts[upstream.id];
-    if (upstream.fault == upstream_fault::standingStill)
+    if (upstream.fault == upstream_fault::standing_still)
         return;
     const std::string id = upstream.id;
     const auto how = upstream.fault == upstream_fault::failing ? end_kind::failed : end_kind::done;
@@ -260,7 +260,7 @@
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const auto take = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
     if (upstream.fault == upstream_fault::crashed)
-        return answerCall(owner, upstream, take, call_outcome::notReceived);
+        return answerCall(owner, upstream, take, call_outcome::not_received);
     if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
         return answerCall(owner, upstream, take, call_outcome::silent);
     if (isDelayed(upstream, [] {}))
@@ -281,7 +281,7 @@
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const open_look look { owner, order, m_now + milliseconds(order.waitMs) };
     if (upstream.fault == upstream_fault::crashed)
-        return answerLook(look, upstream, call_outcome::notReceived);
+        return answerLook(look, upstream, call_outcome::not_received);
     if (upstream.fault == upstream_fault::silent || m_owners[owner].isCut)
         return answerLook(look, upstream, call_outcome::silent);
     if (isDelayed(upstream, [] {}))
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -19,10 +19,10 @@
 enum class upstream_fault {
     none,
     silent, // answers nothing, and does nothing
-    muteButWorking, // does what it is told, answers nothing
+    mute_but_working, // does what it is told, answers nothing
     failing, // ends every run as failed, at once
-    standingStill, // runs never end
-    lateOrders, // a twentieth of the calls gets no answer and is carried out seconds later
+    standing_still, // runs never end
+    late_orders, // a twentieth of the calls gets no answer and is carried out seconds later
     crashed // nothing runs, connections are refused
 };
 
--- a/src/coordination/cells/tests/job_desk_tests.cpp
+++ b/src/coordination/cells/tests/job_desk_tests.cpp
@@ -172,7 +172,7 @@
     const auto again = f.sent();
     REQUIRE(again.size() == 1);
     CHECK(again[0].order.token == 10);
-    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(again[0].order, job_outcome::notOwned));
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(again[0].order, job_outcome::not_owned));
     f.owner->token = 11;
     f.desk.advance(f.now);
     const auto third = f.sent();
@@ -188,7 +188,7 @@
     desk_fixture f;
     f.desk.submit(f.now, f.makeOrder("1"), 1);
     const auto first = f.sent();
-    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(first.at(0).order, job_outcome::notOwned));
+    f.desk.onAnswer(f.now, "h1", desk_fixture::answerTo(first.at(0).order, job_outcome::not_owned));
     f.owner->token = 11;
     f.desk.advance(f.now);
     const auto second = f.sent();
--- a/src/coordination/cells/upstream_calls.h
+++ b/src/coordination/cells/upstream_calls.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -53,11 +54,11 @@
     fenced, // a higher token was seen there
     superseded, // this run, or a higher one, has ended there or was stopped
     expired, // the lease had run out before the start arrived
-    noRoom,
-    otherLife, // another life of the upstream answers at the address
+    no_room,
+    other_life, // another life of the upstream answers at the address
     unhealthy, // refused without effect
     invalid, // refused as wrong; without effect
-    notReceived, // the connection could not be opened
+    not_received, // the connection could not be opened
     silent // no answer; the call may have been or may yet be carried out
 };
 
@@ -91,4 +92,8 @@
     std::vector<ended_task> ended; // those after ackCursor
 };
 
+// For logs.
+std::string_view toText(call_outcome outcome);
+std::string_view toText(end_kind kind);
+
 } // namespace jackdaw::cells
--- a/src/coordination/tests/raft_node_tests.cpp
+++ b/src/coordination/tests/raft_node_tests.cpp
@@ -141,14 +141,14 @@
 
 TEST_CASE("a silent voter is removed only where there are more voters than wanted")
 {
-    const raft_member_id a { "a", 1 };
-    const raft_member_id b { "b", 1 };
-    const raft_member_id c { "c", 1 };
-    const raft_member_id d { "d", 1 };
-    const std::vector<raft_member_id> live { a, b, d };
-    const auto plan = planRemoval({ { a, b, c, d }, {} }, live, 3);
+    const raft_member_id hostA { "a", 1 };
+    const raft_member_id hostB { "b", 1 };
+    const raft_member_id hostC { "c", 1 };
+    const raft_member_id hostD { "d", 1 };
+    const std::vector<raft_member_id> live { hostA, hostB, hostD };
+    const auto plan = planRemoval({ { hostA, hostB, hostC, hostD }, {} }, live, 3);
     REQUIRE(plan);
-    CHECK(plan->voters == std::vector<raft_member_id> { a, b, d });
-    CHECK_FALSE(planRemoval({ { a, b, c }, {} }, live, 3));
-    CHECK_FALSE(planRemoval({ { a, b, d }, { c } }, live, 2));
+    CHECK(plan->voters == std::vector<raft_member_id> { hostA, hostB, hostD });
+    CHECK_FALSE(planRemoval({ { hostA, hostB, hostC }, {} }, live, 3));
+    CHECK_FALSE(planRemoval({ { hostA, hostB, hostD }, { hostC } }, live, 2));
 }
--- a/src/protocol/cell_messages.cpp
+++ b/src/protocol/cell_messages.cpp
@@ -20,6 +20,27 @@
 
 } // namespace
 
+std::string_view toText(job_outcome outcome)
+{
+    switch (outcome) {
+    case job_outcome::completed:
+        return "completed";
+    case job_outcome::failed:
+        return "failed";
+    case job_outcome::rejected:
+        return "rejected";
+    case job_outcome::unfinished:
+        return "unfinished";
+    case job_outcome::moved:
+        return "moved";
+    case job_outcome::released:
+        return "released";
+    case job_outcome::not_owned:
+        return "not_owned";
+    }
+    return "unknown";
+}
+
 std::string encodeCellMessage(const cell_message& message)
 {
     msgpack::sbuffer buffer;
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -78,7 +78,7 @@
     unfinished, // tasks may have run; the owner gave the job up
     moved, // nothing has run here; cell names where to hand it
     released, // the owner lost the cell; doneTasks says what is done
-    notOwned // nothing has run here for this order; the host does not own the cell, or under another token
+    not_owned // nothing has run here for this order; the host does not own the cell, or under another token
 };
 
 } // namespace jackdaw::protocol
@@ -212,6 +212,9 @@
 // The position in this list is the kind on the wire: append only.
 using cell_message = std::variant<host_gossip, entry_hello, control_hello, directory_update, configuration_push, group_message, job_order, job_answer, job_cancel, configuration_pull>;
 
+// For logs.
+std::string_view toText(job_outcome outcome);
+
 std::string encodeCellMessage(const cell_message& message);
 
 // malformed_request when the bytes are not such a message.
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -172,7 +172,7 @@
     std::vector<int> fillers;
     for (int i = 0; i < 4; ++i) {
         fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0));
-        connect(fillers.back(), reinterpret_cast<sockaddr*>(&name), sizeof(name));
+        [[maybe_unused]] const int pending = connect(fillers.back(), reinterpret_cast<sockaddr*>(&name), sizeof(name));
     }
 
     const auto sender = fixture.start("a", 1, freeAddress(), [](const mesh_delivery&) {});
