--- a/src/apps/control/control_settings.h
+++ b/src/apps/control/control_settings.h
@@ -1,4 +1,4 @@
-// Settings of jackdaw-control. The keys are documented in docs/OPERATING.md.
+// Settings of jackdaw-control. The keys are documented in docs/OPERATIONS.md.
 #pragma once
 
 #include "protocol/result.h"
--- a/src/apps/control/operator_api.h
+++ b/src/apps/control/operator_api.h
@@ -1,4 +1,4 @@
-// The operators' HTTP interface of jackdaw-control: rules, traces, status, members, drain. Described in docs/OPERATING.md.
+// The operators' HTTP interface of jackdaw-control: rules, traces, status, members, drain. Described in docs/OPERATIONS.md.
 #pragma once
 
 #include "apps/control/control_node.h"
--- a/src/state/rules_file.h
+++ b/src/state/rules_file.h
@@ -1,7 +1,7 @@
 // Parser of the operators' rules file: TOML, each rule on one line with its full dotted name, and beside it a comment
 // that names who asked for it. Lines that are empty or only a comment are allowed between rules.
 //   team.minutes = { weight = 3, max_tasks = 400 } # asked for by Ana Kos
-// The rules and their ranges are listed in docs/OPERATING.md.
+// The rules and their ranges are listed in docs/OPERATIONS.md.
 #pragma once
 
 #include "protocol/result.h"
