--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -1,27 +1,17 @@
-// Wires ownership, dispatchers and desk to the mesh and the upstreams' driver.
+// Ownership of cells, timers and the public face of a cell host.
 #include "apps/cell_host/cell_host.h"
 
-#include "apps/cell_host/cell_host_metrics.h"
-#include "coordination/cells/cell_dispatcher.h"
-#include "coordination/cells/cell_ownership.h"
-#include "coordination/cells/neighbour_rooms.h"
+#include "apps/cell_host/internal/cell_host_impl.h"
 #include "protocol/config_messages.h"
 #include "state/log.h"
-#include "transport/mesh.h"
 
 #include <algorithm>
-#include <map>
-#include <set>
 #include <utility>
-#include <vector>
 
 namespace jackdaw::cell_host {
 
-using protocol::cell_message;
 using protocol::controlMeshName;
-using protocol::duration;
 using protocol::steadyNow;
-using protocol::time_point;
 using state::log_level;
 using state::logEvent;
 using std::chrono::milliseconds;
@@ -30,226 +20,13 @@
 
     constexpr duration gossipInterval = milliseconds(150); // six within the time after which a host counts as silent
     constexpr duration roomInterval = milliseconds(50); // between owners: a third of the shortest objective
-    constexpr duration pullInterval = milliseconds(300); // a whole configuration may take 100 ms on a slow link
-    constexpr duration helloInterval = milliseconds(500);
-    constexpr duration busyTick = milliseconds(20);
-    constexpr duration idleTick = milliseconds(100);
-    constexpr duration linkSilenceLimit = milliseconds(900); // below the time after which a host counts as silent
+    constexpr duration helloInterval = milliseconds(500); // ten within the time after which the directory forgets a host
+    constexpr duration busyTick = milliseconds(20); // an eighth of the shortest objective
+    constexpr duration idleTick = milliseconds(100); // a tenth of the time after which a host counts as silent
     constexpr duration forgetReports = std::chrono::seconds(60); // upstreams stay known while all control hosts are down
 
 } // namespace
 
-class cell_host::impl {
-public:
-    impl(transport::event_loop& eventLoop, const cell_host_settings& wanted, std::uint64_t hostIncarnation, cell_host_hooks wantedHooks)
-        : loop(eventLoop)
-        , settings(wanted)
-        , incarnation(hostIncarnation)
-        , hooks(std::move(wantedHooks))
-        , links(loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
-        , ownership(ownershipSettings())
-        , desk(settings.zone, [this](std::string_view cell) { return ownership.ownerOf(steadyNow(), cell); })
-    {
-    }
-
-    struct known_report {
-        protocol::upstream_report report;
-        time_point heardAt;
-    };
-
-    transport::event_loop& loop;
-    const cell_host_settings settings;
-    const std::uint64_t incarnation;
-    const cell_host_hooks hooks;
-    transport::mesh links;
-    cells::cell_ownership ownership;
-    cells::job_desk desk;
-    std::map<std::string, std::shared_ptr<cells::cell_dispatcher>, std::less<>> dispatchers; // by cell
-    std::map<std::string, known_report, std::less<>> reports; // by upstream
-    struct waiting_caller {
-        job_completion done;
-        time_point since;
-    };
-    std::map<cells::caller_number, waiting_caller> completions;
-    state::metrics allMetrics;
-    cell_host_metrics metrics { allMetrics };
-    std::set<std::string> entryPeers;
-    std::set<std::string> controlPeers;
-    std::set<std::string> silentDesks; // whose loss the dispatchers were told
-    cells::neighbour_rooms otherRooms;
-    cells::caller_number lastCaller = 0;
-    protocol::configuration_push inForce; // its version only goes up
-    time_point lastPull;
-    bool isLeaving = false;
-    bool isPumping = false;
-    bool hadOwner = false;
-    time_point directorySince = time_point::max(); // the first directory update
-    std::vector<std::unique_ptr<transport::event_loop::timer>> timers;
-    std::unique_ptr<transport::event_loop::timer> tickTimer;
-    std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
-
-    transport::mesh_settings meshSettings() const
-    {
-        transport::mesh_settings out;
-        out.host = settings.host;
-        out.incarnation = incarnation;
-        out.listenAddress = settings.host + ':' + std::to_string(settings.meshPort);
-        out.silenceLimit = linkSilenceLimit;
-        return out;
-    }
-
-    cells::ownership_settings ownershipSettings() const
-    {
-        cells::ownership_settings out;
-        out.host = settings.host;
-        out.incarnation = incarnation;
-        out.zone = settings.zone;
-        out.processorMillicores = settings.processorMillicores;
-        return out;
-    }
-
-    void onDelivery(const transport::mesh_delivery& delivery);
-    void onGossip(const protocol::host_gossip& gossip);
-    void onDirectory(const protocol::directory_update& update);
-    void onReport(const protocol::upstream_report& report);
-    void onConfiguration(const protocol::configuration_push& push);
-    void onOrder(const protocol::job_order& order, std::string_view deskHost);
-
-    void sayHello();
-    void gossip(const std::vector<std::string>& hosts);
-    void advance();
-    void applyOwnership();
-    void own(const std::string& cell, std::uint64_t token);
-    void disown(const std::string& cell);
-    void noteSilentDesks();
-    std::string findOtherCell(const protocol::job_order& order);
-    void scheduleTick();
-
-    void pump();
-    bool pumpDispatchers();
-    bool pumpDesk();
-    void perform(const std::shared_ptr<cells::cell_dispatcher>& dispatcher, const cells::cell_action& action);
-    void answerDesks(const cells::owner_answer& answer);
-    void perform(const cells::desk_action& action);
-    void sendTo(const std::string& host, const cell_message& message);
-};
-
-void cell_host::impl::onDelivery(const transport::mesh_delivery& delivery)
-{
-    const auto decoded = protocol::decodeCellMessage(delivery.body);
-    if (!decoded)
-        return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(delivery.sender) }, { "reason", decoded.error().detail } });
-    const cell_message& message = decoded.value();
-    if (const auto* gossip = std::get_if<protocol::host_gossip>(&message))
-        onGossip(*gossip);
-    else if (const auto* update = std::get_if<protocol::directory_update>(&message))
-        onDirectory(*update);
-    else if (const auto* push = std::get_if<protocol::configuration_push>(&message))
-        onConfiguration(*push);
-    else if (const auto* order = std::get_if<protocol::job_order>(&message))
-        onOrder(*order, delivery.sender);
-    else if (const auto* answer = std::get_if<protocol::job_answer>(&message))
-        desk.onAnswer(steadyNow(), delivery.sender, *answer);
-    else if (const auto* pull = std::get_if<protocol::configuration_pull>(&message)) {
-        if (pull->version < inForce.version)
-            sendTo(std::string(delivery.sender), inForce);
-    } else if (const auto* cancel = std::get_if<protocol::job_cancel>(&message)) {
-        for (const auto& [cell, dispatcher] : dispatchers)
-            dispatcher->cancel(steadyNow(), cancel->id, delivery.sender);
-    }
-    pump();
-}
-
-void cell_host::impl::onGossip(const protocol::host_gossip& gossip)
-{
-    const time_point now = steadyNow();
-    for (const std::string& ended : ownership.hear(now, gossip)) {
-        logEvent(log_level::info, "host_restarted", { { "host", ended } });
-        for (const auto& [cell, dispatcher] : dispatchers)
-            dispatcher->loseDesk(now, ended);
-    }
-    // The control hosts push; this is the way round a broken link to them.
-    if (gossip.configurationVersion > inForce.version && now - lastPull >= pullInterval) {
-        lastPull = now;
-        sendTo(gossip.host, protocol::configuration_pull { inForce.version });
-    }
-    for (const protocol::cell_claim& claim : gossip.claims)
-        otherRooms.hear(claim);
-    applyOwnership();
-    desk.advance(now);
-}
-
-void cell_host::impl::onDirectory(const protocol::directory_update& update)
-{
-    ownership.hearDirectory(steadyNow());
-    directorySince = std::min(directorySince, steadyNow());
-    for (const std::string& host : update.entryHosts) {
-        if (host == settings.host || !entryPeers.insert(host).second)
-            continue;
-        logEvent(log_level::info, "entry_host_known", { { "host", host } });
-        links.setPeer(host, host + ':' + std::to_string(settings.meshPort));
-        gossip({ host });
-    }
-    for (const std::string& host : update.controlHosts) {
-        if (controlPeers.insert(host).second)
-            links.setPeer(controlMeshName(host), host + ':' + std::to_string(settings.controlMeshPort));
-    }
-    for (const protocol::upstream_report& report : update.reports)
-        onReport(report);
-}
-
-void cell_host::impl::onReport(const protocol::upstream_report& report)
-{
-    const time_point now = steadyNow();
-    const auto [found, isNew] = reports.try_emplace(report.id);
-    known_report& known = found->second;
-    const bool isOlder = report.bornUnixMs < known.report.bornUnixMs
-        || (report.bornUnixMs == known.report.bornUnixMs && report.sequence < known.report.sequence);
-    if (!isNew && isOlder)
-        return;
-    known = { report, now };
-    ownership.hearUpstreamIn(now, report.zone);
-    if (const auto dispatcher = dispatchers.find(report.zone); dispatcher != dispatchers.end())
-        dispatcher->second->hearUpstream(now, report);
-}
-
-void cell_host::impl::onConfiguration(const protocol::configuration_push& push)
-{
-    if (push.version <= inForce.version)
-        return;
-    if (!hooks.onConfiguration(push))
-        return logEvent(log_level::error, "configuration_unreadable", { { "version", std::to_string(push.version) } });
-    logEvent(log_level::info, "configuration_in_force", { { "version", std::to_string(push.version) }, { "before", std::to_string(inForce.version) } });
-    inForce = push;
-}
-
-void cell_host::impl::onOrder(const protocol::job_order& order, std::string_view deskHost)
-{
-    if (const auto dispatcher = dispatchers.find(order.cell); dispatcher != dispatchers.end())
-        return dispatcher->second->submit(steadyNow(), order, deskHost);
-    answerDesks({ { std::string(deskHost) }, { order.id, order.submission, order.handOver, protocol::job_outcome::not_owned, "this host does not own the cell", 0, {}, {} } });
-}
-
-void cell_host::impl::sayHello()
-{
-    const std::string bytes = protocol::encodeCellMessage(protocol::entry_hello { settings.host, incarnation, inForce.version, isLeaving });
-    for (const std::string& host : controlPeers)
-        links.send(controlMeshName(host), bytes);
-}
-
-void cell_host::impl::gossip(const std::vector<std::string>& hosts)
-{
-    protocol::host_gossip gossip = ownership.gossip();
-    gossip.configurationVersion = inForce.version;
-    for (protocol::cell_claim& claim : gossip.claims) {
-        if (const auto dispatcher = dispatchers.find(claim.cell); dispatcher != dispatchers.end())
-            claim.rooms = dispatcher->second->rooms(steadyNow());
-    }
-    const std::string bytes = protocol::encodeCellMessage(gossip);
-    for (const std::string& host : hosts)
-        links.send(host, bytes);
-}
-
 void cell_host::impl::applyOwnership()
 {
     const std::vector<cells::ownership_change> changes = ownership.advance(steadyNow(), protocol::unixNow().count());
@@ -294,7 +71,7 @@
     if (found == dispatchers.end())
         return;
     const std::shared_ptr<cells::cell_dispatcher> dispatcher = found->second;
-    dispatcher->release(steadyNow());
+    dispatcher->release();
     for (const cells::cell_action& action : dispatcher->takeActions()) {
         if (const auto* answer = std::get_if<cells::owner_answer>(&action))
             answerDesks(*answer);
@@ -360,109 +137,6 @@
     });
 }
 
-void cell_host::impl::pump()
-{
-    if (isPumping)
-        return;
-    isPumping = true;
-    while (pumpDispatchers() || pumpDesk()) { }
-    isPumping = false;
-}
-
-bool cell_host::impl::pumpDispatchers()
-{
-    bool didAny = false;
-    const auto copies = dispatchers; // an action may change the map
-    for (const auto& [cell, dispatcher] : copies) {
-        for (const cells::cell_action& action : dispatcher->takeActions()) {
-            perform(dispatcher, action);
-            didAny = true;
-        }
-    }
-    return didAny;
-}
-
-bool cell_host::impl::pumpDesk()
-{
-    const std::vector<cells::desk_action> actions = desk.takeActions();
-    for (const cells::desk_action& action : actions)
-        perform(action);
-    return !actions.empty();
-}
-
-void cell_host::impl::perform(const std::shared_ptr<cells::cell_dispatcher>& dispatcher, const cells::cell_action& action)
-{
-    const std::weak_ptr<cells::cell_dispatcher> weak = dispatcher;
-    if (const auto* start = std::get_if<cells::start_order>(&action)) {
-        metrics.starts.add();
-        hooks.upstreams.start(*start, [this, weak, order = *start](const cells::call_answer& answer) {
-            if (const auto held = weak.lock()) {
-                held->onStart(steadyNow(), order, answer);
-                pump();
-            }
-        });
-    } else if (const auto* stop = std::get_if<cells::stop_order>(&action)) {
-        hooks.upstreams.stop(*stop, [this, weak, order = *stop](const cells::call_answer& answer) {
-            if (const auto held = weak.lock()) {
-                held->onStop(steadyNow(), order, answer);
-                pump();
-            }
-        });
-    } else if (const auto* look = std::get_if<cells::look_order>(&action)) {
-        hooks.upstreams.look(*look, [this, weak, order = *look](const cells::look_answer& answer) {
-            if (const auto held = weak.lock()) {
-                held->onLook(steadyNow(), order, answer);
-                pump();
-            }
-        });
-    } else {
-        answerDesks(std::get<cells::owner_answer>(action));
-    }
-}
-
-void cell_host::impl::answerDesks(const cells::owner_answer& answer)
-{
-    for (const std::string& host : answer.desks) {
-        if (host == settings.host)
-            desk.onAnswer(steadyNow(), host, answer.answer);
-        else
-            sendTo(host, answer.answer);
-    }
-}
-
-void cell_host::impl::perform(const cells::desk_action& action)
-{
-    if (const auto* send = std::get_if<cells::send_order>(&action)) {
-        const protocol::job_order& order = send->order;
-        logEvent(log_level::info, "job_handed", { { "subject", order.id }, { "cell", order.cell }, { "owner", send->host }, { "token", std::to_string(order.token) }, { "hand_over", std::to_string(order.handOver) }, { "age_ms", std::to_string(order.ageMs) }, { "time_left_ms", std::to_string(order.timeLeftMs) } });
-        if (send->host == settings.host)
-            onOrder(send->order, settings.host);
-        else
-            sendTo(send->host, send->order);
-        return;
-    }
-    if (const auto* cancel = std::get_if<cells::send_cancel>(&action)) {
-        if (cancel->host != settings.host)
-            return sendTo(cancel->host, protocol::job_cancel { cancel->job });
-        for (const auto& [cell, dispatcher] : dispatchers)
-            dispatcher->cancel(steadyNow(), cancel->job, settings.host);
-        return;
-    }
-    const auto& answer = std::get<cells::answer_callers>(action);
-    for (const cells::caller_number caller : answer.callers) {
-        if (auto completion = completions.extract(caller); !completion.empty()) {
-            metrics.countAnswer(answer.answer.outcome, steadyNow() - completion.mapped().since);
-            completion.mapped().done(answer.answer);
-        }
-    }
-}
-
-void cell_host::impl::sendTo(const std::string& host, const cell_message& message)
-{
-    if (!links.send(host, protocol::encodeCellMessage(message)))
-        logEvent(log_level::warning, "message_dropped", { { "host", host }, { "kind", std::to_string(message.index()) } });
-}
-
 cell_host::cell_host(transport::event_loop& loop, const cell_host_settings& settings, std::uint64_t incarnation, cell_host_hooks hooks)
     : m_impl(std::make_unique<impl>(loop, settings, incarnation, std::move(hooks)))
 {
--- /dev/null
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -0,0 +1,120 @@
+// State of a cell host, and the steps that its public face puts together.
+#pragma once
+
+#include "apps/cell_host/cell_host.h"
+#include "apps/cell_host/cell_host_metrics.h"
+#include "coordination/cells/cell_dispatcher.h"
+#include "coordination/cells/cell_ownership.h"
+#include "coordination/cells/neighbour_rooms.h"
+#include "transport/mesh.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jackdaw::cell_host {
+
+using protocol::cell_message;
+using protocol::duration;
+using protocol::time_point;
+
+constexpr duration meshSilenceLimit = std::chrono::milliseconds(900); // below the time after which a host counts as silent
+
+class cell_host::impl {
+public:
+    impl(transport::event_loop& eventLoop, const cell_host_settings& wanted, std::uint64_t hostIncarnation, cell_host_hooks wantedHooks)
+        : loop(eventLoop)
+        , settings(wanted)
+        , incarnation(hostIncarnation)
+        , hooks(std::move(wantedHooks))
+        , links(loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
+        , ownership(ownershipSettings())
+        , desk(settings.zone, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); })
+    {
+    }
+
+    struct known_report {
+        protocol::upstream_report report;
+        time_point heardAt;
+    };
+
+    transport::event_loop& loop;
+    const cell_host_settings settings;
+    const std::uint64_t incarnation;
+    const cell_host_hooks hooks;
+    transport::mesh links;
+    cells::cell_ownership ownership;
+    cells::job_desk desk;
+    std::map<std::string, std::shared_ptr<cells::cell_dispatcher>, std::less<>> dispatchers; // by cell
+    std::map<std::string, known_report, std::less<>> reports; // by upstream
+    struct waiting_caller {
+        job_completion done;
+        time_point since;
+    };
+    std::map<cells::caller_number, waiting_caller> completions;
+    state::metrics allMetrics;
+    cell_host_metrics metrics { allMetrics };
+    std::set<std::string> entryPeers;
+    std::set<std::string> controlPeers;
+    std::set<std::string> silentDesks; // whose loss the dispatchers were told
+    cells::neighbour_rooms otherRooms;
+    cells::caller_number lastCaller = 0;
+    protocol::configuration_push inForce; // its version only goes up
+    time_point lastPull;
+    bool isLeaving = false;
+    bool isPumping = false;
+    bool hadOwner = false;
+    time_point directorySince = time_point::max(); // the first directory update
+    std::vector<std::unique_ptr<transport::event_loop::timer>> timers;
+    std::unique_ptr<transport::event_loop::timer> tickTimer;
+    std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
+
+    transport::mesh_settings meshSettings() const
+    {
+        transport::mesh_settings out;
+        out.host = settings.host;
+        out.incarnation = incarnation;
+        out.listenAddress = settings.host + ':' + std::to_string(settings.meshPort);
+        out.silenceLimit = meshSilenceLimit;
+        return out;
+    }
+
+    cells::ownership_settings ownershipSettings() const
+    {
+        cells::ownership_settings out;
+        out.host = settings.host;
+        out.incarnation = incarnation;
+        out.zone = settings.zone;
+        out.processorMillicores = settings.processorMillicores;
+        return out;
+    }
+
+    void onDelivery(const transport::mesh_delivery& delivery);
+    void onGossip(const protocol::host_gossip& gossip);
+    void onDirectory(const protocol::directory_update& update);
+    void onReport(const protocol::upstream_report& report);
+    void onConfiguration(const protocol::configuration_push& push);
+    void onOrder(const protocol::job_order& order, std::string_view deskHost);
+
+    void sayHello();
+    void gossip(const std::vector<std::string>& hosts);
+    void advance();
+    void applyOwnership();
+    void own(const std::string& cell, std::uint64_t token);
+    void disown(const std::string& cell);
+    void noteSilentDesks();
+    std::string findOtherCell(const protocol::job_order& order);
+    void scheduleTick();
+
+    void pump();
+    bool pumpDispatchers();
+    bool pumpDesk();
+    void perform(const std::shared_ptr<cells::cell_dispatcher>& dispatcher, const cells::cell_action& action);
+    void answerDesks(const cells::owner_answer& answer);
+    void perform(const cells::desk_action& action);
+    void sendTo(const std::string& host, const cell_message& message);
+};
+
+} // namespace jackdaw::cell_host
--- /dev/null
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -0,0 +1,146 @@
+// What other hosts say, and what they are told.
+#include "apps/cell_host/internal/cell_host_impl.h"
+
+#include "protocol/config_messages.h"
+#include "state/log.h"
+
+#include <algorithm>
+
+namespace jackdaw::cell_host {
+
+using protocol::cell_message;
+using protocol::controlMeshName;
+using protocol::steadyNow;
+using state::log_level;
+using state::logEvent;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr duration pullInterval = milliseconds(300); // a whole configuration may take 100 ms on a slow link
+
+} // namespace
+
+void cell_host::impl::onDelivery(const transport::mesh_delivery& delivery)
+{
+    const auto decoded = protocol::decodeCellMessage(delivery.body);
+    if (!decoded)
+        return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(delivery.sender) }, { "reason", decoded.error().detail } });
+    const cell_message& message = decoded.value();
+    if (const auto* gossip = std::get_if<protocol::host_gossip>(&message))
+        onGossip(*gossip);
+    else if (const auto* update = std::get_if<protocol::directory_update>(&message))
+        onDirectory(*update);
+    else if (const auto* push = std::get_if<protocol::configuration_push>(&message))
+        onConfiguration(*push);
+    else if (const auto* order = std::get_if<protocol::job_order>(&message))
+        onOrder(*order, delivery.sender);
+    else if (const auto* answer = std::get_if<protocol::job_answer>(&message))
+        desk.onAnswer(steadyNow(), delivery.sender, *answer);
+    else if (const auto* pull = std::get_if<protocol::configuration_pull>(&message)) {
+        if (pull->version < inForce.version)
+            sendTo(std::string(delivery.sender), inForce);
+    } else if (const auto* cancel = std::get_if<protocol::job_cancel>(&message)) {
+        for (const auto& [cell, dispatcher] : dispatchers)
+            dispatcher->cancel(steadyNow(), cancel->id, delivery.sender);
+    }
+    pump();
+}
+
+void cell_host::impl::onGossip(const protocol::host_gossip& gossip)
+{
+    const time_point now = steadyNow();
+    for (const std::string& ended : ownership.hear(now, gossip)) {
+        logEvent(log_level::info, "host_restarted", { { "host", ended } });
+        for (const auto& [cell, dispatcher] : dispatchers)
+            dispatcher->loseDesk(now, ended);
+    }
+    // The control hosts push; this is the way round a broken link to them.
+    if (gossip.configurationVersion > inForce.version && now - lastPull >= pullInterval) {
+        lastPull = now;
+        sendTo(gossip.host, protocol::configuration_pull { inForce.version });
+    }
+    for (const protocol::cell_claim& claim : gossip.claims)
+        otherRooms.hear(claim);
+    applyOwnership();
+    desk.advance(now);
+}
+
+void cell_host::impl::onDirectory(const protocol::directory_update& update)
+{
+    ownership.hearDirectory(steadyNow());
+    directorySince = std::min(directorySince, steadyNow());
+    for (const std::string& host : update.entryHosts) {
+        if (host == settings.host || !entryPeers.insert(host).second)
+            continue;
+        logEvent(log_level::info, "entry_host_known", { { "host", host } });
+        links.setPeer(host, host + ':' + std::to_string(settings.meshPort));
+        gossip({ host });
+    }
+    for (const std::string& host : update.controlHosts) {
+        if (controlPeers.insert(host).second)
+            links.setPeer(controlMeshName(host), host + ':' + std::to_string(settings.controlMeshPort));
+    }
+    for (const protocol::upstream_report& report : update.reports)
+        onReport(report);
+}
+
+void cell_host::impl::onReport(const protocol::upstream_report& report)
+{
+    const time_point now = steadyNow();
+    const auto [found, isNew] = reports.try_emplace(report.id);
+    known_report& known = found->second;
+    const bool isOlder = report.bornUnixMs < known.report.bornUnixMs
+        || (report.bornUnixMs == known.report.bornUnixMs && report.sequence < known.report.sequence);
+    if (!isNew && isOlder)
+        return;
+    known = { report, now };
+    ownership.hearUpstreamIn(now, report.zone);
+    if (const auto dispatcher = dispatchers.find(report.zone); dispatcher != dispatchers.end())
+        dispatcher->second->hearUpstream(now, report);
+}
+
+void cell_host::impl::onConfiguration(const protocol::configuration_push& push)
+{
+    if (push.version <= inForce.version)
+        return;
+    if (!hooks.onConfiguration(push))
+        return logEvent(log_level::error, "configuration_unreadable", { { "version", std::to_string(push.version) } });
+    logEvent(log_level::info, "configuration_in_force", { { "version", std::to_string(push.version) }, { "before", std::to_string(inForce.version) } });
+    inForce = push;
+}
+
+void cell_host::impl::onOrder(const protocol::job_order& order, std::string_view deskHost)
+{
+    if (const auto dispatcher = dispatchers.find(order.cell); dispatcher != dispatchers.end())
+        return dispatcher->second->submit(steadyNow(), order, deskHost);
+    answerDesks({ { std::string(deskHost) }, { order.id, order.submission, order.handOver, protocol::job_outcome::not_owned, "this host does not own the cell", 0, {}, {} } });
+}
+
+void cell_host::impl::sayHello()
+{
+    const std::string bytes = protocol::encodeCellMessage(protocol::entry_hello { settings.host, incarnation, inForce.version, isLeaving });
+    for (const std::string& host : controlPeers)
+        links.send(controlMeshName(host), bytes);
+}
+
+void cell_host::impl::gossip(const std::vector<std::string>& hosts)
+{
+    protocol::host_gossip gossip = ownership.gossip();
+    gossip.configurationVersion = inForce.version;
+    for (protocol::cell_claim& claim : gossip.claims) {
+        if (const auto dispatcher = dispatchers.find(claim.cell); dispatcher != dispatchers.end())
+            claim.rooms = dispatcher->second->rooms(steadyNow());
+    }
+    const std::string bytes = protocol::encodeCellMessage(gossip);
+    for (const std::string& host : hosts)
+        links.send(host, bytes);
+}
+
+void cell_host::impl::sendTo(const std::string& host, const cell_message& message)
+{
+    if (!links.send(host, protocol::encodeCellMessage(message)))
+        logEvent(log_level::warning, "message_dropped", { { "host", host }, { "kind", std::to_string(message.index()) } });
+}
+
+} // namespace jackdaw::cell_host
--- /dev/null
+++ b/src/apps/cell_host/tests/cell_host_settings_tests.cpp
@@ -0,0 +1,63 @@
+// Settings files of a cell host, whole and wrong.
+#include "apps/cell_host/cell_host_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+using namespace jackdaw::cell_host;
+
+namespace {
+
+constexpr auto whole = R"(
+name = "edge-1"
+host = "10.0.0.5"
+zone = "a"
+processor_cores = 0.25
+seeds = ["10.0.0.1:80"]
+callers = "10.0.0.5:8161"
+readiness = "10.0.0.5:8167"
+control_mesh_port = 7000
+entry_mesh_port = 7001
+max_lease_ms = 1000
+grace_s = 6.5
+metrics_port = 9464
+)";
+
+auto read(const std::string& text)
+{
+    const auto path = std::filesystem::temp_directory_path() / ("jackdaw_cell_host_tests_" + std::to_string(getpid()) + ".toml");
+    std::ofstream(path) << text;
+    auto settings = readCellHostSettings(path);
+    std::filesystem::remove(path);
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("a whole file is read, with fractions where they make sense")
+{
+    const auto settings = read(whole);
+    REQUIRE(settings);
+    CHECK(settings.value().processorMillicores == 250);
+    CHECK(settings.value().grace == std::chrono::milliseconds(6500));
+    CHECK(settings.value().stopTime == std::chrono::milliseconds(50));
+    CHECK(settings.value().callers.port == 8161);
+    CHECK(settings.value().metricsPort == 9464);
+}
+
+TEST_CASE("wrong values are errors that name the key")
+{
+    const std::string text = whole;
+    for (const auto& [key, wrong] : { std::pair("processor_cores", "processor_cores = 0"), std::pair("max_lease_ms", "max_lease_ms = \"1\""), std::pair("readiness", "readiness = \"x\""), std::pair("zone", "zone = 3") }) {
+        std::string changed = text;
+        const std::size_t at = changed.find(key);
+        changed.replace(at, changed.find('\n', at) - at, wrong);
+        const auto settings = read(changed);
+        REQUIRE_FALSE(settings);
+        CHECK(settings.error().detail.find(key) != std::string::npos);
+    }
+}
--- /dev/null
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -0,0 +1,72 @@
+// What a control host tells the entry hosts.
+#include "apps/hub/host_directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdaw::hub;
+using jackdaw::protocol::upstream_report;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+upstream_report makeReport(const std::string& id, std::uint64_t sequence, bool isLeaving = false, std::int64_t born = 1000)
+{
+    upstream_report report;
+    report.id = id;
+    report.sequence = sequence;
+    report.bornUnixMs = born;
+    report.isLeaving = isLeaving;
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("a report goes out once, a leaving upstream's for seconds")
+{
+    time_point now(seconds(10));
+    host_directory directory("c1");
+    CHECK(directory.hearUpstream(now, makeReport("u1", 1)));
+    CHECK(directory.hearUpstream(now, makeReport("u2", 1, true)));
+    CHECK(directory.takeBatch(now).reports.size() == 2);
+    now += milliseconds(100);
+    CHECK(directory.takeBatch(now).reports == std::vector<upstream_report> { makeReport("u2", 1, true) });
+    now += seconds(4);
+    CHECK(directory.takeBatch(now).reports.empty());
+}
+
+TEST_CASE("late reports of the same or an earlier life are ignored")
+{
+    const time_point now(seconds(10));
+    host_directory directory("c1");
+    CHECK(directory.hearUpstream(now, makeReport("u1", 5, true)));
+    CHECK_FALSE(directory.hearUpstream(now, makeReport("u1", 4)));
+    CHECK(directory.hearUpstream(now, makeReport("u1", 1, false, 2000)));
+    CHECK_FALSE(directory.hearUpstream(now, makeReport("u1", 6, true, 1000)));
+    CHECK_FALSE(directory.takeBatch(now).reports.at(0).isLeaving);
+}
+
+TEST_CASE("an upstream that ended counts as leaving")
+{
+    const time_point now(seconds(10));
+    host_directory directory("c1");
+    directory.hearUpstream(now, makeReport("u1", 1));
+    directory.forgetUpstream("u1");
+    CHECK(directory.takeBatch(now).reports.at(0).isLeaving);
+}
+
+TEST_CASE("hosts that are silent for long are not named any more")
+{
+    time_point now(seconds(10));
+    host_directory directory("c1");
+    CHECK(directory.hearEntry(now, { "e1", 1, 7, false }));
+    CHECK_FALSE(directory.hearEntry(now, { "e1", 1, 8, false }));
+    CHECK(directory.hearControl(now, { "c2", 1, "10.0.0.2:80" }));
+    CHECK(directory.versionOf("e1") == 8);
+    CHECK(directory.operatorAddressOf("c2") == "10.0.0.2:80");
+    CHECK(directory.takeBatch(now).controlHosts == std::vector<std::string> { "c2", "c1" });
+    now += seconds(6);
+    CHECK(directory.liveEntries(now).empty());
+    CHECK(directory.takeBatch(now).controlHosts == std::vector<std::string> { "c1" });
+    CHECK(directory.hearEntry(now, { "e1", 1, 8, false }));
+}
--- /dev/null
+++ b/src/apps/hub/tests/hub_settings_tests.cpp
@@ -0,0 +1,59 @@
+// Settings files of a hub, whole and wrong.
+#include "apps/hub/hub_settings.h"
+
+#include <doctest/doctest.h>
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+
+using namespace jackdaw::hub;
+
+namespace {
+
+constexpr auto whole = R"(
+name = "core-1"
+host = "10.0.0.1"
+data_folder = "/data"
+seeds = ["10.0.0.1:80", "10.0.0.2:80"]
+first_start = true
+operators = "10.0.0.1:80"
+control_mesh_port = 7000
+entry_mesh_port = 7001
+)";
+
+auto read(const std::string& text)
+{
+    const auto path = std::filesystem::temp_directory_path() / ("jackdaw_hub_tests_" + std::to_string(getpid()) + ".toml");
+    std::ofstream(path) << text;
+    auto settings = readHubSettings(path);
+    std::filesystem::remove(path);
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("a whole file is read")
+{
+    const auto settings = read(whole);
+    REQUIRE(settings);
+    CHECK(settings.value().dataFolder == "/data/control");
+    CHECK(settings.value().seeds == std::vector<std::string> { "10.0.0.1", "10.0.0.2" });
+    CHECK(settings.value().isFirstStart);
+    CHECK(settings.value().operators.port == 80);
+}
+
+TEST_CASE("missing, unknown and wrong keys are errors that name the key")
+{
+    const std::string text = whole;
+    CHECK(read(text + "colour = 1\n").error().detail.find("colour") != std::string::npos);
+    CHECK(read(text.substr(text.find("host"))).error().detail.find("name") != std::string::npos);
+    for (const std::string_view wrong : { "operators = \"10.0.0.1\"", "operators = 5" }) {
+        std::string changed = text;
+        const std::size_t at = changed.find("operators");
+        changed.replace(at, changed.find('\n', at) - at, wrong);
+        CHECK(read(changed).error().detail.find("operators") != std::string::npos);
+    }
+    CHECK_FALSE(readHubSettings("/nonexistent.toml"));
+}
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -18,10 +18,10 @@
 namespace {
 
     constexpr duration busyInterval = milliseconds(20); // an eighth of the shortest objective seen, 156 ms
-    constexpr duration idleInterval = milliseconds(250);
+    constexpr duration idleInterval = milliseconds(250); // nothing runs: looks that are due every second
     constexpr duration settleTime = milliseconds(1600); // lease and drift, and one interval of the upstreams' reports
-    constexpr duration refusalClosure = milliseconds(200); // doubled with each refusal in a row
-    constexpr int maxRefusalDoublings = 4;
+    constexpr duration refusalClosure = milliseconds(200); // some run times of a short task; doubled with each refusal in a row
+    constexpr int maxRefusalDoublings = 4; // 1.6 s, as long as an upstream takes to report again
     constexpr std::uint32_t supersededJump = 16; // past the runs that an owner before the last can have started
 
 } // namespace
@@ -191,7 +191,7 @@
 
 void cell_dispatcher::onStart(time_point now, const start_order& order, const call_answer& answer)
 {
-    if (m_impl->takeCommonOutcome(now, order.target, answer))
+    if (m_impl->takeCommonOutcome(order.target, answer))
         return;
     const auto found = m_impl->upstreams.find(order.target.id);
     if (found == m_impl->upstreams.end())
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -85,7 +85,7 @@
     time_point nextTimer(time_point now) const;
 
     // Gives every job back to its desk. To be called when the cell is lost or handed over; nothing is decided afterwards.
-    void release(time_point now);
+    void release();
 
     // An upstream has seen a higher token: this ownership is over.
     bool isFenced() const;
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -41,12 +41,12 @@
 
     // Upstreams.
     void hear(time_point now, const protocol::upstream_report& report);
-    void loseRuns(time_point now, upstream_ledger& upstream, std::string_view cause);
-    void removeUpstream(time_point now, const std::string& id, std::string_view cause);
+    void loseRuns(upstream_ledger& upstream, std::string_view cause);
+    void removeUpstream(const std::string& id, std::string_view cause);
     void look(time_point now, upstream_ledger& upstream);
     void takeLists(time_point now, upstream_ledger& upstream, const look_order& order, const look_answer& answer);
     void takeRunning(time_point now, upstream_ledger& upstream, const look_answer& answer);
-    void dropUnlisted(time_point now, upstream_ledger& upstream, const look_answer& answer);
+    void dropUnlisted(upstream_ledger& upstream, const look_answer& answer);
     void endRun(time_point now, upstream_ledger& upstream, const ended_task& end);
     void judgeUpstream(time_point now, upstream_ledger& upstream, end_kind how);
     void checkUpstream(time_point now, upstream_ledger& upstream);
@@ -54,13 +54,13 @@
     void stopRun(time_point now, upstream_ledger& upstream, const run_name& name, run_record& record);
     void noteClock(time_point now, upstream_ledger& upstream, const call_answer& answer);
     // What every call's answer may say; true when it left nothing more to do.
-    bool takeCommonOutcome(time_point now, const upstream_target& target, const call_answer& answer);
+    bool takeCommonOutcome(const upstream_target& target, const call_answer& answer);
 
     // Jobs.
     void submit(time_point now, const protocol::job_order& order, std::string_view desk);
     const protocol::job_answer* findAnswer(const protocol::job_order& order) const;
     bool admit(time_point now, cell_job& job);
-    void claimRuns(time_point now, cell_job& job);
+    void claimRuns(cell_job& job);
     void requeue(cell_job& job, std::size_t step, std::size_t index);
     void requeueRun(const run_record& record);
     void finish(time_point now, cell_job& job, protocol::job_answer answer);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -59,7 +59,7 @@
             task.lastRun = order.handOver * runsPerHandOver;
     }
     jobs.emplace(order.id, std::move(owned));
-    claimRuns(now, job);
+    claimRuns(job);
     if (job.isDone())
         return finishIfDone(now, job);
     if (!job.hasBegun && order.handOver == 0 && !admit(now, job))
@@ -112,7 +112,7 @@
 }
 
 // Tasks that an earlier owner started, or that ended before the job was handed over.
-void cell_dispatcher::impl::claimRuns(time_point now, cell_job& job)
+void cell_dispatcher::impl::claimRuns(cell_job& job)
 {
     std::size_t step = 0;
     std::size_t index = 0;
@@ -136,7 +136,6 @@
         return;
     for (const auto& [name, until] : doneOrphans)
         job.markDone(name);
-    (void)now;
 }
 
 void cell_dispatcher::impl::requeue(cell_job& job, std::size_t step, std::size_t index)
@@ -213,7 +212,7 @@
         cancel(now, id, desk);
 }
 
-void cell_dispatcher::release(time_point now)
+void cell_dispatcher::release()
 {
     for (auto& [id, job] : m_impl->jobs) {
         job_answer answer = internal::makeAnswer(*job, job_outcome::released, "the owner of the cell changes");
@@ -228,7 +227,6 @@
     m_impl->note("cell_released", m_impl->settings.cell, "jobs=" + std::to_string(m_impl->jobs.size()));
     m_impl->jobs.clear();
     m_impl->upstreams.clear();
-    (void)now;
 }
 
 } // namespace jackdaw::cells
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -37,7 +37,7 @@
             continue;
         if (other.facts.bornUnixMs > report.bornUnixMs)
             return; // a late report of a life that has ended
-        removeUpstream(now, std::string(id), "another life reports at its address");
+        removeUpstream(std::string(id), "another life reports at its address");
         break;
     }
     const auto [found, isNew] = upstreams.try_emplace(report.id, report);
@@ -47,7 +47,7 @@
     if (!isNew && isOlder)
         return;
     if (!isNew && report.bornUnixMs > known.bornUnixMs) {
-        loseRuns(now, upstream, "restarted");
+        loseRuns(upstream, "restarted");
         upstream.restart(report);
     }
     if (isNew || known.isLeaving != report.isLeaving)
@@ -58,23 +58,22 @@
         look(now, upstream);
 }
 
-void cell_dispatcher::impl::loseRuns(time_point now, upstream_ledger& upstream, std::string_view cause)
+void cell_dispatcher::impl::loseRuns(upstream_ledger& upstream, std::string_view cause)
 {
     if (!upstream.runs.empty())
         note("runs_lost", upstream.facts.id, quoted("cause", cause) + " runs=" + std::to_string(upstream.runs.size()));
     const auto lost = std::exchange(upstream.runs, {});
     for (const auto& [name, record] : lost)
         requeueRun(record);
-    (void)now;
 }
 
-void cell_dispatcher::impl::removeUpstream(time_point now, const std::string& id, std::string_view cause)
+void cell_dispatcher::impl::removeUpstream(const std::string& id, std::string_view cause)
 {
     const auto found = upstreams.find(id);
     if (found == upstreams.end())
         return;
     note("upstream_gone", id, quoted("cause", cause));
-    loseRuns(now, found->second, cause);
+    loseRuns(found->second, cause);
     upstreams.erase(found);
 }
 
@@ -96,7 +95,6 @@
 
 void cell_dispatcher::impl::noteClock(time_point now, upstream_ledger& upstream, const call_answer& answer)
 {
-    upstream.answeredAt = now;
     upstream.silentInRow = 0;
     upstream.heardAt = now;
     // Answers overtake each other on different connections: the clock never goes back.
@@ -104,7 +102,7 @@
         upstream.clock = { answer.clockMs, now };
 }
 
-bool cell_dispatcher::impl::takeCommonOutcome(time_point now, const upstream_target& target, const call_answer& answer)
+bool cell_dispatcher::impl::takeCommonOutcome(const upstream_target& target, const call_answer& answer)
 {
     if (answer.outcome == call_outcome::fenced) {
         if (!isFenced)
@@ -113,7 +111,7 @@
         return true;
     }
     if (answer.outcome == call_outcome::other_life) {
-        removeUpstream(now, target.id, "another life answers at its address");
+        removeUpstream(target.id, "another life answers at its address");
         return true;
     }
     return false;
@@ -125,7 +123,7 @@
         upstream_report report = upstream.facts;
         report.bornUnixMs = answer.bornUnixMs;
         report.sequence = 0;
-        loseRuns(now, upstream, "restarted");
+        loseRuns(upstream, "restarted");
         upstream.restart(report);
         upstream.nextLookAt = now;
         return;
@@ -141,7 +139,7 @@
         endRun(now, upstream, end);
     }
     takeRunning(now, upstream, answer);
-    dropUnlisted(now, upstream, answer);
+    dropUnlisted(upstream, answer);
     if (!upstream.isAdopted) {
         upstream.isAdopted = true;
         note("upstream_adopted", upstream.facts.id, "runs=" + std::to_string(upstream.runs.size()));
@@ -167,11 +165,11 @@
     if (!upstream.hasUnknownRuns())
         return;
     for (const auto& [id, job] : jobs)
-        claimRuns(now, *job);
+        claimRuns(*job);
 }
 
 // A run that the list leaves out, though it was confirmed or its stop was answered before the list was asked for, is gone.
-void cell_dispatcher::impl::dropUnlisted(time_point now, upstream_ledger& upstream, const look_answer& answer)
+void cell_dispatcher::impl::dropUnlisted(upstream_ledger& upstream, const look_answer& answer)
 {
     for (auto item = upstream.runs.begin(); item != upstream.runs.end();) {
         const run_record& record = item->second;
@@ -186,7 +184,6 @@
         item = upstream.runs.erase(item);
         requeueRun(gone);
     }
-    (void)now;
 }
 
 void cell_dispatcher::impl::endRun(time_point now, upstream_ledger& upstream, const ended_task& end)
@@ -270,7 +267,7 @@
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_ledger& upstream)
 {
     if (upstream.wantsNewConnection && !upstream.runs.empty() && now >= upstream.leaseEnd)
-        loseRuns(now, upstream, "lease ran out without an answer");
+        loseRuns(upstream, "lease ran out without an answer");
     dropStopped(now, upstream);
     for (auto& [name, record] : upstream.runs) {
         const bool isOrphan = record.job.empty() && record.state == run_state::running && now - record.since >= orphanGrace;
@@ -290,7 +287,7 @@
 
 void cell_dispatcher::onLook(time_point now, const look_order& order, const look_answer& answer)
 {
-    if (m_impl->takeCommonOutcome(now, order.target, answer.call))
+    if (m_impl->takeCommonOutcome(order.target, answer.call))
         return;
     const auto found = m_impl->upstreams.find(order.target.id);
     if (found == m_impl->upstreams.end())
@@ -306,7 +303,7 @@
         ++upstream.silentInRow;
         upstream.nextLookAt = now + repeatInterval;
         if (now - upstream.heardAt > forgetAfter)
-            return m_impl->removeUpstream(now, order.target.id, "not heard");
+            return m_impl->removeUpstream(order.target.id, "not heard");
     }
     if (!upstream.isLookOpen && now >= upstream.nextLookAt)
         m_impl->look(now, upstream);
@@ -315,7 +312,7 @@
 
 void cell_dispatcher::onStop(time_point now, const stop_order& order, const call_answer& answer)
 {
-    if (m_impl->takeCommonOutcome(now, order.target, answer))
+    if (m_impl->takeCommonOutcome(order.target, answer))
         return;
     const auto upstream = m_impl->upstreams.find(order.target.id);
     if (upstream == m_impl->upstreams.end())
--- a/src/coordination/cells/internal/upstream_ledger.h
+++ b/src/coordination/cells/internal/upstream_ledger.h
@@ -70,7 +70,6 @@
     time_point lookSentAt;
     time_point nextLookAt; // valid while no look is open
     time_point heardAt; // last report or answer
-    time_point answeredAt; // last answer to a call
 
     time_ratio ratio;
     int failedInRow = 0; // runs that ended failed, with no other end between
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -149,7 +149,7 @@
     const std::size_t second = sim.addOwner();
     sim.pass(milliseconds(350)); // the former owner's look returns within its wait
     CHECK(sim.owner(0).isFenced());
-    sim.owner(0).release(sim.now());
+    sim.owner(0).release();
     job.handOver = 1;
     sim.submit(second, job);
     sim.pass(seconds(2));
--- a/src/coordination/tests/rules_store_tests.cpp
+++ b/src/coordination/tests/rules_store_tests.cpp
@@ -288,3 +288,27 @@
     CHECK(inForce.order == task_order::fifo);
     CHECK(inForce.retryBudget == rules().retryBudget);
 }
+
+TEST_CASE("of changes that bring their own version the highest takes effect, in any order, and the others are accepted")
+{
+    const auto bring = [](rules_store& store, std::uint64_t version, const std::string& text) {
+        rules_change change;
+        change.changeId = "change-" + std::to_string(version) + text;
+        change.text = text;
+        change.ownVersion = version;
+        // As it comes back from the log.
+        return store.apply(decodeRulesChange(encodeRulesChange(change)).value());
+    };
+    rules_store store;
+    CHECK(bring(store, 7, "seven").outcome == change_outcome::accepted);
+    CHECK(bring(store, 3, "three").outcome == change_outcome::accepted);
+    CHECK(store.text() == "seven");
+    CHECK(bring(store, 7, "other seven").inForce.version == 7);
+    CHECK(store.text() == "seven");
+    CHECK(bring(store, 0, "").inForce.version == 7); // the barrier of a sure read
+    CHECK(bring(store, 12, "twelve").inForce.version == 12);
+    const auto restored = rules_store::restore(store.snapshot());
+    REQUIRE(restored);
+    CHECK(restored.value().inForce().version == 12);
+    CHECK(restored.value().text() == "twelve");
+}
