Cells: one maker of answers, one order of reports, and code that nothing reads goes

Found on reading the change again. An answer to an order was put together in four places (dispatcher, its jobs, desk, cell host): now protocol::answerTo. Which of two reports is newer was written three times: protocol::isNewer. Pause after a fence and look for a zone's live hosts stood twice each in cell_ownership. Gone, since nothing read them: three counts of the dispatcher, waitingWork, claimOf, cells, a liveness token, an early return before an empty loop. The rank of a job no longer copies its id for each comparison.

--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -69,7 +69,6 @@
     time_point directorySince = time_point::max(); // the first directory update
     std::vector<std::unique_ptr<transport::event_loop::timer>> timers;
     std::unique_ptr<transport::event_loop::timer> tickTimer;
-    std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
 
     transport::mesh_settings meshSettings() const
     {
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -50,10 +50,10 @@
 void cell_host::impl::onGossip(const protocol::host_gossip& gossip)
 {
     const time_point now = steadyNow();
-    for (const std::string& ended : ownership.hear(now, gossip)) {
-        logEvent(log_level::info, "host_restarted", { { "host", ended } });
+    if (ownership.hear(now, gossip)) {
+        logEvent(log_level::info, "host_restarted", { { "host", gossip.host } });
         for (const auto& [cell, dispatcher] : dispatchers)
-            dispatcher->loseDesk(now, ended);
+            dispatcher->loseDesk(now, gossip.host);
     }
     // The control hosts push; this is the way round a broken link to them.
     if (gossip.configurationVersion > inForce.version && now - lastPull >= pullInterval) {
@@ -90,9 +90,7 @@
     const time_point now = steadyNow();
     const auto [found, isNew] = reports.try_emplace(report.id);
     known_report& known = found->second;
-    const bool isOlder = report.bornUnixMs < known.report.bornUnixMs
-        || (report.bornUnixMs == known.report.bornUnixMs && report.sequence < known.report.sequence);
-    if (!isNew && isOlder)
+    if (!isNew && protocol::isNewer(known.report, report))
         return;
     known = { report, now };
     ownership.hearUpstreamIn(now, report.zone);
@@ -114,7 +112,7 @@
 {
     if (const auto dispatcher = dispatchers.find(order.cell); dispatcher != dispatchers.end())
         return dispatcher->second->submit(steadyNow(), order, deskHost);
-    answerDesks({ { std::string(deskHost) }, { order.id, order.submission, order.handOver, protocol::job_outcome::not_owned, "this host does not own the cell", 0, {}, {} } });
+    answerDesks({ { std::string(deskHost) }, protocol::answerTo(order, protocol::job_outcome::not_owned, "this host does not own the cell") });
 }
 
 void cell_host::impl::sayHello()
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -39,9 +39,7 @@
 {
     const auto [found, isNew] = m_upstreams.try_emplace(report.id);
     heard_upstream& known = found->second;
-    const bool isOlder = report.bornUnixMs < known.report.bornUnixMs
-        || (report.bornUnixMs == known.report.bornUnixMs && report.sequence <= known.report.sequence);
-    if (!isNew && isOlder)
+    if (!isNew && !protocol::isNewer(report, known.report))
         return false;
     known = { report, now, false };
     return true;
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -11,7 +11,6 @@
 
 using internal::run_state;
 using internal::task_state;
-using protocol::resource_vector;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -131,17 +130,14 @@
             waiting.push_back(job.get());
     }
     std::sort(waiting.begin(), waiting.end(), [](const cell_job* left, const cell_job* right) { return left->rank() < right->rank(); });
-    bool isStarved = false;
     for (cell_job* job : waiting)
-        isStarved = !dispatchJob(now, *job) || isStarved;
-    counted.starvedPasses += isStarved ? 1 : 0;
+        dispatchJob(now, *job);
 }
 
-// False when a ready task found no room.
-bool cell_dispatcher::impl::dispatchJob(time_point now, cell_job& job)
+// Starts the ready tasks of a job with waiting ones, up to the first that finds no upstream.
+void cell_dispatcher::impl::dispatchJob(time_point now, cell_job& job)
 {
     const duration fastest = fastestRun(now, job);
-    const bool hadWaiting = job.waitingTasks() > 0;
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
         internal::cell_step& step = job.steps[number];
         if (step.waiting == 0 || !job.isReady(number))
@@ -152,13 +148,12 @@
             const internal::task_demand demand { &job.order.steps[number], job.order.service, job.order.id, static_cast<std::uint32_t>(number), step.tasks[index].lastUpstream, fastest, job.objectiveEnd - now };
             internal::upstream_ledger* upstream = internal::chooseUpstream(upstreams, demand, ratioOf(job.order.service), now);
             if (!upstream)
-                return false;
+                return;
             start(now, job, number, index, *upstream);
         }
     }
-    if (hadWaiting && job.waitingTasks() == 0)
+    if (job.waitingTasks() == 0)
         note("job_started", job.order.id, "waited_ms=" + std::to_string(duration_cast<milliseconds>(now - job.submittedAt).count()) + " hand_over=" + std::to_string(job.order.handOver) + " until_objective_ms=" + std::to_string(duration_cast<milliseconds>(job.objectiveEnd - now).count()));
-    return true;
 }
 
 void cell_dispatcher::impl::start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_ledger& upstream)
@@ -177,7 +172,6 @@
     job.setState(step, index, task_state::active);
     job.hasBegun = true;
     upstream.runs[name] = record;
-    ++counted.starts;
     actions.emplace_back(start_order { { upstream.facts.id, upstream.facts.address }, name, job.order.spec, upstream.extendLease(now, settings.maxLease), settings.token });
     if (!upstream.isLookOpen)
         look(now, upstream);
@@ -230,7 +224,7 @@
         m_impl->noteClock(now, upstream, answer);
     if (internal::cell_job* job = m_impl->findJob(refused.job)) {
         if (answer.outcome == call_outcome::invalid)
-            return m_impl->finish(now, *job, internal::makeAnswer(*job, protocol::job_outcome::unfinished, "the upstream can't read the start"));
+            return m_impl->finish(now, *job, protocol::answerTo(job->order, protocol::job_outcome::unfinished, "the upstream can't read the start"));
         if (answer.outcome == call_outcome::superseded)
             job->steps[refused.step].tasks[refused.index].lastRun += supersededJump;
     }
@@ -293,9 +287,8 @@
 
 cell_counts cell_dispatcher::counts() const
 {
-    cell_counts out = m_impl->counted;
+    cell_counts out;
     out.jobs = m_impl->jobs.size();
-    out.knownUpstreams = m_impl->upstreams.size();
     for (const auto& [id, job] : m_impl->jobs)
         out.waitingTasks += job->waitingTasks();
     for (const auto& [id, upstream] : m_impl->upstreams)
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -55,12 +55,9 @@
 };
 
 struct cell_counts {
-    std::uint64_t starts = 0;
-    std::uint64_t starvedPasses = 0; // passes that left a task waiting for room
     std::size_t jobs = 0;
     std::size_t waitingTasks = 0;
     std::size_t adoptedUpstreams = 0;
-    std::size_t knownUpstreams = 0;
 };
 
 class cell_dispatcher {
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -27,17 +27,15 @@
 {
 }
 
-std::vector<std::string> cell_ownership::hear(time_point now, const protocol::host_gossip& gossip)
+bool cell_ownership::hear(time_point now, const protocol::host_gossip& gossip)
 {
-    std::vector<std::string> ended;
-    const auto known = m_hosts.find(gossip.host);
-    if (known != m_hosts.end() && known->second.gossip.incarnation != gossip.incarnation)
-        ended.push_back(gossip.host);
-    m_hosts[gossip.host] = { gossip, now };
+    const auto [known, isNew] = m_hosts.try_emplace(gossip.host);
+    const bool isRestarted = !isNew && known->second.gossip.incarnation != gossip.incarnation;
+    known->second = { gossip, now };
     m_cells.insert(gossip.zone);
     for (const protocol::cell_claim& claim : gossip.claims)
         m_highestToken = std::max(m_highestToken, claim.token);
-    return ended;
+    return isRestarted;
 }
 
 void cell_ownership::hearDirectory(time_point now)
@@ -85,20 +83,6 @@
     return out;
 }
 
-const protocol::cell_claim* cell_ownership::claimOf(time_point now, std::string_view cell) const
-{
-    const protocol::cell_claim* best = nullptr;
-    for (const auto& [host, heard] : m_hosts) {
-        if (!isLive(now, host))
-            continue;
-        for (const protocol::cell_claim& claim : heard.gossip.claims) {
-            if (claim.cell == cell && (!best || claim.token > best->token))
-                best = &claim;
-        }
-    }
-    return best;
-}
-
 std::optional<cell_owner> cell_ownership::ownerOf(time_point now, std::string_view cell) const
 {
     std::optional<cell_owner> best;
@@ -125,22 +109,11 @@
     return out;
 }
 
-std::vector<std::string> cell_ownership::cells() const
-{
-    return { m_cells.begin(), m_cells.end() };
-}
-
-bool cell_ownership::hasLiveHost(time_point now, std::string_view zone) const
+bool cell_ownership::hasLiveHost(time_point now, std::string_view zone, bool isLeaving) const
 {
     return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
-        return item.second.gossip.zone == zone && !item.second.gossip.isLeaving && isLive(now, item.first);
-    });
-}
-
-bool cell_ownership::hasLeavingHost(time_point now, std::string_view zone) const
-{
-    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
-        return item.second.gossip.zone == zone && item.second.gossip.isLeaving && isLive(now, item.first);
+        const protocol::host_gossip& gossip = item.second.gossip;
+        return gossip.zone == zone && gossip.isLeaving == isLeaving && isLive(now, item.first);
     });
 }
 
@@ -154,7 +127,7 @@
 bool cell_ownership::isBestFor(time_point now, std::string_view zone) const
 {
     const bool wantsForeign = zone != m_settings.zone;
-    if (wantsForeign && hasLiveHost(now, zone))
+    if (wantsForeign && hasLiveHost(now, zone, false))
         return false;
     const auto rank = [](std::uint32_t processor, std::size_t claims, std::string_view host) { return std::tuple(-static_cast<std::int64_t>(processor), claims, host); };
     const auto own = rank(m_settings.processorMillicores, m_claims.size(), m_settings.host);
@@ -175,11 +148,15 @@
     return (stamp << markBits) | mark;
 }
 
-bool cell_ownership::mustDrop(time_point now, const std::string& cell) const
+bool cell_ownership::isPaused(time_point now, std::string_view cell) const
 {
     const auto pause = m_fencePauses.find(cell);
-    const bool isFenced = pause != m_fencePauses.end() && pause->second.until > now;
-    return m_isLeaving || isFenced || !ownerOf(now, cell)->isSelf;
+    return pause != m_fencePauses.end() && pause->second.until > now;
+}
+
+bool cell_ownership::mustDrop(time_point now, const std::string& cell) const
+{
+    return m_isLeaving || isPaused(now, cell) || !ownerOf(now, cell)->isSelf;
 }
 
 bool cell_ownership::mayClaim(time_point now, const std::string& cell)
@@ -192,16 +169,14 @@
         return false;
     }
     const time_point since = m_unclaimedSince.try_emplace(cell, now).first->second;
-    const auto pause = m_fencePauses.find(cell);
-    const bool isPaused = pause != m_fencePauses.end() && pause->second.until > now;
     const bool isListening = !m_listeningSince || now - *m_listeningSince < m_settings.listenTime;
-    if (m_isLeaving || isPaused || isListening || !isBestFor(now, cell))
+    if (m_isLeaving || isPaused(now, cell) || isListening || !isBestFor(now, cell))
         return false;
     if (isOwnZone)
         return true;
     const auto heard = m_reportsHeardAt.find(cell);
     const bool isReachable = heard != m_reportsHeardAt.end() && now - heard->second <= m_settings.reportFreshness;
-    const bool isPlanned = hasLeavingHost(now, cell);
+    const bool isPlanned = hasLiveHost(now, cell, true);
     return isReachable && (isPlanned || now - since >= m_settings.foreignDelay);
 }
 
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -49,8 +49,8 @@
     // The other hosts are known from now on. A host claims nothing before.
     void hearDirectory(time_point now);
 
-    // Names of hosts whose process has ended: the same address came back as another incarnation.
-    std::vector<std::string> hear(time_point now, const protocol::host_gossip& gossip);
+    // True when the process that spoke for this host before has ended: another incarnation speaks.
+    bool hear(time_point now, const protocol::host_gossip& gossip);
 
     // An upstream of this zone has reported: its cell wants an owner, and this host can reach what reports there.
     void hearUpstreamIn(time_point now, std::string_view zone);
@@ -66,11 +66,6 @@
 
     std::optional<cell_owner> ownerOf(time_point now, std::string_view cell) const;
 
-    // What another owner last said of its room; null when no other live host claims the cell.
-    const protocol::cell_claim* claimOf(time_point now, std::string_view cell) const;
-
-    std::vector<std::string> cells() const;
-    bool isLive(time_point now, std::string_view host) const;
     std::vector<std::string> silentHosts(time_point now) const;
     std::vector<std::string> ownersBesidesSelf(time_point now) const;
 
@@ -88,9 +83,10 @@
         duration length {};
     };
 
+    bool isLive(time_point now, std::string_view host) const;
+    bool isPaused(time_point now, std::string_view cell) const;
     bool isBestFor(time_point now, std::string_view zone) const;
-    bool hasLiveHost(time_point now, std::string_view zone) const;
-    bool hasLeavingHost(time_point now, std::string_view zone) const;
+    bool hasLiveHost(time_point now, std::string_view zone, bool isLeaving) const;
     bool isForeignTo(std::string_view host, std::string_view zone) const;
     bool mustDrop(time_point now, const std::string& cell) const;
     bool mayClaim(time_point now, const std::string& cell);
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -28,7 +28,6 @@
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
     std::map<std::string, internal::time_ratio, std::less<>> serviceRatios;
     std::vector<cell_action> actions;
-    cell_counts counted;
     bool isFenced = false;
 
     // Answers of ended jobs, for copies that arrive late, and tasks of unknown jobs that were seen done.
@@ -70,7 +69,7 @@
 
     // Placement.
     void dispatch(time_point now);
-    bool dispatchJob(time_point now, cell_job& job);
+    void dispatchJob(time_point now, cell_job& job);
     void start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_ledger& upstream);
     bool couldEverRun(const cell_job& job) const;
     bool fitsNow(time_point now, const cell_job& job) const;
--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -58,16 +58,6 @@
     return milliseconds(longest);
 }
 
-double cell_job::waitingWork() const
-{
-    double work = 0;
-    for (std::size_t step = 0; step < steps.size(); ++step) {
-        const protocol::job_step& shape = order.steps[step];
-        work += static_cast<double>(steps[step].waiting) * static_cast<double>(shape.need.millicores) / 1000 * shape.estimateMs;
-    }
-    return work;
-}
-
 std::string cell_job::taskName(std::size_t step, std::size_t index) const
 {
     return order.id + ".0." + std::to_string(step) + '.' + std::to_string(index);
@@ -105,9 +95,4 @@
     return indexEnd.ec == std::errc() && indexEnd.ptr == end && step < job.steps.size() && index < job.steps[step].tasks.size();
 }
 
-protocol::job_answer makeAnswer(const cell_job& job, protocol::job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs)
-{
-    return { job.order.id, job.order.submission, job.order.handOver, outcome, std::string(reason), retryAfterMs, {}, {} };
-}
-
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -60,22 +61,16 @@
     // Declared run time of its longest chain of steps.
     duration declaredChain() const;
 
-    // Declared core-milliseconds of the tasks that wait.
-    double waitingWork() const;
-
     std::string taskName(std::size_t step, std::size_t index) const;
 
     void markDone(std::string_view task);
     void setState(std::size_t step, std::size_t index, task_state state);
 
-    // Jobs with a lower key get room first.
-    auto rank() const { return std::tuple(order.priority, !hasBegun, objectiveEnd, order.id); }
+    // Jobs with a lower key get room first. The key refers to the job.
+    auto rank() const { return std::tuple(order.priority, !hasBegun, objectiveEnd, std::string_view(order.id)); }
 };
 
 // Finds step and index in the name of one of the job's tasks; false when it is none.
 bool findTask(const cell_job& job, std::string_view task, std::size_t& step, std::size_t& index);
 
-// An answer to the job's order.
-protocol::job_answer makeAnswer(const cell_job& job, protocol::job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0);
-
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -37,7 +37,7 @@
 void cell_dispatcher::impl::submit(time_point now, const protocol::job_order& order, std::string_view desk)
 {
     if (order.token != settings.token) {
-        actions.emplace_back(owner_answer { { std::string(desk) }, { order.id, order.submission, order.handOver, job_outcome::not_owned, "the cell is owned under another token", 0, {}, {} } });
+        actions.emplace_back(owner_answer { { std::string(desk) }, protocol::answerTo(order, job_outcome::not_owned, "the cell is owned under another token") });
         return;
     }
     if (cell_job* known = findJob(order.id)) {
@@ -85,18 +85,18 @@
 {
     const auto serves = [&](const auto& item) { return item.second.facts.service == job.order.service; };
     if (std::none_of(upstreams.begin(), upstreams.end(), serves)) {
-        finish(now, job, internal::makeAnswer(job, job_outcome::rejected, "no upstream of the service is known", retryWithoutUpstreams));
+        finish(now, job, protocol::answerTo(job.order, job_outcome::rejected, "no upstream of the service is known", retryWithoutUpstreams));
         return false;
     }
     if (!couldEverRun(job)) {
-        finish(now, job, internal::makeAnswer(job, job_outcome::failed, "a task fits no upstream of the service", 0));
+        finish(now, job, protocol::answerTo(job.order, job_outcome::failed, "a task fits no upstream of the service"));
         return false;
     }
     if (fitsNow(now, job))
         return true;
     if (job.order.mayMove && hooks.findOtherCell) {
         if (const std::string cell = hooks.findOtherCell(job.order); !cell.empty()) {
-            job_answer moved = internal::makeAnswer(job, job_outcome::moved, "full");
+            job_answer moved = protocol::answerTo(job.order, job_outcome::moved, "full");
             moved.cell = cell;
             finish(now, job, std::move(moved));
             return false;
@@ -107,7 +107,7 @@
     if (now + wait + run <= job.objectiveEnd)
         return true;
     note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
-    finish(now, job, internal::makeAnswer(job, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait, job.order.id)));
+    finish(now, job, protocol::answerTo(job.order, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait, job.order.id)));
     return false;
 }
 
@@ -132,8 +132,6 @@
             note("run_claimed", name.task, "upstream=" + id + " run=" + std::to_string(name.run));
         }
     }
-    if (job.order.handOver == 0 && doneOrphans.empty())
-        return;
     for (const auto& [name, until] : doneOrphans)
         job.markDone(name);
 }
@@ -153,7 +151,7 @@
 void cell_dispatcher::impl::finishIfDone(time_point now, cell_job& job)
 {
     if (job.isDone())
-        finish(now, job, internal::makeAnswer(job, job_outcome::completed, {}));
+        finish(now, job, protocol::answerTo(job.order, job_outcome::completed, {}));
 }
 
 // The job goes; what it still runs is stopped.
@@ -174,13 +172,13 @@
 void cell_dispatcher::impl::checkJob(time_point now, cell_job& job)
 {
     if (now >= job.deadline)
-        return finish(now, job, internal::makeAnswer(job, job.hasBegun ? job_outcome::unfinished : job_outcome::rejected, "the caller's deadline passed", retryWithoutUpstreams));
+        return finish(now, job, protocol::answerTo(job.order, job.hasBegun ? job_outcome::unfinished : job_outcome::rejected, "the caller's deadline passed", retryWithoutUpstreams));
     const bool isHopeless = !job.hasBegun && now + fastestRun(now, job) > job.objectiveEnd;
     if (!isHopeless)
         return;
     const duration wait = waitOf(now, job);
     note("job_given_up", job.order.id, "wait_ms=" + toMs(wait) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
-    finish(now, job, internal::makeAnswer(job, job_outcome::rejected, "other work went first", internal::retryAfterMs(wait, job.order.id)));
+    finish(now, job, protocol::answerTo(job.order, job_outcome::rejected, "other work went first", internal::retryAfterMs(wait, job.order.id)));
 }
 
 void cell_dispatcher::submit(time_point now, const protocol::job_order& job, std::string_view desk)
@@ -197,7 +195,7 @@
         known->desks.erase(waiting);
     if (!known->desks.empty())
         return;
-    m_impl->finish(now, *known, internal::makeAnswer(*known, job_outcome::unfinished, "cancelled"));
+    m_impl->finish(now, *known, protocol::answerTo(known->order, job_outcome::unfinished, "cancelled"));
     m_impl->dispatch(now);
 }
 
@@ -215,7 +213,7 @@
 void cell_dispatcher::release()
 {
     for (auto& [id, job] : m_impl->jobs) {
-        job_answer answer = internal::makeAnswer(*job, job_outcome::released, "the owner of the cell changes");
+        job_answer answer = protocol::answerTo(job->order, job_outcome::released, "the owner of the cell changes");
         for (std::size_t step = 0; step < job->steps.size(); ++step) {
             for (std::size_t index = 0; index < job->steps[step].tasks.size(); ++index) {
                 if (job->steps[step].tasks[index].state == task_state::done)
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -43,8 +43,7 @@
     const auto [found, isNew] = upstreams.try_emplace(report.id, report);
     upstream_ledger& upstream = found->second;
     const upstream_report& known = upstream.facts;
-    const bool isOlder = report.bornUnixMs < known.bornUnixMs || (report.bornUnixMs == known.bornUnixMs && report.sequence <= known.sequence);
-    if (!isNew && isOlder)
+    if (!isNew && !protocol::isNewer(report, known))
         return;
     if (!isNew && report.bornUnixMs > known.bornUnixMs) {
         loseRuns(upstream, "restarted");
@@ -217,7 +216,7 @@
     note("run_ended_early", end.run.task, "upstream=" + upstream.facts.id + " run=" + std::to_string(end.run.run) + " how=" + std::string(toText(end.how)));
     if (end.how == end_kind::failed && ++task.failedRuns >= job->order.maxAttempts) {
         const std::string reason = "task " + end.run.task + " failed on " + upstream.facts.id + ", attempt " + std::to_string(task.failedRuns);
-        return finish(now, *job, internal::makeAnswer(*job, protocol::job_outcome::failed, reason));
+        return finish(now, *job, protocol::answerTo(job->order, protocol::job_outcome::failed, reason));
     }
     requeue(*job, record.step, record.index);
 }
--- a/src/coordination/cells/job_desk.cpp
+++ b/src/coordination/cells/job_desk.cpp
@@ -16,11 +16,6 @@
     constexpr duration resendInterval = milliseconds(500); // an order or its answer was lost with a connection
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a lost owner is replaced within it
 
-    job_answer makeOwnAnswer(const protocol::job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0)
-    {
-        return { order.id, order.submission, order.handOver, outcome, std::string(reason), retryAfterMs, {}, {} };
-    }
-
 } // namespace
 
 job_desk::job_desk(std::string homeCell, owner_hook ownerOf)
@@ -54,7 +49,7 @@
     if (!owner) {
         job.host.clear();
         if (!job.mayHaveRun)
-            finish(std::string(job.order.id), makeOwnAnswer(job.order, job_outcome::rejected, "no host serves the zone", retryWithoutOwnerMs));
+            finish(std::string(job.order.id), protocol::answerTo(job.order, job_outcome::rejected, "no host serves the zone", retryWithoutOwnerMs));
         return;
     }
     job.host = owner->host;
@@ -100,7 +95,7 @@
         return false;
     if (!known->second.host.empty())
         m_actions.emplace_back(send_cancel { known->second.host, known->first });
-    finish(std::string(known->first), makeOwnAnswer(known->second.order, job_outcome::unfinished, "cancelled"));
+    finish(std::string(known->first), protocol::answerTo(known->second.order, job_outcome::unfinished, "cancelled"));
     return true;
 }
 
@@ -149,7 +144,7 @@
     }
     // Refused by this owner; an earlier one may have started tasks.
     if (answer.outcome == job_outcome::rejected && job.order.handOver > 0)
-        return finish(std::string(known->first), makeOwnAnswer(job.order, job_outcome::unfinished, answer.reason));
+        return finish(std::string(known->first), protocol::answerTo(job.order, job_outcome::unfinished, answer.reason));
     finish(std::string(known->first), answer);
 }
 
@@ -177,7 +172,7 @@
         const desk_job& job = m_jobs.at(id);
         if (!job.host.empty())
             m_actions.emplace_back(send_cancel { job.host, id });
-        finish(id, makeOwnAnswer(job.order, job_outcome::unfinished, "no answer before the caller's deadline"));
+        finish(id, protocol::answerTo(job.order, job_outcome::unfinished, "no answer before the caller's deadline"));
     }
 }
 
--- a/src/protocol/cell_messages.cpp
+++ b/src/protocol/cell_messages.cpp
@@ -2,6 +2,7 @@
 #include "protocol/cell_messages.h"
 
 #include <optional>
+#include <tuple>
 #include <utility>
 
 namespace jackdaw::protocol {
@@ -20,6 +21,16 @@
 
 } // namespace
 
+job_answer answerTo(const job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs)
+{
+    return { order.id, order.submission, order.handOver, outcome, std::string(reason), retryAfterMs, {}, {} };
+}
+
+bool isNewer(const upstream_report& report, const upstream_report& than)
+{
+    return std::tie(report.bornUnixMs, report.sequence) > std::tie(than.bornUnixMs, than.sequence);
+}
+
 std::string_view toText(job_outcome outcome)
 {
     switch (outcome) {
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -32,6 +32,9 @@
     MSGPACK_DEFINE_ARRAY(id, bornUnixMs, sequence, service, address, zone, capacity, labels, isLeaving)
 };
 
+// Whether one report of an upstream was made after another: later in the same life, or in a later life.
+bool isNewer(const upstream_report& report, const upstream_report& than);
+
 // Tasks of one shape within a job.
 struct job_step {
     std::uint32_t count = 0;
@@ -102,6 +105,9 @@
     MSGPACK_DEFINE_ARRAY(id, submission, handOver, outcome, reason, retryAfterMs, cell, doneTasks)
 };
 
+// An answer to this order.
+job_answer answerTo(const job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0);
+
 // The caller no longer waits for the job, or cancels it.
 struct job_cancel {
     std::string id;
