Settings: one reader of log levels, addresses, files and texts

The check of a log level stood twice and was missing in the hub and the cell host, where an unknown name counted as info; reading an address and opening a file or a text stood in each of four settings files. One place serves them: apps/shared/settings_keys. The new programs' settings can be read from a text, as those of the others, so their tests need no file.

--- a/src/apps/burn/burn_settings.cpp
+++ b/src/apps/burn/burn_settings.cpp
@@ -1,7 +1,7 @@
 // Reading of jackdaw-burn's settings.
 #include "apps/burn/burn_settings.h"
 
-#include "apps/shared/settings_list.h"
+#include "apps/shared/settings_keys.h"
 #include "apps/shared/zone_address.h"
 
 namespace jackdaw::burn {
--- a/src/apps/cell_host/cell_host_settings.h
+++ b/src/apps/cell_host/cell_host_settings.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jackdaw::cell_host {
@@ -32,5 +33,6 @@
 };
 
 protocol::result<cell_host_settings> readCellHostSettings(const std::string& path);
+protocol::result<cell_host_settings> parseCellHostSettings(std::string_view text, const std::string& fileName);
 
 } // namespace jackdaw::cell_host
--- a/src/apps/cell_host/tests/cell_host_settings_tests.cpp
+++ b/src/apps/cell_host/tests/cell_host_settings_tests.cpp
@@ -3,10 +3,8 @@
 
 #include <doctest/doctest.h>
 
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
+#include <string>
+#include <string_view>
 
 using namespace jackdaw::cell_host;
 
@@ -29,11 +27,7 @@
 
 auto read(const std::string& text)
 {
-    const auto path = std::filesystem::temp_directory_path() / ("jackdaw_cell_host_tests_" + std::to_string(getpid()) + ".toml");
-    std::ofstream(path) << text;
-    auto settings = readCellHostSettings(path);
-    std::filesystem::remove(path);
-    return settings;
+    return parseCellHostSettings(text, "test.toml");
 }
 
 } // namespace
--- a/src/apps/control/control_settings.cpp
+++ b/src/apps/control/control_settings.cpp
@@ -1,6 +1,7 @@
 // Reads and checks the settings of jackdaw-control.
 #include "apps/control/control_settings.h"
 
+#include "apps/shared/settings_keys.h"
 #include "apps/shared/zone_address.h"
 #include "state/settings_reader.h"
 
@@ -73,11 +74,7 @@
 
     void readLog(settings_reader& reader, control_settings& out)
     {
-        const std::string level = reader.stringOr("log.level", "info");
-        const bool isKnown = level == "debug" || level == "info" || level == "warning" || level == "error";
-        if (!isKnown)
-            reader.fail("log.level", "is not one of debug, info, warning, error");
-        out.logLevel = state::parseLogLevel(level);
+        out.logLevel = apps::readLogLevel(reader, "log.level");
         out.logFile = reader.stringOr("log.file", {});
     }
 
@@ -116,18 +113,12 @@
 
 result<control_settings> readControlSettings(const std::string& path)
 {
-    auto reader = settings_reader::open(path);
-    if (!reader)
-        return reader.error();
-    return read(std::move(reader.value()));
+    return apps::readSettingsFile(path, read);
 }
 
 result<control_settings> parseControlSettings(std::string_view text, const std::string& fileName)
 {
-    auto reader = settings_reader::parse(text, fileName);
-    if (!reader)
-        return reader.error();
-    return read(std::move(reader.value()));
+    return apps::readSettingsText(text, fileName, read);
 }
 
 } // namespace jackdaw::control
--- a/src/apps/entry/entry_settings.cpp
+++ b/src/apps/entry/entry_settings.cpp
@@ -1,11 +1,11 @@
 // Reads and checks the settings of jackdaw-entry.
 #include "apps/entry/entry_settings.h"
 
+#include "apps/shared/settings_keys.h"
 #include "apps/shared/zone_address.h"
 #include "state/settings_reader.h"
 
 #include <algorithm>
-#include <array>
 #include <optional>
 #include <set>
 
@@ -21,7 +21,6 @@
 
     constexpr std::int64_t maxPort = 65535;
     constexpr std::int64_t mebibyte = 1024 * 1024;
-    constexpr std::array<std::string_view, 4> logLevels { "debug", "info", "warning", "error" };
 
     transport::endpoint readEndpoint(settings_reader& reader, const std::string& section)
     {
@@ -88,10 +87,7 @@
 
     void readLog(settings_reader& reader, entry_settings& out)
     {
-        const std::string level = reader.stringOr("log.level", "info");
-        if (std::find(logLevels.begin(), logLevels.end(), level) == logLevels.end())
-            reader.fail("log.level", "is not one of debug, info, warning, error");
-        out.logLevel = state::parseLogLevel(level);
+        out.logLevel = apps::readLogLevel(reader, "log.level");
         out.logFile = reader.stringOr("log.file", {});
     }
 
@@ -152,18 +148,12 @@
 
 result<entry_settings> readEntrySettings(const std::string& path)
 {
-    auto reader = settings_reader::open(path);
-    if (!reader)
-        return reader.error();
-    return read(std::move(reader.value()));
+    return apps::readSettingsFile(path, read);
 }
 
 result<entry_settings> parseEntrySettings(std::string_view text, const std::string& fileName)
 {
-    auto reader = settings_reader::parse(text, fileName);
-    if (!reader)
-        return reader.error();
-    return read(std::move(reader.value()));
+    return apps::readSettingsText(text, fileName, read);
 }
 
 } // namespace jackdaw::entry
--- a/src/apps/hub/hub_settings.h
+++ b/src/apps/hub/hub_settings.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace jackdaw::hub {
@@ -25,5 +26,6 @@
 };
 
 protocol::result<hub_settings> readHubSettings(const std::string& path);
+protocol::result<hub_settings> parseHubSettings(std::string_view text, const std::string& fileName);
 
 } // namespace jackdaw::hub
--- a/src/apps/hub/tests/hub_settings_tests.cpp
+++ b/src/apps/hub/tests/hub_settings_tests.cpp
@@ -3,10 +3,8 @@
 
 #include <doctest/doctest.h>
 
-#include <unistd.h>
-
-#include <filesystem>
-#include <fstream>
+#include <string>
+#include <string_view>
 
 using namespace jackdaw::hub;
 
@@ -25,11 +23,7 @@
 
 auto read(const std::string& text)
 {
-    const auto path = std::filesystem::temp_directory_path() / ("jackdaw_hub_tests_" + std::to_string(getpid()) + ".toml");
-    std::ofstream(path) << text;
-    auto settings = readHubSettings(path);
-    std::filesystem::remove(path);
-    return settings;
+    return parseHubSettings(text, "test.toml");
 }
 
 } // namespace
@@ -57,3 +51,9 @@
     }
     CHECK_FALSE(readHubSettings("/nonexistent.toml"));
 }
+
+TEST_CASE("an unknown log level is an error")
+{
+    CHECK(read(std::string(whole) + "log_level = \"loud\"\n").error().detail.find("log_level") != std::string::npos);
+    CHECK(read(std::string(whole) + "log_level = \"warning\"\n").value().logLevel == jackdaw::state::log_level::warning);
+}
--- a/src/apps/load/load_settings.cpp
+++ b/src/apps/load/load_settings.cpp
@@ -1,7 +1,7 @@
 // Reading of jackdaw-load's settings. A preset is read first, and every key changes one value of it.
 #include "apps/load/load_settings.h"
 
-#include "apps/shared/settings_list.h"
+#include "apps/shared/settings_keys.h"
 
 namespace jackdaw::load {
 namespace {
--- a/src/apps/upstream/upstream_settings.cpp
+++ b/src/apps/upstream/upstream_settings.cpp
@@ -1,7 +1,7 @@
 // Reading of jackdaw-upstream's settings.
 #include "apps/upstream/upstream_settings.h"
 
-#include "apps/shared/settings_list.h"
+#include "apps/shared/settings_keys.h"
 
 #include <cstdlib>
 
