--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -2,7 +2,6 @@
 #include "apps/cell_host/cell_host.h"
 
 #include "apps/cell_host/internal/cell_host_impl.h"
-#include "protocol/config_messages.h"
 #include "state/log.h"
 
 #include <algorithm>
@@ -10,7 +9,6 @@
 
 namespace jackdaw::cell_host {
 
-using protocol::controlMeshName;
 using protocol::steadyNow;
 using state::log_level;
 using state::logEvent;
@@ -130,8 +128,11 @@
 
 void cell_host::impl::scheduleTick()
 {
-    const bool isBusy = desk.size() > 0 || std::any_of(dispatchers.begin(), dispatchers.end(), [](const auto& item) { return item.second->counts().jobs > 0; });
-    tickTimer = loop.after(isBusy ? busyTick : idleTick, [this] {
+    const time_point now = steadyNow();
+    time_point next = now + (desk.size() > 0 ? busyTick : idleTick);
+    for (const auto& [cell, dispatcher] : dispatchers)
+        next = std::min(next, dispatcher->nextTimer(now));
+    tickTimer = loop.after(next - now, [this] {
         advance();
         scheduleTick();
     });
@@ -149,8 +150,7 @@
     if (auto listening = self.links.listen(); !listening)
         return listening;
     for (const std::string& seed : self.settings.seeds) {
-        self.controlPeers.insert(seed);
-        self.links.setPeer(controlMeshName(seed), seed + ':' + std::to_string(self.settings.controlMeshPort));
+        self.addControl(seed);
     }
     self.timers.push_back(self.loop.every(helloInterval, [&self] { self.sayHello(); }));
     self.timers.push_back(self.loop.every(gossipInterval, [&self] { self.gossip({ self.entryPeers.begin(), self.entryPeers.end() }); }));
--- a/src/apps/cell_host/internal/cell_host_actions.cpp
+++ b/src/apps/cell_host/internal/cell_host_actions.cpp
@@ -42,29 +42,23 @@
 
 void cell_host::impl::perform(const std::shared_ptr<cells::cell_dispatcher>& dispatcher, const cells::cell_action& action)
 {
-    const std::weak_ptr<cells::cell_dispatcher> weak = dispatcher;
+    // Hands the answer to the dispatcher that sent the order, unless the cell was given up meanwhile.
+    const auto relay = [this, &dispatcher](const auto& order, auto onAnswer) {
+        return [this, weak = std::weak_ptr(dispatcher), order, onAnswer](const auto& answer) {
+            const auto held = weak.lock();
+            if (!held)
+                return;
+            ((*held).*onAnswer)(steadyNow(), order, answer);
+            pump();
+        };
+    };
     if (const auto* start = std::get_if<cells::start_order>(&action)) {
         metrics.starts.add();
-        hooks.upstreams.start(*start, [this, weak, order = *start](const cells::call_answer& answer) {
-            if (const auto held = weak.lock()) {
-                held->onStart(steadyNow(), order, answer);
-                pump();
-            }
-        });
+        hooks.upstreams.start(*start, relay(*start, &cells::cell_dispatcher::onStart));
     } else if (const auto* stop = std::get_if<cells::stop_order>(&action)) {
-        hooks.upstreams.stop(*stop, [this, weak, order = *stop](const cells::call_answer& answer) {
-            if (const auto held = weak.lock()) {
-                held->onStop(steadyNow(), order, answer);
-                pump();
-            }
-        });
+        hooks.upstreams.stop(*stop, relay(*stop, &cells::cell_dispatcher::onStop));
     } else if (const auto* look = std::get_if<cells::look_order>(&action)) {
-        hooks.upstreams.look(*look, [this, weak, order = *look](const cells::look_answer& answer) {
-            if (const auto held = weak.lock()) {
-                held->onLook(steadyNow(), order, answer);
-                pump();
-            }
-        });
+        hooks.upstreams.look(*look, relay(*look, &cells::cell_dispatcher::onLook));
     } else {
         answerDesks(std::get<cells::owner_answer>(action));
     }
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -3,6 +3,7 @@
 
 #include "apps/cell_host/cell_host.h"
 #include "apps/cell_host/cell_host_metrics.h"
+#include "apps/shared/zone_address.h"
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
 #include "coordination/cells/neighbour_rooms.h"
@@ -75,7 +76,7 @@
         transport::mesh_settings out;
         out.host = settings.host;
         out.incarnation = incarnation;
-        out.listenAddress = settings.host + ':' + std::to_string(settings.meshPort);
+        out.listenAddress = apps::toText({ settings.host, settings.meshPort });
         out.silenceLimit = meshSilenceLimit;
         return out;
     }
@@ -93,6 +94,7 @@
     void onDelivery(const transport::mesh_delivery& delivery);
     void onGossip(const protocol::host_gossip& gossip);
     void onDirectory(const protocol::directory_update& update);
+    void addControl(const std::string& host);
     void onReport(const protocol::upstream_report& report);
     void onConfiguration(const protocol::configuration_push& push);
     void onOrder(const protocol::job_order& order, std::string_view deskHost);
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -1,6 +1,7 @@
 // What other hosts say, and what they are told.
 #include "apps/cell_host/internal/cell_host_impl.h"
 
+#include "apps/shared/zone_address.h"
 #include "protocol/config_messages.h"
 #include "state/log.h"
 
@@ -74,17 +75,21 @@
         if (host == settings.host || !entryPeers.insert(host).second)
             continue;
         logEvent(log_level::info, "entry_host_known", { { "host", host } });
-        links.setPeer(host, host + ':' + std::to_string(settings.meshPort));
+        links.setPeer(host, apps::toText({ host, settings.meshPort }));
         gossip({ host });
     }
-    for (const std::string& host : update.controlHosts) {
-        if (controlPeers.insert(host).second)
-            links.setPeer(controlMeshName(host), host + ':' + std::to_string(settings.controlMeshPort));
-    }
+    for (const std::string& host : update.controlHosts)
+        addControl(host);
     for (const protocol::upstream_report& report : update.reports)
         onReport(report);
 }
 
+void cell_host::impl::addControl(const std::string& host)
+{
+    if (controlPeers.insert(host).second)
+        links.setPeer(controlMeshName(host), apps::toText({ host, settings.controlMeshPort }));
+}
+
 void cell_host::impl::onReport(const protocol::upstream_report& report)
 {
     const time_point now = steadyNow();
--- a/src/apps/control/main.cpp
+++ b/src/apps/control/main.cpp
@@ -14,20 +14,14 @@
 
 constexpr std::string_view programName = "jackdaw-control";
 
-int fail(const protocol::error& failure)
-{
-    std::cerr << programName << ": " << failure.detail << '\n';
-    return apps::exitFailed;
-}
-
 int create(const control::control_settings& settings, bool isFounder)
 {
     if (isFounder) {
         if (const std::string host = control::findGroupMember(settings); !host.empty())
-            return fail(protocol::makeError(protocol::error_kind::version_conflict, "'" + host + "' belongs to the group '" + settings.group + "' already: use --join"));
+            return apps::reportFailure(programName, protocol::makeError(protocol::error_kind::version_conflict, "'" + host + "' belongs to the group '" + settings.group + "' already: use --join"));
     }
     if (const auto created = control::control_storage::create({ settings.dataFolder, settings.host, settings.group, {} }, control::randomIncarnation(), isFounder); !created)
-        return fail(created.error());
+        return apps::reportFailure(programName, created.error());
     std::cout << settings.dataFolder << (isFounder ? ": new group '" : ": new member for group '") << settings.group << "'\n";
     return apps::exitDone;
 }
@@ -37,10 +31,10 @@
     state::configureLog({ settings.logLevel, std::string(programName), settings.logFile });
     auto storage = control::openStorage({ settings.dataFolder, settings.host, settings.group, {} });
     if (!storage)
-        return fail(storage.error());
+        return apps::reportFailure(programName, storage.error());
     control::control_process process(std::move(settings), std::move(tokens), std::move(storage.value()), control::randomIncarnation());
     if (const auto opened = process.open(); !opened)
-        return fail(opened.error());
+        return apps::reportFailure(programName, opened.error());
     process.run();
     return apps::exitDone;
 }
@@ -62,10 +56,8 @@
     auto tokens = control::operator_tokens::open(settings.value().tokensFile);
     if (!tokens)
         return apps::reportBadSettings(programName, tokens.error());
-    if (commandLine.isCheckOnly) {
-        std::cout << commandLine.settingsPath << ": ok\n";
-        return apps::exitDone;
-    }
+    if (commandLine.isCheckOnly)
+        return apps::reportGoodSettings(commandLine.settingsPath);
     const bool isFounder = commandLine.values.contains("found");
     if (isFounder || commandLine.values.contains("join"))
         return create(settings.value(), isFounder);
--- a/src/apps/entry/main.cpp
+++ b/src/apps/entry/main.cpp
@@ -2,21 +2,21 @@
 #include "apps/entry/entry_process.h"
 #include "apps/shared/command_line.h"
 
-#include <iostream>
-#include <span>
+#include <string>
+#include <utility>
 
 using namespace jackdaw;
 
 namespace {
 
+constexpr apps::program_info program { "jackdaw-entry", "runs callers' jobs on the upstreams of one availability zone" };
+
 int serve(entry::entry_settings settings, const std::string& settingsPath)
 {
-    state::configureLog({ settings.logLevel, "jackdaw-entry", settings.logFile });
+    state::configureLog({ settings.logLevel, std::string(program.name), settings.logFile });
     entry::entry_process process(std::move(settings), settingsPath);
-    if (const auto opened = process.open(); !opened) {
-        std::cerr << "jackdaw-entry: " << opened.error().detail << '\n';
-        return apps::exitFailed;
-    }
+    if (const auto opened = process.open(); !opened)
+        return apps::reportFailure(program.name, opened.error());
     process.run();
     return apps::exitDone;
 }
@@ -25,16 +25,5 @@
 
 int main(int argc, char** argv)
 {
-    constexpr apps::program_info program { "jackdaw-entry", "runs callers' jobs on the upstreams of one availability zone" };
-    const apps::command_line commandLine = apps::readCommandLine(program, std::span<const char* const>(argv, static_cast<std::size_t>(argc)), {});
-    if (commandLine.exitCode)
-        return *commandLine.exitCode;
-    auto settings = entry::readEntrySettings(commandLine.settingsPath);
-    if (!settings)
-        return apps::reportBadSettings(program.name, settings.error());
-    if (commandLine.isCheckOnly) {
-        std::cout << commandLine.settingsPath << ": ok\n";
-        return apps::exitDone;
-    }
-    return serve(std::move(settings.value()), commandLine.settingsPath);
+    return apps::runProgram(program, argc, argv, entry::readEntrySettings, serve);
 }
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -17,21 +17,44 @@
 {
 }
 
-bool host_directory::hearEntry(time_point now, const protocol::entry_hello& hello)
+template <typename Hello>
+bool host_directory::heard_hosts<Hello>::hear(time_point now, const Hello& hello)
 {
-    const auto [found, isNew] = m_entries.try_emplace(hello.host);
+    const auto [found, isNew] = byName.try_emplace(hello.host);
     const bool isBack = isNew || now - found->second.heardAt > silenceLimit;
-    m_hasNewHosts = m_hasNewHosts || isBack;
     found->second = { hello, now };
     return isBack;
 }
 
+template <typename Hello>
+std::vector<std::string> host_directory::heard_hosts<Hello>::live(time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [name, host] : byName) {
+        if (now - host.heardAt <= silenceLimit)
+            out.push_back(name);
+    }
+    return out;
+}
+
+template <typename Hello>
+const Hello* host_directory::heard_hosts<Hello>::find(std::string_view name) const
+{
+    const auto found = byName.find(name);
+    return found == byName.end() ? nullptr : &found->second.hello;
+}
+
+bool host_directory::hearEntry(time_point now, const protocol::entry_hello& hello)
+{
+    const bool isBack = m_entries.hear(now, hello);
+    m_hasNewHosts = m_hasNewHosts || isBack;
+    return isBack;
+}
+
 bool host_directory::hearControl(time_point now, const protocol::control_hello& hello)
 {
-    const auto [found, isNew] = m_controls.try_emplace(hello.host);
-    const bool isBack = isNew || now - found->second.heardAt > silenceLimit;
+    const bool isBack = m_controls.hear(now, hello);
     m_hasNewHosts = m_hasNewHosts || isBack;
-    found->second = { hello, now };
     return isBack;
 }
 
@@ -79,34 +102,24 @@
 
 std::vector<std::string> host_directory::liveEntries(time_point now) const
 {
-    std::vector<std::string> out;
-    for (const auto& [host, entry] : m_entries) {
-        if (now - entry.heardAt <= silenceLimit)
-            out.push_back(host);
-    }
-    return out;
+    return m_entries.live(now);
 }
 
 std::vector<std::string> host_directory::liveControls(time_point now) const
 {
-    std::vector<std::string> out;
-    for (const auto& [host, control] : m_controls) {
-        if (now - control.heardAt <= silenceLimit)
-            out.push_back(host);
-    }
-    return out;
+    return m_controls.live(now);
 }
 
 std::string host_directory::operatorAddressOf(std::string_view controlHost) const
 {
-    const auto found = m_controls.find(controlHost);
-    return found == m_controls.end() ? std::string() : found->second.hello.operatorAddress;
+    const protocol::control_hello* hello = m_controls.find(controlHost);
+    return hello ? hello->operatorAddress : std::string();
 }
 
 std::uint64_t host_directory::versionOf(std::string_view entryHost) const
 {
-    const auto found = m_entries.find(entryHost);
-    return found == m_entries.end() ? 0 : found->second.hello.configurationVersion;
+    const protocol::entry_hello* hello = m_entries.find(entryHost);
+    return hello ? hello->configurationVersion : 0;
 }
 
 } // namespace jackdaw::hub
--- a/src/apps/hub/host_directory.h
+++ b/src/apps/hub/host_directory.h
@@ -42,14 +42,20 @@
     std::uint64_t versionOf(std::string_view entryHost) const;
 
 private:
-    struct heard_entry {
-        protocol::entry_hello hello;
-        time_point heardAt;
-    };
-    struct heard_control {
-        protocol::control_hello hello;
-        time_point heardAt;
+    // Hosts of one kind by their last hello.
+    template <typename Hello>
+    struct heard_hosts {
+        struct heard_host {
+            Hello hello;
+            time_point heardAt;
+        };
+        std::map<std::string, heard_host, std::less<>> byName;
+
+        bool hear(time_point now, const Hello& hello); // as hearEntry()
+        std::vector<std::string> live(time_point now) const;
+        const Hello* find(std::string_view name) const; // null when it was never heard
     };
+
     struct heard_upstream {
         protocol::upstream_report report;
         time_point heardAt;
@@ -57,8 +63,8 @@
     };
 
     std::string m_self;
-    std::map<std::string, heard_entry, std::less<>> m_entries;
-    std::map<std::string, heard_control, std::less<>> m_controls;
+    heard_hosts<protocol::entry_hello> m_entries;
+    heard_hosts<protocol::control_hello> m_controls;
     std::map<std::string, heard_upstream, std::less<>> m_upstreams;
     bool m_hasNewHosts = false;
     time_point m_lastBatch;
--- a/src/apps/hub/hub_process.cpp
+++ b/src/apps/hub/hub_process.cpp
@@ -80,7 +80,7 @@
         transport::mesh_settings out;
         out.host = controlMeshName(settings.host);
         out.incarnation = incarnation;
-        out.listenAddress = settings.host + ':' + std::to_string(settings.meshPort);
+        out.listenAddress = apps::toText({ settings.host, settings.meshPort });
         out.silenceLimit = linkSilenceLimit;
         return out;
     }
@@ -114,7 +114,7 @@
     void addControl(const std::string& host)
     {
         if (host != settings.host)
-            links.setPeer(controlMeshName(host), host + ':' + std::to_string(settings.meshPort));
+            links.setPeer(controlMeshName(host), apps::toText({ host, settings.meshPort }));
     }
 
     void onDelivery(const transport::mesh_delivery& delivery);
@@ -147,7 +147,7 @@
 
 void hub_process::impl::onEntryHello(const protocol::entry_hello& hello)
 {
-    links.setPeer(hello.host, hello.host + ':' + std::to_string(settings.entryMeshPort));
+    links.setPeer(hello.host, apps::toText({ hello.host, settings.entryMeshPort }));
     if (directory.hearEntry(steadyNow(), hello))
         logEvent(log_level::info, "entry_host_heard", { { "host", hello.host }, { "version", std::to_string(hello.configurationVersion) } });
     if (hello.configurationVersion < node.rules().inForce().version)
--- a/src/apps/shared/command_line.cpp
+++ b/src/apps/shared/command_line.cpp
@@ -63,4 +63,16 @@
     return exitBadUsage;
 }
 
+int reportFailure(std::string_view program, const protocol::error& failure)
+{
+    std::cerr << program << ": " << failure.detail << '\n';
+    return exitFailed;
+}
+
+int reportGoodSettings(std::string_view settingsPath)
+{
+    std::cout << settingsPath << ": ok\n";
+    return exitDone;
+}
+
 } // namespace jackdaw::apps
--- a/src/apps/shared/command_line.h
+++ b/src/apps/shared/command_line.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace jackdaw::apps {
 
@@ -38,4 +39,26 @@
 // Prints the failure to standard error and returns exitBadUsage.
 int reportBadSettings(std::string_view program, const protocol::error& failure);
 
+// Prints the failure to standard error and returns exitFailed.
+int reportFailure(std::string_view program, const protocol::error& failure);
+
+// Prints that the settings file is right and returns exitDone.
+int reportGoodSettings(std::string_view settingsPath);
+
+// The main function of a program without options of its own: reads the settings with read(path), which yields a
+// protocol::result, and calls serve(settings, path) for the exit code, unless the command line asks for something else.
+template <typename Read, typename Serve>
+int runProgram(const program_info& program, int argc, char** argv, Read read, Serve serve)
+{
+    const command_line line = readCommandLine(program, { argv, static_cast<std::size_t>(argc) }, {});
+    if (line.exitCode)
+        return *line.exitCode;
+    auto settings = read(line.settingsPath);
+    if (!settings)
+        return reportBadSettings(program.name, settings.error());
+    if (line.isCheckOnly)
+        return reportGoodSettings(line.settingsPath);
+    return serve(std::move(settings.value()), line.settingsPath);
+}
+
 } // namespace jackdaw::apps
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
+
 using namespace jackdaw::cells;
 using namespace jackdaw::cells::tests;
 using jackdaw::protocol::job_order;
@@ -12,9 +14,12 @@
 
 namespace {
 
-// Waits until the owner has adopted its upstreams.
-void settle(cell_simulation& sim)
+// Adds upstreams of usual size and speed to those that are there, and an owner, and waits until it has adopted them all.
+void openCell(cell_simulation& sim, std::initializer_list<const char*> ids)
 {
+    for (const char* id : ids)
+        sim.addUpstream(id, 32000);
+    sim.addOwner();
     sim.pass(milliseconds(100));
 }
 
@@ -35,10 +40,7 @@
 TEST_CASE("a job that fits starts whole and ends in time")
 {
     cell_simulation sim(1);
-    for (const char* id : { "u1", "u2", "u3", "u4" })
-        sim.addUpstream(id, 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u1", "u2", "u3", "u4" });
     sim.submit(0, sim.makeJob("1", 8, 14000, 60));
     sim.pass(seconds(1));
     CHECK(sim.outcomes().at("1").isInTime);
@@ -50,8 +52,7 @@
     cell_simulation sim(1);
     sim.addUpstream("fast", 32000, 0.6);
     sim.addUpstream("slow", 32000, 1.6);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, {});
     for (int i = 0; i < 40; ++i) {
         sim.submit(0, sim.makeJob(std::to_string(i), 1, 14000, 100));
         sim.pass(milliseconds(300));
@@ -62,9 +63,7 @@
 TEST_CASE("a job that can't be in time is refused at once, truthfully, with a time to come back")
 {
     cell_simulation sim(1);
-    sim.addUpstream("u1", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u1" });
     sim.submit(0, sim.makeJob("long", 2, 14000, 900));
     sim.pass(milliseconds(50));
     sim.submit(0, sim.makeJob("late", 2, 14000, 60));
@@ -78,9 +77,7 @@
 TEST_CASE("a job that fits nowhere ever fails instead of being asked to return")
 {
     cell_simulation sim(1);
-    sim.addUpstream("u1", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u1" });
     sim.submit(0, sim.makeJob("wide", 1, 64000, 60));
     CHECK(outcomeOf(sim, "wide") == job_outcome::failed);
 }
@@ -89,9 +86,7 @@
 {
     cell_simulation sim(1);
     sim.addUpstream("bad", 32000).fault = upstream_fault::failing;
-    sim.addUpstream("good", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "good" });
     for (int i = 0; i < 10; ++i) {
         sim.submit(0, sim.makeJob(std::to_string(i), 2, 14000, 200));
         sim.pass(milliseconds(400));
@@ -105,9 +100,7 @@
 {
     cell_simulation sim(1);
     sim.addUpstream("u1", 32000, 0.6);
-    sim.addUpstream("u2", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u2" });
     sim.submit(0, sim.makeJob("1", 2, 14000, 600));
     sim.pass(milliseconds(100));
     const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
@@ -122,10 +115,7 @@
 TEST_CASE("a start without an answer is settled before the task starts elsewhere")
 {
     cell_simulation sim(1);
-    sim.addUpstream("u1", 32000);
-    sim.addUpstream("u2", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u1", "u2" });
     sim.upstream("u1").fault = upstream_fault::mute_but_working;
     sim.upstream("u2").fault = upstream_fault::mute_but_working;
     sim.submit(0, sim.makeJob("1", 4, 14000, 300));
@@ -139,10 +129,7 @@
 TEST_CASE("an owner that is shut out stops, and the next one takes its running tasks over")
 {
     cell_simulation sim(1);
-    sim.addUpstream("u1", 32000);
-    sim.addUpstream("u2", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u1", "u2" });
     job_order job = sim.makeJob("1", 4, 14000, 600);
     sim.submit(0, job);
     sim.pass(milliseconds(100));
@@ -162,10 +149,7 @@
 TEST_CASE("a job that is handed over starts nothing while an upstream's list is unknown")
 {
     cell_simulation sim(1);
-    sim.addUpstream("u1", 32000);
-    sim.addUpstream("u2", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u1", "u2" });
     job_order job = sim.makeJob("1", 2, 14000, 600);
     sim.submit(0, job);
     sim.pass(milliseconds(50));
@@ -183,9 +167,7 @@
 TEST_CASE("tasks that nobody claims after a takeover are stopped, and their room is used again")
 {
     cell_simulation sim(1);
-    sim.addUpstream("u1", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u1" });
     sim.submit(0, sim.makeJob("1", 2, 14000, 5000));
     sim.pass(milliseconds(50));
     const std::size_t second = sim.addOwner();
@@ -217,9 +199,7 @@
 {
     cell_simulation sim(1);
     sim.addUpstream("u1", 32000).isLeaving = true;
-    sim.addUpstream("u2", 32000);
-    sim.addOwner();
-    settle(sim);
+    openCell(sim, { "u2" });
     for (int i = 0; i < 5; ++i) {
         sim.submit(0, sim.makeJob(std::to_string(i), 2, 14000, 50));
         sim.pass(milliseconds(200));
@@ -235,8 +215,7 @@
         const std::vector<std::string> ids { "u1", "u2", "u3", "u4", "u5", "u6" };
         for (const std::string& id : ids)
             sim.addUpstream(id, sim.random()() % 2 == 0 ? 32000 : 48000, 0.6 + static_cast<double>(sim.random()() % 10) / 10);
-        sim.addOwner();
-        settle(sim);
+        openCell(sim, {});
         std::size_t owner = 0;
         for (int i = 0; i < 200; ++i) {
             sim.submit(owner, sim.makeJob(std::to_string(i), 1 + sim.random()() % 8, 10000 + static_cast<std::int64_t>(sim.random()() % 10000), 40 + sim.random()() % 400, sim.random()() % 3));
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -55,6 +55,7 @@
         if (peer.address == address)
             return;
         peer.address = address;
+        peer.ackedSequence = peer.lastSequence;
         dial(host, peer);
     }
 
@@ -63,7 +64,6 @@
         peer.link = std::make_unique<internal::mesh_link>(loop, peer.address, [this, host] { onSent(host); });
         peer.dialledAt = protocol::steadyNow();
         peer.hasSent = false;
-        peer.ackedSequence = peer.lastSequence;
     }
 
     bool send(std::string_view host, std::string_view body)
@@ -99,14 +99,10 @@
     // A link that never opened has sent nothing: its frame goes out over the next one.
     void dialUnopened(const std::string& host, peer& peer)
     {
-        const std::string frame = peer.unsent;
-        const std::uint64_t acked = peer.ackedSequence;
         dial(host, peer);
         peer.dialPatience = std::min(peer.dialPatience * 2, settings.silenceLimit);
-        peer.ackedSequence = acked;
         peer.unackedSince = peer.dialledAt;
-        peer.ackedSequence = std::min(peer.ackedSequence, peer.lastSequence);
-        peer.link->send(frame);
+        peer.link->send(peer.unsent);
     }
 
     void flush(const std::string& host)
@@ -174,10 +170,12 @@
         for (auto& [host, peer] : peers) {
             const bool isUnopened = !peer.hasSent && peer.link->isSending() && now - peer.dialledAt >= peer.dialPatience;
             const bool isSilent = peer.ackedSequence < peer.lastSequence && now - peer.unackedSince >= settings.silenceLimit;
-            if (isUnopened)
+            if (isUnopened) {
                 dialUnopened(host, peer);
-            else if (isSilent)
+            } else if (isSilent) {
+                peer.ackedSequence = peer.lastSequence; // what is lost is lost: nobody sends it again
                 dial(host, peer);
+            }
             if (peer.owesAck && !peer.link->isSending())
                 sendFrame(peer);
         }
