Directory: an upstream that ended is told as newer than its last report

Cause, found on reading the change again: the word that an upstream has ended carried the sequence of its last report, so dispatchers that knew that report ignored it. Ruled out as harmless: upstreams say that they leave before, but that word can be lost. Change: it counts as the next report. The test fails without the change (host_directory_tests, isNewer).

--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -73,6 +73,8 @@
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
         return;
+    // Its last word: newer than the report before.
+    ++found->second.report.sequence;
     found->second.report.isLeaving = true;
     found->second.isTold = false;
 }
--- a/src/apps/hub/tests/host_directory_tests.cpp
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -51,8 +51,11 @@
     const time_point now(seconds(10));
     host_directory directory("c1");
     directory.hearUpstream(now, makeReport("u1", 1));
+    directory.takeBatch(now);
     directory.forgetUpstream("u1");
-    CHECK(directory.takeBatch(now).reports.at(0).isLeaving);
+    const upstream_report last = directory.takeBatch(now).reports.at(0);
+    CHECK(last.isLeaving);
+    CHECK(jackdaw::protocol::isNewer(last, makeReport("u1", 1))); // else those who know the report would ignore it
 }
 
 TEST_CASE("hosts that are silent for long are not named any more")
