Event loop: epoll changes in batches; a bench of the owner's processor time for each task

Cause: an owner makes two HTTP calls for each task, and evhttp adds and removes a write event for each: 8 % of the samples are epoll_ctl (perf of owner_load_bench, 250 jobs of 4 tasks a second on 100 stand-in upstreams over loopback). Change: libevent's change list, which is allowed where no descriptor is duplicated. New: bench/owner_load_bench, which needs no kit.

--- /dev/null
+++ b/bench/owner_load_bench.cpp
@@ -0,0 +1,153 @@
+// Processor time that the owner of a cell spends for each task: a hub, a cell host and stand-in upstreams over loopback, each
+// on a thread of its own, with jobs at a steady rate.
+// usage: owner_load_bench [JOBS_PER_SECOND [UPSTREAMS [SECONDS]]]
+#include "apps/cell_host/cell_host.h"
+#include "apps/hub/hub_process.h"
+#include "platform/control_api.h"
+#include "platform/tests/stand_in_upstream.h"
+#include "platform/upstream_client.h"
+#include "state/log.h"
+
+#include <pthread.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <filesystem>
+#include <thread>
+
+using namespace jackdaw;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr auto loopback = "127.0.0.1";
+constexpr std::uint16_t controlMesh = 17721;
+constexpr std::uint16_t entryMesh = 17722;
+constexpr std::uint16_t operators = 17723;
+constexpr milliseconds tick(10); // between two batches of jobs
+constexpr std::uint32_t tasksPerJob = 4;
+
+double threadSeconds()
+{
+    timespec used {};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return static_cast<double>(used.tv_sec) + static_cast<double>(used.tv_nsec) * 1e-9;
+}
+
+hub::hub_settings hubSettings(const std::string& folder)
+{
+    hub::hub_settings settings;
+    settings.host = loopback;
+    settings.dataFolder = folder;
+    settings.seeds = { loopback };
+    settings.isFirstStart = true;
+    settings.operators = { loopback, operators };
+    settings.meshPort = controlMesh;
+    settings.entryMeshPort = entryMesh;
+    return settings;
+}
+
+cell_host::cell_host_settings hostSettings()
+{
+    cell_host::cell_host_settings settings;
+    settings.host = loopback;
+    settings.zone = "a";
+    settings.processorMillicores = 250;
+    settings.seeds = { loopback };
+    settings.meshPort = entryMesh;
+    settings.controlMeshPort = controlMesh;
+    settings.maxLease = milliseconds(1000);
+    settings.stopTime = milliseconds(50);
+    settings.reportInterval = milliseconds(200);
+    return settings;
+}
+
+protocol::job_order makeJob(std::size_t number)
+{
+    protocol::job_order order;
+    order.id = std::to_string(number);
+    order.spec = std::string(100, 'x');
+    order.service = "s1";
+    order.slackFactor = 1.6;
+    order.targetMs = 2000;
+    order.timeLeftMs = 3000;
+    protocol::job_step step;
+    step.count = tasksPerJob;
+    step.need = { 2000, 10, 0 };
+    step.estimateMs = 50;
+    order.steps = { step };
+    return order;
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    const int jobsPerSecond = count > 1 ? std::atoi(arguments[1]) : 250;
+    const int upstreams = count > 2 ? std::atoi(arguments[2]) : 100;
+    const int seconds = count > 3 ? std::atoi(arguments[3]) : 10;
+    state::configureLog({ state::log_level::info, "owner_load_bench", {} });
+
+    const std::string folder = std::filesystem::temp_directory_path() / "jackdaw_owner_load_bench";
+    std::filesystem::remove_all(folder);
+    std::filesystem::create_directories(folder);
+    const hub::hub_settings settings = hubSettings(folder + "/control");
+    hub::hub_process hub(settings, std::move(hub::hub_process::openStorage(settings).value()), 1);
+    platform::control_api controlApi(hub);
+    transport::http_server controlServer(hub.loop(), {}, [&](const auto& request, const auto& responder) { controlApi.onRequest(request, responder); });
+    if (!hub.open() || !controlServer.listen(loopback, operators))
+        return 1;
+    std::thread hubThread([&] {
+        pthread_setname_np(pthread_self(), "hub");
+        hub.run();
+    });
+
+    transport::event_loop upstreamLoop;
+    std::vector<std::unique_ptr<platform::tests::stand_in_upstream>> standIns;
+    for (int i = 0; i < upstreams; ++i)
+        standIns.push_back(std::make_unique<platform::tests::stand_in_upstream>(upstreamLoop, "u" + std::to_string(i), transport::endpoint { loopback, operators }));
+    std::thread upstreamThread([&] {
+        pthread_setname_np(pthread_self(), "upstreams");
+        upstreamLoop.run();
+    });
+
+    transport::event_loop loop;
+    platform::upstream_client client(loop);
+    cell_host::cell_host host(loop, hostSettings(), 2, { client.driver(), [](const auto&) { return true; } });
+    if (!host.open())
+        return 1;
+    std::size_t sent = 0;
+    std::size_t completed = 0;
+    std::size_t answered = 0;
+    double usedBefore = 0;
+    bool isMeasuring = false;
+    const auto start = protocol::steadyNow() + std::chrono::seconds(4); // until the upstreams are known
+    const auto load = loop.every(tick, [&] {
+        const auto now = protocol::steadyNow();
+        if (now < start)
+            return;
+        if (!isMeasuring) {
+            isMeasuring = true;
+            usedBefore = threadSeconds();
+        }
+        const auto due = static_cast<std::size_t>(std::chrono::duration<double>(now - start).count() * jobsPerSecond);
+        for (; sent < due; ++sent) {
+            host.submit(makeJob(sent), [&](const protocol::job_answer& answer) {
+                ++answered;
+                completed += answer.outcome == protocol::job_outcome::completed ? 1 : 0;
+            });
+        }
+        if (now - start >= std::chrono::seconds(seconds))
+            loop.stop();
+    });
+    loop.run();
+    const double used = threadSeconds() - usedBefore;
+    std::fprintf(stderr, "%zu jobs, %zu answered, %zu completed; owner's loop: %.3f cores, %.0f us a task\n", sent, answered, completed, used / seconds, used * 1e6 / static_cast<double>(sent * tasksPerJob));
+    upstreamLoop.stop();
+    hub.loop().stop();
+    upstreamThread.join();
+    hubThread.join();
+    return 0;
+}
--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -61,6 +61,7 @@
     {
         event_config* config = event_config_new();
         event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+        event_config_set_flag(config, EVENT_BASE_FLAG_EPOLL_USE_CHANGELIST); // no descriptor of a loop is duplicated
         base = event_base_new_with_config(config);
         event_config_free(config);
         wakeDescriptor = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
