Cells: zones of more than 64 upstreams have several owners; far hosts speak less often

Change: zone_cells divides a zone's upstreams by hash into cells of at most 64, agreed by the largest number that any host names; small zones stay one cell with the zone's name. The strongest hosts share the cells; a host with two hands one over to an equal one that has none for 2 s. When a zone is divided while jobs run, jobs with tasks on an upstream that goes to another cell end unfinished, and nothing starts twice. A job goes to the cell that its id names, or to the next one with an owner. Hosts without cells gossip with those of other zones every 900 ms. Two types had the name protocol::job_answer (a struct of the cells, an alias of the callers' protocol); the first is order_answer now.

Tests: zone_cells_tests; ownership of several cells, return of a host, neighbours that step in, frequency of gossip without silence; an upstream given away while its job runs.

--- a/bench/owner_load_bench.cpp
+++ b/bench/owner_load_bench.cpp
@@ -134,7 +134,7 @@
         }
         const auto due = static_cast<std::size_t>(std::chrono::duration<double>(now - start).count() * jobsPerSecond);
         for (; sent < due; ++sent) {
-            host.submit(makeJob(sent), [&](const protocol::job_answer& answer) {
+            host.submit(makeJob(sent), [&](const protocol::order_answer& answer) {
                 ++answered;
                 completed += answer.outcome == protocol::job_outcome::completed ? 1 : 0;
             });
--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -5,6 +5,7 @@
 #include "state/log.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace jackdaw::cell_host {
@@ -17,10 +18,12 @@
 namespace {
 
     constexpr duration gossipInterval = milliseconds(150); // six within the time after which a host counts as silent
+    constexpr std::uint64_t farGossipRounds = 6; // 900 ms: three within the time after which a far host counts as silent
     constexpr duration roomInterval = milliseconds(50); // between owners: a third of the shortest objective
     constexpr duration helloInterval = milliseconds(500); // ten within the time after which the directory forgets a host
     constexpr duration busyTick = milliseconds(20); // an eighth of the shortest objective
     constexpr duration idleTick = milliseconds(100); // a tenth of the time after which a host counts as silent
+    constexpr duration countedReports = std::chrono::seconds(5); // three reports of an upstream; others may have ended
     constexpr duration forgetReports = std::chrono::seconds(60); // upstreams stay known while all control hosts are down
 
 } // namespace
@@ -57,7 +60,7 @@
     const time_point now = steadyNow();
     auto dispatcher = std::make_shared<cells::cell_dispatcher>(wanted, std::move(decisions), now);
     for (const auto& [id, known] : reports) {
-        if (known.report.zone == cell)
+        if (zoneCells.cellOf(known.report.zone, id) == cell)
             dispatcher->hearUpstream(now, known.report);
     }
     dispatchers[cell] = std::move(dispatcher);
@@ -86,6 +89,55 @@
     });
 }
 
+// A job goes to the cell that its id names, or to the next one that has an owner.
+std::string cell_host::impl::homeCellOf(std::string_view job) const
+{
+    const std::string first = zoneCells.cellOf(settings.zone, job);
+    if (ownership.ownerOf(steadyNow(), first))
+        return first;
+    for (std::string& cell : zoneCells.cellsOf(settings.zone)) {
+        if (ownership.ownerOf(steadyNow(), cell))
+            return std::move(cell);
+    }
+    return first;
+}
+
+bool cell_host::impl::hasOwnerInZone() const
+{
+    const std::vector<std::string> cells = zoneCells.cellsOf(settings.zone);
+    return std::any_of(cells.begin(), cells.end(), [this](const std::string& cell) { return ownership.ownerOf(steadyNow(), cell).has_value(); });
+}
+
+// Takes note of how many cells a zone has by another host's word and by the upstreams that report there.
+void cell_host::impl::divideZone(const std::string& zone, std::uint32_t heardCells)
+{
+    const std::uint32_t before = zoneCells.countOf(zone);
+    const time_point now = steadyNow();
+    const auto reporting = std::count_if(reports.begin(), reports.end(), [&](const auto& item) {
+        return item.second.report.zone == zone && !item.second.report.isLeaving && now - item.second.heardAt <= countedReports;
+    });
+    zoneCells.hearCells(zone, heardCells);
+    zoneCells.hearUpstreams(zone, static_cast<std::size_t>(reporting));
+    const std::uint32_t count = zoneCells.countOf(zone);
+    if (count == before)
+        return;
+    logEvent(log_level::info, "zone_divided", { { "zone", zone }, { "cells", std::to_string(count) }, { "before", std::to_string(before) }, { "upstreams", std::to_string(reporting) }, { "heard", std::to_string(heardCells) } });
+    ownership.setCells(zone, count);
+    for (const auto& [cell, dispatcher] : dispatchers) {
+        for (const std::string& id : dispatcher->upstreamNames()) {
+            if (cells::zoneOfCell(cell) == zone && zoneCells.cellOf(zone, id) != cell)
+                dispatcher->giveAwayUpstream(now, id);
+        }
+    }
+    // Upstreams that are known already wait for no further report.
+    for (const auto& [id, known] : reports) {
+        if (known.report.zone != zone)
+            continue;
+        if (const auto dispatcher = dispatchers.find(zoneCells.cellOf(zone, id)); dispatcher != dispatchers.end())
+            dispatcher->second->hearUpstream(now, known.report);
+    }
+}
+
 void cell_host::impl::noteSilentDesks()
 {
     const time_point now = steadyNow();
@@ -118,14 +170,22 @@
     for (const auto& [cell, dispatcher] : dispatchers)
         dispatcher->advance(now);
     desk.advance(now);
-    const bool hasOwner = ownership.ownerOf(now, settings.zone).has_value();
+    const bool hasOwner = hasOwnerInZone();
     if (hasOwner != hadOwner)
-        logEvent(hasOwner ? log_level::info : log_level::warning, hasOwner ? "cell_has_owner" : "cell_without_owner", { { "cell", settings.zone } });
+        logEvent(hasOwner ? log_level::info : log_level::warning, hasOwner ? "cell_has_owner" : "cell_without_owner", { { "zone", settings.zone } });
     hadOwner = hasOwner;
     std::erase_if(reports, [now](const auto& item) { return now - item.second.heardAt > forgetReports; });
     pump();
 }
 
+void cell_host::impl::gossipRegularly()
+{
+    const bool isForAll = ++gossipRounds % farGossipRounds == 0;
+    std::vector<std::string> hosts;
+    std::copy_if(entryPeers.begin(), entryPeers.end(), std::back_inserter(hosts), [&](const std::string& host) { return isForAll || ownership.wantsFrequentGossip(host); });
+    gossip(hosts);
+}
+
 void cell_host::impl::scheduleTick()
 {
     const time_point now = steadyNow();
@@ -153,7 +213,7 @@
         self.addControl(seed);
     }
     self.timers.push_back(self.loop.every(helloInterval, [&self] { self.sayHello(); }));
-    self.timers.push_back(self.loop.every(gossipInterval, [&self] { self.gossip({ self.entryPeers.begin(), self.entryPeers.end() }); }));
+    self.timers.push_back(self.loop.every(gossipInterval, [&self] { self.gossipRegularly(); }));
     self.timers.push_back(self.loop.every(roomInterval, [&self] {
         if (!self.dispatchers.empty())
             self.gossip(self.ownership.ownersBesidesSelf(steadyNow()));
--- a/src/apps/cell_host/cell_host.h
+++ b/src/apps/cell_host/cell_host.h
@@ -25,7 +25,7 @@
 
 class cell_host {
 public:
-    using job_completion = std::function<void(const protocol::job_answer& answer)>;
+    using job_completion = std::function<void(const protocol::order_answer& answer)>;
 
     cell_host(transport::event_loop& loop, const cell_host_settings& settings, std::uint64_t incarnation, cell_host_hooks hooks);
     ~cell_host();
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -7,6 +7,7 @@
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
 #include "coordination/cells/neighbour_rooms.h"
+#include "coordination/cells/zone_cells.h"
 #include "transport/mesh.h"
 
 #include <map>
@@ -32,7 +33,7 @@
         , hooks(std::move(wantedHooks))
         , links(loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
         , ownership(ownershipSettings())
-        , desk(settings.zone, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); })
+        , desk([this](std::string_view job) { return homeCellOf(job); }, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); })
     {
     }
 
@@ -61,9 +62,11 @@
     std::set<std::string> controlPeers;
     std::set<std::string> silentDesks; // whose loss the dispatchers were told
     cells::neighbour_rooms otherRooms;
+    cells::zone_cells zoneCells;
     cells::caller_number lastCaller = 0;
     protocol::configuration_push inForce; // its version only goes up
     time_point lastPull;
+    std::uint64_t gossipRounds = 0;
     bool isLeaving = false;
     bool isPumping = false;
     bool hadOwner = false;
@@ -101,12 +104,16 @@
 
     void sayHello();
     void gossip(const std::vector<std::string>& hosts);
+    void gossipRegularly();
     void advance();
     void applyOwnership();
     void own(const std::string& cell, std::uint64_t token);
     void disown(const std::string& cell);
     void noteSilentDesks();
     std::string findOtherCell(const protocol::job_order& order);
+    std::string homeCellOf(std::string_view job) const;
+    bool hasOwnerInZone() const;
+    void divideZone(const std::string& zone, std::uint32_t heardCells);
     void scheduleTick();
 
     void pump();
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -36,7 +36,7 @@
         onConfiguration(*push);
     else if (const auto* order = std::get_if<protocol::job_order>(&message))
         onOrder(*order, delivery.sender);
-    else if (const auto* answer = std::get_if<protocol::job_answer>(&message))
+    else if (const auto* answer = std::get_if<protocol::order_answer>(&message))
         desk.onAnswer(steadyNow(), delivery.sender, *answer);
     else if (const auto* pull = std::get_if<protocol::configuration_pull>(&message)) {
         if (pull->version < inForce.version)
@@ -56,6 +56,8 @@
         for (const auto& [cell, dispatcher] : dispatchers)
             dispatcher->loseDesk(now, gossip.host);
     }
+    if (gossip.cellsOfZone > zoneCells.countOf(gossip.zone))
+        divideZone(gossip.zone, gossip.cellsOfZone);
     // The control hosts push; this is the way round a broken link to them.
     if (gossip.configurationVersion > inForce.version && now - lastPull >= pullInterval) {
         lastPull = now;
@@ -99,7 +101,9 @@
         return;
     known = { report, now };
     ownership.hearUpstreamIn(now, report.zone);
-    if (const auto dispatcher = dispatchers.find(report.zone); dispatcher != dispatchers.end())
+    if (isNew)
+        divideZone(report.zone, 1);
+    if (const auto dispatcher = dispatchers.find(zoneCells.cellOf(report.zone, report.id)); dispatcher != dispatchers.end())
         dispatcher->second->hearUpstream(now, report);
 }
 
@@ -131,6 +135,7 @@
 {
     protocol::host_gossip gossip = ownership.gossip();
     gossip.configurationVersion = inForce.version;
+    gossip.cellsOfZone = zoneCells.countOf(settings.zone);
     for (protocol::cell_claim& claim : gossip.claims) {
         if (const auto dispatcher = dispatchers.find(claim.cell); dispatcher != dispatchers.end())
             claim.rooms = dispatcher->second->rooms(steadyNow());
--- a/src/apps/cell_host/tests/cell_host_settings_tests.cpp
+++ b/src/apps/cell_host/tests/cell_host_settings_tests.cpp
@@ -46,7 +46,7 @@
 TEST_CASE("wrong values are errors that name the key")
 {
     const std::string text = whole;
-    for (const auto& [key, wrong] : { std::pair("processor_cores", "processor_cores = 0"), std::pair("max_lease_ms", "max_lease_ms = \"1\""), std::pair("readiness", "readiness = \"x\""), std::pair("zone", "zone = 3") }) {
+    for (const auto& [key, wrong] : { std::pair("processor_cores", "processor_cores = 0"), std::pair("max_lease_ms", "max_lease_ms = \"1\""), std::pair("readiness", "readiness = \"x\""), std::pair("zone", "zone = 3"), std::pair("zone", "zone = \"a#1\"") }) {
         std::string changed = text;
         const std::size_t at = changed.find(key);
         changed.replace(at, changed.find('\n', at) - at, wrong);
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -36,7 +36,7 @@
 // To be sent to each of the desks.
 struct owner_answer {
     std::vector<std::string> desks;
-    protocol::job_answer answer;
+    protocol::order_answer answer;
 };
 
 using cell_action = std::variant<start_order, stop_order, look_order, owner_answer>;
@@ -68,6 +68,12 @@
     // News of an upstream of this cell; older news than what is known is ignored.
     void hearUpstream(time_point now, const protocol::upstream_report& report);
 
+    // The upstream belongs to another cell from now on. Jobs with tasks there end unfinished: the next owner stops those tasks.
+    void giveAwayUpstream(time_point now, const std::string& id);
+
+    // The upstreams that this dispatcher serves.
+    std::vector<std::string> upstreamNames() const;
+
     void submit(time_point now, const protocol::job_order& job, std::string_view desk);
     void cancel(time_point now, std::string_view job, std::string_view desk);
 
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -1,6 +1,8 @@
 // Claims, and who takes a cell without an owner.
 #include "coordination/cells/cell_ownership.h"
 
+#include "coordination/cells/zone_cells.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -31,7 +33,8 @@
 {
     const auto [known, isNew] = m_hosts.try_emplace(gossip.host);
     const bool isRestarted = !isNew && known->second.gossip.incarnation != gossip.incarnation;
-    known->second = { gossip, now };
+    const bool wasWithoutClaim = !isNew && !isRestarted && known->second.gossip.claims.empty();
+    known->second = { gossip, now, wasWithoutClaim ? known->second.withoutClaimSince : now };
     m_cells.insert(gossip.zone);
     for (const protocol::cell_claim& claim : gossip.claims)
         m_highestToken = std::max(m_highestToken, claim.token);
@@ -44,6 +47,12 @@
         m_listeningSince = now;
 }
 
+void cell_ownership::setCells(std::string_view zone, std::uint32_t count)
+{
+    for (std::uint32_t number = 0; number < count; ++number)
+        m_cells.insert(cellName(zone, number));
+}
+
 void cell_ownership::hearUpstreamIn(time_point now, std::string_view zone)
 {
     m_cells.emplace(zone);
@@ -57,7 +66,7 @@
 
 void cell_ownership::noteFenced(time_point now, std::string_view cell)
 {
-    const duration first = cell == m_settings.zone ? firstPause : firstForeignPause;
+    const duration first = zoneOfCell(cell) == m_settings.zone ? firstPause : firstForeignPause;
     const auto [found, isNew] = m_fencePauses.try_emplace(std::string(cell));
     fence_pause& pause = found->second;
     const bool isForgotten = isNew || now - pause.until > pausesForgottenAfter;
@@ -70,7 +79,20 @@
     if (host == m_settings.host)
         return true;
     const auto found = m_hosts.find(host);
-    return found != m_hosts.end() && now - found->second.heardAt < m_settings.silenceLimit;
+    if (found == m_hosts.end())
+        return false;
+    const protocol::host_gossip& gossip = found->second.gossip;
+    const bool isFar = gossip.zone != m_settings.zone && gossip.claims.empty() && m_claims.empty();
+    return now - found->second.heardAt < (isFar ? m_settings.farSilenceLimit : m_settings.silenceLimit);
+}
+
+bool cell_ownership::wantsFrequentGossip(std::string_view host) const
+{
+    const auto found = m_hosts.find(host);
+    if (!m_claims.empty() || found == m_hosts.end())
+        return true;
+    const protocol::host_gossip& gossip = found->second.gossip;
+    return gossip.zone == m_settings.zone || !gossip.claims.empty();
 }
 
 std::vector<std::string> cell_ownership::silentHosts(time_point now) const
@@ -156,27 +178,44 @@
 
 bool cell_ownership::mustDrop(time_point now, const std::string& cell) const
 {
-    return m_isLeaving || isPaused(now, cell) || !ownerOf(now, cell)->isSelf;
+    return m_isLeaving || isPaused(now, cell) || !ownerOf(now, cell)->isSelf || isBetterElsewhere(now, cell);
+}
+
+// Load pattern: a host that died comes back after its cells were taken over. The host that has several of the zone's cells then
+// hands the last of them to one that has none and is as strong.
+bool cell_ownership::isBetterElsewhere(time_point now, const std::string& cell) const
+{
+    const auto isOfZone = [this](std::string_view name) { return zoneOfCell(name) == m_settings.zone; };
+    const auto claimed = std::count_if(m_claims.begin(), m_claims.end(), [&](const auto& claim) { return isOfZone(claim.first); });
+    const auto last = std::find_if(m_claims.rbegin(), m_claims.rend(), [&](const auto& claim) { return isOfZone(claim.first); });
+    if (claimed < 2 || last->first != cell)
+        return false;
+    return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
+        const protocol::host_gossip& gossip = item.second.gossip;
+        const bool isIdle = gossip.claims.empty() && now - item.second.withoutClaimSince >= m_settings.idleBeforeRelief;
+        return isIdle && gossip.zone == m_settings.zone && !gossip.isLeaving && isLive(now, item.first) && gossip.processorMillicores >= m_settings.processorMillicores;
+    });
 }
 
 bool cell_ownership::mayClaim(time_point now, const std::string& cell)
 {
-    const bool isOwnZone = cell == m_settings.zone;
+    const std::string_view zone = zoneOfCell(cell);
+    const bool isOwnZone = zone == m_settings.zone;
     const auto owner = ownerOf(now, cell);
     // A zone's own hosts are nearer to the upstreams than an owner elsewhere, who stepped in for them.
-    if (owner && !(isOwnZone && isForeignTo(owner->host, cell))) {
+    if (owner && !(isOwnZone && isForeignTo(owner->host, zone))) {
         m_unclaimedSince.erase(cell);
         return false;
     }
     const time_point since = m_unclaimedSince.try_emplace(cell, now).first->second;
     const bool isListening = !m_listeningSince || now - *m_listeningSince < m_settings.listenTime;
-    if (m_isLeaving || isPaused(now, cell) || isListening || !isBestFor(now, cell))
+    if (m_isLeaving || isPaused(now, cell) || isListening || !isBestFor(now, zone))
         return false;
     if (isOwnZone)
         return true;
-    const auto heard = m_reportsHeardAt.find(cell);
+    const auto heard = m_reportsHeardAt.find(zone);
     const bool isReachable = heard != m_reportsHeardAt.end() && now - heard->second <= m_settings.reportFreshness;
-    const bool isPlanned = hasLiveHost(now, cell, true);
+    const bool isPlanned = hasLiveHost(now, zone, true);
     return isReachable && (isPlanned || now - since >= m_settings.foreignDelay);
 }
 
@@ -204,7 +243,7 @@
 
 protocol::host_gossip cell_ownership::gossip() const
 {
-    protocol::host_gossip out { m_settings.host, m_settings.incarnation, m_settings.zone, m_settings.processorMillicores, m_isLeaving, 0, {} };
+    protocol::host_gossip out { m_settings.host, m_settings.incarnation, m_settings.zone, m_settings.processorMillicores, m_isLeaving, 0, {}, 1 };
     for (const auto& [cell, token] : m_claims)
         out.claims.push_back({ cell, token, {} });
     return out;
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -26,8 +26,10 @@
     std::string zone;
     std::uint32_t processorMillicores = 0;
     duration silenceLimit = std::chrono::milliseconds(1000); // five intervals of gossip
+    duration farSilenceLimit = std::chrono::seconds(3); // of other zones' hosts without cells, who are heard less often
     duration listenTime = std::chrono::milliseconds(450); // three intervals of gossip, before a new host claims anything
     duration foreignDelay = std::chrono::seconds(3); // before a zone of silent hosts is taken over from another zone
+    duration idleBeforeRelief = std::chrono::seconds(2); // a host without cells takes one from a host with several
     duration reportFreshness = std::chrono::milliseconds(2500); // two reports of an upstream come in it
 };
 
@@ -52,7 +54,10 @@
     // True when the process that spoke for this host before has ended: another incarnation speaks.
     bool hear(time_point now, const protocol::host_gossip& gossip);
 
-    // An upstream of this zone has reported: its cell wants an owner, and this host can reach what reports there.
+    // The zone is divided into so many cells.
+    void setCells(std::string_view zone, std::uint32_t count);
+
+    // An upstream of this zone has reported: its cells want owners, and this host can reach what reports there.
     void hearUpstreamIn(time_point now, std::string_view zone);
 
     // This host claims nothing any more.
@@ -69,6 +74,10 @@
     std::vector<std::string> silentHosts(time_point now) const;
     std::vector<std::string> ownersBesidesSelf(time_point now) const;
 
+    // Load pattern: tens of hosts on a twentieth of a processor each. Hosts of one zone, owners, and hosts that were not heard yet
+    // hear this host's gossip at every interval; all others only now and then, since nothing of theirs hangs on it.
+    bool wantsFrequentGossip(std::string_view host) const;
+
     // This host's gossip; rooms and configuration are left to the caller.
     protocol::host_gossip gossip() const;
 
@@ -76,6 +85,7 @@
     struct heard_host {
         protocol::host_gossip gossip;
         time_point heardAt;
+        time_point withoutClaimSince; // valid while it claims nothing
     };
 
     struct fence_pause {
@@ -89,6 +99,7 @@
     bool hasLiveHost(time_point now, std::string_view zone, bool isLeaving) const;
     bool isForeignTo(std::string_view host, std::string_view zone) const;
     bool mustDrop(time_point now, const std::string& cell) const;
+    bool isBetterElsewhere(time_point now, const std::string& cell) const;
     bool mayClaim(time_point now, const std::string& cell);
     std::uint64_t nextToken(std::int64_t unixMs) const;
 
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -32,7 +32,7 @@
 
     // Answers of ended jobs, for copies that arrive late, and tasks of unknown jobs that were seen done.
     struct remembered_answer {
-        protocol::job_answer answer;
+        protocol::order_answer answer;
         time_point until;
     };
     std::map<std::string, remembered_answer, std::less<>> ended;
@@ -57,12 +57,12 @@
 
     // Jobs.
     void submit(time_point now, const protocol::job_order& order, std::string_view desk);
-    const protocol::job_answer* findAnswer(const protocol::job_order& order) const;
+    const protocol::order_answer* findAnswer(const protocol::job_order& order) const;
     bool admit(time_point now, cell_job& job);
     void claimRuns(cell_job& job);
     void requeue(cell_job& job, std::size_t step, std::size_t index);
     void requeueRun(const run_record& record);
-    void finish(time_point now, cell_job& job, protocol::job_answer answer);
+    void finish(time_point now, cell_job& job, protocol::order_answer answer);
     void finishIfDone(time_point now, cell_job& job);
     void checkJob(time_point now, cell_job& job, const internal::open_upstreams& open);
     cell_job* findJob(std::string_view id);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -9,8 +9,8 @@
 
 using internal::run_state;
 using internal::task_state;
-using protocol::job_answer;
 using protocol::job_outcome;
+using protocol::order_answer;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -44,8 +44,8 @@
         known->desks.emplace(desk);
         return;
     }
-    if (const job_answer* answer = findAnswer(order)) {
-        job_answer copy = *answer;
+    if (const order_answer* answer = findAnswer(order)) {
+        order_answer copy = *answer;
         copy.submission = order.submission;
         copy.handOver = order.handOver;
         actions.emplace_back(owner_answer { { std::string(desk) }, std::move(copy) });
@@ -69,7 +69,7 @@
 }
 
 // A result answers every copy of a job; any other answer only the order that it was given to, when that is sent again.
-const job_answer* cell_dispatcher::impl::findAnswer(const protocol::job_order& order) const
+const order_answer* cell_dispatcher::impl::findAnswer(const protocol::job_order& order) const
 {
     const auto found = ended.find(order.id);
     if (found == ended.end())
@@ -97,7 +97,7 @@
         return true;
     if (job.order.mayMove && hooks.findOtherCell) {
         if (const std::string cell = hooks.findOtherCell(job.order); !cell.empty()) {
-            job_answer moved = protocol::answerTo(job.order, job_outcome::moved, "full");
+            order_answer moved = protocol::answerTo(job.order, job_outcome::moved, "full");
             moved.cell = cell;
             finish(now, job, std::move(moved));
             return false;
@@ -156,7 +156,7 @@
 }
 
 // The job goes; what it still runs is stopped.
-void cell_dispatcher::impl::finish(time_point now, cell_job& job, job_answer answer)
+void cell_dispatcher::impl::finish(time_point now, cell_job& job, order_answer answer)
 {
     for (auto& [id, upstream] : upstreams) {
         for (auto& [name, record] : upstream.runs) {
@@ -214,7 +214,7 @@
 void cell_dispatcher::release()
 {
     for (auto& [id, job] : m_impl->jobs) {
-        job_answer answer = protocol::answerTo(job->order, job_outcome::released, "the owner of the cell changes");
+        order_answer answer = protocol::answerTo(job->order, job_outcome::released, "the owner of the cell changes");
         for (std::size_t step = 0; step < job->steps.size(); ++step) {
             for (std::size_t index = 0; index < job->steps[step].tasks.size(); ++index) {
                 if (job->steps[step].tasks[index].state == task_state::done)
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -2,6 +2,8 @@
 #include "coordination/cells/internal/cell_dispatcher_impl.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 namespace jackdaw::cells {
 
@@ -284,6 +286,29 @@
     m_impl->dispatch(now);
 }
 
+void cell_dispatcher::giveAwayUpstream(time_point now, const std::string& id)
+{
+    const auto found = m_impl->upstreams.find(id);
+    if (found == m_impl->upstreams.end())
+        return;
+    std::set<std::string> affected;
+    for (const auto& [name, record] : std::exchange(found->second.runs, {}))
+        affected.insert(record.job);
+    m_impl->removeUpstream(id, "it belongs to another cell");
+    for (const std::string& job : affected) {
+        if (internal::cell_job* known = m_impl->findJob(job))
+            m_impl->finish(now, *known, protocol::answerTo(known->order, protocol::job_outcome::unfinished, "the cell was divided"));
+    }
+}
+
+std::vector<std::string> cell_dispatcher::upstreamNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [id, upstream] : m_impl->upstreams)
+        names.push_back(id);
+    return names;
+}
+
 void cell_dispatcher::onLook(time_point now, const look_order& order, const look_answer& answer)
 {
     if (m_impl->takeCommonOutcome(order.target, answer.call))
--- a/src/coordination/cells/job_desk.cpp
+++ b/src/coordination/cells/job_desk.cpp
@@ -6,8 +6,8 @@
 
 namespace jackdaw::cells {
 
-using protocol::job_answer;
 using protocol::job_outcome;
+using protocol::order_answer;
 using std::chrono::milliseconds;
 
 namespace {
@@ -18,8 +18,8 @@
 
 } // namespace
 
-job_desk::job_desk(std::string homeCell, owner_hook ownerOf)
-    : m_homeCell(std::move(homeCell))
+job_desk::job_desk(cell_hook homeCellOf, owner_hook ownerOf)
+    : m_homeCellOf(std::move(homeCellOf))
     , m_ownerOf(std::move(ownerOf))
 {
 }
@@ -36,7 +36,7 @@
     job.deadline = now + milliseconds(order.timeLeftMs);
     job.arrivedAt = now;
     job.callers = { caller };
-    job.cell = m_homeCell;
+    job.cell = m_homeCellOf(order.id);
     job.order = std::move(order);
     job.order.submission = ++m_lastSubmission;
     const std::string id = job.order.id;
@@ -99,7 +99,7 @@
     return true;
 }
 
-void job_desk::finish(const std::string& id, job_answer answer)
+void job_desk::finish(const std::string& id, order_answer answer)
 {
     const auto known = m_jobs.find(id);
     for (const caller_number caller : known->second.callers)
@@ -108,7 +108,7 @@
     m_jobs.erase(known);
 }
 
-void job_desk::onAnswer(time_point now, std::string_view host, const job_answer& answer)
+void job_desk::onAnswer(time_point now, std::string_view host, const order_answer& answer)
 {
     const auto known = m_jobs.find(answer.id);
     if (known == m_jobs.end())
--- a/src/coordination/cells/job_desk.h
+++ b/src/coordination/cells/job_desk.h
@@ -37,7 +37,7 @@
 
 struct answer_callers {
     std::vector<caller_number> callers;
-    protocol::job_answer answer;
+    protocol::order_answer answer;
 };
 
 using desk_action = std::variant<send_order, send_cancel, answer_callers>;
@@ -45,8 +45,10 @@
 class job_desk {
 public:
     using owner_hook = std::function<std::optional<cell_owner>(std::string_view cell)>;
+    using cell_hook = std::function<std::string(std::string_view job)>;
 
-    job_desk(std::string homeCell, owner_hook ownerOf);
+    // homeCellOf: the cell of this zone that a new job is handed to first.
+    job_desk(cell_hook homeCellOf, owner_hook ownerOf);
 
     // A copy of a job that is under way joins it.
     void submit(time_point now, protocol::job_order order, caller_number caller);
@@ -57,7 +59,7 @@
     // False when the job is not under way here.
     bool cancel(std::string_view job);
 
-    void onAnswer(time_point now, std::string_view host, const protocol::job_answer& answer);
+    void onAnswer(time_point now, std::string_view host, const protocol::order_answer& answer);
 
     // Hands over the jobs whose owner has changed, sends unanswered orders again, and ends those whose time is up.
     void advance(time_point now);
@@ -81,9 +83,9 @@
 
     void hand(time_point now, desk_job& job);
     void send(time_point now, desk_job& job);
-    void finish(const std::string& id, protocol::job_answer answer);
+    void finish(const std::string& id, protocol::order_answer answer);
 
-    std::string m_homeCell;
+    cell_hook m_homeCellOf;
     owner_hook m_ownerOf;
     std::map<std::string, desk_job, std::less<>> m_jobs;
     std::map<caller_number, std::string> m_jobOfCaller;
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -236,3 +236,24 @@
         checkSafe(sim);
     }
 }
+
+// The zone is divided while jobs run: the tasks of a job on an upstream that goes to another cell may run on there, so the job
+// must not start them a second time.
+TEST_CASE("an upstream that goes to another cell takes its jobs with it, unfinished, and nothing starts twice")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1", "u2" });
+    sim.submit(0, sim.makeJob("both", 4, 14000, 300));
+    sim.pass(milliseconds(20));
+    REQUIRE(sim.startsOn("u1") == 2);
+    REQUIRE(sim.startsOn("u2") == 2);
+    sim.owner(0).giveAwayUpstream(sim.now(), "u2");
+    sim.pass(milliseconds(200)); // the stopped tasks have ended
+    CHECK(outcomeOf(sim, "both") == job_outcome::unfinished);
+    CHECK(sim.owner(0).upstreamNames() == std::vector<std::string> { "u1" });
+    sim.submit(0, sim.makeJob("next", 2, 14000, 60));
+    sim.pass(seconds(2));
+    CHECK(outcomeOf(sim, "next") == job_outcome::completed);
+    CHECK(sim.startsOn("u2") == 2);
+    checkSafe(sim);
+}
--- a/src/coordination/cells/tests/cell_ownership_tests.cpp
+++ b/src/coordination/cells/tests/cell_ownership_tests.cpp
@@ -28,6 +28,8 @@
     std::set<std::string> reportingZones; // whose upstreams are heard by all hosts
     std::uint64_t incarnations = 0;
     int taken = 0; // ownership changes to a new owner
+    int rounds = 0;
+    int messages = 0;
 
     void add(const std::string& name, const std::string& zone, std::uint32_t processor)
     {
@@ -63,10 +65,15 @@
 
     void gossip()
     {
+        const bool isForAll = ++rounds % 4 == 0;
         for (auto& [from, sender] : hosts) {
             for (auto& [to, receiver] : hosts) {
-                if (from != to && sender.isRunning && receiver.isRunning && !cuts.contains({ from, to }))
+                if (from == to || !sender.isRunning || !receiver.isRunning || cuts.contains({ from, to }))
+                    continue;
+                if (isForAll || sender.ownership->wantsFrequentGossip(to)) {
                     receiver.ownership->hear(now, sender.ownership->gossip());
+                    ++messages;
+                }
             }
         }
     }
@@ -123,6 +130,77 @@
     CHECK(group.taken == 1);
 }
 
+TEST_CASE("the strongest hosts share the cells of a large zone, and one that comes back takes its part again")
+{
+    host_group group;
+    for (const char* name : { "a1", "a2", "a3" }) {
+        group.add(name, "a", name == std::string("a3") ? 90 : 300);
+        group.hosts[name].ownership->setCells("a", 2);
+    }
+    group.pass(seconds(3));
+    CHECK(group.ownersOf("a") == names { "a1" });
+    CHECK(group.ownersOf("a#1") == names { "a2" });
+    group.hosts["a2"].isRunning = false;
+    group.pass(seconds(3));
+    CHECK(group.ownersOf("a") == names { "a1" });
+    CHECK(group.ownersOf("a#1") == names { "a1" });
+    group.add("a2", "a", 300);
+    group.hosts["a2"].isRunning = true;
+    group.hosts["a2"].ownership->setCells("a", 2);
+    group.pass(seconds(5));
+    CHECK(group.ownersOf("a") == names { "a1" });
+    CHECK(group.ownersOf("a#1") == names { "a2" });
+    const int before = group.taken;
+    group.pass(seconds(20));
+    CHECK(group.taken == before);
+}
+
+TEST_CASE("a weaker host takes no cell off a strong one that serves several")
+{
+    host_group group;
+    for (const char* name : { "a1", "a2" }) {
+        group.add(name, "a", name == std::string("a1") ? 300 : 90);
+        group.hosts[name].ownership->setCells("a", 2);
+    }
+    group.pass(seconds(10));
+    CHECK(group.ownersOf("a") == names { "a1" });
+    CHECK(group.ownersOf("a#1") == names { "a1" });
+    CHECK(group.taken == 2);
+}
+
+TEST_CASE("another zone's host takes over all cells of a zone without hosts")
+{
+    host_group group;
+    group.add("a1", "a", 300);
+    group.add("b1", "b", 300);
+    for (auto& [name, host] : group.hosts)
+        host.ownership->setCells("a", 2);
+    group.pass(seconds(3));
+    group.hosts["a1"].isRunning = false;
+    group.pass(seconds(8));
+    CHECK(group.ownersOf("a") == names { "b1" });
+    CHECK(group.ownersOf("a#1") == names { "b1" });
+}
+
+TEST_CASE("hosts that own nothing speak less often to those of other zones, and nobody counts as silent")
+{
+    host_group group;
+    for (const std::string zone : { "a", "b", "c" }) {
+        for (int i = 0; i < 10; ++i)
+            group.add(zone + std::to_string(i), zone, 90);
+    }
+    group.pass(seconds(5));
+    group.messages = 0;
+    for (int i = 0; i < 100; ++i) {
+        group.pass(milliseconds(200));
+        for (const auto& [name, host] : group.hosts)
+            REQUIRE(host.ownership->silentHosts(group.now).empty());
+    }
+    constexpr int everybodyToEverybody = 100 * 30 * 29;
+    CHECK(group.messages < everybodyToEverybody * 6 / 10);
+    CHECK(group.taken == 3);
+}
+
 TEST_CASE("a host that has not heard the directory claims nothing")
 {
     ownership_settings settings;
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -50,7 +50,7 @@
 };
 
 struct sim_outcome {
-    protocol::job_answer answer;
+    protocol::order_answer answer;
     duration took {};
     bool isInTime = false; // completed within its objective
 };
--- a/src/coordination/cells/tests/job_desk_tests.cpp
+++ b/src/coordination/cells/tests/job_desk_tests.cpp
@@ -5,9 +5,9 @@
 
 using namespace jackdaw::cells;
 using jackdaw::protocol::answerTo;
-using jackdaw::protocol::job_answer;
 using jackdaw::protocol::job_order;
 using jackdaw::protocol::job_outcome;
+using jackdaw::protocol::order_answer;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -15,7 +15,7 @@
 
 struct desk_fixture {
     std::optional<cell_owner> owner = cell_owner { "h1", 10, false };
-    job_desk desk { "a", [this](std::string_view) { return owner; } };
+    job_desk desk { [](std::string_view) { return "a"; }, [this](std::string_view) { return owner; } };
     time_point now;
 
     job_order makeOrder(const std::string& id) const
@@ -103,7 +103,7 @@
     desk_fixture f;
     f.desk.submit(f.now, f.makeOrder("1"), 1);
     const auto first = f.sent();
-    job_answer released = answerTo(first.at(0).order, job_outcome::released, "");
+    order_answer released = answerTo(first.at(0).order, job_outcome::released, "");
     released.doneTasks = { "1.0.0.0" };
     f.desk.onAnswer(f.now, "h1", released);
     f.owner = std::nullopt;
--- /dev/null
+++ b/src/coordination/cells/tests/zone_cells_tests.cpp
@@ -0,0 +1,50 @@
+// How zones are divided into cells.
+#include "coordination/cells/zone_cells.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+
+using namespace jackdaw::cells;
+
+TEST_CASE("a zone that one host can serve is one cell with the zone's name")
+{
+    zone_cells cells;
+    CHECK(cells.cellsOf("a") == std::vector<std::string> { "a" });
+    cells.hearUpstreams("a", maxUpstreamsPerCell);
+    CHECK(cells.cellsOf("a") == std::vector<std::string> { "a" });
+    CHECK(cells.cellOf("a", "u1") == "a");
+}
+
+TEST_CASE("a large zone's upstreams are shared about evenly by its cells")
+{
+    constexpr int upstreams = 117;
+    zone_cells cells;
+    cells.hearUpstreams("a", upstreams);
+    REQUIRE(cells.cellsOf("a") == std::vector<std::string> { "a", "a#1" });
+    std::map<std::string, int> counts;
+    for (int i = 0; i < upstreams; ++i)
+        ++counts[cells.cellOf("a", "u" + std::to_string(i))];
+    CHECK(counts.size() == 2);
+    CHECK(counts["a"] > upstreams / 3);
+    CHECK(counts["a#1"] > upstreams / 3);
+    CHECK(zoneOfCell("a#1") == "a");
+    CHECK(zoneOfCell("a") == "a");
+}
+
+TEST_CASE("hosts that heard different numbers come to the larger one, and it never goes down")
+{
+    zone_cells first;
+    zone_cells second;
+    first.hearUpstreams("a", 200);
+    second.hearUpstreams("a", 30);
+    second.hearCells("a", first.countOf("a"));
+    CHECK(second.countOf("a") == 4);
+    first.hearUpstreams("a", 10);
+    first.hearCells("a", 1);
+    CHECK(first.countOf("a") == 4);
+    first.hearCells("a", 1000);
+    CHECK(first.countOf("a") == maxCellsPerZone);
+    CHECK(first.countOf("b") == 1);
+}
--- a/src/protocol/cell_messages.cpp
+++ b/src/protocol/cell_messages.cpp
@@ -21,7 +21,7 @@
 
 } // namespace
 
-job_answer answerTo(const job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs)
+order_answer answerTo(const job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs)
 {
     return { order.id, order.submission, order.handOver, outcome, std::string(reason), retryAfterMs, {}, {} };
 }
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -90,7 +90,7 @@
 
 namespace jackdaw::protocol {
 
-struct job_answer {
+struct order_answer {
     std::string id;
     std::uint64_t submission = 0; // of the order that it answers
     std::uint32_t handOver = 0; // of the order that it answers
@@ -100,13 +100,13 @@
     std::string cell;
     std::vector<std::string> doneTasks;
 
-    friend bool operator==(const job_answer&, const job_answer&) = default;
+    friend bool operator==(const order_answer&, const order_answer&) = default;
 
     MSGPACK_DEFINE_ARRAY(id, submission, handOver, outcome, reason, retryAfterMs, cell, doneTasks)
 };
 
 // An answer to this order.
-job_answer answerTo(const job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0);
+order_answer answerTo(const job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0);
 
 // The caller no longer waits for the job, or cancels it.
 struct job_cancel {
@@ -147,10 +147,11 @@
     bool isLeaving = false;
     std::uint64_t configurationVersion = 0; // in force
     std::vector<cell_claim> claims;
+    std::uint32_t cellsOfZone = 1; // into which this host divides its zone's upstreams
 
     friend bool operator==(const host_gossip&, const host_gossip&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, configurationVersion, claims)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, configurationVersion, claims, cellsOfZone)
 };
 
 // An entry host asks a control host for the directory, and tells which configuration it has in force.
@@ -216,7 +217,7 @@
 };
 
 // The position in this list is the kind on the wire: append only.
-using cell_message = std::variant<host_gossip, entry_hello, control_hello, directory_update, configuration_push, group_message, job_order, job_answer, job_cancel, configuration_pull>;
+using cell_message = std::variant<host_gossip, entry_hello, control_hello, directory_update, configuration_push, group_message, job_order, order_answer, job_cancel, configuration_pull>;
 
 // For logs.
 std::string_view toText(job_outcome outcome);
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -20,10 +20,10 @@
 
 TEST_CASE("an answer keeps its outcome, and gossip its claims")
 {
-    const job_answer answer { "1", 7, 1, job_outcome::moved, "full", 250, "zone-b", {} };
+    const order_answer answer { "1", 7, 1, job_outcome::moved, "full", 250, "zone-b", {} };
     const auto answerBack = decodeCellMessage(encodeCellMessage(answer));
     REQUIRE(answerBack);
-    CHECK(std::get<job_answer>(answerBack.value()) == answer);
+    CHECK(std::get<order_answer>(answerBack.value()) == answer);
     const host_gossip gossip { "10.0.0.1", 7, "zone-a", 250, true, 3, { { "zone-a", 99, { { "planning", { 4000, 2000 } } } } } };
     const auto gossipBack = decodeCellMessage(encodeCellMessage(gossip));
     REQUIRE(gossipBack);
