Hub: an entry host that has just started is told of every upstream at once

A restart within 5 s did not even count as news. Change: the first hello of a new process is answered with the whole directory. Ruled out: waiting with the claim until all have reported, which leaves the cell without its own owner for as long. Test: host_directory_tests (a new process of a known host; all upstreams named; those long silent left out).

--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -21,7 +21,7 @@
 bool host_directory::heard_hosts<Hello>::hear(time_point now, const Hello& hello)
 {
     const auto [found, isNew] = byName.try_emplace(hello.host);
-    const bool isBack = isNew || now - found->second.heardAt > silenceLimit;
+    const bool isBack = isNew || now - found->second.heardAt > silenceLimit || found->second.hello.incarnation != hello.incarnation;
     found->second = { hello, now };
     return isBack;
 }
@@ -86,10 +86,26 @@
     return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& item) { return !item.second.isTold; });
 }
 
-protocol::directory_update host_directory::takeBatch(time_point now)
+protocol::directory_update host_directory::hostsOnly(time_point now) const
 {
     protocol::directory_update update { liveEntries(now), liveControls(now), {} };
     update.controlHosts.push_back(m_self);
+    return update;
+}
+
+protocol::directory_update host_directory::wholeUpdate(time_point now) const
+{
+    protocol::directory_update update = hostsOnly(now);
+    for (const auto& [id, upstream] : m_upstreams) {
+        if (now - upstream.heardAt <= silenceLimit)
+            update.reports.push_back(upstream.report);
+    }
+    return update;
+}
+
+protocol::directory_update host_directory::takeBatch(time_point now)
+{
+    protocol::directory_update update = hostsOnly(now);
     for (auto& [id, upstream] : m_upstreams) {
         const bool isRepeated = upstream.report.isLeaving && now - upstream.heardAt <= repeatFor;
         if (!upstream.isTold || isRepeated)
--- a/src/apps/hub/host_directory.h
+++ b/src/apps/hub/host_directory.h
@@ -22,7 +22,7 @@
 public:
     explicit host_directory(std::string self);
 
-    // True when the host was not known, or had not been heard for the silence limit.
+    // True when the host was not known, had not been heard for the silence limit, or is a new process.
     bool hearEntry(time_point now, const protocol::entry_hello& hello);
     bool hearControl(time_point now, const protocol::control_hello& hello);
 
@@ -32,6 +32,9 @@
     // The upstream has ended.
     void forgetUpstream(std::string_view id);
 
+    // Everything, for an entry host that has just started: it must not wait until each upstream has reported again.
+    protocol::directory_update wholeUpdate(time_point now) const;
+
     // What is new since the last batch; empty reports when nothing is.
     protocol::directory_update takeBatch(time_point now);
     bool hasNews(time_point now) const;
@@ -62,6 +65,8 @@
         bool isTold = false; // in a batch already
     };
 
+    protocol::directory_update hostsOnly(time_point now) const;
+
     std::string m_self;
     heard_hosts<protocol::entry_hello> m_entries;
     heard_hosts<protocol::control_hello> m_controls;
--- a/src/apps/hub/hub_process.cpp
+++ b/src/apps/hub/hub_process.cpp
@@ -148,8 +148,11 @@
 void hub_process::impl::onEntryHello(const protocol::entry_hello& hello)
 {
     links.setPeer(hello.host, apps::toText({ hello.host, settings.entryMeshPort }));
-    if (directory.hearEntry(steadyNow(), hello))
-        logEvent(log_level::info, "entry_host_heard", { { "host", hello.host }, { "version", std::to_string(hello.configurationVersion) } });
+    if (directory.hearEntry(steadyNow(), hello)) {
+        const protocol::directory_update whole = directory.wholeUpdate(steadyNow());
+        logEvent(log_level::info, "entry_host_heard", { { "host", hello.host }, { "version", std::to_string(hello.configurationVersion) }, { "upstreams_told", std::to_string(whole.reports.size()) } });
+        links.send(hello.host, protocol::encodeCellMessage(whole));
+    }
     if (hello.configurationVersion < node.rules().inForce().version)
         push(hello.host);
 }
--- a/src/apps/hub/tests/host_directory_tests.cpp
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -73,3 +73,20 @@
     CHECK(directory.takeBatch(now).controlHosts == std::vector<std::string> { "c1" });
     CHECK(directory.hearEntry(now, { "e1", 1, 8, false }));
 }
+
+TEST_CASE("an entry host whose process is a new one is told of every upstream at once")
+{
+    time_point now(seconds(10));
+    host_directory directory("c1");
+    directory.hearEntry(now, { "e1", 1, 7, false });
+    directory.hearUpstream(now, makeReport("u1", 1));
+    directory.hearUpstream(now, makeReport("u2", 1, true));
+    directory.takeBatch(now);
+    now += seconds(1);
+    CHECK_FALSE(directory.hearEntry(now, { "e1", 1, 7, false }));
+    CHECK(directory.hearEntry(now, { "e1", 2, 0, false }));
+    CHECK(directory.wholeUpdate(now).reports == std::vector<upstream_report> { makeReport("u1", 1), makeReport("u2", 1, true) });
+    CHECK(directory.wholeUpdate(now).entryHosts == std::vector<std::string> { "e1" });
+    now += seconds(6);
+    CHECK(directory.wholeUpdate(now).reports.empty());
+}
