--- a/cmake/JackdawTargets.cmake
+++ b/cmake/JackdawTargets.cmake
@@ -7,7 +7,7 @@
 if(JACKDAW_SANITIZE)
     set(JACKDAW_TEST_TIMEOUT 1200)
     # With sanitizers g++ 12 warns of uninitialized and overlapping objects inside headers of Boost and of its own library.
-    target_compile_options(jackdaw_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all
+    target_compile_options(jackdaw_options INTERFACE -O1 -g1 -fsanitize=address,undefined -fno-sanitize-recover=all
         -Wno-error=maybe-uninitialized -Wno-error=restrict)
     target_link_options(jackdaw_options INTERFACE -fsanitize=address,undefined)
 endif()
--- a/src/apps/control/control_storage.cpp
+++ b/src/apps/control/control_storage.cpp
@@ -2,7 +2,9 @@
 #include "apps/control/control_storage.h"
 
 #include "protocol/raft_codec.h"
+#include "protocol/time.h"
 #include "state/journal.h"
+#include "state/log.h"
 #include "state/snapshot_file.h"
 
 #include <algorithm>
@@ -20,6 +22,7 @@
 using protocol::error_kind;
 using protocol::makeError;
 using protocol::result;
+using state::logEvent;
 
 namespace {
 
@@ -27,6 +30,7 @@
     constexpr auto snapshotFileName = "snapshot";
     constexpr auto journalFolderName = "journal";
     constexpr std::uint64_t segmentBytes = 256 * 1024;
+    constexpr protocol::duration slowChange = std::chrono::milliseconds(100); // a heartbeat of the group is late by then
 
     // A file that belongs to every data folder: when it is missing, the folder is damaged.
     result<std::string> loadRequired(const state::snapshot_file& file, const std::string& path)
@@ -71,7 +75,11 @@
     {
         if (hasFailed)
             return makeError(error_kind::storage_failed, settings.folder + ": an earlier write failed");
+        const protocol::time_point before = protocol::steadyNow();
         result<void> changed = change();
+        const protocol::duration took = protocol::steadyNow() - before;
+        if (took >= slowChange)
+            logEvent(state::log_level::warning, "storage_slow", { { "folder", settings.folder }, { "took_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(took).count()) } });
         hasFailed = changed.has_error();
         return changed;
     }
