Upstream calls: a start counts as unanswered after 40 ms instead of 120 ms

Change: 40 ms, twenty round trips. An answer that has arrived is taken before a timer that is due, so an owner that is late itself does not give up sound calls.

--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -11,7 +11,7 @@
 namespace {
 
     constexpr duration callTime = milliseconds(1); // one way
-    constexpr duration callTimeout = milliseconds(120);
+    constexpr duration callTimeout = milliseconds(40);
     constexpr duration reportInterval = milliseconds(1500);
     constexpr duration refusalTime = milliseconds(2);
     constexpr double lateOrderShare = 0.05;
