Cells: the expected wait counts tasks that are being stopped as room within the time of a stop

Matters where jobs are cancelled in waves. Test: "a job waits for the room of tasks that are being stopped".

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -85,6 +85,10 @@
             continue;
         const double ratio = (upstream.ratio.value() + internal::ratioOf(serviceRatios, job.order.service)) / 2;
         for (const auto& [name, record] : upstream.runs) {
+            if (record.state == run_state::stopping) {
+                untilEnds.push_back(settings.stopTime);
+                continue;
+            }
             const duration expected = duration_cast<duration>(std::chrono::duration<double, std::milli>(record.expectedMs * ratio));
             untilEnds.push_back(std::max(expected - (now - record.since), expected / 8));
         }
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -237,6 +237,19 @@
     }
 }
 
+TEST_CASE("a job waits for the room of tasks that are being stopped")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1" });
+    sim.submit(0, sim.makeJob("long", 2, 14000, 900));
+    sim.pass(milliseconds(20));
+    sim.owner(0).cancel(sim.now(), "long", "desk");
+    sim.submit(0, sim.makeJob("next", 2, 14000, 60));
+    sim.pass(seconds(1));
+    CHECK(outcomeOf(sim, "next") == job_outcome::completed);
+    checkSafe(sim);
+}
+
 // The zone is divided while jobs run: the tasks of a job on an upstream that goes to another cell may run on there, so the job
 // must not start them a second time.
 TEST_CASE("an upstream that goes to another cell takes its jobs with it, unfinished, and nothing starts twice")
