--- a/bench/owner_load_bench.cpp
+++ b/bench/owner_load_bench.cpp
@@ -106,6 +106,7 @@
 
     transport::event_loop upstreamLoop;
     std::vector<std::unique_ptr<platform::tests::stand_in_upstream>> standIns;
+    standIns.reserve(static_cast<std::size_t>(upstreams));
     for (int i = 0; i < upstreams; ++i)
         standIns.push_back(std::make_unique<platform::tests::stand_in_upstream>(upstreamLoop, "u" + std::to_string(i), transport::endpoint { loopback, operators }));
     std::thread upstreamThread([&] {
--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -92,7 +92,7 @@
 // A job goes to the cell that its id names, or to the next one that has an owner.
 std::string cell_host::impl::homeCellOf(std::string_view job) const
 {
-    const std::string first = zoneCells.cellOf(settings.zone, job);
+    std::string first = zoneCells.cellOf(settings.zone, job);
     if (ownership.ownerOf(steadyNow(), first))
         return first;
     for (std::string& cell : zoneCells.cellsOf(settings.zone)) {
--- a/src/apps/control/tests/group_losses_tests.cpp
+++ b/src/apps/control/tests/group_losses_tests.cpp
@@ -36,7 +36,7 @@
     void addHost(const std::string& host, bool isFounder)
     {
         control_node_settings settings;
-        settings.storage = { m_folder.path(host.c_str()), host, "control", { [](int descriptor, const void* data, std::size_t size) { return ::write(descriptor, data, size); }, [](int) { return 0; } } };
+        settings.storage = { m_folder.path(host), host, "control", { [](int descriptor, const void* data, std::size_t size) { return ::write(descriptor, data, size); }, [](int) { return 0; } } };
         settings.seed = m_nodes.size() + 1;
         settings.minElectionTimeout = milliseconds(300);
         settings.changeTimeout = changeTimeout;
