Control group: log lines that tell membership, failed elections and where a change is stored

Cause: after the loss of all hosts a group stayed without a leader and no line said which voters it counted, who had been asked and who had refused; nothing told the time from an acknowledgement to the last entry host.

Change: one class, group_log, writes the lines of both control programs: membership_changed, leader_changed, election_failed (voters, granted, refused), beside the lines on leadership and storage that each program wrote by itself. change_received and change_committed (index, voters, hosts that stored it), configuration_distributed (time until every live entry host reported the version), the sender in configuration_in_force, and the gauge jackdaw_entry_hosts_behind. In jackdaw-control the reason of storage_failed is now called reason, as on the platform's control host. No decision depends on any of it.

--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -101,7 +101,7 @@
     void addControl(const std::string& host);
     void onReports(std::span<const protocol::upstream_report> newReports);
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
-    void onConfiguration(const protocol::configuration_push& push);
+    void onConfiguration(const protocol::configuration_push& push, std::string_view sender);
     void onJobOrder(const protocol::job_order& order, std::string_view origin);
 
     void sendDirectoryRequest();
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -33,7 +33,7 @@
     else if (const auto* update = std::get_if<protocol::directory_update>(&message))
         onDirectory(*update);
     else if (const auto* push = std::get_if<protocol::configuration_push>(&message))
-        onConfiguration(*push);
+        onConfiguration(*push, delivery.sender);
     else if (const auto* order = std::get_if<protocol::job_order>(&message))
         onJobOrder(*order, delivery.sender);
     else if (const auto* answer = std::get_if<protocol::order_answer>(&message))
@@ -115,13 +115,13 @@
     }
 }
 
-void cell_host::impl::onConfiguration(const protocol::configuration_push& push)
+void cell_host::impl::onConfiguration(const protocol::configuration_push& push, std::string_view sender)
 {
     if (push.version <= configuration.version)
         return;
     if (!hooks.onConfiguration(push))
-        return logEvent(log_level::error, "configuration_invalid", { { "version", std::to_string(push.version) } });
-    logEvent(log_level::info, "configuration_in_force", { { "version", std::to_string(push.version) }, { "before", std::to_string(configuration.version) } });
+        return logEvent(log_level::error, "configuration_invalid", { { "version", std::to_string(push.version) }, { "sender", std::string(sender) } });
+    logEvent(log_level::info, "configuration_in_force", { { "version", std::to_string(push.version) }, { "sender", std::string(sender) }, { "before", std::to_string(configuration.version) } });
     configuration = push;
 }
 
--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -1,8 +1,10 @@
 // Drives the replicated log: stores, then sends, then applies.
 #include "apps/control/control_node.h"
 
+#include "apps/control/group_log.h"
 #include "apps/control/heard_members.h"
 #include "coordination/raft_replacement.h"
+#include "state/log.h"
 
 #include <algorithm>
 #include <map>
@@ -80,6 +82,7 @@
     void applyReady(const raft_ready& ready);
     void apply(const raft_entry& entry);
     void applyCommand(const raft_entry& entry);
+    void logCommitted(const raft_entry& entry, const change_answer& answer) const;
     void compactWhenDue(time_point now);
     void fail(time_point now, const protocol::error& failure, const raft_ready& unstored);
     void reopen(time_point now);
@@ -179,13 +182,20 @@
             waiting->second.done(change.error());
     } else {
         const change_answer answer = store.apply(change.value());
-        if (isOurs)
+        if (isOurs) {
+            logCommitted(entry, answer);
             waiting->second.done(answer);
+        }
     }
     if (isOurs)
         pending.erase(entry.index);
 }
 
+void control_node::impl::logCommitted(const raft_entry& entry, const change_answer& answer) const
+{
+    state::logEvent(state::log_level::info, "change_committed", { { "version", std::to_string(answer.inForce.version) }, { "index", std::to_string(entry.index) }, { "term", std::to_string(entry.term) }, { "voters", toText(raft->membership().voters) }, { "stored_by", toText(raft->votersWithEntry(entry.index)) } });
+}
+
 void control_node::impl::compactWhenDue(time_point now)
 {
     // A membership goes into the snapshot at once: a member whose journal is lost must not believe in an older, smaller one.
@@ -347,7 +357,8 @@
 
 control_node_status control_node::status() const
 {
-    return { m_impl->raft->role(), m_impl->raft->term(), m_impl->raft->commitIndex(), m_impl->storage ? m_impl->storage->journalBytes() : 0, m_impl->raft->storedEntries(), m_impl->storageFailure };
+    const raft_node& raft = *m_impl->raft;
+    return { raft.role(), raft.term(), raft.commitIndex(), m_impl->storage ? m_impl->storage->journalBytes() : 0, raft.storedEntries(), m_impl->storageFailure, leader(), raft.membership(), raft.lastElection() };
 }
 
 } // namespace jackdaw::control
--- a/src/apps/control/control_node.h
+++ b/src/apps/control/control_node.h
@@ -43,6 +43,9 @@
     std::uint64_t journalBytes = 0;
     std::size_t storedEntries = 0;
     std::string storageFailure; // empty: the storage works
+    std::optional<coordination::raft_member_id> leader;
+    coordination::raft_membership membership; // the newest one in the log, maybe not committed yet
+    coordination::raft_election lastElection;
 };
 
 class control_node {
--- a/src/apps/control/control_process.cpp
+++ b/src/apps/control/control_process.cpp
@@ -2,6 +2,7 @@
 #include "apps/control/control_process.h"
 
 #include "apps/control/control_messages.h"
+#include "apps/control/group_log.h"
 #include "apps/control/operator_api.h"
 #include "apps/control/rules_publisher.h"
 #include "apps/shared/zone_address.h"
@@ -70,8 +71,7 @@
     std::unique_ptr<transport::event_loop::timer> helloTimer;
     std::unique_ptr<transport::event_loop::timer> pushTimer;
     std::unique_ptr<transport::event_loop::timer> stopTimer;
-    coordination::raft_role loggedRole = coordination::raft_role::learner;
-    std::string loggedFailure;
+    group_log groupLog;
 
     static transport::mesh_settings meshSettings(const control_settings& settings, std::uint64_t seed)
     {
@@ -110,7 +110,6 @@
     void publish();
     void sayHello();
     void rearm();
-    void logChanges();
     void stop();
 };
 
@@ -211,7 +210,7 @@
 
 void control_process::impl::rearm()
 {
-    logChanges();
+    groupLog.update(node.status());
     const auto delay = std::max(node.nextTimer() - steadyNow(), protocol::duration::zero());
     nodeTimer = loop.after(delay, [this] {
         node.advance(steadyNow());
@@ -219,20 +218,6 @@
     });
 }
 
-void control_process::impl::logChanges()
-{
-    const control_node_status status = node.status();
-    if (status.storageFailure != loggedFailure) {
-        loggedFailure = status.storageFailure;
-        logEvent(loggedFailure.empty() ? log_level::info : log_level::error, loggedFailure.empty() ? "storage_reopened" : "storage_failed", { { "detail", loggedFailure } });
-    }
-    const bool isLeader = status.role == coordination::raft_role::leader;
-    const bool wasLeader = loggedRole == coordination::raft_role::leader;
-    if (isLeader != wasLeader)
-        logEvent(log_level::info, isLeader ? "leadership_won" : "leadership_ended", { { "term", std::to_string(status.term) } });
-    loggedRole = status.role;
-}
-
 void control_process::impl::stop()
 {
     if (stopTimer)
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -3,6 +3,7 @@
 
 #include "apps/control/control_messages.h"
 #include "apps/control/control_node.h"
+#include "apps/control/group_log.h"
 #include "apps/control/storage_opening.h"
 #include "apps/hub/host_directory.h"
 #include "apps/shared/zone_address.h"
@@ -70,11 +71,13 @@
     state::gauge& isLeaderGauge = allMetrics.addGauge("jackdaw_group_leader", "1 on the leader of the control group.");
     state::gauge& votersGauge = allMetrics.addGauge("jackdaw_group_voters", "Voters of the control group.");
     state::gauge& versionGauge = allMetrics.addGauge("jackdaw_configuration_version", "Newest version applied here; 0: none yet.");
+    state::gauge& entryHostsBehindGauge = allMetrics.addGauge("jackdaw_entry_hosts_behind", "Live entry hosts that reported an older version than the newest applied here.");
     state::gauge& entryHostsGauge = allMetrics.addGauge("jackdaw_entry_hosts", "Entry hosts heard in the last seconds.");
     state::gauge& logLinesLeftOutGauge = allMetrics.addGauge("jackdaw_log_lines_left_out", "Log lines that were not written since the start.");
-    bool wasLeader = false;
-    std::string loggedStorageFailure;
+    control::group_log groupLog;
     std::uint64_t changeNumber = 0;
+    time_point appliedAt; // of the newest configuration
+    std::uint64_t versionInForce = 0; // the newest version that all live entry hosts reported
 
     transport::mesh_settings meshSettings(std::uint64_t incarnation) const
     {
@@ -124,10 +127,10 @@
     void onRaftMessage(const protocol::control_raft_message& message);
     void onConfigurationApplied();
     void pushConfiguration(const std::string& entry);
+    void logDistribution(time_point now);
     void sendHeartbeats();
     void sendBatch();
     void rescheduleNodeTimer();
-    void logStatusChanges();
     void stop();
     void changeConfiguration(configuration newConfiguration, change_completion done);
 };
@@ -156,6 +159,18 @@
     }
     if (request.configurationVersion < node.rules().inForce().version)
         pushConfiguration(request.host);
+    logDistribution(steadyNow());
+}
+
+// Entry hosts report their version with each directory request, so the time is exact to one request interval.
+void control_host::impl::logDistribution(time_point now)
+{
+    const std::uint64_t newest = node.rules().inForce().version;
+    if (newest == versionInForce || !directory.entryHostsBehind(now, newest).empty())
+        return;
+    versionInForce = newest;
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - appliedAt);
+    logEvent(log_level::info, "configuration_distributed", { { "version", std::to_string(newest) }, { "entry_hosts", std::to_string(directory.liveEntryHosts(now).size()) }, { "after_ms", std::to_string(took.count()) } });
 }
 
 void control_host::impl::onControlHeartbeat(const protocol::control_heartbeat& heartbeat)
@@ -177,6 +192,7 @@
 
 void control_host::impl::onConfigurationApplied()
 {
+    appliedAt = steadyNow();
     logEvent(log_level::info, "configuration_stored", { { "version", std::to_string(node.rules().inForce().version) } });
     if (!node.isServingLeader())
         return; // a member that is not the leader pushes only in answer to directory requests
@@ -212,7 +228,7 @@
 
 void control_host::impl::rescheduleNodeTimer()
 {
-    logStatusChanges();
+    groupLog.update(node.status());
     const auto delay = std::max(node.nextTimer() - steadyNow(), duration::zero());
     nodeTimer = loop.after(delay, [this] {
         node.advance(steadyNow());
@@ -220,31 +236,21 @@
     });
 }
 
-void control_host::impl::logStatusChanges()
-{
-    const control::control_node_status status = node.status();
-    if (status.storageFailure != loggedStorageFailure) {
-        loggedStorageFailure = status.storageFailure;
-        logEvent(loggedStorageFailure.empty() ? log_level::info : log_level::error, loggedStorageFailure.empty() ? "storage_reopened" : "storage_failed", { { "reason", loggedStorageFailure } });
-    }
-    const bool isLeader = status.role == coordination::raft_role::leader;
-    if (isLeader != wasLeader)
-        logEvent(log_level::info, isLeader ? "leadership_won" : "leadership_ended", { { "term", std::to_string(status.term) }, { "voters", std::to_string(node.membership().voters.size()) } });
-    wasLeader = isLeader;
-}
-
 void control_host::impl::stop()
 {
     if (stopTimer)
         return;
-    logEvent(log_level::info, "stopping", { { "leader", wasLeader ? "yes" : "no" } });
+    const bool isLeader = node.status().role == coordination::raft_role::leader;
+    logEvent(log_level::info, "stopping", { { "leader", isLeader ? "yes" : "no" } });
     node.transferLeadership(steadyNow());
-    stopTimer = loop.after(wasLeader ? leaderTransferTime : duration::zero(), [this] { loop.stop(); });
+    stopTimer = loop.after(isLeader ? leaderTransferTime : duration::zero(), [this] { loop.stop(); });
 }
 
 void control_host::impl::changeConfiguration(configuration newConfiguration, change_completion done)
 {
     changes.add();
+    if (newConfiguration.version > 0)
+        logEvent(log_level::info, "change_received", { { "version", std::to_string(newConfiguration.version) }, { "serving", node.isServingLeader() ? "yes" : "no" } });
     const std::size_t requiredVoters = std::min(wantedVoters, settings.seeds.size());
     if (node.isServingLeader() && node.membership().voters.size() < requiredVoters)
         return done(makeError(error_kind::not_leader, "the group is not complete yet"));
@@ -348,6 +354,7 @@
     self.votersGauge.set(static_cast<double>(self.node.membership().voters.size()));
     self.versionGauge.set(static_cast<double>(self.node.rules().inForce().version));
     self.entryHostsGauge.set(static_cast<double>(self.directory.liveEntryHosts(steadyNow()).size()));
+    self.entryHostsBehindGauge.set(static_cast<double>(self.directory.entryHostsBehind(steadyNow(), self.node.rules().inForce().version).size()));
     self.logLinesLeftOutGauge.set(static_cast<double>(state::logLinesLeftOut()));
     return self.allMetrics.toPrometheus();
 }
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -140,4 +140,11 @@
     return request ? request->configurationVersion : 0;
 }
 
+std::vector<std::string> host_directory::entryHostsBehind(time_point now, std::uint64_t version) const
+{
+    std::vector<std::string> out = liveEntryHosts(now);
+    std::erase_if(out, [&](const std::string& host) { return configurationVersionOf(host) >= version; });
+    return out;
+}
+
 } // namespace jackdaw::hub
--- a/src/apps/hub/host_directory.h
+++ b/src/apps/hub/host_directory.h
@@ -48,6 +48,7 @@
     std::vector<std::string> liveControlHosts(time_point now) const; // without this host
     std::string operatorAddressOf(std::string_view controlHost) const; // empty when the host is unknown
     std::uint64_t configurationVersionOf(std::string_view entryHost) const; // 0 when the host is unknown
+    std::vector<std::string> entryHostsBehind(time_point now, std::uint64_t version) const; // live ones with an older version
 
 private:
     // Last message of each host of one kind.
--- a/src/coordination/internal/raft_election.cpp
+++ b/src/coordination/internal/raft_election.cpp
@@ -38,6 +38,7 @@
     becomeFollower(hardState.term, std::nullopt);
     resetElectionDeadline();
     phase = newPhase;
+    lastElection = { lastElection.number + 1, phase == vote_phase::pre_vote, {}, {} };
     if (phase == vote_phase::vote)
         hardState = { hardState.term + 1, settings.self };
     const bool isPreVote = phase == vote_phase::pre_vote;
@@ -51,7 +52,8 @@
 
 void raft_node::impl::countVote(const raft_member_id& voter)
 {
-    votes.insert(voter);
+    if (votes.insert(voter).second)
+        lastElection.granted.push_back(voter);
     const auto granted = std::ranges::count_if(log.membership().voters, [this](const raft_member_id& member) { return votes.contains(member); });
     if (static_cast<std::size_t>(granted) < majorityOf(log.membership()))
         return;
--- a/src/coordination/internal/raft_node_impl.h
+++ b/src/coordination/internal/raft_node_impl.h
@@ -49,6 +49,7 @@
     time_point electionDeadline; // unused on the leader
     vote_phase phase = vote_phase::none; // other than none on a candidate
     std::set<raft_member_id> votes; // granted in this phase
+    raft_election lastElection;
     bool isLeader = false;
     std::map<raft_member_id, raft_progress> peers; // leader only: all other members
     std::uint64_t termStartIndex = 0; // leader only: index of the no-op that starts its term
--- a/src/coordination/raft_node.cpp
+++ b/src/coordination/raft_node.cpp
@@ -10,6 +10,9 @@
 {
     if (message.to != settings.self)
         return;
+    // Recorded whatever its term: a voter refuses with its own one.
+    if (const auto* reply = std::get_if<vote_reply>(&message.body); reply && !reply->granted && phase != vote_phase::none)
+        lastElection.refused.push_back(message.from);
     if (message.term < hardState.term)
         replyToStaleTerm(message);
     else if (message.term == hardState.term || adoptTerm(message))
@@ -148,6 +151,24 @@
     return m_impl->log.size();
 }
 
+const raft_election& raft_node::lastElection() const
+{
+    return m_impl->lastElection;
+}
+
+std::vector<raft_member_id> raft_node::votersWithEntry(std::uint64_t index) const
+{
+    std::vector<raft_member_id> out;
+    if (!m_impl->isLeader)
+        return out;
+    for (const raft_member_id& voter : m_impl->log.membership().voters) {
+        const auto peer = m_impl->peers.find(voter);
+        if (voter == m_impl->settings.self || (peer != m_impl->peers.end() && peer->second.match >= index))
+            out.push_back(voter);
+    }
+    return out;
+}
+
 bool raft_node::isCaughtUp(time_point now, const raft_member_id& member) const
 {
     m_impl->now = now;
--- a/src/coordination/raft_node.h
+++ b/src/coordination/raft_node.h
@@ -73,6 +73,14 @@
     leader
 };
 
+// Replies to the vote requests of the last election or pre-vote that this member started.
+struct raft_election {
+    std::uint64_t number = 0; // counts the elections and pre-votes of this member; 0: none yet
+    bool isPreVote = false;
+    std::vector<raft_member_id> granted; // includes this member
+    std::vector<raft_member_id> refused; // voters in neither list did not reply
+};
+
 struct raft_proposal {
     std::uint64_t index = 0;
     std::uint64_t term = 0; // if an entry of another term is committed at the index, the proposal was lost
@@ -117,6 +125,10 @@
     std::optional<raft_member_id> leader() const;
     const raft_membership& membership() const;
     std::size_t storedEntries() const;
+    const raft_election& lastElection() const;
+
+    // The voters that are known to have stored the entry at the index; empty on other members than the leader.
+    std::vector<raft_member_id> votersWithEntry(std::uint64_t index) const;
 
     // True only on the leader, for a reachable member that needs no probe or snapshot and is at most one append
     // (maxEntriesPerAppend) behind the commit index.
