--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -51,7 +51,7 @@
     impl(control_host_settings hostSettings, control::control_storage storage, std::uint64_t incarnation)
         : settings(std::move(hostSettings))
         , links(loop, meshSettings(incarnation), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
-        , directory(settings.host)
+        , directory(settings.host, settings.seeds)
         , node(nodeSettings(incarnation), std::move(storage), nodeHooks(), steadyNow())
     {
     }
@@ -207,12 +207,8 @@
 
 void control_host::impl::sendHeartbeats()
 {
-    const protocol::control_heartbeat heartbeat { settings.host, node.self().incarnation, apps::toText(settings.operatorEndpoint) };
-    std::vector<std::string> known = directory.liveControlHosts(steadyNow());
-    known.insert(known.end(), settings.seeds.begin(), settings.seeds.end());
-    std::sort(known.begin(), known.end());
-    known.erase(std::unique(known.begin(), known.end()), known.end());
-    for (const std::string& host : known)
+    const protocol::control_heartbeat heartbeat = directory.makeHeartbeat(node.self().incarnation, apps::toText(settings.operatorEndpoint));
+    for (const std::string& host : directory.heartbeatReceivers(steadyNow()))
         sendToControl(host, heartbeat);
 }
 
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -2,6 +2,7 @@
 #include "apps/hub/host_directory.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jackdaw::hub {
 namespace {
@@ -12,8 +13,9 @@
 
 } // namespace
 
-host_directory::host_directory(std::string self)
+host_directory::host_directory(std::string self, std::vector<std::string> seeds)
     : m_self(std::move(self))
+    , m_seeds(std::move(seeds))
 {
 }
 
@@ -58,6 +60,20 @@
     return isNewOrReturned;
 }
 
+protocol::control_heartbeat host_directory::makeHeartbeat(std::uint64_t incarnation, std::string operatorAddress) const
+{
+    return { m_self, incarnation, std::move(operatorAddress) };
+}
+
+std::vector<std::string> host_directory::heartbeatReceivers(time_point now) const
+{
+    std::set<std::string> receivers(m_seeds.begin(), m_seeds.end());
+    for (std::string& host : liveControlHosts(now))
+        receivers.insert(std::move(host));
+    receivers.erase(m_self);
+    return { receivers.begin(), receivers.end() };
+}
+
 bool host_directory::recordUpstreamReport(time_point now, const protocol::upstream_report& report)
 {
     const auto [found, isNew] = m_upstreams.try_emplace(report.id);
--- a/src/apps/hub/host_directory.h
+++ b/src/apps/hub/host_directory.h
@@ -21,12 +21,16 @@
 
 class host_directory {
 public:
-    explicit host_directory(std::string self);
+    // The seeds are control hosts from the settings, and may include this host.
+    host_directory(std::string self, std::vector<std::string> seeds);
 
     // True when the host is new, sent no message within the silence limit before this one, or has restarted.
     bool recordDirectoryRequest(time_point now, const protocol::directory_request& request);
     bool recordControlHeartbeat(time_point now, const protocol::control_heartbeat& heartbeat);
 
+    protocol::control_heartbeat makeHeartbeat(std::uint64_t incarnation, std::string operatorAddress) const;
+    std::vector<std::string> heartbeatReceivers(time_point now) const; // control hosts, without this host
+
     // False when the report is not newer than the stored one; it is then ignored.
     bool recordUpstreamReport(time_point now, const protocol::upstream_report& report);
 
@@ -74,6 +78,7 @@
     protocol::directory_update hostUpdate(time_point now) const;
 
     std::string m_self;
+    std::vector<std::string> m_seeds;
     host_table<protocol::directory_request> m_entryHosts;
     host_table<protocol::control_heartbeat> m_controlHosts;
     std::map<std::string, upstream_record, std::less<>> m_upstreams;
--- a/src/apps/hub/tests/host_directory_tests.cpp
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 using namespace jackdaw::hub;
 using jackdaw::protocol::upstream_report;
 using std::chrono::milliseconds;
@@ -25,7 +27,7 @@
 TEST_CASE("a report is sent once; the report of a leaving upstream is repeated for seconds")
 {
     time_point now(seconds(10));
-    host_directory directory("c1");
+    host_directory directory("c1", {});
     CHECK(directory.recordUpstreamReport(now, makeReport("u1", 1)));
     CHECK(directory.recordUpstreamReport(now, makeReport("u2", 1, true)));
     CHECK(directory.takeBatch(now).reports.size() == 2);
@@ -38,7 +40,7 @@
 TEST_CASE("reports with a lower sequence or from an earlier incarnation are ignored")
 {
     const time_point now(seconds(10));
-    host_directory directory("c1");
+    host_directory directory("c1", {});
     CHECK(directory.recordUpstreamReport(now, makeReport("u1", 5, true)));
     CHECK_FALSE(directory.recordUpstreamReport(now, makeReport("u1", 4)));
     CHECK(directory.recordUpstreamReport(now, makeReport("u1", 1, false, 2000)));
@@ -49,7 +51,7 @@
 TEST_CASE("a deregistered upstream is announced as leaving")
 {
     const time_point now(seconds(10));
-    host_directory directory("c1");
+    host_directory directory("c1", {});
     directory.recordUpstreamReport(now, makeReport("u1", 1));
     directory.takeBatch(now);
     directory.deregisterUpstream("u1");
@@ -61,7 +63,7 @@
 TEST_CASE("hosts without messages within the silence limit are no longer listed")
 {
     time_point now(seconds(10));
-    host_directory directory("c1");
+    host_directory directory("c1", {});
     CHECK(directory.recordDirectoryRequest(now, { "e1", 1, 7, false }));
     CHECK_FALSE(directory.recordDirectoryRequest(now, { "e1", 1, 8, false }));
     CHECK(directory.recordControlHeartbeat(now, { "c2", 1, "10.0.0.2:80" }));
@@ -77,7 +79,7 @@
 TEST_CASE("a restarted entry host gets the reports of all upstreams at once")
 {
     time_point now(seconds(10));
-    host_directory directory("c1");
+    host_directory directory("c1", {});
     directory.recordDirectoryRequest(now, { "e1", 1, 7, false });
     directory.recordUpstreamReport(now, makeReport("u1", 1));
     directory.recordUpstreamReport(now, makeReport("u2", 1, true));
@@ -90,3 +92,39 @@
     now += seconds(6);
     CHECK(directory.fullUpdate(now).reports.empty());
 }
+
+TEST_CASE("control hosts that are not seeds find each other, also while all seeds are down")
+{
+    constexpr std::size_t hostCount = 8;
+    constexpr int roundsToMeet = 6; // 3 s of heartbeats: the time in which a host counts as silent
+    const std::vector<std::string> seeds { "c0", "c1", "c2" };
+    std::map<std::string, host_directory> hosts;
+    for (std::size_t i = 0; i < hostCount; ++i) {
+        const std::string name = "c" + std::to_string(i);
+        hosts.emplace(name, host_directory(name, seeds));
+    }
+    time_point now(seconds(10));
+    const auto exchangeHeartbeats = [&](int rounds) {
+        for (int round = 0; round < rounds; ++round, now += milliseconds(500)) {
+            for (const auto& [name, sender] : hosts) {
+                for (const std::string& receiver : sender.heartbeatReceivers(now)) {
+                    if (const auto found = hosts.find(receiver); found != hosts.end())
+                        found->second.recordControlHeartbeat(now, sender.makeHeartbeat(1, name + ":80"));
+                }
+            }
+        }
+    };
+    exchangeHeartbeats(roundsToMeet);
+    for (const auto& [name, host] : hosts) {
+        CAPTURE(name);
+        CHECK(host.liveControlHosts(now).size() == hostCount - 1);
+    }
+    for (const std::string& seed : seeds)
+        hosts.erase(seed);
+    exchangeHeartbeats(4 * roundsToMeet);
+    for (const auto& [name, host] : hosts) {
+        CAPTURE(name);
+        CHECK(host.liveControlHosts(now).size() == hosts.size() - 1);
+        CHECK(host.operatorAddressOf(hosts.begin()->first) == (name == hosts.begin()->first ? "" : hosts.begin()->first + ":80"));
+    }
+}
