Control hosts that are no seeds find each other

What callers saw: CONFIG on groups of more than three control hosts.

Cause: an incomplete failure detector that decides membership. A control host sent heartbeats to the seeds and to hosts it had heard from, and had a link only to those. Two hosts that are no seeds never heard each other. A leader that was no seed reached the seeds only: it removed the other voters as silent, never took them back, and acknowledged changes with four voters, two of which were lost. Followers that were no seeds couldn't elect each other when the seeds were away.

Change: a heartbeat names the control hosts that its sender heard lately, and a host sends heartbeats to those that were named, to the members of its group (known from its disk, also when all seeds are down) and to the seeds. A message to a control host opens the link to it. Earlier releases ignore the new field and are understood without it (test).

--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -112,6 +112,7 @@
 
     void sendToControl(const std::string& host, const cell_message& message)
     {
+        addControl(host);
         links.send(controlMeshName(host), protocol::encodeCellMessage(message));
     }
 
@@ -207,8 +208,14 @@
 
 void control_host::impl::sendHeartbeats()
 {
-    const protocol::control_heartbeat heartbeat = directory.makeHeartbeat(node.self().incarnation, apps::toText(settings.operatorEndpoint));
-    for (const std::string& host : directory.heartbeatReceivers(steadyNow()))
+    const time_point now = steadyNow();
+    std::vector<std::string> groupHosts;
+    for (const auto* members : { &node.membership().voters, &node.membership().learners }) {
+        for (const protocol::raft_member_id& member : *members)
+            groupHosts.push_back(member.host);
+    }
+    const protocol::control_heartbeat heartbeat = directory.makeHeartbeat(now, node.self().incarnation, apps::toText(settings.operatorEndpoint));
+    for (const std::string& host : directory.heartbeatReceivers(now, groupHosts))
         sendToControl(host, heartbeat);
 }
 
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -55,19 +55,27 @@
 
 bool host_directory::recordControlHeartbeat(time_point now, const protocol::control_heartbeat& heartbeat)
 {
+    for (const std::string& host : heartbeat.heardHosts)
+        m_namedControlHosts[host] = now;
+    std::erase_if(m_namedControlHosts, [now](const auto& named) { return now - named.second > silenceLimit; });
     const bool isNewOrReturned = m_controlHosts.record(now, heartbeat);
     m_hostsChanged = m_hostsChanged || isNewOrReturned;
     return isNewOrReturned;
 }
 
-protocol::control_heartbeat host_directory::makeHeartbeat(std::uint64_t incarnation, std::string operatorAddress) const
+protocol::control_heartbeat host_directory::makeHeartbeat(time_point now, std::uint64_t incarnation, std::string operatorAddress) const
 {
-    return { m_self, incarnation, std::move(operatorAddress) };
+    return { m_self, incarnation, std::move(operatorAddress), liveControlHosts(now) };
 }
 
-std::vector<std::string> host_directory::heartbeatReceivers(time_point now) const
+std::vector<std::string> host_directory::heartbeatReceivers(time_point now, std::span<const std::string> groupHosts) const
 {
     std::set<std::string> receivers(m_seeds.begin(), m_seeds.end());
+    receivers.insert(groupHosts.begin(), groupHosts.end());
+    for (const auto& [host, namedAt] : m_namedControlHosts) {
+        if (now - namedAt <= silenceLimit)
+            receivers.insert(host);
+    }
     for (std::string& host : liveControlHosts(now))
         receivers.insert(std::move(host));
     receivers.erase(m_self);
--- a/src/apps/hub/host_directory.h
+++ b/src/apps/hub/host_directory.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,8 +29,11 @@
     bool recordDirectoryRequest(time_point now, const protocol::directory_request& request);
     bool recordControlHeartbeat(time_point now, const protocol::control_heartbeat& heartbeat);
 
-    protocol::control_heartbeat makeHeartbeat(std::uint64_t incarnation, std::string operatorAddress) const;
-    std::vector<std::string> heartbeatReceivers(time_point now) const; // control hosts, without this host
+    protocol::control_heartbeat makeHeartbeat(time_point now, std::uint64_t incarnation, std::string operatorAddress) const;
+
+    // The control hosts that this host knows of, without this host: the seeds, those heard or named in a heartbeat within the
+    // silence limit, and the members of the group. The members are known from the disk, also while all others are down.
+    std::vector<std::string> heartbeatReceivers(time_point now, std::span<const std::string> groupHosts) const;
 
     // False when the report is not newer than the stored one; it is then ignored.
     bool recordUpstreamReport(time_point now, const protocol::upstream_report& report);
@@ -81,6 +85,7 @@
     std::vector<std::string> m_seeds;
     host_table<protocol::directory_request> m_entryHosts;
     host_table<protocol::control_heartbeat> m_controlHosts;
+    std::map<std::string, time_point> m_namedControlHosts; // when another control host last named it
     std::map<std::string, upstream_record, std::less<>> m_upstreams;
     bool m_hostsChanged = false; // since the last batch
     time_point m_lastBatchAt;
--- a/src/apps/hub/tests/host_directory_tests.cpp
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -107,9 +107,9 @@
     const auto exchangeHeartbeats = [&](int rounds) {
         for (int round = 0; round < rounds; ++round, now += milliseconds(500)) {
             for (const auto& [name, sender] : hosts) {
-                for (const std::string& receiver : sender.heartbeatReceivers(now)) {
+                for (const std::string& receiver : sender.heartbeatReceivers(now, {})) {
                     if (const auto found = hosts.find(receiver); found != hosts.end())
-                        found->second.recordControlHeartbeat(now, sender.makeHeartbeat(1, name + ":80"));
+                        found->second.recordControlHeartbeat(now, sender.makeHeartbeat(now, 1, name + ":80"));
                 }
             }
         }
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -172,10 +172,11 @@
     std::string host;
     std::uint64_t incarnation = 0;
     std::string operatorAddress; // "ip:port"
+    std::vector<std::string> heardHosts {}; // control hosts that the sender heard lately; introduces them to the receiver
 
     friend bool operator==(const control_heartbeat&, const control_heartbeat&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, operatorAddress)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, operatorAddress, heardHosts)
 };
 
 // The known hosts and upstreams, sent by a control host to the entry hosts.
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -2,6 +2,9 @@
 #include "protocol/cell_messages.h"
 
 #include <doctest/doctest.h>
+#include <msgpack.hpp>
+
+#include <tuple>
 
 using namespace jackdaw::protocol;
 
@@ -30,6 +33,18 @@
     CHECK(std::get<host_gossip>(gossipBack.value()) == gossip);
 }
 
+TEST_CASE("a heartbeat of an earlier release, which names no heard hosts, is read")
+{
+    const control_heartbeat heartbeat { "10.0.0.1", 7, "10.0.0.1:80", { "10.0.0.2" } };
+    const std::string bytes = encodeCellMessage(heartbeat);
+    CHECK(std::get<control_heartbeat>(decodeCellMessage(bytes).value()) == heartbeat);
+    msgpack::sbuffer earlier;
+    msgpack::pack(earlier, std::tuple(cell_message(heartbeat).index(), std::tuple(heartbeat.host, heartbeat.incarnation, heartbeat.operatorAddress)));
+    const auto decoded = decodeCellMessage({ earlier.data(), earlier.size() });
+    REQUIRE(decoded);
+    CHECK(std::get<control_heartbeat>(decoded.value()) == control_heartbeat { "10.0.0.1", 7, "10.0.0.1:80" });
+}
+
 TEST_CASE("truncated messages and unknown kinds are rejected")
 {
     const std::string bytes = encodeCellMessage(job_cancel { "5c0e7a21d94b36f8" });
