--- /dev/null
+++ b/src/apps/control/tests/control_group_simulation.cpp
@@ -0,0 +1,189 @@
+// Hosts, links and disks of the simulation.
+#include "apps/control/tests/control_group_simulation.h"
+
+#include "apps/control/storage_opening.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <filesystem>
+
+#include <unistd.h>
+
+namespace jackdaw::control::tests {
+
+using coordination::change_outcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+    constexpr duration linkDelay = milliseconds(1);
+    constexpr duration helloInterval = milliseconds(500);
+
+} // namespace
+
+control_group_simulation::control_group_simulation(std::size_t wantedVoters)
+    : m_wantedVoters(wantedVoters)
+{
+}
+
+control_node_settings control_group_simulation::settingsOf(const std::string& host)
+{
+    control_node_settings settings;
+    simulated_host& owner = m_hosts[host];
+    const auto write = [&owner](int descriptor, const void* data, std::size_t size) -> ssize_t {
+        errno = ENOSPC;
+        return owner.isDiskFull ? -1 : ::write(descriptor, data, size);
+    };
+    settings.storage = { m_folder.path(host), host, "control", { write, [](int) { return 0; } } };
+    settings.minElectionTimeout = milliseconds(300);
+    settings.changeTimeout = changeTimeout;
+    settings.wantedVoters = m_wantedVoters;
+    return settings;
+}
+
+void control_group_simulation::addHost(const std::string& host, bool isFounder)
+{
+    REQUIRE(control_storage::create(settingsOf(host).storage, m_nextIncarnation++, isFounder));
+    start(host);
+}
+
+void control_group_simulation::start(const std::string& host)
+{
+    control_node_settings settings = settingsOf(host);
+    settings.seed = m_nextIncarnation++;
+    auto storage = openStorage(settings.storage);
+    if (!storage)
+        return;
+    const control_node_hooks hooks { [this](const coordination::raft_message& message) { m_inFlight.push_back({ m_now + linkDelay, message }); }, {} };
+    m_hosts[host].node = std::make_unique<control_node>(settings, std::move(storage.value()), hooks, m_now);
+}
+
+void control_group_simulation::removeHost(const std::string& host)
+{
+    m_hosts.erase(host);
+}
+
+void control_group_simulation::setDiskFull(const std::string& host, bool isFull)
+{
+    m_hosts.at(host).isDiskFull = isFull;
+}
+
+void control_group_simulation::powerOff(const std::string& host)
+{
+    m_hosts.at(host).node.reset();
+}
+
+void control_group_simulation::loseDisk(const std::string& host)
+{
+    REQUIRE_FALSE(isOn(host));
+    std::filesystem::remove_all(m_folder.path(host));
+}
+
+void control_group_simulation::powerOn(const std::string& host)
+{
+    if (isOn(host))
+        return;
+    const storage_settings storage = settingsOf(host).storage;
+    if (!std::filesystem::exists(storage.folder) && !control_storage::create(storage, m_nextIncarnation++, false))
+        return;
+    start(host);
+}
+
+void control_group_simulation::cutOff(std::set<std::string> hosts)
+{
+    m_cutOff = std::move(hosts);
+}
+
+void control_group_simulation::pass(duration time)
+{
+    for (const time_point end = m_now + time; m_now < end; m_now += tick) {
+        if (m_now >= m_nextHello)
+            sayHello();
+        deliver();
+        for (const auto& [host, simulated] : m_hosts) {
+            if (simulated.node && simulated.node->nextTimer() <= m_now)
+                simulated.node->advance(m_now);
+        }
+        if (*m_accepted > m_seenAccepted)
+            m_acceptedAt = m_now;
+        m_seenAccepted = *m_accepted;
+    }
+}
+
+std::vector<std::string> control_group_simulation::hosts() const
+{
+    std::vector<std::string> out;
+    for (const auto& [host, simulated] : m_hosts)
+        out.push_back(host);
+    return out;
+}
+
+std::string control_group_simulation::leader() const
+{
+    std::string found;
+    for (const auto& [host, simulated] : m_hosts) {
+        const bool isServing = simulated.node && simulated.node->isServingLeader();
+        if (isServing && (found.empty() || simulated.node->status().term > m_hosts.at(found).node->status().term))
+            found = host;
+    }
+    return found;
+}
+
+void control_group_simulation::submit(std::uint64_t version)
+{
+    const std::string host = leader();
+    if (host.empty())
+        return;
+    coordination::rules_change change;
+    change.changeId = "c" + std::to_string(version);
+    change.operatorName = "ana";
+    change.text = "rules " + std::to_string(version);
+    change.explicitVersion = version;
+    node(host).change(m_now, change, [accepted = m_accepted, version](const auto& answer) {
+        if (answer && answer.value().outcome == change_outcome::accepted)
+            *accepted = std::max(*accepted, version);
+    });
+}
+
+bool control_group_simulation::change(std::uint64_t version)
+{
+    submit(version);
+    pass(changeTimeout + tick);
+    return acceptedVersion() >= version;
+}
+
+bool control_group_simulation::isReachable(const std::string& from, const std::string& to) const
+{
+    const auto target = m_hosts.find(to);
+    return target != m_hosts.end() && target->second.node && m_hosts.contains(from) && m_cutOff.contains(from) == m_cutOff.contains(to);
+}
+
+void control_group_simulation::sayHello()
+{
+    m_nextHello = m_now + helloInterval;
+    for (const auto& [from, sender] : m_hosts) {
+        for (const auto& [to, receiver] : m_hosts) {
+            if (from != to && sender.node && isReachable(from, to))
+                receiver.node->hearMember(m_now, sender.node->self());
+        }
+    }
+}
+
+void control_group_simulation::deliver()
+{
+    std::vector<coordination::raft_message> due;
+    std::erase_if(m_inFlight, [&](const sent_message& sent) {
+        if (sent.arrivesAt > m_now)
+            return false;
+        due.push_back(sent.message);
+        return true;
+    });
+    for (const coordination::raft_message& message : due) {
+        if (isReachable(message.from.host, message.to.host))
+            node(message.to.host).step(m_now, message);
+    }
+}
+
+} // namespace jackdaw::control::tests
