Control group: a member whose disk has room again takes part within half a second

Cause: a failure that outlives its cause. A failed storage was opened again after 5 s only, and when the disk was still full at that moment the member took part, failed at its next write and was away for 5 s more. Two members were then away at once though no two disks were full at once.

Change: a failed storage is opened every 500 ms, and counts as working only after the hard state has been written and synced, so a member on a full disk stays out of elections.

--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -3,6 +3,7 @@
 
 #include "apps/control/group_log.h"
 #include "apps/control/heard_members.h"
+#include "apps/control/storage_opening.h"
 #include "coordination/raft_replacement.h"
 #include "state/log.h"
 
@@ -231,12 +232,15 @@
     store = rules_store();
     // The folder's lock is held by the storage in hand, which must go first.
     storage.reset();
-    auto opened = control_storage::open(settings.storage);
-    if (!opened) {
-        storageFailure = opened.error().detail;
+    auto opened = openStorage(settings.storage);
+    // A member that can't store yet must not take part: each of its failures can cost the group an election.
+    const auto writable = opened ? opened.value().checkWritable() : result<void>(opened.error());
+    if (!writable) {
+        storageFailure = writable.error().detail;
         return;
     }
     storage.emplace(std::move(opened.value()));
+    selfId = storage->self(); // another incarnation when acknowledged entries are missing
     storageFailure.clear();
     start(now);
     process(now);
--- a/src/apps/control/control_node.h
+++ b/src/apps/control/control_node.h
@@ -26,7 +26,7 @@
     duration heartbeat = std::chrono::milliseconds(100);
     duration minElectionTimeout = std::chrono::milliseconds(500);
     duration changeTimeout = std::chrono::seconds(5);
-    duration reopenInterval = std::chrono::seconds(5); // between two tries to open a storage that failed
+    duration reopenInterval = std::chrono::milliseconds(500); // between two tries to open a storage that failed
     std::size_t compactAfterEntries = 256;
     std::size_t wantedVoters = SIZE_MAX; // silent voters beyond so many are removed
 };
@@ -73,7 +73,7 @@
     // True on a leader that has applied all that was committed before its term.
     bool isServingLeader() const;
     std::optional<coordination::raft_member_id> leader() const;
-    coordination::raft_member_id self() const;
+    coordination::raft_member_id self() const; // a storage that is opened again can begin a new incarnation
     const coordination::raft_membership& membership() const;
     const coordination::rules_store& rules() const; // the newest applied; never goes back
     control_node_status status() const;
--- a/src/apps/control/control_storage.cpp
+++ b/src/apps/control/control_storage.cpp
@@ -252,6 +252,11 @@
     });
 }
 
+result<void> control_storage::checkWritable()
+{
+    return m_impl->guard([&] { return m_impl->hardStateFile.store(protocol::encode(m_impl->initial.hardState)); });
+}
+
 std::uint64_t control_storage::journalBytes() const
 {
     return m_impl->log.storedBytes();
--- a/src/apps/control/control_storage.h
+++ b/src/apps/control/control_storage.h
@@ -46,6 +46,9 @@
     // Stores a snapshot of applied entries and gives the space of those back.
     protocol::result<void> compact(const coordination::raft_snapshot& snapshot);
 
+    // Writes and syncs the hard state as it is on disk; for a storage that was opened again after a failure.
+    protocol::result<void> checkWritable();
+
     std::uint64_t journalBytes() const;
 
 private:
