Data folder: a creation that was cut short is repeated

What callers would see: a control host that starts with an empty disk, on a disk that is full or with power lost within the first 0.2 s, ends at every later start ("no data folder: its identity file is missing"), also when there is room again.

Any folder that existed was taken for a complete one, and a creation was refused in a folder that was not empty.

Change: the identity is stored last, so a folder with an identity is complete; a marker file tells what an own creation left from foreign files, which are still refused. A start or reopening of the platform's control host creates the folder where none is complete.

--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -232,7 +232,7 @@
     store = rules_store();
     // The folder's lock is held by the storage in hand, which must go first.
     storage.reset();
-    auto opened = openStorage(settings.storage);
+    auto opened = openOrCreateStorage(settings.storage, false);
     // A member that can't store yet must not take part: each of its failures can cost the group an election.
     const auto writable = opened ? opened.value().checkWritable() : result<void>(opened.error());
     if (!writable) {
--- a/src/apps/control/control_storage.cpp
+++ b/src/apps/control/control_storage.cpp
@@ -171,19 +171,20 @@
 
 result<void> control_storage::create(const storage_settings& settings, std::uint64_t incarnation, bool isFounder)
 {
-    auto folder = state::data_folder::create(settings.folder, { settings.host, settings.group, incarnation }, settings.hooks);
-    if (!folder)
+    const auto fill = [&](const std::string& path) -> result<void> {
+        state::snapshot_file hardStateFile(path + '/' + hardStateFileName, settings.hooks);
+        if (auto stored = hardStateFile.store(protocol::encode(raft_hard_state {})); !stored)
+            return stored;
+        if (const auto log = state::journal::open({ path + '/' + journalFolderName, segmentBytes, settings.hooks }); !log)
+            return log.error();
+        raft_snapshot first;
+        if (isFounder)
+            first.membership.voters.push_back({ settings.host, incarnation });
+        return state::snapshot_file(path + '/' + snapshotFileName, settings.hooks).store(protocol::encode(first));
+    };
+    if (const auto folder = state::data_folder::create(settings.folder, { settings.host, settings.group, incarnation }, settings.hooks, fill); !folder)
         return folder.error();
-    state::snapshot_file hardStateFile(folder.value().pathOf(hardStateFileName), settings.hooks);
-    if (auto stored = hardStateFile.store(protocol::encode(raft_hard_state {})); !stored)
-        return stored;
-    if (const auto log = state::journal::open({ folder.value().pathOf(journalFolderName), segmentBytes, settings.hooks }); !log)
-        return log.error();
-    raft_snapshot first;
-    if (isFounder)
-        first.membership.voters.push_back({ settings.host, incarnation });
-    state::snapshot_file snapshotFile(folder.value().pathOf(snapshotFileName), settings.hooks);
-    return snapshotFile.store(protocol::encode(first));
+    return boost::outcome_v2::success();
 }
 
 result<control_storage> control_storage::open(storage_settings settings)
--- a/src/apps/control/control_storage.h
+++ b/src/apps/control/control_storage.h
@@ -22,7 +22,7 @@
 class control_storage {
 public:
     // Makes a new data folder with this incarnation. The founder begins a group of its own; any other member waits to be
-    // taken in. storage_failed when the folder is not empty.
+    // taken in. A creation that was cut short can be repeated. storage_failed when the folder is not empty.
     static protocol::result<void> create(const storage_settings& settings, std::uint64_t incarnation, bool isFounder);
 
     // corrupt_data for a damaged folder or one of another host or group; storage_failed when it is missing or in use.
--- a/src/apps/control/storage_opening.cpp
+++ b/src/apps/control/storage_opening.cpp
@@ -1,6 +1,7 @@
 // Sets a damaged folder aside, and makes a new one.
 #include "apps/control/storage_opening.h"
 
+#include "state/data_folder.h"
 #include "state/log.h"
 
 #include <filesystem>
@@ -21,9 +22,7 @@
         if (failure)
             return protocol::makeError(protocol::error_kind::storage_failed, settings.folder + ": can't be set aside: " + failure.message());
         state::logEvent(state::log_level::error, "acknowledged_entries_lost", { { "set_aside", aside } });
-        if (const auto created = control_storage::create(settings, randomIncarnation(), false); !created)
-            return created.error();
-        return control_storage::open(settings);
+        return openOrCreateStorage(settings, false);
     }
 
 } // namespace
@@ -48,4 +47,14 @@
     return rejoin(settings);
 }
 
+protocol::result<control_storage> openOrCreateStorage(const storage_settings& settings, bool isFounder)
+{
+    if (state::data_folder::exists(settings.folder))
+        return openStorage(settings);
+    if (const auto created = control_storage::create(settings, randomIncarnation(), isFounder); !created)
+        return created.error();
+    state::logEvent(state::log_level::info, "data_folder_created", { { "folder", settings.folder }, { "founder", isFounder ? "yes" : "no" } });
+    return control_storage::open(settings);
+}
+
 } // namespace jackdaw::control
--- a/src/apps/control/storage_opening.h
+++ b/src/apps/control/storage_opening.h
@@ -14,4 +14,7 @@
 // corrupt_data when entries are lost that no other voter is known to have.
 protocol::result<control_storage> openStorage(const storage_settings& settings);
 
+// Opens the data folder, or creates it under a new incarnation when there is no complete one.
+protocol::result<control_storage> openOrCreateStorage(const storage_settings& settings, bool isFounder);
+
 } // namespace jackdaw::control
--- a/src/apps/control/tests/control_node_tests.cpp
+++ b/src/apps/control/tests/control_node_tests.cpp
@@ -115,6 +115,29 @@
     CHECK(lone.node->rules().inForce().version == 2);
 }
 
+TEST_CASE("a data folder whose creation was cut short by a full disk is created anew when there is space")
+{
+    constexpr int writesOfCreation = 20; // more than there are
+    for (int room = 0; room < writesOfCreation; ++room) {
+        CAPTURE(room);
+        const temporary_folder folder;
+        int writesLeft = room;
+        storage_settings settings { folder.path("data"), "a1", "control", {} };
+        settings.hooks.write = [&writesLeft](int descriptor, const void* data, std::size_t size) -> ssize_t {
+            errno = ENOSPC;
+            return writesLeft-- > 0 ? ::write(descriptor, data, size) : -1;
+        };
+        const bool isCreated = static_cast<bool>(control_storage::create(settings, 7, true));
+        CHECK(static_cast<bool>(control_storage::open(settings)) == isCreated);
+        writesLeft = writesOfCreation;
+        CHECK(static_cast<bool>(control_storage::create(settings, 8, true)) == !isCreated);
+        const auto opened = control_storage::open(settings);
+        REQUIRE(opened);
+        CHECK(opened.value().self().incarnation == (isCreated ? 7 : 8));
+        CHECK(opened.value().membership().voters.size() == 1);
+    }
+}
+
 TEST_CASE("after many changes a restart has all of them, and the data folder stays small")
 {
     constexpr std::uint64_t changes = 1000;
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -14,7 +14,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <filesystem>
 
 namespace jackdaw::hub {
 
@@ -272,16 +271,7 @@
 
 result<control::control_storage> control_host::openStorage(const control_host_settings& settings)
 {
-    const control::storage_settings storage { settings.dataFolder, settings.host, groupName, {} };
-    std::error_code failure;
-    const bool exists = std::filesystem::exists(settings.dataFolder, failure);
-    if (exists)
-        return control::openStorage(storage);
-    const bool isFounder = isGroupFounder(settings);
-    if (const auto created = control::control_storage::create(storage, control::randomIncarnation(), isFounder); !created)
-        return created.error();
-    logEvent(log_level::info, "data_folder_created", { { "folder", settings.dataFolder }, { "founder", isFounder ? "yes" : "no" } });
-    return control::openStorage(storage);
+    return control::openOrCreateStorage({ settings.dataFolder, settings.host, groupName, {} }, isGroupFounder(settings));
 }
 
 control_host::control_host(control_host_settings settings, control::control_storage storage, std::uint64_t incarnation)
--- a/src/state/data_folder.cpp
+++ b/src/state/data_folder.cpp
@@ -21,6 +21,7 @@
 
     constexpr auto identityFileName = "identity";
     constexpr auto lockFileName = "lock";
+    constexpr auto creationFileName = "creation"; // there while the folder is being created
 
     // Names come from settings and are short; quotes, backslashes and control characters have no place in them.
     bool isPlainName(const std::string& name)
@@ -70,6 +71,40 @@
         return internal::syncFolder(parent.string(), hooks);
     }
 
+    // Removes what a creation that was cut short has left.
+    result<void> clearIncomplete(const std::string& path)
+    {
+        std::error_code failure;
+        const bool isIncomplete = !data_folder::exists(path) && std::filesystem::exists(path + '/' + creationFileName, failure);
+        const std::filesystem::directory_iterator entries(path, failure);
+        for (const auto& entry : entries) {
+            if (!isIncomplete)
+                return makeError(error_kind::storage_failed, path + ": not empty: won't be made anew");
+            if (entry.path().filename() != creationFileName)
+                std::filesystem::remove_all(entry.path(), failure);
+        }
+        if (failure)
+            return makeError(error_kind::storage_failed, path + ": can't be cleared: " + failure.message());
+        return boost::outcome_v2::success();
+    }
+
+    result<void> storeIdentity(const std::string& path, const data_folder_identity& identity, const file_hooks& hooks, const data_folder::fill_hook& fill)
+    {
+        const std::string creationPath = path + '/' + creationFileName;
+        if (auto creation = internal::file::open(creationPath, O_WRONLY | O_CREAT); !creation)
+            return creation.error();
+        auto lock = lockFolder(path);
+        if (!lock)
+            return lock.error();
+        if (auto filled = fill ? fill(path) : result<void>(boost::outcome_v2::success()); !filled)
+            return filled;
+        if (auto stored = snapshot_file(path + '/' + identityFileName, hooks).store(toText(identity)); !stored)
+            return stored;
+        std::error_code ignored; // beside an identity the file has no meaning
+        std::filesystem::remove(creationPath, ignored);
+        return boost::outcome_v2::success();
+    }
+
 } // namespace
 
 class data_folder::impl {
@@ -87,27 +122,25 @@
 data_folder& data_folder::operator=(data_folder&&) noexcept = default;
 data_folder::~data_folder() = default;
 
-result<data_folder> data_folder::create(const std::string& path, const data_folder_identity& identity, const file_hooks& hooks)
+result<data_folder> data_folder::create(const std::string& path, const data_folder_identity& identity, const file_hooks& hooks, const fill_hook& fill)
 {
     if (!isPlainName(identity.host) || !isPlainName(identity.group))
         return makeError(error_kind::malformed_request, "host and group names are letters, digits, '-', '_' and '.'");
     if (const auto made = makeFolder(path, hooks); !made)
         return made.error();
-    std::error_code failure;
-    const bool isEmpty = std::filesystem::is_empty(path, failure);
-    if (failure || !isEmpty)
-        return makeError(error_kind::storage_failed, path + ": not empty: won't be made anew");
-    {
-        auto lock = lockFolder(path);
-        if (!lock)
-            return lock.error();
-        snapshot_file file(path + '/' + identityFileName, hooks);
-        if (const auto stored = file.store(toText(identity)); !stored)
-            return stored.error();
-    }
+    if (const auto cleared = clearIncomplete(path); !cleared)
+        return cleared.error();
+    if (const auto stored = storeIdentity(path, identity, hooks, fill); !stored)
+        return stored.error();
     return open(path, identity.host, identity.group);
 }
 
+bool data_folder::exists(const std::string& path)
+{
+    std::error_code failure;
+    return std::filesystem::exists(path + '/' + identityFileName, failure);
+}
+
 result<data_folder> data_folder::open(const std::string& path, const std::string& host, const std::string& group)
 {
     const std::string identityPath = path + '/' + identityFileName;
--- a/src/state/data_folder.h
+++ b/src/state/data_folder.h
@@ -5,6 +5,7 @@
 #include "state/file_hooks.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -20,8 +21,14 @@
 
 class data_folder {
 public:
-    // Makes the folder where needed and stores the identity. Refused with storage_failed when the folder is not empty.
-    static protocol::result<data_folder> create(const std::string& path, const data_folder_identity& identity, const file_hooks& hooks = {});
+    using fill_hook = std::function<protocol::result<void>(const std::string& path)>;
+
+    // Makes the folder where needed, has it filled, and stores the identity last: a folder with an identity is complete. What an
+    // earlier creation left that was cut short is removed first. Refused with storage_failed when the folder holds anything else.
+    static protocol::result<data_folder> create(const std::string& path, const data_folder_identity& identity, const file_hooks& hooks = {}, const fill_hook& fill = {});
+
+    // Whether there is a complete data folder, of any host and group.
+    static bool exists(const std::string& path);
 
     // storage_failed: no data folder, or in use by another process. corrupt_data: it belongs to another host or group,
     // or its identity can't be read.
