Control group: as many voters as the tolerated disk losses need

What callers would see: an acknowledged change is gone, or nobody leads, after two disks are lost where the deployment tolerates two (CONFIG).

Cause: the number of losses that a deployment bears never reached the control group. Three voters were enough to accept a change, and the floor of the removal of silent voters; of three voters, the two that stored a change may be the two that are lost.

Change: the setting tolerated_losses, filled in from the platform's settings (default 1, as before). With f losses a change is accepted by 2 f + 1 voters or more, as far as so many hosts are known, and silent voters leave only down to 2 f + 1 and never below three. The check moves from the platform's control host into control_node: jackdaw-control has it too, with the losses that its list of members bears.

--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -35,6 +36,9 @@
     // A group of two hosts must be able to replace one of them.
     constexpr std::size_t minVotersLeft = 1;
 
+    // Of three voters one can be replaced while the other two are a majority.
+    constexpr std::size_t minRemainingVoters = 3;
+
     constexpr duration memberSilenceLimit = std::chrono::seconds(3);
     constexpr std::uint64_t maxJournalBytes = 8 * 1024 * 1024; // compacts earlier when changes are large
 
@@ -89,6 +93,10 @@
     void reopen(time_point now);
     void answerOverdue(time_point now);
     void replaceMembers(time_point now);
+
+    // A change is then stored by more hosts than may lose their disks, and the voters that keep theirs are a majority.
+    std::size_t votersNeeded() const { return 2 * settings.toleratedLosses + 1; }
+    std::size_t knownHosts(time_point now) const;
 };
 
 void control_node::impl::start(time_point now)
@@ -182,11 +190,12 @@
         if (isOurs)
             waiting->second.done(change.error());
     } else {
+        const std::uint64_t before = store.inForce().version;
         const change_answer answer = store.apply(change.value());
-        if (isOurs) {
+        if (isOurs && answer.inForce.version > before)
             logCommitted(entry, answer);
+        if (isOurs)
             waiting->second.done(answer);
-        }
     }
     if (isOurs)
         pending.erase(entry.index);
@@ -267,12 +276,22 @@
         return;
     live.push_back(selfId);
     auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
-    if (!plan)
-        plan = coordination::planRemoval(raft->membership(), live, settings.wantedVoters);
+    if (!plan && settings.removesSilentVoters)
+        plan = coordination::planRemoval(raft->membership(), live, std::max(minRemainingVoters, votersNeeded()));
     if (plan)
         raft->proposeMembership(now, *plan);
 }
 
+std::size_t control_node::impl::knownHosts(time_point now) const
+{
+    std::set<std::string> hosts { selfId.host };
+    for (const raft_member_id& member : heardMembers.live(now))
+        hosts.insert(member.host);
+    for (const raft_member_id& member : raft->membership().voters)
+        hosts.insert(member.host);
+    return std::max(hosts.size(), settings.expectedHosts);
+}
+
 control_node::control_node(control_node_settings settings, control_storage storage, control_node_hooks hooks, time_point now)
     : m_impl(std::make_unique<impl>(std::move(settings), std::move(storage), std::move(hooks), now))
 {
@@ -318,6 +337,8 @@
         return done(makeError(error_kind::storage_failed, m_impl->storageFailure));
     if (!isServingLeader())
         return done(makeError(error_kind::not_leader, {}));
+    if (membership().voters.size() < std::min(m_impl->votersNeeded(), m_impl->knownHosts(now)))
+        return done(makeError(error_kind::not_leader, "the group has too few voters for the losses that it must bear"));
     const auto proposal = m_impl->raft->propose(now, coordination::encodeRulesChange(change));
     if (!proposal)
         return done(makeError(error_kind::not_leader, {}));
--- a/src/apps/control/control_node.h
+++ b/src/apps/control/control_node.h
@@ -28,7 +28,9 @@
     duration changeTimeout = std::chrono::seconds(5);
     duration reopenInterval = std::chrono::milliseconds(500); // between two tries to open a storage that failed
     std::size_t compactAfterEntries = 256;
-    std::size_t wantedVoters = SIZE_MAX; // silent voters beyond so many are removed
+    std::size_t toleratedLosses = 0; // disks that may be lost at once, with all other hosts down, without loss of a change
+    std::size_t expectedHosts = 1; // hosts of the group that the settings name; more are known once they are heard
+    bool removesSilentVoters = false; // down to the number that toleratedLosses needs
 };
 
 struct control_node_hooks {
@@ -65,6 +67,7 @@
     time_point nextTimer() const;
 
     // The completion runs once: when the change is committed and applied, or with not_leader, storage_failed, timed_out.
+    // not_leader also while there are fewer voters than toleratedLosses needs and known hosts could be voters.
     void change(time_point now, const coordination::rules_change& change, change_completion done);
 
     // Hands leadership on; for a planned stop.
--- a/src/apps/control/control_process.cpp
+++ b/src/apps/control/control_process.cpp
@@ -91,6 +91,7 @@
         out.minElectionTimeout = settings.minElectionTimeout;
         out.changeTimeout = settings.changeTimeout;
         out.compactAfterEntries = settings.compactAfterEntries;
+        out.toleratedLosses = (settings.members.size() - 1) / 2;
         return out;
     }
 
--- a/src/apps/control/tests/control_group_simulation.cpp
+++ b/src/apps/control/tests/control_group_simulation.cpp
@@ -23,8 +23,8 @@
 
 } // namespace
 
-control_group_simulation::control_group_simulation(std::size_t wantedVoters)
-    : m_wantedVoters(wantedVoters)
+control_group_simulation::control_group_simulation(std::size_t toleratedLosses)
+    : m_toleratedLosses(toleratedLosses)
 {
 }
 
@@ -39,7 +39,8 @@
     settings.storage = { m_folder.path(host), host, "control", { write, [](int) { return 0; } } };
     settings.minElectionTimeout = milliseconds(300);
     settings.changeTimeout = changeTimeout;
-    settings.wantedVoters = m_wantedVoters;
+    settings.toleratedLosses = m_toleratedLosses;
+    settings.removesSilentVoters = true;
     return settings;
 }
 
--- a/src/apps/control/tests/control_group_simulation.h
+++ b/src/apps/control/tests/control_group_simulation.h
@@ -19,7 +19,7 @@
     static constexpr duration tick = std::chrono::milliseconds(10);
     static constexpr duration changeTimeout = std::chrono::milliseconds(900);
 
-    explicit control_group_simulation(std::size_t wantedVoters);
+    explicit control_group_simulation(std::size_t toleratedLosses);
 
     // A new host, with an empty disk.
     void addHost(const std::string& host, bool isFounder);
@@ -73,7 +73,7 @@
     void sayHello();
     void deliver();
 
-    const std::size_t m_wantedVoters;
+    const std::size_t m_toleratedLosses;
     state::testing::temporary_folder m_folder;
     std::map<std::string, simulated_host> m_hosts;
     std::vector<sent_message> m_inFlight;
--- a/src/apps/control/tests/group_losses_tests.cpp
+++ b/src/apps/control/tests/group_losses_tests.cpp
@@ -16,7 +16,7 @@
 {
     constexpr duration catchUpTime = seconds(4); // after which a replaced host is lost no longer
     constexpr duration applyTime = seconds(2); // in which an accepted change is in force
-    control_group_simulation group(3);
+    control_group_simulation group(1);
     group.addHost("a1", true);
     group.addHost("b1", false);
     group.addHost("c1", false);
@@ -37,6 +37,41 @@
     CHECK(group.node(leader).rules().inForce().version == 3);
 }
 
+// Five of eight hosts are away, three by a cut and then two without power, for long enough to count as silent.
+TEST_CASE("a change that was accepted while hosts were away survives the loss of two disks")
+{
+    constexpr std::size_t toleratedLosses = 2;
+    const std::vector<std::string> connected { "h0", "h1", "h2" };
+    for (const std::string& keptHost : connected) {
+        CAPTURE(keptHost);
+        control_group_simulation group(toleratedLosses);
+        for (std::size_t i = 0; i < 8; ++i)
+            group.addHost("h" + std::to_string(i), i == 0);
+        group.pass(seconds(5));
+        group.cutOff({ "h5", "h6", "h7" });
+        group.pass(seconds(5));
+        REQUIRE(group.change(1));
+        group.powerOff("h3");
+        group.powerOff("h4");
+        group.pass(seconds(5));
+        REQUIRE(group.change(2));
+        for (const std::string& host : group.hosts())
+            group.powerOff(host);
+        for (const std::string& host : connected) {
+            if (host != keptHost)
+                group.loseDisk(host);
+        }
+        group.heal();
+        for (const std::string& host : group.hosts())
+            group.powerOn(host);
+        group.pass(seconds(5));
+        const std::string leader = group.leader();
+        CHECK_FALSE(leader.empty());
+        if (!leader.empty())
+            CHECK(group.node(leader).rules().inForce().version == 2);
+    }
+}
+
 // In turn, each disk has no room for a time, and the next one none from then on. Each change must be accepted within the bound.
 TEST_CASE("disks that are full one after another do not stop the group")
 {
@@ -45,7 +80,7 @@
         for (duration fullTime = seconds(2); fullTime <= seconds(7); fullTime += milliseconds(300)) {
             CAPTURE(hostCount);
             CAPTURE(fullTime.count());
-            control_group_simulation group(hostCount);
+            control_group_simulation group((hostCount + 1) / 4);
             for (std::size_t i = 0; i < hostCount; ++i)
                 group.addHost("h" + std::to_string(i), i == 0);
             group.pass(seconds(5));
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -36,7 +36,6 @@
     // A link without acknowledgements for so long is dialled again. It is 1.5 times the longest election timeout, 600 ms.
     constexpr duration linkSilenceLimit = std::chrono::milliseconds(900);
     constexpr duration minElectionTimeout = std::chrono::milliseconds(300); // three Raft heartbeats of 100 ms; the maximum is twice as long
-    constexpr std::size_t wantedVoters = 3; // tolerates the loss of one voter; with fewer seeds, fewer are required
 
     bool isGroupFounder(const control_host_settings& settings)
     {
@@ -95,7 +94,9 @@
         out.seed = incarnation;
         out.minElectionTimeout = minElectionTimeout;
         out.changeTimeout = changeTimeout;
-        out.wantedVoters = wantedVoters;
+        out.toleratedLosses = settings.toleratedLosses;
+        out.expectedHosts = settings.seeds.size();
+        out.removesSilentVoters = true;
         return out;
     }
 
@@ -253,9 +254,6 @@
     changes.add();
     if (newConfiguration.version > 0)
         logEvent(log_level::info, "change_received", { { "version", std::to_string(newConfiguration.version) }, { "serving", node.isServingLeader() ? "yes" : "no" } });
-    const std::size_t requiredVoters = std::min(wantedVoters, settings.seeds.size());
-    if (node.isServingLeader() && node.membership().voters.size() < requiredVoters)
-        return done(makeError(error_kind::not_leader, "the group is not complete yet"));
     coordination::rules_change change;
     change.changeId = settings.host + '/' + std::to_string(++changeNumber);
     change.operatorName = "operator";
--- a/src/apps/hub/control_host_settings.cpp
+++ b/src/apps/hub/control_host_settings.cpp
@@ -10,6 +10,8 @@
     using protocol::result;
     using state::settings_reader;
 
+    constexpr std::int64_t maxToleratedLosses = 100;
+
     result<control_host_settings> read(settings_reader reader)
     {
         control_host_settings settings;
@@ -17,6 +19,7 @@
         settings.host = reader.requiredString("host");
         settings.dataFolder = reader.requiredString("data_folder") + "/control";
         settings.isFirstStart = reader.booleanOr("first_start", false);
+        settings.toleratedLosses = static_cast<std::size_t>(reader.integerOr("tolerated_losses", 1, 0, maxToleratedLosses));
         settings.metricsPort = static_cast<std::uint16_t>(reader.integerOr("metrics_port", 0, 0, 65535));
         settings.meshPort = static_cast<std::uint16_t>(reader.requiredInteger("control_mesh_port", 1, 65535));
         settings.entryMeshPort = static_cast<std::uint16_t>(reader.requiredInteger("entry_mesh_port", 1, 65535));
--- a/src/apps/hub/control_host_settings.h
+++ b/src/apps/hub/control_host_settings.h
@@ -18,6 +18,7 @@
     std::string host; // IP address; identifies the host in its group and in the mesh
     std::string dataFolder;
     std::vector<std::string> seeds; // IP addresses of control hosts
+    std::size_t toleratedLosses = 1; // disks that may be lost at once without loss of a change
     bool isFirstStart = false; // first start of the whole system, with empty disks
     transport::endpoint operatorEndpoint; // serves operators and upstreams
     std::uint16_t metricsPort = 0; // 0: metrics are not served
--- a/src/apps/hub/tests/control_host_settings_tests.cpp
+++ b/src/apps/hub/tests/control_host_settings_tests.cpp
@@ -36,6 +36,9 @@
     CHECK(settings.value().seeds == std::vector<std::string> { "10.0.0.1", "10.0.0.2" });
     CHECK(settings.value().isFirstStart);
     CHECK(settings.value().operatorEndpoint.port == 80);
+    CHECK(settings.value().toleratedLosses == 1);
+    CHECK(read(std::string(validSettings) + "tolerated_losses = 2\n").value().toleratedLosses == 2);
+    CHECK_FALSE(read(std::string(validSettings) + "tolerated_losses = -1\n"));
 }
 
 TEST_CASE("missing and unknown keys and invalid values are errors that name the key")
