--- a/src/apps/control/tests/control_group_simulation.cpp
+++ b/src/apps/control/tests/control_group_simulation.cpp
@@ -107,9 +107,9 @@
             if (simulated.node && simulated.node->nextTimer() <= m_now)
                 simulated.node->advance(m_now);
         }
-        if (*m_accepted > m_seenAccepted)
+        if (m_results->accepted > m_seenAccepted)
             m_acceptedAt = m_now;
-        m_seenAccepted = *m_accepted;
+        m_seenAccepted = m_results->accepted;
     }
 }
 
@@ -142,9 +142,14 @@
     change.operatorName = "ana";
     change.text = "rules " + std::to_string(version);
     change.explicitVersion = version;
-    node(host).change(m_now, change, [accepted = m_accepted, version](const auto& answer) {
-        if (answer && answer.value().outcome == change_outcome::accepted)
-            *accepted = std::max(*accepted, version);
+    const std::uint64_t acceptedBefore = m_results->accepted;
+    const bool isBehind = node(host).rules().inForce().version < acceptedBefore;
+    node(host).change(m_now, change, [results = m_results, version, acceptedBefore, isBehind](const auto& answer) {
+        if (!answer || answer.value().outcome != change_outcome::accepted)
+            return;
+        results->accepted = std::max(results->accepted, version);
+        if (isBehind)
+            results->lost = acceptedBefore;
     });
 }
 
--- a/src/apps/control/tests/control_group_simulation.h
+++ b/src/apps/control/tests/control_group_simulation.h
@@ -50,7 +50,10 @@
 
     // Hands a change to the leader, without waiting for the outcome.
     void submit(std::uint64_t version);
-    std::uint64_t acceptedVersion() const { return *m_accepted; } // the highest that was acknowledged
+    std::uint64_t acceptedVersion() const { return m_results->accepted; } // the highest that was acknowledged
+
+    // An acknowledged version that a leader did not have when it took a change that it acknowledged later; 0: none.
+    std::uint64_t lostVersion() const { return m_results->lost; }
     time_point acceptedAt() const { return m_acceptedAt; }
 
     // Whether the change was accepted within its time-out.
@@ -62,6 +65,11 @@
         bool isDiskFull = false;
     };
 
+    struct change_results {
+        std::uint64_t accepted = 0;
+        std::uint64_t lost = 0;
+    };
+
     struct sent_message {
         time_point arrivesAt;
         coordination::raft_message message;
@@ -79,7 +87,7 @@
     std::vector<sent_message> m_inFlight;
     std::set<std::string> m_cutOff;
     std::uint64_t m_nextIncarnation = 1;
-    std::shared_ptr<std::uint64_t> m_accepted = std::make_shared<std::uint64_t>(0);
+    std::shared_ptr<change_results> m_results = std::make_shared<change_results>();
     std::uint64_t m_seenAccepted = 0;
     time_point m_acceptedAt;
     time_point m_now;
