Entry host: rules that a failed disk did not take are stored once it works again

What callers would see: after one failed write an entry host never stored rules again until its next start, and that start began with the old ones: they come back older until a control host answers.

Change: a failed store is repeated with the next pull, once a second, with a new file object.

--- a/src/apps/entry/rules_client.cpp
+++ b/src/apps/entry/rules_client.cpp
@@ -19,12 +19,11 @@
 
 class rules_client::impl {
 public:
-    impl(std::vector<std::string> controlNames, const std::string& file, hooks clientHooks)
+    impl(std::vector<std::string> controlNames, std::string file, hooks clientHooks)
         : controls(std::move(controlNames))
         , actions(std::move(clientHooks))
+        , storedRulesFile(std::move(file))
     {
-        if (!file.empty())
-            stored.emplace(file);
     }
 
     // False when the text can't be read; the rules in force stay.
@@ -48,24 +47,28 @@
         const auto* push = std::get_if<rules_push>(&message);
         if (!push)
             return;
-        if (push->version > version && apply(*push))
-            store(*push);
+        if (push->version > version && apply(*push)) {
+            unstored = *push;
+            store();
+        }
         actions.send(controlName, rules_pull { version });
     }
 
-    void store(const rules_push& push)
+    // A failed store is repeated with the next pull.
+    void store()
     {
-        if (!stored)
+        if (storedRulesFile.empty() || !unstored)
             return;
-        if (const auto done = stored->store(protocol::encodeConfigMessage(push)); !done)
-            logEvent(log_level::error, "rules_not_stored", { { "reason", done.error().detail } });
+        if (const auto done = state::snapshot_file(storedRulesFile).store(protocol::encodeConfigMessage(*unstored)); !done)
+            return logEvent(log_level::error, "rules_not_stored", { { "version", std::to_string(unstored->version) }, { "reason", done.error().detail } });
+        unstored.reset();
     }
 
     void restore()
     {
-        if (!stored)
+        if (storedRulesFile.empty())
             return;
-        const auto bytes = stored->load();
+        const auto bytes = state::snapshot_file(storedRulesFile).load();
         if (!bytes)
             return logEvent(log_level::error, "stored_rules_refused", { { "reason", bytes.error().detail } });
         if (!bytes.value())
@@ -78,13 +81,15 @@
 
     void pull()
     {
+        store();
         for (const std::string& control : controls)
             actions.send(control, rules_pull { version });
     }
 
     const std::vector<std::string> controls;
     const hooks actions;
-    std::optional<state::snapshot_file> stored;
+    const std::string storedRulesFile; // empty: the rules are not stored here
+    std::optional<rules_push> unstored; // rules in force that a failed disk did not take
     std::uint64_t version = 0; // only goes up
 };
 
--- a/src/apps/entry/tests/rules_client_tests.cpp
+++ b/src/apps/entry/tests/rules_client_tests.cpp
@@ -60,6 +60,28 @@
     CHECK(host.sent == before + 1);
 }
 
+TEST_CASE("rules that a failed disk did not take are stored once it works again")
+{
+    const std::filesystem::path folder = std::filesystem::temp_directory_path() / ("jackdaw-rules-folder-" + std::to_string(getpid()));
+    const std::string file = folder / "rules";
+    {
+        fixture host(file);
+        host.push(7, heavy);
+        std::filesystem::create_directory(folder);
+        host.client.pull();
+    }
+    {
+        fixture host(file);
+        host.client.start();
+        CHECK(host.client.version() == 7);
+        host.push(8, light);
+    }
+    fixture host(file);
+    host.client.start();
+    CHECK(host.client.version() == 8);
+    std::filesystem::remove_all(folder);
+}
+
 TEST_CASE("stored rules are in force again after a restart")
 {
     const std::string file = std::filesystem::temp_directory_path() / ("jackdaw-rules-test-" + std::to_string(getpid()));
