--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -14,6 +14,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <optional>
 
 namespace jackdaw::hub {
 
@@ -74,8 +75,7 @@
     state::gauge& logLinesLeftOutGauge = allMetrics.addGauge("jackdaw_log_lines_left_out", "Log lines that were not written since the start.");
     control::group_log groupLog;
     std::uint64_t changeNumber = 0;
-    time_point appliedAt; // of the newest configuration
-    std::uint64_t versionInForce = 0; // the newest version that all live entry hosts reported
+    std::optional<time_point> appliedAt; // of the newest configuration, until all live entry hosts have reported it
 
     transport::mesh_settings meshSettings(std::uint64_t incarnation) const
     {
@@ -167,10 +167,10 @@
 void control_host::impl::logDistribution(time_point now)
 {
     const std::uint64_t newest = node.rules().inForce().version;
-    if (newest == versionInForce || !directory.entryHostsBehind(now, newest).empty())
+    if (!appliedAt || !node.isServingLeader() || !directory.entryHostsBehind(now, newest).empty())
         return;
-    versionInForce = newest;
-    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - appliedAt);
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(now - *appliedAt);
+    appliedAt.reset();
     logEvent(log_level::info, "configuration_distributed", { { "version", std::to_string(newest) }, { "entry_hosts", std::to_string(directory.liveEntryHosts(now).size()) }, { "after_ms", std::to_string(took.count()) } });
 }
 
