--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -36,8 +36,8 @@
     // A group of two hosts must be able to replace one of them.
     constexpr std::size_t minVotersLeft = 1;
 
-    // Of three voters one can be replaced while the other two are a majority.
-    constexpr std::size_t minRemainingVoters = 3;
+    // Bears that one host is down, also where no disk may be lost.
+    constexpr std::size_t minWantedVoters = 3;
 
     constexpr duration memberSilenceLimit = std::chrono::seconds(3);
     constexpr std::uint64_t maxJournalBytes = 8 * 1024 * 1024; // compacts earlier when changes are large
@@ -95,7 +95,7 @@
     void replaceMembers(time_point now);
 
     // A change is then stored by more hosts than may lose their disks, and the voters that keep theirs are a majority.
-    std::size_t votersNeeded() const { return 2 * settings.toleratedLosses + 1; }
+    std::size_t wantedVoters() const { return std::max(minWantedVoters, 2 * settings.toleratedLosses + 1); }
     std::size_t knownHosts(time_point now) const;
 };
 
@@ -277,7 +277,7 @@
     live.push_back(selfId);
     auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
     if (!plan && settings.removesSilentVoters)
-        plan = coordination::planRemoval(raft->membership(), live, std::max(minRemainingVoters, votersNeeded()));
+        plan = coordination::planRemoval(raft->membership(), live, wantedVoters());
     if (plan)
         raft->proposeMembership(now, *plan);
 }
@@ -337,7 +337,7 @@
         return done(makeError(error_kind::storage_failed, m_impl->storageFailure));
     if (!isServingLeader())
         return done(makeError(error_kind::not_leader, {}));
-    if (membership().voters.size() < std::min(m_impl->votersNeeded(), m_impl->knownHosts(now)))
+    if (membership().voters.size() < std::min(m_impl->wantedVoters(), m_impl->knownHosts(now)))
         return done(makeError(error_kind::not_leader, "the group has too few voters for the losses that it must bear"));
     const auto proposal = m_impl->raft->propose(now, coordination::encodeRulesChange(change));
     if (!proposal)
