--- a/src/apps/control/tests/control_group_simulation.cpp
+++ b/src/apps/control/tests/control_group_simulation.cpp
@@ -2,6 +2,7 @@
 #include "apps/control/tests/control_group_simulation.h"
 
 #include "apps/control/storage_opening.h"
+#include "state/data_folder.h"
 
 #include <doctest/doctest.h>
 
@@ -32,11 +33,17 @@
 {
     control_node_settings settings;
     simulated_host& owner = m_hosts[host];
+    // A full disk takes the beginning of a write, and its syncs fail too.
     const auto write = [&owner](int descriptor, const void* data, std::size_t size) -> ssize_t {
+        const std::size_t room = owner.isDiskFull ? size / 2 : size;
         errno = ENOSPC;
-        return owner.isDiskFull ? -1 : ::write(descriptor, data, size);
+        return room > 0 ? ::write(descriptor, data, room) : -1;
     };
-    settings.storage = { m_folder.path(host), host, "control", { write, [](int) { return 0; } } };
+    const auto sync = [&owner](int) {
+        errno = ENOSPC;
+        return owner.isDiskFull ? -1 : 0;
+    };
+    settings.storage = { m_folder.path(host), host, "control", { write, sync } };
     settings.minElectionTimeout = milliseconds(300);
     settings.changeTimeout = changeTimeout;
     settings.toleratedLosses = m_toleratedLosses;
@@ -54,6 +61,8 @@
 {
     control_node_settings settings = settingsOf(host);
     settings.seed = m_nextIncarnation++;
+    if (!state::data_folder::exists(settings.storage.folder) && !control_storage::create(settings.storage, m_nextIncarnation++, false))
+        return;
     auto storage = openStorage(settings.storage);
     if (!storage)
         return;
@@ -74,6 +83,7 @@
 void control_group_simulation::powerOff(const std::string& host)
 {
     m_hosts.at(host).node.reset();
+    m_hosts.at(host).isOn = false;
 }
 
 void control_group_simulation::loseDisk(const std::string& host)
@@ -86,12 +96,18 @@
 {
     if (isOn(host))
         return;
-    const storage_settings storage = settingsOf(host).storage;
-    if (!std::filesystem::exists(storage.folder) && !control_storage::create(storage, m_nextIncarnation++, false))
-        return;
+    m_hosts.at(host).isOn = true;
     start(host);
 }
 
+void control_group_simulation::startAll()
+{
+    for (const std::string& host : hosts()) {
+        if (isOn(host) && !isRunning(host))
+            start(host);
+    }
+}
+
 void control_group_simulation::cutOff(std::set<std::string> hosts)
 {
     m_cutOff = std::move(hosts);
@@ -100,8 +116,10 @@
 void control_group_simulation::pass(duration time)
 {
     for (const time_point end = m_now + time; m_now < end; m_now += tick) {
-        if (m_now >= m_nextHello)
+        if (m_now >= m_nextHello) {
+            startAll();
             sayHello();
+        }
         deliver();
         for (const auto& [host, simulated] : m_hosts) {
             if (simulated.node && simulated.node->nextTimer() <= m_now)
--- a/src/apps/control/tests/control_group_simulation.h
+++ b/src/apps/control/tests/control_group_simulation.h
@@ -33,7 +33,10 @@
     void powerOff(const std::string& host);
     void loseDisk(const std::string& host); // of a host without power
     void powerOn(const std::string& host);
-    bool isOn(const std::string& host) const { return m_hosts.at(host).node != nullptr; }
+    bool isOn(const std::string& host) const { return m_hosts.at(host).isOn; }
+
+    // False without power and while the member can't start; it is started again twice a second.
+    bool isRunning(const std::string& host) const { return m_hosts.at(host).node != nullptr; }
 
     // The hosts reach each other and nobody else, and the others reach each other. Replaces an earlier cut.
     void cutOff(std::set<std::string> hosts);
@@ -61,7 +64,8 @@
 
 private:
     struct simulated_host {
-        std::unique_ptr<control_node> node; // null without power
+        bool isOn = true;
+        std::unique_ptr<control_node> node; // null while not running
         bool isDiskFull = false;
     };
 
@@ -77,6 +81,7 @@
 
     control_node_settings settingsOf(const std::string& host);
     void start(const std::string& host);
+    void startAll();
     bool isReachable(const std::string& from, const std::string& to) const;
     void sayHello();
     void deliver();
--- a/src/apps/control/tests/group_soak_tests.cpp
+++ b/src/apps/control/tests/group_soak_tests.cpp
@@ -279,8 +279,9 @@
     void checkNewest()
     {
         const std::string leader = m_group.leader();
-        if (leader.empty())
-            fail("no leader at the end");
+        const std::vector<std::string> hosts = m_group.hosts();
+        if (leader.empty() || !std::ranges::all_of(hosts, [this](const std::string& host) { return m_group.isRunning(host); }))
+            fail("no leader, or a host that can't start, at the end");
         else if (m_group.node(leader).rules().inForce().version < m_group.acceptedVersion())
             fail("version " + std::to_string(m_group.acceptedVersion()) + " was accepted, " + std::to_string(m_group.node(leader).rules().inForce().version) + " is in force at the end");
     }
@@ -296,8 +297,8 @@
     {
         note(violation);
         for (const std::string& host : m_group.hosts()) {
-            if (!m_group.isOn(host)) {
-                note(host + " is off");
+            if (!m_group.isRunning(host)) {
+                note(host + (m_group.isOn(host) ? " can't start" : " is off"));
                 continue;
             }
             const control_node_status status = m_group.node(host).status();
