--- a/src/apps/hub/tests/host_directory_tests.cpp
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -115,16 +115,17 @@
         }
     };
     exchangeHeartbeats(roundsToMeet);
-    for (const auto& [name, host] : hosts) {
-        CAPTURE(name);
-        CHECK(host.liveControlHosts(now).size() == hostCount - 1);
+    for (const auto& item : hosts) {
+        CAPTURE(item.first);
+        CHECK(item.second.liveControlHosts(now).size() == hostCount - 1);
     }
     for (const std::string& seed : seeds)
         hosts.erase(seed);
     exchangeHeartbeats(4 * roundsToMeet);
-    for (const auto& [name, host] : hosts) {
-        CAPTURE(name);
-        CHECK(host.liveControlHosts(now).size() == hosts.size() - 1);
-        CHECK(host.operatorAddressOf(hosts.begin()->first) == (name == hosts.begin()->first ? "" : hosts.begin()->first + ":80"));
+    const std::string first = hosts.begin()->first;
+    for (const auto& item : hosts) {
+        CAPTURE(item.first);
+        CHECK(item.second.liveControlHosts(now).size() == hosts.size() - 1);
+        CHECK(item.second.operatorAddressOf(first) == (item.first == first ? "" : first + ":80"));
     }
 }
