Control group: a failing test of leaders that have just started

What callers would see: after all control hosts lost power, the group drops running voters for a moment; a loss of disks then takes the acknowledged change with it (CONFIG).

Cause, shown by the test: a voter counts as silent when it is not among the hosts heard in the last 3 s, also on a leader that has been listening for less. In the simulation hosts now send their hellos at different times, and the first one after a start is lost. Before, all said hello at the same moment, which hid this.

--- a/src/apps/control/tests/control_group_simulation.cpp
+++ b/src/apps/control/tests/control_group_simulation.cpp
@@ -21,6 +21,8 @@
 
     constexpr duration linkDelay = milliseconds(1);
     constexpr duration helloInterval = milliseconds(500);
+    constexpr duration helloStagger = milliseconds(110); // between hosts that start at the same time; their first hello is lost
+    constexpr duration startInterval = milliseconds(500);
 
 } // namespace
 
@@ -67,6 +69,7 @@
     if (!storage)
         return;
     const control_node_hooks hooks { [this](const coordination::raft_message& message) { m_inFlight.push_back({ m_now + linkDelay, message }); }, {} };
+    m_hosts[host].nextHello = m_now + helloInterval + helloStagger * (settings.seed % (helloInterval / helloStagger + 1));
     m_hosts[host].node = std::make_unique<control_node>(settings, std::move(storage.value()), hooks, m_now);
 }
 
@@ -102,6 +105,7 @@
 
 void control_group_simulation::startAll()
 {
+    m_nextStart = m_now + startInterval;
     for (const std::string& host : hosts()) {
         if (isOn(host) && !isRunning(host))
             start(host);
@@ -116,10 +120,9 @@
 void control_group_simulation::pass(duration time)
 {
     for (const time_point end = m_now + time; m_now < end; m_now += tick) {
-        if (m_now >= m_nextHello) {
+        if (m_now >= m_nextStart)
             startAll();
-            sayHello();
-        }
+        sayHello();
         deliver();
         for (const auto& [host, simulated] : m_hosts) {
             if (simulated.node && simulated.node->nextTimer() <= m_now)
@@ -186,10 +189,12 @@
 
 void control_group_simulation::sayHello()
 {
-    m_nextHello = m_now + helloInterval;
-    for (const auto& [from, sender] : m_hosts) {
+    for (auto& [from, sender] : m_hosts) {
+        if (!sender.node || m_now < sender.nextHello)
+            continue;
+        sender.nextHello += helloInterval;
         for (const auto& [to, receiver] : m_hosts) {
-            if (from != to && sender.node && isReachable(from, to))
+            if (from != to && isReachable(from, to))
                 receiver.node->hearMember(m_now, sender.node->self());
         }
     }
--- a/src/apps/control/tests/control_group_simulation.h
+++ b/src/apps/control/tests/control_group_simulation.h
@@ -67,6 +67,7 @@
         bool isOn = true;
         std::unique_ptr<control_node> node; // null while not running
         bool isDiskFull = false;
+        time_point nextHello; // hosts send theirs at different times
     };
 
     struct change_results {
@@ -96,7 +97,7 @@
     std::uint64_t m_seenAccepted = 0;
     time_point m_acceptedAt;
     time_point m_now;
-    time_point m_nextHello;
+    time_point m_nextStart;
 };
 
 } // namespace jackdaw::control::tests
--- a/src/apps/control/tests/group_losses_tests.cpp
+++ b/src/apps/control/tests/group_losses_tests.cpp
@@ -72,6 +72,29 @@
     }
 }
 
+TEST_CASE("a leader that has just started does not remove voters that it has not heard yet")
+{
+    constexpr std::size_t hostCount = 8;
+    constexpr int restarts = 20;
+    control_group_simulation group(1);
+    for (std::size_t i = 0; i < hostCount; ++i)
+        group.addHost("h" + std::to_string(i), i == 0);
+    group.pass(seconds(5));
+    for (int i = 0; i < restarts; ++i) {
+        CAPTURE(i);
+        for (const std::string& host : group.hosts())
+            group.powerOff(host);
+        for (const std::string& host : group.hosts())
+            group.powerOn(host);
+        std::size_t fewestVoters = hostCount;
+        for (const time_point end = group.now() + seconds(2); group.now() < end; group.pass(control_group_simulation::tick)) {
+            if (const std::string leader = group.leader(); !leader.empty())
+                fewestVoters = std::min(fewestVoters, group.node(leader).membership().voters.size());
+        }
+        CHECK(fewestVoters == hostCount);
+    }
+}
+
 // In turn, each disk has no room for a time, and the next one none from then on. Each change must be accepted within the bound.
 TEST_CASE("disks that are full one after another do not stop the group")
 {
