Control group: a voter is silent only after the limit was spent listening

What callers would see: after a restart of all control hosts the group drops running voters for up to a second, down to the floor; disks lost within it take the newest acknowledged change along (CONFIG).

Cause: absence from the list of hosts heard in the last 3 s was taken for 3 s of silence, also by a leader that had been running for less.

Change: heard_members knows since when it listens and answers isSilent(); planRemoval asks that instead of a list of live hosts. A host that runs another incarnation is gone at once, as before.

The case on planRemoval states the same with a predicate.

--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -57,6 +57,7 @@
         , storage(std::move(opened))
         , hooks(std::move(wantedHooks))
         , selfId(storage->self())
+        , heardMembers(memberSilenceLimit, now)
     {
         start(now);
     }
@@ -77,7 +78,7 @@
 
     std::optional<rules_store> served; // after a reopening: the newer one of before, until the log has caught up
     std::map<std::uint64_t, pending_change> pending; // by log index
-    heard_members heardMembers { memberSilenceLimit };
+    heard_members heardMembers;
     std::string storageFailure; // not empty: nothing is stored, sent or applied
     time_point reopenAt; // valid while storageFailure is set
 
@@ -277,7 +278,7 @@
     live.push_back(selfId);
     auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
     if (!plan && settings.removesSilentVoters)
-        plan = coordination::planRemoval(raft->membership(), live, wantedVoters());
+        plan = coordination::planRemoval(raft->membership(), wantedVoters(), [&](const raft_member_id& voter) { return voter != selfId && heardMembers.isSilent(now, voter); });
     if (plan)
         raft->proposeMembership(now, *plan);
 }
--- a/src/apps/control/heard_members.cpp
+++ b/src/apps/control/heard_members.cpp
@@ -10,8 +10,9 @@
 
 } // namespace
 
-heard_members::heard_members(protocol::duration silenceLimit)
+heard_members::heard_members(protocol::duration silenceLimit, protocol::time_point listeningSince)
     : m_silenceLimit(silenceLimit)
+    , m_listeningSince(listeningSince)
 {
 }
 
@@ -40,4 +41,12 @@
     return out;
 }
 
+bool heard_members::isSilent(protocol::time_point now, const protocol::raft_member_id& member) const
+{
+    const auto found = m_hosts.find(member.host);
+    if (found == m_hosts.end())
+        return now - m_listeningSince > m_silenceLimit;
+    return found->second.incarnation != member.incarnation || now - found->second.heardAt > m_silenceLimit;
+}
+
 } // namespace jackdaw::control
--- a/src/apps/control/heard_members.h
+++ b/src/apps/control/heard_members.h
@@ -14,8 +14,8 @@
 
 class heard_members {
 public:
-    // A member that was not heard for so long is not live.
-    explicit heard_members(protocol::duration silenceLimit);
+    // A member that was not heard for the limit is not live.
+    heard_members(protocol::duration silenceLimit, protocol::time_point listeningSince);
 
     // The first message of a new incarnation replaces the host's former one. Late messages of a replaced incarnation are
     // ignored: it has ended, and must not be taken into the group again.
@@ -23,6 +23,9 @@
 
     std::vector<protocol::raft_member_id> live(protocol::time_point now) const;
 
+    // Whether the member was not heard for the limit, of which all was spent listening, or its host runs another incarnation.
+    bool isSilent(protocol::time_point now, const protocol::raft_member_id& member) const;
+
 private:
     struct heard_host {
         std::uint64_t incarnation = 0;
@@ -32,6 +35,7 @@
 
     std::map<std::string, heard_host> m_hosts;
     protocol::duration m_silenceLimit;
+    protocol::time_point m_listeningSince;
 };
 
 } // namespace jackdaw::control
--- a/src/apps/control/tests/heard_members_tests.cpp
+++ b/src/apps/control/tests/heard_members_tests.cpp
@@ -22,7 +22,7 @@
 
 TEST_CASE("a member is live until it was not heard for the silence limit")
 {
-    heard_members heard(silenceLimit);
+    heard_members heard(silenceLimit, {});
     heard.hear(start, lost);
     CHECK(heard.live(start + silenceLimit) == std::vector { lost });
     CHECK(heard.live(start + silenceLimit + protocol::duration(1)).empty());
@@ -30,7 +30,7 @@
 
 TEST_CASE("a new incarnation replaces the former one, whose late messages change nothing")
 {
-    heard_members heard(silenceLimit);
+    heard_members heard(silenceLimit, {});
     heard.hear(start, lost);
     heard.hear(start, returned);
     heard.hear(start, lost);
@@ -39,7 +39,7 @@
 
 TEST_CASE("a host whose disk was lost returns once, and its lost incarnation never again")
 {
-    heard_members heard(silenceLimit);
+    heard_members heard(silenceLimit, {});
     heard.hear(start, { "a1", 1 });
     heard.hear(start, { "c1", 1 });
     heard.hear(start, lost);
--- a/src/coordination/raft_replacement.cpp
+++ b/src/coordination/raft_replacement.cpp
@@ -49,11 +49,11 @@
     return std::nullopt;
 }
 
-std::optional<raft_membership> planRemoval(const raft_membership& current, std::span<const raft_member_id> live, std::size_t wantedVoters)
+std::optional<raft_membership> planRemoval(const raft_membership& current, std::size_t wantedVoters, const raft_member_predicate& isSilent)
 {
     if (current.voters.size() <= wantedVoters)
         return std::nullopt;
-    const auto silent = std::ranges::find_if(current.voters, [&](const raft_member_id& voter) { return std::ranges::find(live, voter) == live.end(); });
+    const auto silent = std::ranges::find_if(current.voters, isSilent);
     if (silent == current.voters.end())
         return std::nullopt;
     raft_membership reduced = current;
--- a/src/coordination/raft_replacement.h
+++ b/src/coordination/raft_replacement.h
@@ -18,9 +18,9 @@
 std::optional<protocol::raft_membership> planReplacement(const protocol::raft_membership& current,
     std::span<const protocol::raft_member_id> live, std::size_t minVoters, const raft_member_predicate& isCaughtUp);
 
-// Returns the membership without one voter that is not live, if there are more voters than wanted: a host that was replaced
+// Returns the membership without one voter that is silent, if there are more voters than wanted: a host that was replaced
 // by one at another address must no longer count towards majorities. std::nullopt if there is no such voter.
-std::optional<protocol::raft_membership> planRemoval(const protocol::raft_membership& current,
-    std::span<const protocol::raft_member_id> live, std::size_t wantedVoters);
+std::optional<protocol::raft_membership> planRemoval(const protocol::raft_membership& current, std::size_t wantedVoters,
+    const raft_member_predicate& isSilent);
 
 } // namespace jackdaw::coordination
--- a/src/coordination/tests/raft_node_tests.cpp
+++ b/src/coordination/tests/raft_node_tests.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace jackdaw::coordination;
 using namespace std::chrono_literals;
 
@@ -146,9 +148,10 @@
     const raft_member_id hostC { "c", 1 };
     const raft_member_id hostD { "d", 1 };
     const std::vector<raft_member_id> live { hostA, hostB, hostD };
-    const auto plan = planRemoval({ { hostA, hostB, hostC, hostD }, {} }, live, 3);
+    const auto isSilent = [&live](const raft_member_id& member) { return std::ranges::find(live, member) == live.end(); };
+    const auto plan = planRemoval({ { hostA, hostB, hostC, hostD }, {} }, 3, isSilent);
     REQUIRE(plan);
     CHECK(plan->voters == std::vector<raft_member_id> { hostA, hostB, hostD });
-    CHECK_FALSE(planRemoval({ { hostA, hostB, hostC }, {} }, live, 3));
-    CHECK_FALSE(planRemoval({ { hostA, hostB, hostD }, { hostC } }, live, 2));
+    CHECK_FALSE(planRemoval({ { hostA, hostB, hostC }, {} }, 3, isSilent));
+    CHECK_FALSE(planRemoval({ { hostA, hostB, hostD }, { hostC } }, 2, isSilent));
 }
