Data folder: the mark of a creation is synced before any other name

What callers would see: a control host that loses power within its first moments may keep the lock's name and lose the mark's; the folder is then taken for a foreign one and never created.

--- a/src/state/data_folder.cpp
+++ b/src/state/data_folder.cpp
@@ -93,6 +93,9 @@
         const std::string creationPath = path + '/' + creationFileName;
         if (auto creation = internal::file::open(creationPath, O_WRONLY | O_CREAT); !creation)
             return creation.error();
+        // No other name may outlive a loss of power without this one.
+        if (auto synced = internal::syncFolder(path, hooks); !synced)
+            return synced;
         auto lock = lockFolder(path);
         if (!lock)
             return lock.error();
--- a/src/state/tests/journal_tests.cpp
+++ b/src/state/tests/journal_tests.cpp
@@ -266,6 +266,31 @@
     }
 }
 
+TEST_CASE("a creation that is cut short before its first sync leaves a folder that can be created anew, foreign files do not")
+{
+    const temporary_folder folder;
+    const std::string path = folder.path("data");
+    file_hooks failing;
+    int syncs = 0;
+    failing.sync = [&syncs](int) { return ++syncs == 1 ? 0 : -1; }; // the first one is of the parent folder
+    std::filesystem::create_directory(path);
+    const data_folder_identity identity { "a1", "control", 7 };
+    CHECK_FALSE(data_folder::create(path, identity, failing));
+    std::vector<std::string> names;
+    for (const auto& entry : std::filesystem::directory_iterator(path))
+        names.push_back(entry.path().filename());
+    CHECK(names == std::vector<std::string> { "creation" });
+    CHECK_FALSE(data_folder::exists(path));
+    CHECK(data_folder::create(path, identity));
+    CHECK(data_folder::exists(path));
+    CHECK_FALSE(data_folder::create(path, identity));
+    const std::string foreign = folder.path("foreign");
+    std::filesystem::create_directory(foreign);
+    setBytes(foreign + "/notes", "x");
+    CHECK_FALSE(data_folder::create(foreign, identity));
+    CHECK(bytesOf(foreign + "/notes") == "x");
+}
+
 TEST_CASE("a data folder is refused to a second process, another host or another group")
 {
     const temporary_folder folder;
