Cells: a resubmitted job waits for the runs of its earlier submission

Cause: runs were tied to a job's id, not to the task. When a job ended, its runs stayed as records under its id while they were being stopped. A resubmission made a new job of that id, which took over only records without a job, so it started every task at once, beside runs whose stop had not been answered. When an old record went away, requeueRun() found the new job by its id and set a task that was at work back to waiting: a second start without any fault. Polls without an answer also renewed the lease of runs that nobody wanted any more, so a run whose stop was lost stayed alive.

Change: a job that ends lets go of its runs (record.job is empty, the need stays known). A job claims every run of its tasks, also one that is being stopped; a task goes back to waiting only when no run of it is left on any upstream. A run that is listed although its task has another is stopped at once. Only wanted runs have their lease renewed.

The simulation now ends runs with their lease, begins an upstream's clock anew with each life, and carries late stops and polls out, too.

--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -60,7 +60,7 @@
             task.lastRun = order.handOverCount * runsPerHandOver;
     }
     jobs.emplace(order.id, std::move(owned));
-    claimRuns(job);
+    claimRuns(now, job);
     if (job.isDone())
         return finishIfDone(now, job);
     if (!job.hasBegun && order.handOverCount == 0 && !admit(now, job))
@@ -113,8 +113,9 @@
     return false;
 }
 
-// Attaches the job's tasks that an earlier owner started, and marks those that ended before the handover as done.
-void cell_dispatcher::impl::claimRuns(cell_job& job)
+// Attaches runs of the job's tasks that an earlier owner or an earlier submission of the job started, and marks tasks that have
+// ended in the meantime as done. A run that an earlier submission was stopping keeps its task from starting until it is gone.
+void cell_dispatcher::impl::claimRuns(time_point now, cell_job& job)
 {
     std::size_t step = 0;
     std::size_t index = 0;
@@ -129,18 +130,30 @@
             record.need = job.order.steps[step].need;
             task.lastRun = std::max(task.lastRun, name.run);
             job.hasBegun = true;
-            if (task.state == task_state::waiting)
+            const bool isSurplus = task.state != task_state::waiting;
+            note(isSurplus ? "run_surplus" : "run_claimed", name.task, "upstream=" + id + " run=" + std::to_string(name.run));
+            if (!isSurplus)
                 job.setState(step, index, task_state::active);
-            note("run_claimed", name.task, "upstream=" + id + " run=" + std::to_string(name.run));
+            else if (record.state == run_state::running)
+                stopRun(now, upstream, name, record);
         }
     }
     for (const auto& [name, until] : unclaimedDoneTasks)
         job.markDone(name);
 }
 
+std::ptrdiff_t cell_dispatcher::impl::countRuns(std::string_view task) const
+{
+    std::ptrdiff_t count = 0;
+    for (const auto& [id, upstream] : upstreams)
+        count += upstream.countRuns(task);
+    return count;
+}
+
+// A task with several runs, which may happen across owners and submissions, waits until the last of them is gone.
 void cell_dispatcher::impl::requeue(cell_job& job, std::size_t step, std::size_t index)
 {
-    if (job.steps[step].tasks[index].state == task_state::active)
+    if (job.steps[step].tasks[index].state == task_state::active && countRuns(job.taskName(step, index)) == 0)
         job.setState(step, index, task_state::waiting);
 }
 
@@ -159,14 +172,19 @@
 // Answers and removes the job, and stops its remaining runs.
 void cell_dispatcher::impl::finish(time_point now, cell_job& job, order_answer answer)
 {
+    std::size_t left = 0;
     for (auto& [id, upstream] : upstreams) {
         for (auto& [name, record] : upstream.runs) {
-            if (record.job == job.order.id && record.state != run_state::stopping && record.state != run_state::uncertain)
+            if (record.job != job.order.id)
+                continue;
+            if (record.state != run_state::stopping && record.state != run_state::uncertain)
                 stopRun(now, upstream, name, record);
+            record.job.clear();
+            ++left;
         }
     }
     answeredJobs[job.order.id] = { answer, now + answerRetention };
-    note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
+    note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " runs_left=" + std::to_string(left));
     actions.emplace_back(owner_answer { { job.origins.begin(), job.origins.end() }, std::move(answer) });
     jobs.erase(jobs.find(job.order.id));
 }
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -86,10 +86,11 @@
     order.ackCursor = upstream.cursor;
     order.token = settings.token;
     order.onNewConnection = upstream.needsNewConnection;
-    if (!upstream.runs.empty()) {
+    // Without a renewal, runs that can't be stopped end with their lease.
+    if (upstream.hasWantedRuns())
         order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
+    if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection ? 0 : pollWaitMs;
-    }
     upstream.isPollPending = true;
     upstream.pollSentAt = now;
     actions.emplace_back(std::move(order));
@@ -151,22 +152,25 @@
 
 void cell_dispatcher::impl::reconcileRunning(time_point now, upstream_record& upstream, const poll_answer& answer)
 {
+    bool hasUnknownRuns = false;
     for (const running_task& running : answer.running) {
         const auto [found, isUnknown] = upstream.runs.try_emplace(running.run);
         run_record& record = found->second;
         if (isUnknown) {
+            hasUnknownRuns = true;
             record.state = run_state::running;
             record.since = now;
             record.confirmedAt = now;
         } else if (record.state == run_state::starting || (record.state == run_state::uncertain && !record.isStopConfirmed)) {
-            record.state = run_state::running;
+            const bool isWanted = !record.job.empty() && countRuns(running.run.task) == 1;
+            record.state = isWanted || record.state == run_state::starting ? run_state::running : run_state::stopping;
             record.confirmedAt = now;
         }
     }
-    if (!upstream.hasUnclaimedRuns())
+    if (!hasUnknownRuns)
         return;
     for (const auto& [id, job] : jobs)
-        claimRuns(*job);
+        claimRuns(now, *job);
 }
 
 // Removes runs that the poll does not list although they were confirmed, or their stop was answered, before the poll was sent.
@@ -209,8 +213,6 @@
     if (!job)
         return;
     internal::cell_task& task = job->steps[record.step].tasks[record.index];
-    if (task.lastRun != end.run.run && end.how != end_kind::done)
-        return; // an earlier run; a later one is in progress
     if (end.how == end_kind::done) {
         job->setState(record.step, record.index, task_state::done);
         return finishIfDone(now, *job);
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -2,6 +2,7 @@
 #include "coordination/cells/internal/upstream_record.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace jackdaw::cells::internal {
 
@@ -17,16 +18,23 @@
 {
     resource_vector freeCapacity = lastReport.capacity;
     for (const auto& [name, record] : runs) {
-        if (record.job.empty())
+        if (!record.need)
             return {};
-        freeCapacity -= record.need;
+        freeCapacity -= *record.need;
     }
     return freeCapacity;
 }
 
-bool upstream_record::hasUnclaimedRuns() const
+bool upstream_record::hasWantedRuns() const
 {
-    return std::any_of(runs.begin(), runs.end(), [](const auto& item) { return item.second.job.empty(); });
+    return std::any_of(runs.begin(), runs.end(), [](const auto& item) { return item.second.state == run_state::starting || item.second.state == run_state::running; });
+}
+
+std::ptrdiff_t upstream_record::countRuns(std::string_view task) const
+{
+    const auto first = runs.lower_bound({ std::string(task), 0 });
+    const auto last = std::find_if(first, runs.end(), [task](const auto& item) { return item.first.task != task; });
+    return std::distance(first, last);
 }
 
 std::int64_t upstream_record::extendLease(time_point now, duration lease)
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -6,6 +6,7 @@
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -27,10 +28,10 @@
 // A run that may use capacity of the upstream.
 struct run_record {
     run_state state = run_state::starting;
-    std::string job; // empty: listed by the upstream, not yet claimed by a job
+    std::string job; // empty: no job wants the run, or none has claimed it yet
     std::uint32_t step = 0;
     std::uint32_t index = 0;
-    resource_vector need;
+    std::optional<resource_vector> need; // empty: the upstream listed the run, and no job has claimed it yet
     double expectedMs = 0; // declared run time
     time_point since; // when the start was sent or the run first listed
     time_point confirmedAt; // valid while running: when it was first known to run
@@ -80,7 +81,9 @@
 
     // Free capacity for new starts. Zero while the upstream has a run whose resource need is unknown.
     resource_vector freeCapacity() const;
-    bool hasUnclaimedRuns() const;
+    // True if a job wants a run that has not been told to stop, or may still claim it.
+    bool hasWantedRuns() const;
+    std::ptrdiff_t countRuns(std::string_view task) const;
 
     // Extends the known lease and returns its new end on the upstream's clock in ms; 0 if that clock is not known yet.
     // leaseEnd becomes the latest local time at which the lease can end.
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -226,7 +226,7 @@
             else if (sim.random()() % 8 == 0)
                 sim.crash(upstream.id);
             else if (sim.random()() % 4 == 0)
-                upstream.fault = static_cast<upstream_fault>(sim.random()() % 6);
+                upstream.fault = static_cast<upstream_fault>(sim.random()() % 7);
             else
                 upstream.fault = upstream_fault::none;
             if (sim.random()() % 50 == 0)
@@ -270,3 +270,92 @@
     CHECK(sim.startsOn("u2") == 2);
     checkSafe(sim);
 }
+
+TEST_CASE("a resubmitted job does not start a task whose earlier run has not ended")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        for (const auto pause : { milliseconds(0), milliseconds(10), milliseconds(60) }) {
+            CAPTURE(seed);
+            CAPTURE(pause.count());
+            cell_simulation sim(seed);
+            openCell(sim, { "u1", "u2", "u3", "u4" });
+            sim.submit(0, sim.makeJob("1", 6, 14000, 900));
+            sim.runFor(milliseconds(150));
+            sim.owner(0).cancel(sim.now(), "1", "host");
+            sim.runFor(pause);
+            job_order again = sim.makeJob("1", 6, 14000, 900);
+            again.submissionNumber = 2;
+            sim.submit(0, again);
+            sim.runFor(seconds(3));
+            CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+            checkSafe(sim);
+        }
+    }
+}
+
+TEST_CASE("a resubmitted job waits for runs on upstreams whose answers are lost")
+{
+    for (const auto silence : { milliseconds(1400), milliseconds(1700), milliseconds(2000) }) {
+        CAPTURE(silence.count());
+        cell_simulation sim(1);
+        openCell(sim, { "u1", "u2", "u3", "u4" });
+        sim.submit(0, sim.makeJob("1", 6, 14000, 3000));
+        sim.runFor(milliseconds(100));
+        sim.upstream("u1").fault = upstream_fault::answers_lost;
+        sim.upstream("u2").fault = upstream_fault::answers_lost;
+        sim.runFor(milliseconds(50));
+        sim.owner(0).cancel(sim.now(), "1", "host");
+        sim.runFor(milliseconds(1300));
+        job_order again = sim.makeJob("1", 6, 14000, 300);
+        again.submissionNumber = 2;
+        again.timeLeftMs = 5000;
+        sim.submit(0, again);
+        sim.runFor(silence - milliseconds(1350));
+        sim.upstream("u1").fault = upstream_fault::none;
+        sim.upstream("u2").fault = upstream_fault::none;
+        sim.runFor(seconds(5));
+        checkSafe(sim);
+    }
+}
+
+TEST_CASE("random faults never run a task of a resubmitted job twice at the same time")
+{
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        const std::vector<std::string> ids { "u1", "u2", "u3", "u4", "u5", "u6" };
+        for (const std::string& id : ids)
+            sim.addUpstream(id, 48000);
+        openCell(sim, {});
+        std::vector<job_order> submitted;
+        for (int i = 0; i < 200; ++i) {
+            sim_upstream& upstream = sim.upstream(ids[sim.random()() % ids.size()]);
+            const auto fault = static_cast<upstream_fault>(sim.random()() % 6); // neither crashes nor calls that are carried out late
+            upstream.fault = fault == upstream_fault::delayed_calls ? upstream_fault::none : fault;
+            job_order job = sim.makeJob(std::to_string(i), 1 + sim.random()() % 8, 14000, 40 + sim.random()() % 1500);
+            if (!submitted.empty() && sim.random()() % 3 == 0) {
+                job = submitted[sim.random()() % submitted.size()];
+                sim.owner(0).cancel(sim.now(), job.id, "host");
+                ++job.submissionNumber;
+            }
+            sim.submit(0, job);
+            if (submitted.size() < 20)
+                submitted.push_back(job);
+            sim.runFor(milliseconds(sim.random()() % 100));
+        }
+        sim.runFor(seconds(5));
+        checkSafe(sim);
+    }
+}
+
+TEST_CASE("an upstream's silence does not keep runs alive that no job wants")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1" });
+    sim.submit(0, sim.makeJob("1", 2, 14000, 5000));
+    sim.runFor(milliseconds(100));
+    sim.upstream("u1").fault = upstream_fault::stops_lost;
+    sim.owner(0).cancel(sim.now(), "1", "host");
+    sim.runFor(milliseconds(1500));
+    CHECK(sim.upstream("u1").running.empty());
+}
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -2,6 +2,7 @@
 #include "coordination/cells/tests/cell_simulation.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jackdaw::cells::tests {
 
@@ -14,7 +15,8 @@
     constexpr duration callTimeout = milliseconds(40);
     constexpr duration reportInterval = milliseconds(1500);
     constexpr duration refusalTime = milliseconds(2);
-    constexpr double lateOrderShare = 0.05;
+    constexpr milliseconds maxLease(1000);
+    constexpr duration clockAtStart = std::chrono::seconds(50); // of an upstream that was there before the simulation
     constexpr auto serviceName = "planning";
     constexpr auto cellName = "a";
 
@@ -36,6 +38,7 @@
     upstream.id = id;
     upstream.capacity = { millicores, 65536, 0 };
     upstream.slowness = slowness;
+    upstream.clockStart = m_now - clockAtStart;
     report(upstream);
     return upstream;
 }
@@ -153,9 +156,9 @@
     }
 }
 
-std::int64_t cell_simulation::clockOf() const
+std::int64_t cell_simulation::clockOf(const sim_upstream& upstream) const
 {
-    return std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    return std::chrono::duration_cast<milliseconds>(m_now - upstream.clockStart).count();
 }
 
 call_outcome cell_simulation::check(sim_upstream& upstream, std::uint64_t token) const
@@ -169,7 +172,7 @@
 void cell_simulation::answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome)
 {
     const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost;
-    call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf() };
+    call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf(upstream) };
     duration delay = callTime;
     if (answer.outcome == call_outcome::silent)
         delay = callTimeout;
@@ -184,7 +187,7 @@
 // Whether the upstream's fault delays the call. If so, later is called after 2 to 11 s.
 bool cell_simulation::isDelayed(const sim_upstream& upstream, std::function<void()> later)
 {
-    if (upstream.fault != upstream_fault::delayed_calls || std::uniform_real_distribution<double>(0, 1)(m_random) >= lateOrderShare)
+    if (upstream.fault != upstream_fault::delayed_calls || std::uniform_real_distribution<double>(0, 1)(m_random) >= m_delayedShare)
         return false;
     schedule(std::chrono::seconds(2 + m_random() % 10), std::move(later));
     return true;
@@ -206,7 +209,7 @@
 
 void cell_simulation::carryOutStart(sim_upstream& upstream, const start_request& order)
 {
-    if (upstream.fault != upstream_fault::crashed && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf())
+    if (upstream.fault != upstream_fault::crashed && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf(upstream))
         begin(upstream, order);
 }
 
@@ -219,7 +222,7 @@
     call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done && isStopped(upstream, order.run))
         outcome = call_outcome::superseded;
-    if (outcome == call_outcome::done && order.expiresAtMs <= clockOf())
+    if (outcome == call_outcome::done && order.expiresAtMs <= clockOf(upstream))
         outcome = call_outcome::expired;
     if (outcome == call_outcome::done)
         begin(upstream, order);
@@ -241,7 +244,7 @@
     }
     m_overfills += used > upstream.capacity.millicores ? 1 : 0;
     upstream.running.push_back(run);
-    upstream.leaseMs = std::max(upstream.leaseMs, order.expiresAtMs);
+    extendLease(upstream, order.expiresAtMs);
     ++m_runs[order.run.task];
     ++m_starts[upstream.id];
     if (upstream.fault == upstream_fault::hung_tasks)
@@ -266,36 +269,75 @@
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
-    if (const auto lost = loseCall(owner, upstream, [] {}))
+    const auto later = [this, order] {
+        sim_upstream& target = m_upstreams.at(order.target.id);
+        if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
+            carryOutStop(target, order);
+    };
+    if (upstream.fault == upstream_fault::stops_lost)
+        return answerCall(owner, upstream, onAnswer, call_outcome::silent);
+    if (const auto lost = loseCall(owner, upstream, later))
         return answerCall(owner, upstream, onAnswer, *lost);
     const call_outcome outcome = check(upstream, order.token);
-    if (outcome == call_outcome::done) {
-        upstream.lastStopped[order.run.task] = std::max(upstream.lastStopped[order.run.task], order.run.run);
-        for (const sim_task_run& run : upstream.running) {
-            if (run.run == order.run)
-                schedule(milliseconds(20), [this, id = upstream.id, number = run.number] { end(m_upstreams.at(id), number, end_kind::stopped); });
-        }
-    }
+    if (outcome == call_outcome::done)
+        carryOutStop(upstream, order);
     answerCall(owner, upstream, onAnswer, outcome);
 }
 
+void cell_simulation::carryOutStop(sim_upstream& upstream, const stop_request& order)
+{
+    upstream.lastStopped[order.run.task] = std::max(upstream.lastStopped[order.run.task], order.run.run);
+    for (const sim_task_run& run : upstream.running) {
+        if (run.run == order.run)
+            schedule(milliseconds(20), [this, id = upstream.id, number = run.number] { end(m_upstreams.at(id), number, end_kind::stopped); });
+    }
+}
+
 void cell_simulation::arrivePoll(std::size_t owner, const poll_request& order)
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const open_poll poll { owner, order, m_now + milliseconds(order.waitMs) };
-    if (const auto lost = loseCall(owner, upstream, [] {}))
+    const auto later = [this, order] {
+        sim_upstream& target = m_upstreams.at(order.target.id);
+        if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
+            carryOutPoll(target, order);
+    };
+    if (const auto lost = loseCall(owner, upstream, later))
         return answerPoll(poll, upstream, *lost);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome != call_outcome::done)
         return answerPoll(poll, upstream, outcome);
-    upstream.leaseMs = std::max(upstream.leaseMs, order.expiresAtMs);
-    std::erase_if(upstream.ended, [&](const ended_task& item) { return item.number <= order.ackCursor; });
+    carryOutPoll(upstream, order);
     if (order.waitMs == 0 || !upstream.ended.empty())
         return answerPoll(poll, upstream, call_outcome::done);
     m_polls[upstream.id].push_back(poll);
     schedule(milliseconds(order.waitMs), [this, id = upstream.id] { answerPolls(m_upstreams.at(id), true); });
 }
 
+void cell_simulation::carryOutPoll(sim_upstream& upstream, const poll_request& order)
+{
+    extendLease(upstream, order.expiresAtMs);
+    std::erase_if(upstream.ended, [&](const ended_task& item) { return item.number <= order.ackCursor; });
+}
+
+void cell_simulation::extendLease(sim_upstream& upstream, std::int64_t expiresAtMs)
+{
+    const std::int64_t now = clockOf(upstream);
+    upstream.leaseMs = std::max(upstream.leaseMs, std::min(expiresAtMs, now + maxLease.count()));
+    schedule(milliseconds(std::max<std::int64_t>(upstream.leaseMs - now, 0)), [this, id = upstream.id] { endLease(m_upstreams.at(id)); });
+}
+
+void cell_simulation::endLease(sim_upstream& upstream)
+{
+    if (clockOf(upstream) < upstream.leaseMs)
+        return; // renewed since, or another life
+    for (const sim_task_run& run : std::exchange(upstream.running, {})) {
+        upstream.lastStopped[run.run.task] = std::max(upstream.lastStopped[run.run.task], run.run.run);
+        upstream.ended.push_back({ ++upstream.ends, run.run, end_kind::lapsed });
+    }
+    answerPolls(upstream, false);
+}
+
 void cell_simulation::answerPolls(sim_upstream& upstream, bool isOver)
 {
     std::vector<open_poll> waiting = std::exchange(m_polls[upstream.id], {});
@@ -332,6 +374,7 @@
     upstream.lastStopped.clear();
     upstream.ends = 0;
     upstream.token = 0;
+    upstream.leaseMs = 0;
     answerPolls(upstream, false);
 }
 
@@ -339,7 +382,8 @@
 {
     sim_upstream& upstream = m_upstreams.at(id);
     upstream.fault = upstream_fault::none;
-    upstream.bornUnixMs = clockOf();
+    upstream.bornUnixMs = std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count();
+    upstream.clockStart = m_now;
     upstream.reports = 0;
     report(upstream);
 }
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -21,9 +21,10 @@
     none,
     silent, // drops all calls and sends no reports
     answers_lost, // carries calls out, but the answers are lost
+    stops_lost, // stops don't arrive, all other calls do
     failing, // ends every run as failed, after a millisecond
     hung_tasks, // runs never end
-    delayed_calls, // a twentieth of the calls is unanswered and carried out seconds later
+    delayed_calls, // a share of the calls is unanswered and carried out seconds later, also by the next life of the upstream
     crashed // all runs are gone, and connections are refused
 };
 
@@ -47,7 +48,8 @@
     std::vector<ended_task> ended;
     std::uint64_t ends = 0;
     std::map<std::string, std::uint32_t> lastStopped; // runs of the task up to this number are refused
-    std::int64_t leaseMs = 0; // on its clock
+    std::int64_t leaseMs = 0; // on its clock; all runs end with it
+    time_point clockStart; // its clock begins anew with each life
 };
 
 struct sim_outcome {
@@ -76,6 +78,7 @@
     time_point now() const { return m_now; }
 
     sim_upstream& upstream(const std::string& id) { return m_upstreams.at(id); }
+    void setDelayedShare(double share) { m_delayedShare = share; } // of the calls to upstreams with delayed_calls
     void crash(const std::string& id); // until restart(), which keeps the id
     void restart(const std::string& id);
 
@@ -124,8 +127,12 @@
     // Whether the run, or a later run of its task, has ended or was stopped on the upstream.
     static bool isStopped(const sim_upstream& upstream, const run_id& run);
     void carryOutStart(sim_upstream& upstream, const start_request& order);
+    void carryOutStop(sim_upstream& upstream, const stop_request& order);
+    void carryOutPoll(sim_upstream& upstream, const poll_request& order);
+    void extendLease(sim_upstream& upstream, std::int64_t expiresAtMs);
+    void endLease(sim_upstream& upstream);
     void answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome);
-    std::int64_t clockOf() const;
+    std::int64_t clockOf(const sim_upstream& upstream) const;
 
     std::mt19937_64 m_random;
     time_point m_now { std::chrono::seconds(100) };
@@ -142,6 +149,7 @@
     std::map<std::string, sim_outcome> m_outcomes;
     std::map<std::string, std::size_t> m_runs;
     std::map<std::string, std::size_t> m_starts;
+    double m_delayedShare = 0.05;
     std::size_t m_doubleRuns = 0;
     std::size_t m_overfills = 0;
 };
