Entry hosts: tell each other the upstreams, so that a new owner knows all of them

Cause: a new owner ended the wait of a take-over early when all upstreams that it knew were adopted and it had heard control hosts for 3 s. An entry host that restarted while upstreams could not reach the control hosts knew 19 of 48: the control hosts forget an upstream after 5 s without a report, and entry hosts told each other nothing.

Change: upstream_directory keeps the upstreams that a host knows of. A host tells its list to each new process among the entry hosts and to hosts that return from silence; owners tell the hosts of their zone every 10 s, so that upstreams that can't report aren't forgotten. A take-over counts the list as complete only once another entry host has told its own.

Evidence: "a host that restarted learns of upstreams that can't reach the control hosts" and three more tests of the new class.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -25,7 +25,7 @@
     constexpr duration busyTick = milliseconds(20); // an eighth of the shortest objective
     constexpr duration idleTick = milliseconds(100); // a tenth of the silence limit
     constexpr duration reportFreshness = std::chrono::seconds(5); // three report intervals of 1.5 s; older upstreams may have ended
-    constexpr duration reportRetention = std::chrono::seconds(60); // keeps upstreams known while all control hosts are down
+    constexpr std::uint64_t roundsPerUpstreamList = 66; // 10 s: several within the time that other hosts remember an upstream
 
 } // namespace
 
@@ -45,14 +45,14 @@
 
 void cell_host::impl::takeCell(const std::string& cell, std::uint64_t token)
 {
-    logEvent(log_level::info, "cell_ownership_acquired", { { "cell", cell }, { "token", std::to_string(token) }, { "upstreams", std::to_string(reports.size()) } });
+    logEvent(log_level::info, "cell_ownership_acquired", { { "cell", cell }, { "token", std::to_string(token) }, { "upstreams", std::to_string(upstreams.size()) } });
     cells::cell_settings cellSettings;
     cellSettings.cell = cell;
     cellSettings.token = token;
     cellSettings.maxLease = settings.maxLease;
     cellSettings.stopTime = settings.stopTime;
     cellSettings.reportInterval = settings.reportInterval;
-    cellSettings.reportsHeardSince = directorySince;
+    cellSettings.reportsHeardSince = upstreams.heardSince();
     cells::cell_hooks dispatcherHooks;
     dispatcherHooks.onDecision = [cell](const cells::cell_decision& decision) {
         logEvent(log_level::info, decision.event, { { "subject", decision.subject }, { "cell", cell }, { "inputs", decision.inputs } });
@@ -65,10 +65,10 @@
 
 void cell_host::impl::forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const
 {
-    for (const auto& [id, known] : reports) {
-        if (zoneCells.cellOf(known.report.zone, id) == cell)
-            dispatcher.onUpstreamReport(steadyNow(), known.report);
-    }
+    upstreams.forEach([&](const protocol::upstream_report& report) {
+        if (zoneCells.cellOf(report.zone, report.id) == cell)
+            dispatcher.onUpstreamReport(steadyNow(), report);
+    });
 }
 
 void cell_host::impl::dropCell(const std::string& cell)
@@ -119,11 +119,9 @@
 {
     const std::uint32_t before = zoneCells.cellCount(zone);
     const time_point now = steadyNow();
-    const auto reporting = std::count_if(reports.begin(), reports.end(), [&](const auto& item) {
-        return item.second.report.zone == zone && !item.second.report.isLeaving && now - item.second.receivedAt <= reportFreshness;
-    });
+    const std::size_t reporting = upstreams.countReporting(now, zone, reportFreshness);
     zoneCells.onCellCount(zone, announcedCells);
-    zoneCells.onUpstreamCount(zone, static_cast<std::size_t>(reporting));
+    zoneCells.onUpstreamCount(zone, reporting);
     const std::uint32_t count = zoneCells.cellCount(zone);
     if (count == before)
         return;
@@ -154,8 +152,10 @@
             dispatcher->onOriginLost(now, host);
     }
     for (const std::string& host : silentHosts) {
-        if (!silent.contains(host))
-            logEvent(log_level::info, "host_recovered", { { "host", host } });
+        if (silent.contains(host))
+            continue;
+        logEvent(log_level::info, "host_recovered", { { "host", host } });
+        upstreams.forgetTold(host);
     }
     silentHosts = std::move(silent);
 }
@@ -176,7 +176,7 @@
     if (hasOwner != zoneHasOwner)
         logEvent(hasOwner ? log_level::info : log_level::warning, hasOwner ? "cell_has_owner" : "cell_without_owner", { { "zone", settings.zone } });
     zoneHasOwner = hasOwner;
-    std::erase_if(reports, [now](const auto& item) { return now - item.second.receivedAt > reportRetention; });
+    upstreams.expire(now);
     performActions();
 }
 
@@ -186,6 +186,20 @@
     std::vector<std::string> hosts;
     std::copy_if(entryPeers.begin(), entryPeers.end(), std::back_inserter(hosts), [&](const std::string& host) { return isFullRound || ownership.needsFrequentGossip(host); });
     sendGossip(hosts);
+    if (gossipRounds % roundsPerUpstreamList == 0)
+        shareOwnedUpstreams();
+}
+
+// Upstreams that don't report are remembered only as long as their owner tells of them.
+void cell_host::impl::shareOwnedUpstreams()
+{
+    for (const auto& [cell, dispatcher] : dispatchers) {
+        const std::vector<std::string> ids = dispatcher->upstreamNames();
+        upstreams.keep(steadyNow(), ids);
+        const std::string bytes = protocol::encodeCellMessage(protocol::upstream_list { upstreams.list(ids) });
+        for (const std::string& host : ownership.hostsOf(steadyNow(), cells::zoneOfCell(cell)))
+            links.send(host, bytes);
+    }
 }
 
 void cell_host::impl::scheduleTick()
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -7,6 +7,7 @@
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
 #include "coordination/cells/spill_targets.h"
+#include "coordination/cells/upstream_directory.h"
 #include "coordination/cells/zone_cells.h"
 #include "transport/mesh.h"
 
@@ -38,11 +39,6 @@
     {
     }
 
-    struct known_report {
-        protocol::upstream_report report;
-        time_point receivedAt;
-    };
-
     transport::event_loop& loop;
     const cell_host_settings settings;
     const std::uint64_t incarnation;
@@ -51,7 +47,7 @@
     cells::cell_ownership ownership;
     cells::job_router jobRouter;
     std::map<std::string, std::shared_ptr<cells::cell_dispatcher>, std::less<>> dispatchers; // by cell
-    std::map<std::string, known_report, std::less<>> reports; // by upstream
+    cells::upstream_directory upstreams;
     struct waiting_caller {
         job_completion done;
         time_point since;
@@ -71,7 +67,6 @@
     bool isLeaving = false;
     bool isPerformingActions = false;
     bool zoneHasOwner = false; // as of the last advance()
-    time_point directorySince = time_point::max(); // time of the first directory update
     std::vector<std::unique_ptr<transport::event_loop::timer>> timers;
     std::unique_ptr<transport::event_loop::timer> tickTimer;
 
@@ -100,6 +95,10 @@
     void onDirectory(const protocol::directory_update& update);
     void addControl(const std::string& host);
     void onReports(std::span<const protocol::upstream_report> newReports);
+    void onUpstreamList(const protocol::upstream_list& list);
+    void forwardReports(std::span<const protocol::upstream_report> reports);
+    void tellUpstreams(const protocol::host_gossip& peer);
+    void shareOwnedUpstreams();
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
     void onConfiguration(const protocol::configuration_push& push, std::string_view sender);
     void onJobOrder(const protocol::job_order& order, std::string_view origin);
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -38,6 +38,8 @@
         onJobOrder(*order, delivery.sender);
     else if (const auto* answer = std::get_if<protocol::order_answer>(&message))
         jobRouter.onAnswer(steadyNow(), delivery.sender, *answer);
+    else if (const auto* list = std::get_if<protocol::upstream_list>(&message))
+        onUpstreamList(*list);
     else if (const auto* pull = std::get_if<protocol::configuration_pull>(&message)) {
         if (pull->version < configuration.version)
             sendTo(std::string(delivery.sender), configuration);
@@ -56,6 +58,7 @@
         for (const auto& [cell, dispatcher] : dispatchers)
             dispatcher->onOriginLost(now, gossip.host);
     }
+    tellUpstreams(gossip);
     if (gossip.zoneCellCount > zoneCells.cellCount(gossip.zone))
         updateCellCount(gossip.zone, gossip.zoneCellCount);
     // Control hosts push new configurations; the pull from another entry host works while the link to them is broken.
@@ -72,7 +75,7 @@
 void cell_host::impl::onDirectory(const protocol::directory_update& update)
 {
     ownership.onDirectoryKnown(steadyNow());
-    directorySince = std::min(directorySince, steadyNow());
+    upstreams.onControlUpdate(steadyNow());
     for (const std::string& host : update.entryHosts) {
         if (host == settings.host || !entryPeers.insert(host).second)
             continue;
@@ -94,27 +97,45 @@
 void cell_host::impl::onReports(std::span<const protocol::upstream_report> newReports)
 {
     const time_point now = steadyNow();
-    std::vector<const protocol::upstream_report*> accepted;
+    std::vector<protocol::upstream_report> accepted;
     std::set<std::string> zonesWithNewUpstreams;
     for (const protocol::upstream_report& report : newReports) {
-        const auto [found, isNew] = reports.try_emplace(report.id);
-        known_report& known = found->second;
-        if (!isNew && protocol::isNewer(known.report, report))
+        const cells::upstream_directory::change change = upstreams.onReport(now, report);
+        if (!change.isAccepted)
             continue;
-        known = { report, now };
         ownership.onZoneReport(now, report.zone);
-        accepted.push_back(&report);
-        if (isNew)
+        accepted.push_back(report);
+        if (change.isNew)
             zonesWithNewUpstreams.insert(report.zone);
     }
     for (const std::string& zone : zonesWithNewUpstreams)
         updateCellCount(zone, 1);
-    for (const protocol::upstream_report* report : accepted) {
-        if (const auto dispatcher = dispatchers.find(zoneCells.cellOf(report->zone, report->id)); dispatcher != dispatchers.end())
-            dispatcher->second->onUpstreamReport(now, *report);
+    forwardReports(accepted);
+}
+
+void cell_host::impl::onUpstreamList(const protocol::upstream_list& list)
+{
+    forwardReports(upstreams.onPeerList(steadyNow(), list.reports));
+}
+
+void cell_host::impl::forwardReports(std::span<const protocol::upstream_report> reports)
+{
+    for (const protocol::upstream_report& report : reports) {
+        if (const auto dispatcher = dispatchers.find(zoneCells.cellOf(report.zone, report.id)); dispatcher != dispatchers.end())
+            dispatcher->second->onUpstreamReport(steadyNow(), report);
     }
 }
 
+void cell_host::impl::tellUpstreams(const protocol::host_gossip& peer)
+{
+    if (!upstreams.mustTell(peer.host, peer.incarnation))
+        return;
+    if (!links.send(peer.host, protocol::encodeCellMessage(protocol::upstream_list { upstreams.list() })))
+        return; // no link yet: told after a later gossip
+    upstreams.onTold(peer.host, peer.incarnation);
+    logEvent(log_level::info, "upstreams_told", { { "host", peer.host }, { "upstreams", std::to_string(upstreams.size()) } });
+}
+
 void cell_host::impl::onConfiguration(const protocol::configuration_push& push, std::string_view sender)
 {
     if (push.version <= configuration.version)
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -133,6 +133,16 @@
     return out;
 }
 
+std::vector<std::string> cell_ownership::hostsOf(time_point now, std::string_view zone) const
+{
+    std::vector<std::string> out;
+    for (const auto& [host, heard] : m_hosts) {
+        if (heard.gossip.zone == zone && isLive(now, host))
+            out.push_back(host);
+    }
+    return out;
+}
+
 bool cell_ownership::hasLiveHost(time_point now, std::string_view zone, bool isLeaving) const
 {
     return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -78,6 +78,8 @@
 
     std::vector<std::string> silentHosts(time_point now) const;
     std::vector<std::string> otherOwners(time_point now) const;
+    // Other live hosts of the zone.
+    std::vector<std::string> hostsOf(time_point now, std::string_view zone) const;
 
     // Whether the host gets this host's gossip at every interval. True for all hosts while this host owns a cell; otherwise for
     // hosts of its zone, owners of cells, and hosts not heard from yet. The others get it less often, since no decision of theirs
--- /dev/null
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -0,0 +1,74 @@
+// Tests of the upstreams that an entry host knows of.
+#include "coordination/cells/upstream_directory.h"
+
+#include <doctest/doctest.h>
+
+using namespace jackdaw::cells;
+using jackdaw::protocol::upstream_report;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const time_point start { seconds(100) };
+
+upstream_report makeReport(const std::string& id, std::uint64_t sequence = 1)
+{
+    return { id, 1000, sequence, "planning", id + ":80", "a", { 32000, 65536, 0 }, {}, false };
+}
+
+} // namespace
+
+TEST_CASE("a host that restarted learns of upstreams that can't reach the control hosts")
+{
+    upstream_directory peer;
+    peer.onReport(start, makeReport("u1"));
+    peer.onReport(start, makeReport("u2"));
+    upstream_directory restarted;
+    restarted.onControlUpdate(start + seconds(9));
+    restarted.onReport(start + seconds(9), makeReport("u2", 7));
+    REQUIRE(peer.mustTell("host", 2));
+    const auto news = restarted.onPeerList(start + seconds(10), peer.list());
+    peer.onTold("host", 2);
+    REQUIRE(news.size() == 1);
+    CHECK(news.front().id == "u1");
+    CHECK(restarted.size() == 2);
+    CHECK_FALSE(peer.mustTell("host", 2));
+    CHECK(peer.mustTell("host", 3));
+    peer.forgetTold("host");
+    CHECK(peer.mustTell("host", 2));
+}
+
+TEST_CASE("the list of upstreams counts as complete only after another entry host has told its own")
+{
+    upstream_directory directory;
+    directory.onControlUpdate(start);
+    directory.onControlUpdate(start + seconds(1));
+    CHECK(directory.heardSince() == time_point::max());
+    directory.onPeerList(start + seconds(2), {});
+    directory.onPeerList(start + seconds(3), {});
+    CHECK(directory.heardSince() == start + seconds(2));
+}
+
+TEST_CASE("upstreams known from another host only do not count as reporting, and expire unless they are kept")
+{
+    upstream_directory directory;
+    directory.onReport(start, makeReport("u1"));
+    directory.onPeerList(start, std::vector { makeReport("u2"), makeReport("u3") });
+    CHECK(directory.countReporting(start + seconds(1), "a", seconds(5)) == 1);
+    CHECK(directory.countReporting(start + seconds(6), "a", seconds(5)) == 0);
+    directory.keep(start + seconds(50), std::vector<std::string> { "u3" });
+    directory.expire(start + seconds(61));
+    REQUIRE(directory.size() == 1);
+    CHECK(directory.list().front().id == "u3");
+}
+
+TEST_CASE("an older report does not replace a newer one, whoever tells it")
+{
+    upstream_directory directory;
+    CHECK(directory.onReport(start, makeReport("u1", 5)).isNew);
+    CHECK_FALSE(directory.onReport(start, makeReport("u1", 4)).isAccepted);
+    CHECK(directory.onPeerList(start, std::vector { makeReport("u1", 4) }).empty());
+    CHECK(directory.onPeerList(start, std::vector { makeReport("u1", 6) }).size() == 1);
+    CHECK(directory.list(std::vector<std::string> { "u1", "unknown" }).front().sequence == 6);
+}
--- /dev/null
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -0,0 +1,112 @@
+// Reports by upstream, their age, and which hosts were told.
+#include "coordination/cells/upstream_directory.h"
+
+#include <algorithm>
+
+namespace jackdaw::cells {
+namespace {
+
+    constexpr duration retention = std::chrono::seconds(60); // keeps upstreams known while all control hosts are down
+
+} // namespace
+
+upstream_directory::change upstream_directory::onReport(time_point now, const protocol::upstream_report& report)
+{
+    const auto [found, isNew] = m_upstreams.try_emplace(report.id);
+    known_upstream& known = found->second;
+    if (!isNew && protocol::isNewer(known.report, report))
+        return {};
+    known = { report, now, now };
+    return { true, isNew };
+}
+
+std::vector<protocol::upstream_report> upstream_directory::onPeerList(time_point now, std::span<const protocol::upstream_report> reports)
+{
+    m_peerSince = std::min(m_peerSince, now);
+    std::vector<protocol::upstream_report> news;
+    for (const protocol::upstream_report& report : reports) {
+        const auto [found, isNew] = m_upstreams.try_emplace(report.id);
+        known_upstream& known = found->second;
+        known.knownAt = now;
+        if (!isNew && !protocol::isNewer(report, known.report))
+            continue;
+        known.report = report;
+        news.push_back(report);
+    }
+    return news;
+}
+
+void upstream_directory::onControlUpdate(time_point now)
+{
+    m_controlSince = std::min(m_controlSince, now);
+}
+
+void upstream_directory::keep(time_point now, std::span<const std::string> ids)
+{
+    for (const std::string& id : ids) {
+        if (const auto found = m_upstreams.find(id); found != m_upstreams.end())
+            found->second.knownAt = now;
+    }
+}
+
+bool upstream_directory::mustTell(std::string_view host, std::uint64_t incarnation) const
+{
+    const auto told = m_told.find(host);
+    return told == m_told.end() || told->second != incarnation;
+}
+
+void upstream_directory::onTold(std::string_view host, std::uint64_t incarnation)
+{
+    m_told[std::string(host)] = incarnation;
+}
+
+void upstream_directory::forgetTold(std::string_view host)
+{
+    if (const auto told = m_told.find(host); told != m_told.end())
+        m_told.erase(told);
+}
+
+time_point upstream_directory::heardSince() const
+{
+    return std::max(m_controlSince, m_peerSince);
+}
+
+std::size_t upstream_directory::countReporting(time_point now, std::string_view zone, duration maxAge) const
+{
+    return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto& item) {
+        const known_upstream& known = item.second;
+        return known.report.zone == zone && !known.report.isLeaving && known.reportedAt >= now - maxAge;
+    }));
+}
+
+std::vector<protocol::upstream_report> upstream_directory::list() const
+{
+    std::vector<protocol::upstream_report> out;
+    out.reserve(m_upstreams.size());
+    for (const auto& [id, known] : m_upstreams)
+        out.push_back(known.report);
+    return out;
+}
+
+std::vector<protocol::upstream_report> upstream_directory::list(std::span<const std::string> ids) const
+{
+    std::vector<protocol::upstream_report> out;
+    for (const std::string& id : ids) {
+        if (const auto found = m_upstreams.find(id); found != m_upstreams.end())
+            out.push_back(found->second.report);
+    }
+    return out;
+}
+
+void upstream_directory::forEach(const std::function<void(const protocol::upstream_report& report)>& visit) const
+{
+    for (const auto& [id, known] : m_upstreams)
+        visit(known.report);
+}
+
+void upstream_directory::expire(time_point now)
+{
+    std::erase_if(m_upstreams, [now](const auto& item) { return now - item.second.knownAt > retention; });
+}
+
+} // namespace jackdaw::cells
--- /dev/null
+++ b/src/coordination/cells/upstream_directory.h
@@ -0,0 +1,76 @@
+// The upstreams that an entry host knows of: from control hosts, which relay the upstreams' reports, and from other entry hosts.
+// An upstream that can't reach any control host is known only to those that heard of it before, so entry hosts tell each other:
+// an owner that didn't know such an upstream would neither fence earlier owners there nor find their tasks.
+#pragma once
+
+#include "protocol/cell_messages.h"
+#include "protocol/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jackdaw::cells {
+
+using protocol::duration;
+using protocol::time_point;
+
+class upstream_directory {
+public:
+    struct change {
+        bool isAccepted = false; // no newer report was known
+        bool isNew = false; // the upstream was not known
+    };
+
+    // A report that a control host relayed.
+    change onReport(time_point now, const protocol::upstream_report& report);
+
+    // Another entry host's list. Returns the reports that were not known, or are newer than those known.
+    std::vector<protocol::upstream_report> onPeerList(time_point now, std::span<const protocol::upstream_report> reports);
+
+    // The first update from a control host has arrived.
+    void onControlUpdate(time_point now);
+
+    // Keeps upstreams that answer this host although they don't report.
+    void keep(time_point now, std::span<const std::string> ids);
+
+    // Whether the process of another entry host still has to be told the upstreams.
+    bool mustTell(std::string_view host, std::uint64_t incarnation) const;
+    void onTold(std::string_view host, std::uint64_t incarnation);
+    // The host was not heard for a time, and may have missed reports.
+    void forgetTold(std::string_view host);
+
+    // Since when this host has been told by a control host and by another entry host; time_point::max() before that.
+    time_point heardSince() const;
+
+    // Upstreams of the zone, not leaving, whose reports arrived within maxAge.
+    std::size_t countReporting(time_point now, std::string_view zone, duration maxAge) const;
+
+    std::vector<protocol::upstream_report> list() const;
+    std::vector<protocol::upstream_report> list(std::span<const std::string> ids) const;
+    std::size_t size() const { return m_upstreams.size(); }
+
+    void forEach(const std::function<void(const protocol::upstream_report& report)>& visit) const;
+
+    // Removes upstreams that nothing was heard of for too long.
+    void expire(time_point now);
+
+private:
+    struct known_upstream {
+        protocol::upstream_report report;
+        time_point reportedAt = time_point::min(); // last report that a control host relayed
+        time_point knownAt; // last time that anybody told of it
+    };
+
+    std::map<std::string, known_upstream, std::less<>> m_upstreams; // by id
+    std::map<std::string, std::uint64_t, std::less<>> m_told; // incarnation of each host that was told the upstreams
+    time_point m_controlSince = time_point::max();
+    time_point m_peerSince = time_point::max();
+};
+
+} // namespace jackdaw::cells
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -218,8 +218,17 @@
     MSGPACK_DEFINE_ARRAY(bytes)
 };
 
+// The upstreams that an entry host knows of, for another entry host.
+struct upstream_list {
+    std::vector<upstream_report> reports;
+
+    friend bool operator==(const upstream_list&, const upstream_list&) = default;
+
+    MSGPACK_DEFINE_ARRAY(reports)
+};
+
 // The position of a type in this list is its kind on the wire: new types are appended at the end.
-using cell_message = std::variant<host_gossip, directory_request, control_heartbeat, directory_update, configuration_push, control_raft_message, job_order, order_answer, job_cancel, configuration_pull>;
+using cell_message = std::variant<host_gossip, directory_request, control_heartbeat, directory_update, configuration_push, control_raft_message, job_order, order_answer, job_cancel, configuration_pull, upstream_list>;
 
 // Name of the outcome for logs.
 std::string_view toText(job_outcome outcome);
