Cells: a take-over waits until a cut-off owner can't renew leases any more

Cause: a new owner waited 1.6 s for upstreams that it couldn't reach, the length of a lease of 1 s and a margin. An earlier owner that is cut off from the other hosts, but not from such an upstream, goes on renewing its lease until it polls an upstream that the new owner has adopted: up to 1 s later when that is idle.

Change: the wait is the interval of idle polls, the longest lease with drift and a margin (2.32 s with leases of 1 s). A fenced owner sends no more polls, also before it is released.

Only tasks that are handed over and not found running wait; a take-over that adopts every upstream is as fast as before.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -18,8 +18,7 @@
 
     constexpr duration busyInterval = milliseconds(20); // about an eighth of the shortest objective seen, 156 ms
     constexpr duration idleInterval = milliseconds(250); // without jobs and runs: idle upstreams are polled once a second
-    // Longer than an earlier owner's lease of 1 s with clock drift, and than the default 1.5 s between an upstream's reports.
-    constexpr duration takeoverTime = milliseconds(1600);
+    constexpr duration fencingMargin = milliseconds(300); // for a fenced owner's poll to be answered and its next timer to run
     // A few run times of a short task. Doubled with each consecutive refusal.
     constexpr duration refusalEjection = milliseconds(200);
     constexpr int maxRefusalDoublings = 4; // gives 1.6 s, about as long as an upstream takes to report again
@@ -41,10 +40,12 @@
         hooks.onDecision({ event, std::string(subject), std::move(inputs) });
 }
 
-// True once all upstreams and their runs are known, or every lease of earlier owners has expired.
+// True once all upstreams and their runs are known, or every lease of earlier owners has expired. An owner that is cut off from
+// the other hosts renews the leases on upstreams that only it can reach, until its next poll of an upstream adopted here.
 bool cell_dispatcher::impl::isTakeoverComplete(time_point now) const
 {
-    if (now - ownedSince >= takeoverTime)
+    const auto longestLease = duration_cast<duration>(settings.maxLease * (1 + upstream_record::clockDrift));
+    if (now - ownedSince >= idlePollInterval + fencingMargin + longestLease)
         return true;
     const bool hasHeardAll = now - settings.reportsHeardSince >= 2 * settings.reportInterval;
     return hasHeardAll && !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -13,6 +13,8 @@
 
 namespace jackdaw::cells {
 
+constexpr duration idlePollInterval = std::chrono::seconds(1); // keeps an idle upstream known while no reports arrive
+
 class cell_dispatcher::impl {
 public:
     using cell_job = internal::cell_job;
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -15,7 +15,6 @@
 namespace {
 
     constexpr std::uint32_t pollWaitMs = 300; // gives three renewals within the shortest lease of 1 s
-    constexpr duration idlePollInterval = std::chrono::seconds(1); // keeps an idle upstream known while no reports arrive
     constexpr duration retryInterval = milliseconds(150); // between calls while unanswered; several fit within a lease
     constexpr duration stopMargin = milliseconds(20); // for drift of the upstream's clock and late wake-up of its timer
     constexpr duration claimGracePeriod = milliseconds(400); // for the origin host of a failed owner's job to forward the job
@@ -81,6 +80,8 @@
 
 void cell_dispatcher::impl::poll(time_point now, upstream_record& upstream)
 {
+    if (isFenced)
+        return; // the next owner may wait for the leases to end
     poll_request order;
     order.target = { upstream.lastReport.id, upstream.lastReport.address };
     order.ackCursor = upstream.cursor;
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -164,6 +164,35 @@
     checkSafe(sim);
 }
 
+TEST_CASE("a new owner waits for leases that the previous owner renews until it is fenced")
+{
+    for (int offset = 0; offset < 1000; offset += 50) {
+        CAPTURE(offset);
+        cell_simulation sim(1);
+        openCell(sim, { "u1", "u2" });
+        job_order job = sim.makeJob("1", 1, 14000, 6000);
+        job.timeLeftMs = 10000;
+        sim.submit(0, job);
+        sim.runFor(milliseconds(50 + offset));
+        const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
+        const std::size_t second = sim.addOwner();
+        sim.cutFrom(second, home);
+        job.handOverCount = 1;
+        sim.submit(second, job);
+        bool isReleased = false;
+        for (int step = 0; step < 500; ++step) {
+            sim.runFor(milliseconds(10));
+            if (!isReleased && sim.owner(0).isFenced()) {
+                sim.owner(0).release();
+                isReleased = true;
+            }
+        }
+        CHECK(isReleased);
+        checkSafe(sim);
+        CHECK(sim.runsOf("1.0.0.0") == 2);
+    }
+}
+
 TEST_CASE("tasks that no job claims after a takeover are stopped, and their capacity is used again")
 {
     cell_simulation sim(1);
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -161,6 +161,11 @@
     return std::chrono::duration_cast<milliseconds>(m_now - upstream.clockStart).count();
 }
 
+bool cell_simulation::isCutOff(std::size_t owner, const sim_upstream& upstream) const
+{
+    return m_owners[owner].isCut || m_owners[owner].unreachable.contains(upstream.id);
+}
+
 call_outcome cell_simulation::check(sim_upstream& upstream, std::uint64_t token) const
 {
     if (token < upstream.token)
@@ -171,7 +176,7 @@
 
 void cell_simulation::answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome)
 {
-    const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost;
+    const bool isSilent = isCutOff(owner, upstream) || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost;
     call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf(upstream) };
     duration delay = callTime;
     if (answer.outcome == call_outcome::silent)
@@ -197,7 +202,7 @@
 {
     if (upstream.fault == upstream_fault::crashed)
         return call_outcome::not_received;
-    const bool isLost = upstream.fault == upstream_fault::silent || m_owners[owner].isCut || isDelayed(upstream, std::move(later));
+    const bool isLost = upstream.fault == upstream_fault::silent || isCutOff(owner, upstream) || isDelayed(upstream, std::move(later));
     return isLost ? std::optional(call_outcome::silent) : std::nullopt;
 }
 
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -68,6 +68,7 @@
     std::size_t addOwner();
     cell_dispatcher& owner(std::size_t number) { return *m_owners[number].dispatcher; }
     void setOwnerCut(std::size_t number, bool isCut) { m_owners[number].isCut = isCut; }
+    void cutFrom(std::size_t number, const std::string& upstream) { m_owners[number].unreachable.insert(upstream); }
 
     // Each task of the job runs for runMs on an upstream of slowness 1.
     protocol::job_order makeJob(const std::string& id, std::uint32_t tasks, std::int64_t millicores, std::uint32_t runMs, std::uint32_t priority = 0) const;
@@ -94,6 +95,7 @@
         std::unique_ptr<cell_dispatcher> dispatcher;
         std::uint64_t token = 0;
         bool isCut = false; // from all upstreams
+        std::set<std::string> unreachable; // upstreams that the owner is cut off from
         time_point nextAdvance;
     };
     struct due_event {
@@ -119,6 +121,7 @@
     void answerPoll(const open_poll& poll, sim_upstream& upstream, call_outcome outcome);
     void begin(sim_upstream& upstream, const start_request& order);
     void end(sim_upstream& upstream, std::uint64_t number, end_kind how);
+    bool isCutOff(std::size_t owner, const sim_upstream& upstream) const;
     call_outcome check(sim_upstream& upstream, std::uint64_t token) const;
     bool isDelayed(const sim_upstream& upstream, std::function<void()> later);
     // Returns the outcome that the owner sees of a call that does not arrive in time; empty if it arrives. later carries out a
