--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -51,6 +51,15 @@
     return hasHeardAll && !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
 }
 
+void cell_dispatcher::impl::logTakeover(time_point now)
+{
+    if (isTakeoverLogged || !isTakeoverComplete(now))
+        return;
+    isTakeoverLogged = true;
+    const auto adopted = std::count_if(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
+    note("takeover_complete", settings.cell, "after_ms=" + std::to_string(duration_cast<milliseconds>(now - ownedSince).count()) + " adopted=" + std::to_string(adopted) + " known=" + std::to_string(upstreams.size()));
+}
+
 bool cell_dispatcher::impl::canEverRun(const cell_job& job) const
 {
     return std::all_of(job.order.steps.begin(), job.order.steps.end(), [&](const protocol::job_step& step) {
@@ -249,6 +258,7 @@
 
 void cell_dispatcher::advance(time_point now)
 {
+    m_impl->logTakeover(now);
     for (auto& [id, upstream] : m_impl->upstreams)
         m_impl->checkUpstream(now, upstream);
     if (!m_impl->jobs.empty())
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -31,6 +31,7 @@
     internal::service_ratios serviceRatios;
     std::vector<cell_action> actions;
     bool isFenced = false;
+    bool isTakeoverLogged = false;
 
     // Answers of ended jobs, kept for resubmissions that arrive late.
     struct cached_answer {
@@ -82,6 +83,7 @@
     duration estimateWait(time_point now, const cell_job& job) const;
     static duration fastestRun(const cell_job& job, const internal::available_upstreams& available);
     bool isTakeoverComplete(time_point now) const;
+    void logTakeover(time_point now);
 
     void note(std::string_view event, std::string_view subject, std::string inputs) const;
 };
