Cells: a start without an answer is stopped in the next life of its upstream too

Cause: when an upstream restarted under its id, all its runs were taken as gone, also starts that had got no answer. Those may still be carried out, and the new life refuses nothing: it has seen no stop and no fencing token, and the expiry of the lease lies ahead of its clock, which begins anew. A lease that had run out without an answer was taken for the end of such starts as well.

Change: starts without an answer are kept for 12 s, the time within which calls may be carried out late. A new life is told to stop them first, and their tasks start again only after that. The end of a lease ends only runs that had begun. Answers to calls to an earlier life are ignored.

What can't be prevented: a start that the new life carries out before it has received the stop.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -198,7 +198,7 @@
     job.setState(step, index, task_state::active);
     job.hasBegun = true;
     upstream.runs[name] = record;
-    actions.emplace_back(start_request { { upstream.lastReport.id, upstream.lastReport.address }, name, job.order.spec, upstream.extendLease(now, settings.maxLease), settings.token });
+    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, settings.maxLease), settings.token });
     if (!upstream.isPollPending)
         poll(now, upstream);
 }
@@ -222,6 +222,7 @@
     if (answer.outcome == call_outcome::done) {
         m_impl->recordAnswer(now, upstream, answer);
         upstream.consecutiveRefusals = 0;
+        record.hasBegun = true;
         if (record.state == run_state::starting) {
             record.state = run_state::running;
             record.confirmedAt = now;
@@ -231,10 +232,7 @@
     m_impl->note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::string(toText(answer.outcome)));
     if (answer.outcome == call_outcome::silent) {
         ++upstream.consecutiveUnanswered;
-        if (record.state == run_state::starting) {
-            m_impl->stopRun(now, upstream, order.run, record);
-            record.state = run_state::uncertain;
-        }
+        m_impl->onUnansweredStart(now, upstream, order.run, record);
         return;
     }
     // The start was refused without effect, so the run does not exist.
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -31,6 +31,7 @@
     internal::service_ratios serviceRatios;
     std::vector<cell_action> actions;
     bool isFenced = false;
+    std::uint64_t lastLife = 0; // number of the upstreams' incarnations seen so far
     bool isTakeoverLogged = false;
 
     // Answers of ended jobs, kept for resubmissions that arrive late.
@@ -44,6 +45,11 @@
 
     // Upstreams.
     void onReport(time_point now, const protocol::upstream_report& report);
+    void onUnansweredStart(time_point now, upstream_record& upstream, const run_id& name, run_record& record);
+    void onRestart(time_point now, upstream_record& upstream, const protocol::upstream_report& report);
+    void endLapsedRuns(upstream_record& upstream);
+    void endUnansweredStarts(time_point now, upstream_record& upstream);
+    void removeRuns(upstream_record& upstream, std::string_view cause, const std::function<bool(const run_record& record)>& isGone);
     void requeueAllRuns(upstream_record& upstream, std::string_view cause);
     void removeUpstream(const std::string& id, std::string_view cause);
     void poll(time_point now, upstream_record& upstream);
@@ -56,7 +62,8 @@
     void removeStoppedRuns(time_point now, upstream_record& upstream);
     void stopRun(time_point now, upstream_record& upstream, const run_id& name, run_record& record);
     void recordAnswer(time_point now, upstream_record& upstream, const call_answer& answer);
-    // Returns the upstream that answered a call. Null if the answer ended this ownership or the upstream is no longer known.
+    // Returns the upstream that answered a call. Null if the answer ended this ownership, or is of an upstream or an incarnation that
+    // is no longer known.
     upstream_record* findAnsweringUpstream(const upstream_target& target, const call_answer& answer);
 
     // Jobs.
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -17,9 +17,11 @@
     constexpr std::uint32_t pollWaitMs = 300; // gives three renewals within the shortest lease of 1 s
     constexpr duration retryInterval = milliseconds(150); // between calls while unanswered; several fit within a lease
     constexpr duration stopMargin = milliseconds(20); // for drift of the upstream's clock and late wake-up of its timer
+    constexpr duration lateCallLimit = std::chrono::seconds(12); // an unanswered call may be carried out up to this much later
     constexpr duration claimGracePeriod = milliseconds(400); // for the origin host of a failed owner's job to forward the job
-    // An upstream is removed this long after its last report or answer. Ended tasks without a known job are remembered as long.
-    constexpr duration removalDelay = std::chrono::seconds(10);
+    // An upstream is removed this long after its last report or answer, when its unanswered starts have expired. Ended tasks without
+    // a known job are remembered as long.
+    constexpr duration removalDelay = std::chrono::seconds(13);
     constexpr int failuresToEject = 2; // consecutive; with the usual failure rate of 0.2 % two in a row are rare
     constexpr duration minEjection = milliseconds(500); // a few run times of a short task
     constexpr duration maxEjection = std::chrono::seconds(4); // half of the usual duration of such faults
@@ -47,10 +49,10 @@
     const upstream_report& known = upstream.lastReport;
     if (!isNew && !protocol::isNewer(report, known))
         return;
-    if (!isNew && report.startedUnixMs > known.startedUnixMs) {
-        requeueAllRuns(upstream, "restarted");
-        upstream.restart(report);
-    }
+    if (isNew)
+        upstream.life = ++lastLife;
+    else if (report.startedUnixMs > known.startedUnixMs)
+        onRestart(now, upstream, report);
     if (isNew || known.isLeaving != report.isLeaving)
         note("upstream_state", report.id, formatField("leaving", report.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
     upstream.lastReport = report;
@@ -59,6 +61,39 @@
         poll(now, upstream);
 }
 
+void cell_dispatcher::impl::onUnansweredStart(time_point now, upstream_record& upstream, const run_id& name, run_record& record)
+{
+    if (record.hasBegun)
+        return; // a list has named the run in the meantime
+    upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
+    if (record.state == run_state::starting)
+        stopRun(now, upstream, name, record);
+    record.state = run_state::uncertain;
+}
+
+// Runs that had begun are gone. Starts without an answer are stopped in the new life before their tasks start again.
+void cell_dispatcher::impl::onRestart(time_point now, upstream_record& upstream, const upstream_report& report)
+{
+    const auto before = std::exchange(upstream.runs, {});
+    upstream.restart(report, ++lastLife);
+    for (const auto& [name, record] : before) {
+        if (!record.hasBegun)
+            upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
+    }
+    note("runs_lost", report.id, formatField("cause", "restarted") + " runs=" + std::to_string(before.size()) + " unanswered=" + std::to_string(upstream.unansweredStarts.size()));
+    for (const auto& [name, start] : upstream.unansweredStarts) {
+        run_record& record = upstream.runs[name] = start.record;
+        record.state = run_state::uncertain;
+        record.isStopConfirmed = false;
+        record.job.clear();
+        stopRun(now, upstream, name, record);
+    }
+    for (const auto& [name, record] : before)
+        requeueRun(record);
+    for (const auto& [id, job] : jobs)
+        claimRuns(now, *job);
+}
+
 void cell_dispatcher::impl::requeueAllRuns(upstream_record& upstream, std::string_view cause)
 {
     if (!upstream.runs.empty())
@@ -83,7 +118,7 @@
     if (isFenced)
         return; // the next owner may wait for the leases to end
     poll_request order;
-    order.target = { upstream.lastReport.id, upstream.lastReport.address };
+    order.target = upstream.target();
     order.ackCursor = upstream.cursor;
     order.token = settings.token;
     order.onNewConnection = upstream.needsNewConnection;
@@ -114,10 +149,13 @@
         isFenced = true;
         return nullptr;
     }
-    if (answer.outcome == call_outcome::other_life)
-        removeUpstream(target.id, "another upstream or incarnation answers at its address");
     const auto found = upstreams.find(target.id);
-    return found == upstreams.end() ? nullptr : &found->second;
+    if (found == upstreams.end() || found->second.life != target.life)
+        return nullptr;
+    if (answer.outcome != call_outcome::other_life)
+        return &found->second;
+    removeUpstream(target.id, "another upstream or incarnation answers at its address");
+    return nullptr;
 }
 
 void cell_dispatcher::impl::applyPollAnswer(time_point now, upstream_record& upstream, const poll_request& order, const poll_answer& answer)
@@ -126,8 +164,7 @@
         upstream_report report = upstream.lastReport;
         report.startedUnixMs = answer.bornUnixMs;
         report.sequence = 0;
-        requeueAllRuns(upstream, "restarted");
-        upstream.restart(report);
+        onRestart(now, upstream, report);
         upstream.nextPollAt = now;
         return;
     }
@@ -157,6 +194,8 @@
     for (const running_task& running : answer.running) {
         const auto [found, isUnknown] = upstream.runs.try_emplace(running.run);
         run_record& record = found->second;
+        record.hasBegun = true;
+        upstream.unansweredStarts.erase(running.run);
         if (isUnknown) {
             hasUnknownRuns = true;
             record.state = run_state::running;
@@ -194,6 +233,7 @@
 
 void cell_dispatcher::impl::onRunEnded(time_point now, upstream_record& upstream, const ended_task& end)
 {
+    upstream.unansweredStarts.erase(end.run);
     const auto found = upstream.runs.find(end.run);
     if (found == upstream.runs.end() || found->second.job.empty()) {
         if (end.how == end_kind::done)
@@ -252,7 +292,7 @@
     if (record.state != run_state::uncertain)
         record.state = run_state::stopping;
     record.nextStopAt = now + retryInterval;
-    actions.emplace_back(stop_request { { upstream.lastReport.id, upstream.lastReport.address }, name, settings.token, isUncertain });
+    actions.emplace_back(stop_request { upstream.target(), name, settings.token, isUncertain });
 }
 
 // After an answered stop the run ends within the upstream's bound, even if no poll has confirmed it.
@@ -269,10 +309,41 @@
     }
 }
 
+// The lease has expired without an answer. That says nothing of starts that the upstream has not carried out yet.
+void cell_dispatcher::impl::endLapsedRuns(upstream_record& upstream)
+{
+    removeRuns(upstream, "lease expired without an answer", [](const run_record& record) { return record.hasBegun; });
+}
+
+void cell_dispatcher::impl::endUnansweredStarts(time_point now, upstream_record& upstream)
+{
+    if (std::erase_if(upstream.unansweredStarts, [now](const auto& start) { return now >= start.second.until; }) > 0)
+        removeRuns(upstream, "start without an answer for too long", [now](const run_record& record) { return !record.hasBegun && now >= record.since + lateCallLimit; });
+}
+
+void cell_dispatcher::impl::removeRuns(upstream_record& upstream, std::string_view cause, const std::function<bool(const run_record& record)>& isGone)
+{
+    std::vector<run_record> removed;
+    for (auto item = upstream.runs.begin(); item != upstream.runs.end();) {
+        if (!isGone(item->second)) {
+            ++item;
+            continue;
+        }
+        removed.push_back(item->second);
+        item = upstream.runs.erase(item);
+    }
+    if (removed.empty())
+        return;
+    note("runs_lost", upstream.lastReport.id, formatField("cause", cause) + " runs=" + std::to_string(removed.size()));
+    for (const run_record& record : removed)
+        requeueRun(record);
+}
+
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_record& upstream)
 {
-    if (upstream.needsNewConnection && !upstream.runs.empty() && now >= upstream.leaseEnd)
-        requeueAllRuns(upstream, "lease expired without an answer");
+    if (upstream.needsNewConnection && now >= upstream.leaseEnd)
+        endLapsedRuns(upstream);
+    endUnansweredStarts(now, upstream);
     removeStoppedRuns(now, upstream);
     for (auto& [name, record] : upstream.runs) {
         const bool isUnclaimed = record.job.empty() && record.state == run_state::running && now - record.since >= claimGracePeriod;
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace jackdaw::cells::internal {
 
@@ -47,11 +48,14 @@
     return clock.now(now) + duration_cast<milliseconds>(lease).count();
 }
 
-void upstream_record::restart(const protocol::upstream_report& report)
+void upstream_record::restart(const protocol::upstream_report& report, std::uint64_t newLife)
 {
     const run_time_ratio learned = ratio;
+    auto unanswered = std::move(unansweredStarts);
     *this = upstream_record(report);
+    life = newLife;
     ratio = learned;
+    unansweredStarts = std::move(unanswered);
 }
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -36,10 +36,18 @@
     time_point since; // when the start was sent or the run first listed
     time_point confirmedAt; // valid while running: when it was first known to run
     time_point nextStopAt; // valid while stopping or uncertain
-    bool isStopConfirmed = false; // a stop was answered: the run can no longer begin
+    bool hasBegun = false; // the start was answered, or the upstream listed the run
+    bool isStopConfirmed = false; // a stop was answered: the run can no longer begin in this life of the upstream
     time_point stopConfirmedAt; // valid once isStopConfirmed
 };
 
+// A start that got no answer. The upstream may still carry it out, also in a later life, which knows neither stops nor tokens of
+// the earlier ones.
+struct unanswered_start {
+    run_record record; // as of the start
+    time_point until; // it is not carried out any later
+};
+
 // Estimate of the upstream's steady clock from its last answer. Ahead of the actual clock by no more than its drift.
 struct clock_estimate {
     std::int64_t clockMs = 0; // 0: not known
@@ -61,7 +69,9 @@
 
     protocol::upstream_report lastReport;
     bool isAdopted = false; // it has seen this owner's fencing token, and its runs are known
+    std::uint64_t life = 0; // unique for each incarnation of each upstream
     std::map<run_id, run_record> runs;
+    std::map<run_id, unanswered_start> unansweredStarts;
     std::uint64_t cursor = 0; // number of the last processed ended task
     clock_estimate clock;
     time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
@@ -79,6 +89,8 @@
     time_point ejectedUntil; // no starts before, since it fails tasks or refuses starts
     duration ejectionDuration {};
 
+    upstream_target target() const { return { lastReport.id, lastReport.address, life }; }
+
     // Free capacity for new starts. Zero while the upstream has a run whose resource need is unknown.
     resource_vector freeCapacity() const;
     // True if a job wants a run that has not been told to stop, or may still claim it.
@@ -89,8 +101,8 @@
     // leaseEnd becomes the latest local time at which the lease can end.
     std::int64_t extendLease(time_point now, duration lease);
 
-    // The upstream has a new incarnation: resets everything but the measured speed.
-    void restart(const protocol::upstream_report& report);
+    // The upstream has a new incarnation: resets everything but the measured speed and the unanswered starts.
+    void restart(const protocol::upstream_report& report, std::uint64_t newLife);
 };
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -388,3 +388,30 @@
     sim.runFor(milliseconds(1500));
     CHECK(sim.upstream("u1").running.empty());
 }
+
+TEST_CASE("a start without an answer that the next life of its upstream carries out does not run beside another run")
+{
+    for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        const std::vector<std::string> ids { "u1", "u2", "u3", "u4" };
+        for (const std::string& id : ids)
+            sim.addUpstream(id, 64000);
+        openCell(sim, {});
+        sim.setDelayedShare(0.4);
+        for (const std::string& id : ids)
+            sim.upstream(id).fault = upstream_fault::delayed_calls;
+        job_order job = sim.makeJob("1", 8, 14000, 15000);
+        job.timeLeftMs = 20000;
+        sim.submit(0, job);
+        sim.runFor(milliseconds(1000));
+        for (const std::string& id : ids)
+            sim.upstream(id).fault = upstream_fault::none;
+        const std::string reborn = ids[sim.random()() % ids.size()];
+        sim.crash(reborn);
+        sim.runFor(milliseconds(sim.random()() % 300));
+        sim.restart(reborn);
+        sim.runFor(seconds(14));
+        checkSafe(sim);
+    }
+}
--- a/src/coordination/cells/upstream_calls.h
+++ b/src/coordination/cells/upstream_calls.h
@@ -22,6 +22,7 @@
 struct upstream_target {
     std::string id;
     std::string address; // "ip:port"
+    std::uint64_t life = 0; // the caller's number for the addressed incarnation, to tell answers of earlier ones
 };
 
 struct start_request {
