--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -415,3 +415,34 @@
         checkSafe(sim);
     }
 }
+TEST_CASE("a job that was moved to another cell goes there again when it is resubmitted")
+{
+    cell_settings settings;
+    settings.cell = "a";
+    cell_hooks hooks;
+    std::string other = "b";
+    hooks.findOtherCell = [&other](const job_order&) { return other; };
+    cell_dispatcher dispatcher(settings, hooks, {});
+    const cell_simulation sim(1);
+    const jackdaw::protocol::upstream_report report { "u1", 1000, 1, "planning", "10.0.0.1:80", "a", { 16000, 65536, 0 }, {}, false };
+    dispatcher.onUpstreamReport({}, report);
+    dispatcher.takeActions();
+    const auto submit = [&](std::uint64_t submission, const char* origin, bool mayMove = true) {
+        job_order job = sim.makeJob("1", 2, 14000, 60);
+        job.submissionNumber = submission;
+        job.mayMove = mayMove;
+        dispatcher.submit(jackdaw::cells::time_point(seconds(submission)), job, origin);
+        for (const cell_action& action : dispatcher.takeActions()) {
+            if (const auto* answer = std::get_if<owner_answer>(&action))
+                return answer->answer;
+        }
+        return jackdaw::protocol::order_answer {};
+    };
+    CHECK(submit(1, "host-1").cell == "b");
+    other = "c";
+    const auto again = submit(2, "host-2");
+    CHECK(again.outcome == job_outcome::moved);
+    CHECK(again.cell == "b");
+    CHECK(again.submissionNumber == 2);
+    CHECK(submit(3, "host-3", false).outcome != job_outcome::moved);
+}
