--- a/src/apps/shared/zone_address.cpp
+++ b/src/apps/shared/zone_address.cpp
@@ -1,6 +1,8 @@
 // Reading of addresses.
 #include "apps/shared/zone_address.h"
 
+#include <arpa/inet.h>
+
 #include <charconv>
 
 namespace jackdaw::apps {
@@ -23,6 +25,18 @@
     return transport::endpoint { std::string(text.substr(0, colon)), port };
 }
 
+result<transport::endpoint> parseIpEndpoint(std::string_view text)
+{
+    auto address = parseEndpoint(text);
+    if (!address)
+        return address;
+    in6_addr binary {}; // holds an address of either family
+    const char* const host = address.value().host.c_str();
+    if (inet_pton(AF_INET, host, &binary) != 1 && inet_pton(AF_INET6, host, &binary) != 1)
+        return makeError(error_kind::malformed_request, "'" + address.value().host + "' is not an IP address");
+    return address;
+}
+
 std::string toText(const transport::endpoint& address)
 {
     return address.host + ':' + std::to_string(address.port);
--- a/src/apps/shared/zone_address.h
+++ b/src/apps/shared/zone_address.h
@@ -19,6 +19,9 @@
 // Reads "ip:port".
 protocol::result<transport::endpoint> parseEndpoint(std::string_view text);
 
+// Reads "ip:port" from another machine. Fails for a host name, which would block the event loop while it is resolved.
+protocol::result<transport::endpoint> parseIpEndpoint(std::string_view text);
+
 // "ip:port".
 std::string toText(const transport::endpoint& address);
 
