--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -93,6 +93,7 @@
             ahead += other->waitingTasks();
     }
     std::vector<duration> untilEnds;
+    std::size_t freePlaces = 0;
     for (const auto& [id, upstream] : upstreams) {
         if (!internal::isAvailable(upstream, now) || upstream.lastReport.service != job.order.service)
             continue;
@@ -105,11 +106,12 @@
             const duration expected = duration_cast<duration>(std::chrono::duration<double, std::milli>(record.expectedMs * ratio));
             untilEnds.push_back(std::max(expected - (now - record.since), expected / 8));
         }
-        // Free capacity for one task counts as a run that ends now.
+        // Free capacity for one task counts as a run that ends now. Places beyond the number of waiting tasks change nothing.
         const protocol::job_step& shape = job.order.steps.front();
         if (shape.need.millicores > 0)
-            untilEnds.insert(untilEnds.end(), static_cast<std::size_t>(std::max<std::int64_t>(upstream.freeCapacity().millicores / shape.need.millicores, 0)), duration::zero());
+            freePlaces += std::min(static_cast<std::size_t>(std::max<std::int64_t>(upstream.freeCapacity().millicores / shape.need.millicores, 0)), ahead - freePlaces);
     }
+    untilEnds.insert(untilEnds.end(), freePlaces, duration::zero());
     return internal::expectedWait(std::move(untilEnds), ahead);
 }
 
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -446,3 +446,15 @@
     CHECK(again.submissionNumber == 2);
     CHECK(submit(3, "host-3", false).outcome != job_outcome::moved);
 }
+
+TEST_CASE("an upstream that reports a capacity beyond all bounds ends no owner while a job waits")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1", "odd" });
+    sim.upstream("odd").capacity = { INT64_MAX, 0, 0 };
+    sim.runFor(seconds(2));
+    sim.submit(0, sim.makeJob("first", 2, 14000, 200));
+    CHECK_NOTHROW(sim.submit(0, sim.makeJob("second", 2, 14000, 200)));
+    sim.runFor(seconds(1));
+    CHECK(outcomeOf(sim, "first") == job_outcome::completed);
+}
