Refuse deeply nested bodies while they are parsed

A body of 16 MiB, the servers' limit, can have eight million levels. The library parses and frees them without recursion, so no stack overflows, but the document takes some 70 bytes for each level. A control host has 256 MB and half a core; it would be ended for its memory, or fall silent, at each such body.

parseJsonObject() refuses a body of more than 32 levels while it is parsed; the platform's interface and the product's own one share it.

--- a/src/apps/entry/upstream_answer.cpp
+++ b/src/apps/entry/upstream_answer.cpp
@@ -1,7 +1,7 @@
 // From upstreams' HTTP answers to outcomes of tasks.
 #include "apps/entry/upstream_answer.h"
 
-#include <nlohmann/json.hpp>
+#include "protocol/json_document.h"
 
 #include <string_view>
 
@@ -90,12 +90,12 @@
     const std::string_view echoed = transport::findHeader(result.response.headers, "Task-Id");
     if (!echoed.empty() && echoed != protocol::toText(task))
         return answer;
-    const nlohmann::json json = nlohmann::json::parse(result.response.body, nullptr, false);
-    if (!json.is_object())
+    const auto json = protocol::parseJsonObject(result.response.body);
+    if (!json)
         return answer;
-    answer.outcome = settleOutcome(textMember(json, "state"));
+    answer.outcome = settleOutcome(textMember(json.value(), "state"));
     answer.state = stateOf(result.response);
-    answer.body = textMember(json, "result");
+    answer.body = textMember(json.value(), "result");
     return answer;
 }
 
--- a/src/protocol/internal/json_reader.cpp
+++ b/src/protocol/internal/json_reader.cpp
@@ -1,6 +1,8 @@
 // Validated access to the members of a JSON object.
 #include "protocol/internal/json_reader.h"
 
+#include "protocol/json_document.h"
+
 #include <cmath>
 
 namespace jackdaw::protocol::internal {
@@ -13,12 +15,12 @@
 } // namespace
 
 json_reader::json_reader(std::string_view text)
-    : m_document(nlohmann::json::parse(text, nullptr, false))
+    : m_document(nlohmann::json::object())
 {
-    if (m_document.is_object())
-        return;
-    fail(m_document.is_discarded() ? "the body is not JSON" : "the body is not a JSON object");
-    m_document = nlohmann::json::object();
+    if (auto parsed = parseJsonObject(text))
+        m_document = std::move(parsed.value());
+    else
+        fail(parsed.error().detail);
 }
 
 json_reader::json_reader(const nlohmann::json& object, std::string path)
--- a/src/protocol/tests/job_codec_tests.cpp
+++ b/src/protocol/tests/job_codec_tests.cpp
@@ -62,6 +62,7 @@
         return parsed ? std::string("accepted") : parsed.error().detail;
     };
     CHECK(detail("{") == "the body is not JSON");
+    CHECK(detail(R"({"team":)" + std::string(1'000'000, '[') + std::string(1'000'000, ']') + "}") == "the body is nested deeper than 32 levels");
     CHECK(detail("[]") == "the body is not a JSON object");
     CHECK(detail(R"({"team":"t","tasks":[{"payload":"p"}]})") == "'client' is missing");
     CHECK(detail(R"({"client":1,"team":"t","tasks":[{"payload":"p"}]})") == "'client' is not a string");
