Take an upstream's reports again after one with a number too large

One report with a sequence near 2^63 under the id of a running upstream shut out all true reports of that start for good: a cell's owner takes only reports with a higher number, and keeps the upstream as long as it answers. If the odd report said "draining", the upstream got no task until it restarted. An entry host ignored true reports for 60 s, a control host for 10 s.

Numbers order reports that overtake each other, which takes seconds. A report that no newer one has followed for 10 s, more than six report intervals, gives way to the next one that arrives. A report of an earlier start is still never taken by an owner.

Evidence: "a report with a sequence too large shuts out the upstream's own reports for seconds only" failed before: the job was rejected 15 s after the odd report.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -47,7 +47,8 @@
     const auto [found, isNew] = upstreams.try_emplace(report.id, report);
     upstream_record& upstream = found->second;
     const upstream_report& known = upstream.lastReport;
-    if (!isNew && !protocol::isNewer(report, known))
+    const bool hasPrecedence = report.startedUnixMs < known.startedUnixMs || now - upstream.reportedAt < protocol::reportPrecedenceTime;
+    if (!isNew && hasPrecedence && !protocol::isNewer(report, known))
         return;
     if (isNew)
         upstream.life = ++lastLife;
@@ -56,6 +57,7 @@
     if (isNew || known.isLeaving != report.isLeaving)
         note("upstream_state", report.id, formatField("leaving", report.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
     upstream.lastReport = report;
+    upstream.reportedAt = now;
     upstream.heardAt = now;
     if (!upstream.isAdopted && !upstream.isPollPending && now >= upstream.nextPollAt)
         poll(now, upstream);
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -80,6 +80,7 @@
     bool needsNewConnection = false; // the last poll was unanswered
     time_point pollSentAt;
     time_point nextPollAt; // valid while no poll is pending
+    time_point reportedAt; // when lastReport was received
     time_point heardAt; // last report or answer
 
     run_time_ratio ratio;
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -458,3 +458,16 @@
     sim.runFor(seconds(1));
     CHECK(outcomeOf(sim, "first") == job_outcome::completed);
 }
+
+TEST_CASE("a report with a sequence too large shuts out the upstream's own reports for seconds only")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1" });
+    jackdaw::protocol::upstream_report odd = sim.makeReport("u1", INT64_MAX);
+    odd.isLeaving = true;
+    sim.receiveReport(0, odd);
+    sim.runFor(seconds(15));
+    sim.submit(0, sim.makeJob("1", 1, 14000, 60));
+    sim.runFor(seconds(1));
+    CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+}
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -55,7 +55,7 @@
     owner.nextAdvance = m_now;
     m_owners.push_back(std::move(owner));
     for (auto& [id, upstream] : m_upstreams) {
-        m_owners.back().dispatcher->onUpstreamReport(m_now, { id, upstream.bornUnixMs, ++upstream.reports, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving });
+        m_owners.back().dispatcher->onUpstreamReport(m_now, makeReport(id, ++upstream.reports));
     }
     processActions(m_owners.size() - 1);
     return m_owners.size() - 1;
@@ -98,13 +98,24 @@
     const std::string id = upstream.id;
     if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent) {
         for (std::size_t i = 0; i < m_owners.size(); ++i) {
-            m_owners[i].dispatcher->onUpstreamReport(m_now, { id, upstream.bornUnixMs, ++upstream.reports, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving });
-            processActions(i);
+            receiveReport(i, makeReport(id, ++upstream.reports));
         }
     }
     schedule(reportInterval, [this, id] { report(m_upstreams.at(id)); });
 }
 
+protocol::upstream_report cell_simulation::makeReport(const std::string& id, std::uint64_t sequence) const
+{
+    const sim_upstream& upstream = m_upstreams.at(id);
+    return { id, upstream.bornUnixMs, sequence, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving };
+}
+
+void cell_simulation::receiveReport(std::size_t owner, const protocol::upstream_report& report)
+{
+    m_owners[owner].dispatcher->onUpstreamReport(m_now, report);
+    processActions(owner);
+}
+
 void cell_simulation::runFor(duration length)
 {
     const time_point until = m_now + length;
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -80,6 +80,11 @@
 
     sim_upstream& upstream(const std::string& id) { return m_upstreams.at(id); }
     void setDelayedShare(double share) { m_delayedShare = share; } // of the calls to upstreams with delayed_calls
+
+    // The next report of the upstream, whose address is its id; and the arrival of a report, also of one from another writer.
+    protocol::upstream_report makeReport(const std::string& id, std::uint64_t sequence) const;
+    void receiveReport(std::size_t owner, const protocol::upstream_report& report);
+
     void crash(const std::string& id); // until restart(), which keeps the id
     void restart(const std::string& id);
 
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -14,9 +14,9 @@
 {
     const auto [found, isNew] = m_upstreams.try_emplace(report.id);
     known_upstream& known = found->second;
-    if (!isNew && protocol::isNewer(known.report, report))
+    if (!isNew && protocol::isNewer(known.report, report) && now - known.receivedAt < protocol::reportPrecedenceTime)
         return {};
-    known = { report, now, now };
+    known = { report, now, now, now };
     return { true, isNew };
 }
 
@@ -31,6 +31,7 @@
         if (!isNew && !protocol::isNewer(report, known.report))
             continue;
         known.report = report;
+        known.receivedAt = now;
         news.push_back(report);
     }
     return news;
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -63,6 +63,7 @@
 private:
     struct known_upstream {
         protocol::upstream_report report;
+        time_point receivedAt;
         time_point reportedAt = time_point::min(); // last report that a control host relayed
         time_point knownAt; // last time that anybody told of it
     };
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -7,6 +7,7 @@
 #include "protocol/resources.h"
 #include "protocol/result.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -36,6 +37,10 @@
 // sequence number.
 bool isNewer(const upstream_report& report, const upstream_report& other);
 
+// A report that was received this long ago and not followed by a newer one no longer hides older reports. Otherwise one report of
+// another writer with a start or sequence too high would shut out the upstream's own reports for good. Late reports come sooner.
+constexpr std::chrono::seconds reportPrecedenceTime { 10 };
+
 // A set of tasks of a job that have the same requirements.
 struct job_step {
     std::uint32_t count = 0;
