Give up the cells of zones that nobody names any more

One report with the name of a zone that doesn't exist made every entry host keep a cell for it, and one host claim it, for as long as the process ran. Each such name adds to every gossip message and to every pass over the cells.

A cell is given up when no entry host of its zone is known and its zone's last report is 60 s old, the time for which upstreams stay known without reports. Zones with a known host keep their cells, also while no report arrives.

Evidence: "cells of a zone that only one report has named are given up again" failed before; "a zone whose only host is lost stays with its new owner while no reports arrive" passes before and after.

--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -231,9 +231,35 @@
     return isReachable && (isPlanned || now - since >= m_settings.remoteTakeoverDelay);
 }
 
+// Only reports have named the zone, and no longer do: it may never have existed.
+bool cell_ownership::isZoneForgotten(time_point now, std::string_view zone) const
+{
+    const auto heard = m_lastReportAt.find(zone);
+    const bool hasReports = heard != m_lastReportAt.end() && now - heard->second <= m_settings.zoneRetention;
+    return !hasReports && zone != m_settings.zone && std::none_of(m_hosts.begin(), m_hosts.end(), [zone](const auto& item) { return item.second.gossip.zone == zone; });
+}
+
+void cell_ownership::removeForgottenCells(time_point now, std::vector<ownership_change>& changes)
+{
+    std::erase_if(m_cells, [&](const std::string& cell) {
+        if (!isZoneForgotten(now, zoneOfCell(cell)))
+            return false;
+        if (const auto own = m_claims.find(cell); own != m_claims.end()) {
+            m_highestToken = std::max(m_highestToken, own->second);
+            m_claims.erase(own);
+            changes.push_back({ cell, 0 });
+        }
+        m_unclaimedSince.erase(cell);
+        m_claimBackoffs.erase(cell);
+        return true;
+    });
+    std::erase_if(m_lastReportAt, [&](const auto& item) { return now - item.second > m_settings.zoneRetention; });
+}
+
 std::vector<ownership_change> cell_ownership::advance(time_point now, std::int64_t unixMs)
 {
     std::vector<ownership_change> changes;
+    removeForgottenCells(now, changes);
     for (const std::string& cell : m_cells) {
         const auto own = m_claims.find(cell);
         if (own != m_claims.end() && !mustRelease(now, cell))
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -35,6 +35,8 @@
     duration rebalanceDelay = std::chrono::seconds(2); // a host without cells gets one of a host with several after this time
     // A zone counts as reachable for this long after a report of one of its upstreams. Each reports about every 1.5 s.
     duration maxReportAge = std::chrono::milliseconds(2500);
+    // Cells of a zone without hosts are given up this long after the last report. Upstreams stay known as long without reports.
+    duration zoneRetention = std::chrono::seconds(60);
 };
 
 struct cell_owner {
@@ -106,6 +108,8 @@
     bool isPreferredClaimant(time_point now, std::string_view zone) const;
     bool hasLiveHost(time_point now, std::string_view zone, bool isLeaving) const;
     bool isOutsideZone(std::string_view host, std::string_view zone) const;
+    bool isZoneForgotten(time_point now, std::string_view zone) const;
+    void removeForgottenCells(time_point now, std::vector<ownership_change>& changes);
     bool mustRelease(time_point now, const std::string& cell) const;
     bool shouldRebalance(time_point now, const std::string& cell) const;
     bool mayClaim(time_point now, const std::string& cell);
--- a/src/coordination/cells/tests/cell_ownership_tests.cpp
+++ b/src/coordination/cells/tests/cell_ownership_tests.cpp
@@ -294,3 +294,33 @@
     group.pass(seconds(10));
     CHECK(group.ownersOf("a").size() == 1);
 }
+
+TEST_CASE("cells of a zone that only one report has named are given up again")
+{
+    host_group group;
+    group.add("a1", "a", 500);
+    group.add("b1", "b", 250);
+    group.pass(seconds(3));
+    group.reportingZones.insert("nowhere");
+    group.pass(seconds(5));
+    CHECK(group.ownersOf("nowhere") == names { "a1" });
+    group.reportingZones.erase("nowhere");
+    group.pass(seconds(70));
+    CHECK(group.ownersOf("nowhere").empty());
+    CHECK(group.ownersOf("a") == names { "a1" });
+    CHECK(group.ownersOf("b") == names { "b1" });
+}
+
+TEST_CASE("a zone whose only host is lost stays with its new owner while no reports arrive")
+{
+    host_group group;
+    group.add("a1", "a", 500);
+    group.add("b1", "b", 250);
+    group.pass(seconds(3));
+    group.hosts.at("b1").isRunning = false;
+    group.pass(seconds(10));
+    CHECK(group.ownersOf("b") == names { "a1" });
+    group.reportingZones.clear();
+    group.pass(seconds(120));
+    CHECK(group.ownersOf("b") == names { "a1" });
+}
