Refuse announcements whose address is not an IP address and a port

A port with other characters after it ("80x", " 80") was read as 80.

Evidence: the new addresses of the test of announcements; four of ten were taken before.

--- a/src/protocol/announcement.cpp
+++ b/src/protocol/announcement.cpp
@@ -3,6 +3,9 @@
 
 #include "protocol/internal/json_reader.h"
 
+#include <arpa/inet.h>
+
+#include <charconv>
 #include <cmath>
 
 namespace jackdaw::protocol {
@@ -13,19 +16,23 @@
     constexpr std::uint64_t maxMemoryMb = 1U << 30;
     constexpr double maxCores = 1 << 16;
 
+    bool isIpAddress(const std::string& text)
+    {
+        in6_addr binary {}; // holds an address of either family
+        return inet_pton(AF_INET, text.c_str(), &binary) == 1 || inet_pton(AF_INET6, text.c_str(), &binary) == 1;
+    }
+
     void readAddress(internal::json_reader& reader, announcement& out)
     {
         const std::string address = reader.requiredString("address");
         const auto colon = address.rfind(':');
-        unsigned long port = 0;
-        if (colon != std::string::npos)
-            port = std::strtoul(address.c_str() + colon + 1, nullptr, 10);
-        if (colon == std::string::npos || colon == 0 || port == 0 || port > UINT16_MAX) {
-            reader.fail("'address' is not ip:port");
-            return;
-        }
+        const std::size_t portAt = colon == std::string::npos ? address.size() : colon + 1;
+        const char* const textEnd = address.data() + address.size();
+        const auto [end, code] = std::from_chars(address.data() + portAt, textEnd, out.port);
         out.host = address.substr(0, colon);
-        out.port = static_cast<std::uint16_t>(port);
+        // A host name would block the event loop while it is resolved.
+        if (code != std::errc() || end != textEnd || out.port == 0 || !isIpAddress(out.host))
+            reader.fail("'address' is not ip:port");
     }
 
     void readState(internal::json_reader& reader, announcement& out)
--- a/src/protocol/tests/job_codec_tests.cpp
+++ b/src/protocol/tests/job_codec_tests.cpp
@@ -117,5 +117,8 @@
     CHECK(parsed.value().capacity.millicores == 4000);
     CHECK(parsed.value().state == upstream_state::leaving);
     CHECK_FALSE(parseAnnouncement(R"({"name":"u"})"));
-    CHECK_FALSE(parseAnnouncement(R"({"name":"u","incarnation":1,"address":"x","zone":"a","slots":1,"state":"serving","ttl_ms":5})"));
+    for (const std::string address : { "x", "10.0.0.9", "10.0.0.9:", ":8080", "10.0.0.9:0", "10.0.0.9:65536", "10.0.0.9:80x", "10.0.0.9: 80", "upstream.example:8080", "localhost:8080" }) {
+        CAPTURE(address);
+        CHECK_FALSE(parseAnnouncement(R"({"name":"u","incarnation":1,"address":")" + address + R"(","zone":"a","slots":1,"state":"serving","ttl_ms":5})"));
+    }
 }
