Cells: a take-over's wait counts from the hand-over of a job, not from the claim

Cause: a new owner waited for the leases of the earlier one from its own claim on. A host that is cut off from the other hosts and from upstreams claims the cell of its zone and adopts nothing, so the earlier owner is not fenced and goes on.

Change: the wait of each job that is handed over begins with its arrival, and not before the first upstream is adopted, which is what fences earlier owners.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -40,12 +40,13 @@
         hooks.onDecision({ event, std::string(subject), std::move(inputs) });
 }
 
-// True once all upstreams and their runs are known, or every lease of earlier owners has expired. An owner that is cut off from
-// the other hosts renews the leases on upstreams that only it can reach, until its next poll of an upstream adopted here.
-bool cell_dispatcher::impl::isTakeoverComplete(time_point now) const
+// Whether the runs that earlier owners may have started for a job handed over at the given time are known: all upstreams are
+// adopted, or every lease of earlier owners has expired. An owner that is cut off from the other hosts goes on starting tasks and
+// renewing leases until it hands its jobs over, or until its next poll of an upstream adopted here.
+bool cell_dispatcher::impl::isTakeoverComplete(time_point now, time_point handedOverAt) const
 {
     const auto longestLease = duration_cast<duration>(settings.maxLease * (1 + upstream_record::clockDrift));
-    if (now - ownedSince >= idlePollInterval + fencingMargin + longestLease)
+    if (now - std::max(handedOverAt, firstAdoptedAt) >= idlePollInterval + fencingMargin + longestLease)
         return true;
     const bool hasHeardAll = now - settings.reportsHeardSince >= 2 * settings.reportInterval;
     return hasHeardAll && !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
@@ -53,7 +54,7 @@
 
 void cell_dispatcher::impl::logTakeover(time_point now)
 {
-    if (isTakeoverLogged || !isTakeoverComplete(now))
+    if (isTakeoverLogged || !isTakeoverComplete(now, ownedSince))
         return;
     isTakeoverLogged = true;
     const auto adopted = std::count_if(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
@@ -127,7 +128,7 @@
         return;
     std::vector<cell_job*> waiting;
     for (const auto& [id, job] : jobs) {
-        if (job->isAdmitted && job->waitingTasks() > 0 && (job->order.handOverCount == 0 || isTakeoverComplete(now)))
+        if (job->isAdmitted && job->waitingTasks() > 0 && (job->order.handOverCount == 0 || isTakeoverComplete(now, job->submittedAt)))
             waiting.push_back(job.get());
     }
     if (waiting.empty())
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -26,6 +26,7 @@
     const cell_settings settings;
     const cell_hooks hooks;
     const time_point ownedSince;
+    time_point firstAdoptedAt = time_point::max(); // until then nothing has fenced earlier owners
     internal::upstream_map upstreams;
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
     internal::service_ratios serviceRatios;
@@ -89,7 +90,7 @@
     bool fitsNow(const cell_job& job, const internal::available_upstreams& available) const;
     duration estimateWait(time_point now, const cell_job& job) const;
     static duration fastestRun(const cell_job& job, const internal::available_upstreams& available);
-    bool isTakeoverComplete(time_point now) const;
+    bool isTakeoverComplete(time_point now, time_point handedOverAt) const;
     void logTakeover(time_point now);
 
     void note(std::string_view event, std::string_view subject, std::string inputs) const;
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -182,6 +182,7 @@
     removeUnlistedRuns(upstream, answer);
     if (!upstream.isAdopted) {
         upstream.isAdopted = true;
+        firstAdoptedAt = std::min(firstAdoptedAt, now);
         note("upstream_adopted", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     }
     const bool hasUnacknowledgedEnds = order.ackCursor < upstream.cursor;
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -193,6 +193,33 @@
     }
 }
 
+TEST_CASE("an owner that could not reach upstreams waits for the leases of an owner that went on meanwhile")
+{
+    for (int pause = 0; pause < 60; pause += 5) {
+        CAPTURE(pause);
+        cell_simulation sim(1);
+        openCell(sim, { "u1", "u2", "u3" });
+        const std::size_t second = sim.addOwner();
+        sim.setOwnerCut(second, true);
+        sim.runFor(seconds(4));
+        job_order job = sim.makeJob("1", 2, 14000, 600);
+        job.timeLeftMs = 8000;
+        job.targetMs = 5000;
+        sim.submit(0, job);
+        sim.runFor(milliseconds(50));
+        sim.owner(0).release();
+        const std::string home = sim.startsOn("u1") > 0 ? "u1" : (sim.startsOn("u2") > 0 ? "u2" : "u3");
+        sim.cutFrom(second, home);
+        sim.setOwnerCut(second, false);
+        sim.runFor(milliseconds(pause));
+        job.handOverCount = 1;
+        sim.submit(second, job);
+        sim.runFor(seconds(5));
+        checkSafe(sim);
+        CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+    }
+}
+
 TEST_CASE("tasks that no job claims after a takeover are stopped, and their capacity is used again")
 {
     cell_simulation sim(1);
