--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -204,6 +204,7 @@
     removeUnlistedRuns(upstream, answer);
     if (!upstream.isAdopted) {
         upstream.isAdopted = true;
+        firstAdoptedAt = std::min(firstAdoptedAt, now);
         removeOthersAt(upstream.lastReport);
         note("upstream_adopted", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     }
