Cells: poll again at once when a pending poll hid the report of a restart

A report of a later start is confirmed by a poll. While another poll was pending and failed, the next one came 150 ms later; in that time the new life may carry out starts that the earlier one left unanswered.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -53,6 +53,7 @@
     if (!isNew && report.startedUnixMs > known.startedUnixMs) {
         // Its runs are lost only if the upstream itself answers that it has restarted: the report may be another writer's.
         upstream.reportedRestart = report;
+        upstream.mustPollAgain = upstream.isPollPending;
         if (!upstream.isPollPending)
             poll(now, upstream);
         return;
@@ -422,7 +423,7 @@
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
         upstream.needsNewConnection = true;
         ++upstream.consecutiveUnanswered;
-        upstream.nextPollAt = now + retryInterval;
+        upstream.nextPollAt = std::exchange(upstream.mustPollAgain, false) ? now : now + retryInterval;
         if (now - upstream.heardAt > removalDelay)
             return m_impl->removeUpstream(order.target.id, "no report or answer for too long");
     }
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -78,6 +78,7 @@
     time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
 
     bool isPollPending = false;
+    bool mustPollAgain = false; // at once if the pending poll fails: a report names a later start
     bool needsNewConnection = false; // the last poll was unanswered
     time_point pollSentAt;
     time_point nextPollAt; // valid while no poll is pending
