Give up a job once two upstreams have crashed under one of its tasks

Callers saw one task crash upstream after upstream: a run that is lost with its upstream was started again without any count, until the caller stopped waiting, and took the tasks beside it down each time.

Cause: only runs that end as failed were counted. Runs lost with an upstream were queued again by requeueAllRuns(), which can't tell a task that causes the loss from one that ran beside it.

failure_history records the tasks lost with each upstream. A loss is unconfirmed until a later incarnation is heard or nothing is heard for long (a crash), or the same incarnation answers (dismissed: it was cut off). After the second crash the job fails. A lost task becomes a suspect: it is held and started apart, on what the waiting tasks leave, never beside another suspect and if possible alone, so that a second crash shows the task that causes it. Of the tasks lost with an upstream, the one that was started last is the likeliest cause; it waits until its loss is confirmed or dismissed, and so does a task that would be given up.

The simulated upstreams can now be unreachable, and end tasks whose lease has expired; the test with random faults draws the new fault too.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -53,7 +53,7 @@
 bool cell_dispatcher::impl::canEverRun(const cell_job& job) const
 {
     return std::all_of(job.order.steps.begin(), job.order.steps.end(), [&](const protocol::job_step& step) {
-        const internal::task_demand demand { &step, job.order.service, job.order.id, 0, {}, {}, {} };
+        const internal::task_demand demand { &step, job.order.service, job.order.id, 0, {}, {}, {}, false };
         return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) { return internal::canRun(item.second, demand); });
     });
 }
@@ -68,7 +68,7 @@
     for (std::size_t number = 0; number < job.steps.size(); ++number) {
         if (!job.isReady(number))
             continue;
-        const internal::task_demand demand { &job.order.steps[number], job.order.service, job.order.id, static_cast<std::uint32_t>(number), {}, {}, {} };
+        const internal::task_demand demand { &job.order.steps[number], job.order.service, job.order.id, static_cast<std::uint32_t>(number), {}, {}, {}, false };
         if (!available.fitsAll(demand, job.steps[number].waiting))
             return false;
     }
@@ -109,12 +109,18 @@
     return duration_cast<duration>(job.declaredCriticalPath() * (fastest == 0 ? 1 : fastest));
 }
 
-// Load pattern: hundreds of waiting jobs, and a task that ends every millisecond. A heap orders only as many jobs as there is
-// free capacity for.
 void cell_dispatcher::impl::dispatch(time_point now)
 {
     if (isFenced)
         return;
+    dispatchWaiting(now);
+    dispatchHeld(now);
+}
+
+// Load pattern: hundreds of waiting jobs, and a task that ends every millisecond. A heap orders only as many jobs as there is
+// free capacity for.
+void cell_dispatcher::impl::dispatchWaiting(time_point now)
+{
     std::vector<cell_job*> waiting;
     for (const auto& [id, job] : jobs) {
         if (job->isAdmitted && job->waitingTasks() > 0 && (job->order.handOverCount == 0 || isTakeoverComplete(now)))
@@ -160,7 +166,7 @@
         for (std::size_t index = 0; index < step.tasks.size(); ++index) {
             if (step.tasks[index].state != task_state::waiting)
                 continue;
-            const internal::task_demand demand { &shape, job.order.service, job.order.id, static_cast<std::uint32_t>(number), step.tasks[index].lastUpstream, fastest, job.objectiveEnd - now };
+            const internal::task_demand demand { &shape, job.order.service, job.order.id, static_cast<std::uint32_t>(number), step.tasks[index].lastUpstream, fastest, job.objectiveEnd - now, false };
             internal::upstream_record* upstream = available.choose(demand);
             if (!upstream)
                 return;
@@ -183,6 +189,7 @@
     record.need = shape.need;
     record.expectedMs = shape.estimateMs;
     record.since = now;
+    record.isSuspect = failures.isSuspect(job.taskName(step, index));
     const run_id name { job.taskName(step, index), ++task.lastRun };
     task.lastUpstream = upstream.lastReport.id;
     job.setState(step, index, task_state::active);
@@ -201,7 +208,7 @@
 
 void cell_dispatcher::onStart(time_point now, const start_request& order, const call_answer& answer)
 {
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(order.target, answer);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
@@ -252,6 +259,7 @@
         m_impl->checkUpstream(now, upstream);
     if (!m_impl->jobs.empty())
         m_impl->checkJobs(now);
+    m_impl->failures.removeExpired(now);
     std::erase_if(m_impl->answeredJobs, [now](const auto& item) { return item.second.until <= now; });
     std::erase_if(m_impl->unclaimedDoneTasks, [now](const auto& item) { return item.second <= now; });
     m_impl->dispatch(now);
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -3,6 +3,7 @@
 
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/internal/cell_job.h"
+#include "coordination/cells/internal/failure_history.h"
 #include "coordination/cells/internal/placement.h"
 #include "coordination/cells/internal/upstream_record.h"
 
@@ -27,6 +28,7 @@
     internal::upstream_map upstreams;
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
     internal::service_ratios serviceRatios;
+    internal::failure_history failures;
     std::vector<cell_action> actions;
     bool isFenced = false;
 
@@ -54,7 +56,17 @@
     void stopRun(time_point now, upstream_record& upstream, const run_id& name, run_record& record);
     void recordAnswer(time_point now, upstream_record& upstream, const call_answer& answer);
     // Returns the upstream that answered a call. Null if the answer ended this ownership or the upstream is no longer known.
-    upstream_record* findAnsweringUpstream(const upstream_target& target, const call_answer& answer);
+    upstream_record* findAnsweringUpstream(time_point now, const upstream_target& target, const call_answer& answer);
+
+    // Crashes.
+    void loseAllRuns(time_point now, upstream_record& upstream, std::string_view cause); // the upstream may have crashed
+    void onCrashed(time_point now, upstream_record& upstream, std::string_view cause);
+    void dismissLosses(const upstream_record& upstream); // it has not crashed
+    cell_job* findJobOfTask(std::string_view task);
+    // Holds a waiting task that may have crashed upstreams, and releases it if it has not.
+    void updateHold(std::string_view task);
+    // Holds suspects. Returns false if too many upstreams crashed under a task, and the job has been answered as failed.
+    bool applyFailureHistory(time_point now, cell_job& job);
 
     // Jobs.
     void submit(time_point now, const protocol::job_order& order, std::string_view origin);
@@ -72,6 +84,9 @@
     // Placement.
     void dispatch(time_point now);
     void dispatchJob(time_point now, cell_job& job, internal::available_upstreams& available);
+    void dispatchWaiting(time_point now);
+    void dispatchHeld(time_point now);
+    void dispatchHeld(time_point now, cell_job& job, internal::available_upstreams& available);
     static bool canStartAny(const cell_job& job, const internal::available_upstreams& available);
     void start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_record& upstream);
     bool canEverRun(const cell_job& job) const;
--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -76,9 +76,11 @@
     cell_step& owner = steps[step];
     cell_task& task = owner.tasks[index];
     owner.waiting -= task.state == task_state::waiting ? 1 : 0;
+    owner.held -= task.state == task_state::held ? 1 : 0;
     owner.done -= task.state == task_state::done ? 1 : 0;
     task.state = state;
     owner.waiting += state == task_state::waiting ? 1 : 0;
+    owner.held += state == task_state::held ? 1 : 0;
     owner.done += state == task_state::done ? 1 : 0;
 }
 
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -23,6 +23,7 @@
 
 enum class task_state {
     waiting,
+    held, // upstreams may have crashed under it: started apart, after the waiting tasks
     active, // a run of the task may exist
     done
 };
@@ -37,6 +38,7 @@
 struct cell_step {
     std::vector<cell_task> tasks;
     std::uint32_t waiting = 0;
+    std::uint32_t held = 0;
     std::uint32_t done = 0;
 };
 
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -63,6 +63,8 @@
     claimRuns(job);
     if (job.isDone())
         return finishIfDone(now, job);
+    if (!applyFailureHistory(now, job))
+        return;
     if (!job.hasBegun && order.handOverCount == 0 && !admit(now, job))
         return;
     job.isAdmitted = true;
@@ -129,7 +131,7 @@
             record.need = job.order.steps[step].need;
             task.lastRun = std::max(task.lastRun, name.run);
             job.hasBegun = true;
-            if (task.state == task_state::waiting)
+            if (task.state != task_state::done)
                 job.setState(step, index, task_state::active);
             note("run_claimed", name.task, "upstream=" + id + " run=" + std::to_string(name.run));
         }
@@ -165,6 +167,8 @@
                 stopRun(now, upstream, name, record);
         }
     }
+    if (answer.outcome == job_outcome::completed)
+        failures.forget(job.order.id + '.');
     answeredJobs[job.order.id] = { answer, now + answerRetention };
     note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
     actions.emplace_back(owner_answer { { job.origins.begin(), job.origins.end() }, std::move(answer) });
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -35,11 +35,12 @@
 
 void cell_dispatcher::impl::onReport(time_point now, const upstream_report& report)
 {
-    for (const auto& [id, other] : upstreams) {
+    for (auto& [id, other] : upstreams) {
         if (other.lastReport.address != report.address || id == report.id)
             continue;
         if (other.lastReport.startedUnixMs > report.startedUnixMs)
             return; // a late report of an earlier incarnation
+        onCrashed(now, other, "another upstream reports at its address");
         removeUpstream(std::string(id), "another upstream reports at its address");
         break;
     }
@@ -49,7 +50,7 @@
     if (!isNew && !protocol::isNewer(report, known))
         return;
     if (!isNew && report.startedUnixMs > known.startedUnixMs) {
-        requeueAllRuns(upstream, "restarted");
+        onCrashed(now, upstream, "restarted");
         upstream.restart(report);
     }
     if (isNew || known.isLeaving != report.isLeaving)
@@ -104,7 +105,7 @@
         upstream.clock = { answer.clockMs, now };
 }
 
-internal::upstream_record* cell_dispatcher::impl::findAnsweringUpstream(const upstream_target& target, const call_answer& answer)
+internal::upstream_record* cell_dispatcher::impl::findAnsweringUpstream(time_point now, const upstream_target& target, const call_answer& answer)
 {
     if (answer.outcome == call_outcome::fenced) {
         if (!isFenced)
@@ -112,10 +113,14 @@
         isFenced = true;
         return nullptr;
     }
-    if (answer.outcome == call_outcome::other_life)
-        removeUpstream(target.id, "another upstream or incarnation answers at its address");
     const auto found = upstreams.find(target.id);
-    return found == upstreams.end() ? nullptr : &found->second;
+    if (found == upstreams.end())
+        return nullptr;
+    if (answer.outcome != call_outcome::other_life)
+        return &found->second;
+    onCrashed(now, found->second, "another upstream or incarnation answers at its address");
+    removeUpstream(target.id, "another upstream or incarnation answers at its address");
+    return nullptr;
 }
 
 void cell_dispatcher::impl::applyPollAnswer(time_point now, upstream_record& upstream, const poll_request& order, const poll_answer& answer)
@@ -124,7 +129,7 @@
         upstream_report report = upstream.lastReport;
         report.startedUnixMs = answer.bornUnixMs;
         report.sequence = 0;
-        requeueAllRuns(upstream, "restarted");
+        onCrashed(now, upstream, "restarted");
         upstream.restart(report);
         upstream.nextPollAt = now;
         return;
@@ -133,6 +138,7 @@
         note("upstream_answers", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     upstream.needsNewConnection = false;
     recordAnswer(now, upstream, answer.call);
+    dismissLosses(upstream);
     for (const ended_task& end : answer.ended) {
         if (end.number <= upstream.cursor)
             continue;
@@ -269,7 +275,7 @@
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_record& upstream)
 {
     if (upstream.needsNewConnection && !upstream.runs.empty() && now >= upstream.leaseEnd)
-        requeueAllRuns(upstream, "lease expired without an answer");
+        loseAllRuns(now, upstream, "lease expired without an answer");
     removeStoppedRuns(now, upstream);
     for (auto& [name, record] : upstream.runs) {
         const bool isUnclaimed = record.job.empty() && record.state == run_state::running && now - record.since >= claimGracePeriod;
@@ -292,6 +298,7 @@
     const auto found = m_impl->upstreams.find(id);
     if (found == m_impl->upstreams.end())
         return;
+    m_impl->dismissLosses(found->second);
     std::set<std::string> affected;
     for (const auto& [name, record] : std::exchange(found->second.runs, {}))
         affected.insert(record.job);
@@ -312,7 +319,7 @@
 
 void cell_dispatcher::onPoll(time_point now, const poll_request& order, const poll_answer& answer)
 {
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(order.target, answer.call);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer.call);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
@@ -325,8 +332,10 @@
         upstream.needsNewConnection = true;
         ++upstream.consecutiveUnanswered;
         upstream.nextPollAt = now + retryInterval;
-        if (now - upstream.heardAt > removalDelay)
+        if (now - upstream.heardAt > removalDelay) {
+            m_impl->onCrashed(now, upstream, "no report or answer for too long");
             return m_impl->removeUpstream(order.target.id, "no report or answer for too long");
+        }
     }
     if (!upstream.isPollPending && now >= upstream.nextPollAt)
         m_impl->poll(now, upstream);
@@ -335,7 +344,7 @@
 
 void cell_dispatcher::onStop(time_point now, const stop_request& order, const call_answer& answer)
 {
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(order.target, answer);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -26,6 +26,11 @@
         }));
     }
 
+    bool hasSuspect(const upstream_record& upstream)
+    {
+        return std::any_of(upstream.runs.begin(), upstream.runs.end(), [](const auto& item) { return item.second.isSuspect; });
+    }
+
     // Run time / declared run time in the data's rack.
     double expectedRatio(const upstream_record& upstream, double serviceRatio, time_point now)
     {
@@ -105,19 +110,23 @@
     const protocol::job_step& step = *demand.step;
     const bool mayWait = demand.fastestRun <= demand.timeLeft;
     upstream_record* best = nullptr;
-    std::tuple<bool, std::int64_t, std::int64_t> bestCost;
+    std::tuple<bool, bool, std::int64_t, std::int64_t> bestCost;
     for (const candidate& known : group->candidates) {
         upstream_record& upstream = *known.upstream;
         if (!step.need.fitsIn(known.freeCapacity) || !canRun(upstream, demand))
             continue;
         if (step.maxPerUpstream > 0 && tasksOfStep(upstream, demand) >= step.maxPerUpstream)
             continue;
+        const bool isBesideSuspect = hasSuspect(upstream);
+        if (demand.isSuspect && isBesideSuspect)
+            continue;
+        const bool isEndangering = isBesideSuspect || (demand.isSuspect && !upstream.runs.empty());
         const double ratio = withRackPenalty(known.ratio, upstream, step);
         const auto speedClass = static_cast<std::int64_t>(ratio / speedStep);
         const auto expected = std::chrono::duration<double, std::milli>(ratio * step.estimateMs);
         if (mayWait && expected > demand.timeLeft)
             continue;
-        const std::tuple cost(upstream.lastReport.id == demand.avoidUpstream, speedClass, known.freeCapacity.millicores);
+        const std::tuple cost(upstream.lastReport.id == demand.avoidUpstream, isEndangering, speedClass, known.freeCapacity.millicores);
         if (best && cost >= bestCost)
             continue;
         best = &upstream;
--- a/src/coordination/cells/internal/placement.h
+++ b/src/coordination/cells/internal/placement.h
@@ -4,6 +4,8 @@
 // tasks than free capacity. The fastest upstream with enough free capacity is chosen, and among equally fast ones the one with
 // the least free capacity (best fit), so that large tasks still find empty upstreams. A task is not started where it would miss
 // its objective while a faster upstream could still meet it: it waits, and a task with more time left uses the slow upstream.
+// A task that may have crashed an upstream is kept apart from others like it, so that a second crash shows which task causes
+// them, and from all others as far as possible, so that they aren't lost with it.
 // Free capacity and speeds are computed once for all tasks placed in one pass, so that the cost hardly grows with the queue.
 #pragma once
 
@@ -31,6 +33,7 @@
     std::string_view avoidUpstream; // upstream of the last run, which did not succeed: chosen only if no other fits
     duration fastestRun {}; // of the job's longest chain of steps on the fastest available upstream, free or not
     duration timeLeft {}; // until the end of the job's objective
+    bool isSuspect = false; // the task may have crashed an upstream
 };
 
 bool hasLabel(const protocol::upstream_report& report, std::string_view label);
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -35,6 +35,7 @@
     time_point since; // when the start was sent or the run first listed
     time_point confirmedAt; // valid while running: when it was first known to run
     time_point nextStopAt; // valid while stopping or uncertain
+    bool isSuspect = false; // upstreams may have crashed under the task
     bool isStopConfirmed = false; // a stop was answered: the run can no longer begin
     time_point stopConfirmedAt; // valid once isStopConfirmed
 };
--- /dev/null
+++ b/src/coordination/cells/tests/cell_crash_tests.cpp
@@ -0,0 +1,174 @@
+// Tests of a cell's dispatcher with tasks that crash the upstreams that run them.
+#include "coordination/cells/tests/cell_simulation.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace jackdaw::cells;
+using namespace jackdaw::cells::tests;
+using jackdaw::protocol::job_order;
+using jackdaw::protocol::job_outcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr std::uint32_t longWaitMs = 60000;
+
+void openCell(cell_simulation& sim, int upstreams)
+{
+    for (int i = 0; i < upstreams; ++i)
+        sim.addUpstream("u" + std::to_string(i), 32000);
+    sim.addOwner();
+    sim.runFor(milliseconds(100));
+}
+
+job_order makeLongJob(const cell_simulation& sim, const std::string& id, std::uint32_t tasks, std::uint32_t runMs)
+{
+    job_order job = sim.makeJob(id, tasks, 14000, runMs);
+    job.timeLeftMs = longWaitMs;
+    return job;
+}
+
+job_outcome outcomeOf(const cell_simulation& sim, const std::string& id)
+{
+    REQUIRE(sim.outcomes().contains(id));
+    return sim.outcomes().at(id).answer.outcome;
+}
+
+} // namespace
+
+// Guards against one task that crashes one upstream after the other until its caller stops waiting.
+TEST_CASE("a job fails once two upstreams have crashed under one of its tasks")
+{
+    cell_simulation sim(1);
+    openCell(sim, 8);
+    sim.addCrashingTask("1.0.0.0");
+    sim.submit(0, makeLongJob(sim, "1", 8, 60));
+    sim.runFor(seconds(20));
+    CHECK(outcomeOf(sim, "1") == job_outcome::failed);
+    CHECK(sim.runsOf("1.0.0.0") == 2);
+    CHECK(sim.crashes() == 2);
+    CHECK(sim.doubleRuns() == 0);
+}
+
+// Guards against tasks that are lost again and again because they are restarted beside the one that crashes the upstream.
+TEST_CASE("tasks that ran beside one that crashes upstreams complete after one crash")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        openCell(sim, 6);
+        for (int i = 0; i < 3; ++i)
+            sim.addCrashingTask("bad" + std::to_string(i) + ".0.0.0");
+        std::size_t mostCrashes = 0;
+        int good = 0;
+        for (int i = 0; i < 60; ++i) {
+            if (i % 20 == 0)
+                sim.submit(0, makeLongJob(sim, "bad" + std::to_string(i / 20), 1, 200));
+            sim.submit(0, makeLongJob(sim, "good" + std::to_string(good++), 1, 150 + static_cast<std::uint32_t>(sim.random()() % 200)));
+            sim.runFor(milliseconds(50 + sim.random()() % 50));
+        }
+        sim.runFor(seconds(20));
+        for (int i = 0; i < good; ++i) {
+            const std::string id = "good" + std::to_string(i);
+            const job_outcome outcome = outcomeOf(sim, id);
+            CHECK((outcome == job_outcome::completed || (outcome == job_outcome::rejected && sim.runsOf(id + ".0.0.0") == 0)));
+            mostCrashes = std::max(mostCrashes, sim.crashesUnder(id + ".0.0.0"));
+        }
+        for (int i = 0; i < 3; ++i) {
+            const std::string id = "bad" + std::to_string(i);
+            CHECK(outcomeOf(sim, id) != job_outcome::completed);
+            CHECK(sim.runsOf(id + ".0.0.0") <= 2);
+        }
+        CHECK(mostCrashes <= 1);
+        CHECK(sim.doubleRuns() == 0);
+        CHECK(sim.overfills() == 0);
+    }
+}
+
+// Guards against a second crash before the first one is even known.
+TEST_CASE("the task that started last before a crash waits until the crash is confirmed")
+{
+    cell_simulation sim(1);
+    openCell(sim, 4);
+    sim.submit(0, makeLongJob(sim, "first", 1, 500));
+    sim.runFor(milliseconds(10));
+    sim.submit(0, makeLongJob(sim, "last", 1, 500));
+    sim.runFor(milliseconds(10));
+    std::string home;
+    for (const char* id : { "u0", "u1", "u2", "u3" }) {
+        if (sim.startsOn(id) == 2)
+            home = id;
+    }
+    REQUIRE(!home.empty());
+    sim.crash(home);
+    sim.runFor(milliseconds(2500));
+    CHECK(sim.runsOf("last.0.0.0") == 1);
+    sim.restart(home);
+    sim.runFor(seconds(2));
+    CHECK(sim.runsOf("last.0.0.0") == 2);
+    CHECK(outcomeOf(sim, "first") == job_outcome::completed);
+    CHECK(outcomeOf(sim, "last") == job_outcome::completed);
+    CHECK(sim.doubleRuns() == 0);
+}
+
+// Guards against failed jobs because upstreams that still run were unreachable for longer than a lease.
+TEST_CASE("a job doesn't fail because its upstreams were cut off")
+{
+    cell_simulation sim(1);
+    openCell(sim, 3);
+    sim.submit(0, makeLongJob(sim, "1", 1, 2500));
+    sim.runFor(milliseconds(50));
+    for (int cut = 0; cut < 4; ++cut) {
+        std::string home;
+        for (int i = 0; i < 3; ++i) {
+            if (!sim.upstream("u" + std::to_string(i)).running.empty())
+                home = "u" + std::to_string(i);
+        }
+        REQUIRE(!home.empty());
+        sim.upstream(home).fault = upstream_fault::silent;
+        sim.runFor(milliseconds(1300));
+        sim.upstream(home).running.clear(); // the lease has expired there
+        sim.upstream(home).fault = upstream_fault::none;
+        sim.runFor(milliseconds(500));
+    }
+    sim.runFor(seconds(5));
+    CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+    CHECK(sim.doubleRuns() == 0);
+}
+
+// Guards against failed jobs because several upstreams lost power at the same time.
+TEST_CASE("a job doesn't fail because half of the upstreams crashed at once")
+{
+    cell_simulation sim(1);
+    openCell(sim, 8);
+    for (int i = 0; i < 4; ++i)
+        sim.submit(0, makeLongJob(sim, std::to_string(i), 4, 600));
+    sim.runFor(milliseconds(200));
+    for (int i = 0; i < 4; ++i)
+        sim.crash("u" + std::to_string(i));
+    sim.runFor(seconds(3));
+    for (int i = 0; i < 4; ++i)
+        sim.restart("u" + std::to_string(i));
+    sim.runFor(seconds(5));
+    for (int i = 0; i < 4; ++i)
+        CHECK(outcomeOf(sim, std::to_string(i)) == job_outcome::completed);
+    CHECK(sim.doubleRuns() == 0);
+}
+
+TEST_CASE("a resubmitted job keeps the crashes that its tasks caused")
+{
+    cell_simulation sim(1);
+    openCell(sim, 8);
+    sim.addCrashingTask("1.0.0.0");
+    job_order job = sim.makeJob("1", 1, 14000, 60);
+    for (std::uint64_t attempt = 1; attempt <= 10; ++attempt) {
+        job.submissionNumber = attempt;
+        sim.submit(0, job);
+        sim.runFor(seconds(4));
+    }
+    CHECK(outcomeOf(sim, "1") == job_outcome::failed);
+    CHECK(sim.crashesUnder("1.0.0.0") == 2);
+}
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -226,7 +226,7 @@
             else if (sim.random()() % 8 == 0)
                 sim.crash(upstream.id);
             else if (sim.random()() % 4 == 0)
-                upstream.fault = static_cast<upstream_fault>(sim.random()() % 6);
+                upstream.fault = static_cast<upstream_fault>(sim.random()() % 7);
             else
                 upstream.fault = upstream_fault::none;
             if (sim.random()() % 50 == 0)
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -15,6 +15,8 @@
     constexpr duration reportInterval = milliseconds(1500);
     constexpr duration refusalTime = milliseconds(2);
     constexpr double lateOrderShare = 0.05;
+    constexpr duration crashDelay = milliseconds(100);
+    constexpr duration restartTime = std::chrono::seconds(3);
     constexpr auto serviceName = "planning";
     constexpr auto cellName = "a";
 
@@ -93,7 +95,7 @@
 void cell_simulation::report(sim_upstream& upstream)
 {
     const std::string id = upstream.id;
-    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent) {
+    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent && upstream.fault != upstream_fault::unreachable) {
         for (std::size_t i = 0; i < m_owners.size(); ++i) {
             m_owners[i].dispatcher->onUpstreamReport(m_now, { id, upstream.bornUnixMs, ++upstream.reports, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving });
             processActions(i);
@@ -168,10 +170,11 @@
 
 void cell_simulation::answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome)
 {
-    const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost;
+    const bool isUnreachable = upstream.fault == upstream_fault::unreachable;
+    const bool isSilent = m_owners[owner].isCut || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost || (isUnreachable && outcome != call_outcome::not_received);
     call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf() };
     duration delay = callTime;
-    if (answer.outcome == call_outcome::silent)
+    if (answer.outcome == call_outcome::silent || isUnreachable)
         delay = callTimeout;
     else if (outcome == call_outcome::not_received)
         delay = refusalTime;
@@ -190,10 +193,12 @@
     return true;
 }
 
-std::optional<call_outcome> cell_simulation::loseCall(std::size_t owner, const sim_upstream& upstream, std::function<void()> later)
+std::optional<call_outcome> cell_simulation::loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, std::function<void()> later)
 {
     if (upstream.fault == upstream_fault::crashed)
         return call_outcome::not_received;
+    if (upstream.fault == upstream_fault::unreachable)
+        return isNewConnection ? call_outcome::not_received : call_outcome::silent;
     const bool isLost = upstream.fault == upstream_fault::silent || m_owners[owner].isCut || isDelayed(upstream, std::move(later));
     return isLost ? std::optional(call_outcome::silent) : std::nullopt;
 }
@@ -206,7 +211,7 @@
 
 void cell_simulation::carryOutStart(sim_upstream& upstream, const start_request& order)
 {
-    if (upstream.fault != upstream_fault::crashed && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf())
+    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::unreachable && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf())
         begin(upstream, order);
 }
 
@@ -214,7 +219,7 @@
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStart(m_now, order, answer); };
-    if (const auto lost = loseCall(owner, upstream, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
+    if (const auto lost = loseCall(owner, upstream, false, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
         return answerCall(owner, upstream, onAnswer, *lost);
     call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done && isStopped(upstream, order.run))
@@ -241,12 +246,14 @@
     }
     m_overfills += used > upstream.capacity.millicores ? 1 : 0;
     upstream.running.push_back(run);
-    upstream.leaseMs = std::max(upstream.leaseMs, order.expiresAtMs);
+    extendLease(upstream, order.expiresAtMs);
     ++m_runs[order.run.task];
     ++m_starts[upstream.id];
     if (upstream.fault == upstream_fault::hung_tasks)
         return;
     const std::string id = upstream.id;
+    if (m_crashingTasks.contains(order.run.task))
+        return schedule(crashDelay, [this, id, number = run.number] { crashByTask(id, number); });
     const auto how = upstream.fault == upstream_fault::failing ? end_kind::failed : end_kind::done;
     schedule(run.end - m_now, [this, id, number = run.number, how] { end(m_upstreams.at(id), number, how); });
 }
@@ -262,11 +269,27 @@
     answerPolls(upstream, false);
 }
 
+void cell_simulation::extendLease(sim_upstream& upstream, std::int64_t untilMs)
+{
+    if (untilMs <= upstream.leaseMs)
+        return;
+    upstream.leaseMs = untilMs;
+    schedule(milliseconds(untilMs - clockOf()), [this, id = upstream.id] { expireLease(m_upstreams.at(id)); });
+}
+
+void cell_simulation::expireLease(sim_upstream& upstream)
+{
+    if (clockOf() < upstream.leaseMs)
+        return;
+    while (!upstream.running.empty())
+        end(upstream, upstream.running.front().number, end_kind::lapsed);
+}
+
 void cell_simulation::arriveStop(std::size_t owner, const stop_request& order)
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
-    if (const auto lost = loseCall(owner, upstream, [] {}))
+    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, [] {}))
         return answerCall(owner, upstream, onAnswer, *lost);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done) {
@@ -283,12 +306,12 @@
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const open_poll poll { owner, order, m_now + milliseconds(order.waitMs) };
-    if (const auto lost = loseCall(owner, upstream, [] {}))
+    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, [] {}))
         return answerPoll(poll, upstream, *lost);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome != call_outcome::done)
         return answerPoll(poll, upstream, outcome);
-    upstream.leaseMs = std::max(upstream.leaseMs, order.expiresAtMs);
+    extendLease(upstream, order.expiresAtMs);
     std::erase_if(upstream.ended, [&](const ended_task& item) { return item.number <= order.ackCursor; });
     if (order.waitMs == 0 || !upstream.ended.empty())
         return answerPoll(poll, upstream, call_outcome::done);
@@ -327,14 +350,27 @@
 {
     sim_upstream& upstream = m_upstreams.at(id);
     upstream.fault = upstream_fault::crashed;
+    ++m_crashes;
+    for (const sim_task_run& run : upstream.running)
+        ++m_crashesUnder[run.run.task];
     upstream.running.clear();
     upstream.ended.clear();
     upstream.lastStopped.clear();
     upstream.ends = 0;
+    upstream.leaseMs = 0;
     upstream.token = 0;
     answerPolls(upstream, false);
 }
 
+void cell_simulation::crashByTask(const std::string& id, std::uint64_t number)
+{
+    const auto& running = m_upstreams.at(id).running;
+    if (std::none_of(running.begin(), running.end(), [number](const sim_task_run& run) { return run.number == number; }))
+        return;
+    crash(id);
+    schedule(restartTime, [this, id] { restart(id); });
+}
+
 void cell_simulation::restart(const std::string& id)
 {
     sim_upstream& upstream = m_upstreams.at(id);
@@ -350,6 +386,12 @@
     return found == m_runs.end() ? 0 : found->second;
 }
 
+std::size_t cell_simulation::crashesUnder(const std::string& task) const
+{
+    const auto found = m_crashesUnder.find(task);
+    return found == m_crashesUnder.end() ? 0 : found->second;
+}
+
 std::size_t cell_simulation::startsOn(const std::string& upstream) const
 {
     const auto found = m_starts.find(upstream);
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -24,6 +24,7 @@
     failing, // ends every run as failed, after a millisecond
     hung_tasks, // runs never end
     delayed_calls, // a twentieth of the calls is unanswered and carried out seconds later
+    unreachable, // no connection to it can be opened, calls on open connections are lost, and no reports arrive
     crashed // all runs are gone, and connections are refused
 };
 
@@ -78,10 +79,14 @@
     sim_upstream& upstream(const std::string& id) { return m_upstreams.at(id); }
     void crash(const std::string& id); // until restart(), which keeps the id
     void restart(const std::string& id);
+    // Each run of the task crashes its upstream after 100 ms. The upstream restarts 3 s later.
+    void addCrashingTask(const std::string& task) { m_crashingTasks.insert(task); }
 
     const std::map<std::string, sim_outcome>& outcomes() const { return m_outcomes; }
     std::size_t runsOf(const std::string& task) const; // how often it was started
     std::size_t startsOn(const std::string& upstream) const;
+    std::size_t crashesUnder(const std::string& task) const; // crashes of upstreams that ran it
+    std::size_t crashes() const { return m_crashes; }
     std::size_t doubleRuns() const { return m_doubleRuns; } // starts of a task that was already running
     std::size_t overfills() const { return m_overfills; }
     std::mt19937_64& random() { return m_random; }
@@ -116,11 +121,14 @@
     void answerPoll(const open_poll& poll, sim_upstream& upstream, call_outcome outcome);
     void begin(sim_upstream& upstream, const start_request& order);
     void end(sim_upstream& upstream, std::uint64_t number, end_kind how);
+    void extendLease(sim_upstream& upstream, std::int64_t untilMs);
+    void expireLease(sim_upstream& upstream);
+    void crashByTask(const std::string& id, std::uint64_t number);
     call_outcome check(sim_upstream& upstream, std::uint64_t token) const;
     bool isDelayed(const sim_upstream& upstream, std::function<void()> later);
     // Returns the outcome that the owner sees of a call that does not arrive in time; empty if it arrives. later carries out a
     // delayed call.
-    std::optional<call_outcome> loseCall(std::size_t owner, const sim_upstream& upstream, std::function<void()> later);
+    std::optional<call_outcome> loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, std::function<void()> later);
     // Whether the run, or a later run of its task, has ended or was stopped on the upstream.
     static bool isStopped(const sim_upstream& upstream, const run_id& run);
     void carryOutStart(sim_upstream& upstream, const start_request& order);
@@ -142,6 +150,9 @@
     std::map<std::string, sim_outcome> m_outcomes;
     std::map<std::string, std::size_t> m_runs;
     std::map<std::string, std::size_t> m_starts;
+    std::set<std::string> m_crashingTasks;
+    std::map<std::string, std::size_t> m_crashesUnder;
+    std::size_t m_crashes = 0;
     std::size_t m_doubleRuns = 0;
     std::size_t m_overfills = 0;
 };
