Let the lease of an upstream that can't be reached run out

Cause: each poll extends the known end of the lease when it is sent, every 150 ms while the upstream doesn't answer, also if the connection could not be opened. So leaseEnd stayed ahead of the clock, and "lease expired without an answer" was never reached.

A poll that was certainly not received now takes its extension back, unless a start has extended the lease since. Polls that may have been received count as before.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -87,10 +87,12 @@
     order.ackCursor = upstream.cursor;
     order.token = settings.token;
     order.onNewConnection = upstream.needsNewConnection;
+    upstream.leaseEndBeforePoll = upstream.leaseEnd;
     if (!upstream.runs.empty()) {
         order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
         order.waitMs = upstream.needsNewConnection ? 0 : pollWaitMs;
     }
+    upstream.leaseEndOfPoll = upstream.leaseEnd;
     upstream.isPollPending = true;
     upstream.pollSentAt = now;
     actions.emplace_back(std::move(order));
@@ -329,6 +331,8 @@
     } else {
         if (!upstream.needsNewConnection)
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
+        if (answer.call.outcome == call_outcome::not_received)
+            upstream.undoRenewal();
         upstream.needsNewConnection = true;
         ++upstream.consecutiveUnanswered;
         upstream.nextPollAt = now + retryInterval;
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -39,6 +39,12 @@
     return clock.now(now) + duration_cast<milliseconds>(lease).count();
 }
 
+void upstream_record::undoRenewal()
+{
+    if (leaseEnd == leaseEndOfPoll) // else a later start extended it
+        leaseEnd = leaseEndBeforePoll;
+}
+
 void upstream_record::restart(const protocol::upstream_report& report)
 {
     const run_time_ratio learned = ratio;
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -65,6 +65,8 @@
     std::uint64_t cursor = 0; // number of the last processed ended task
     clock_estimate clock;
     time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
+    time_point leaseEndBeforePoll; // leaseEnd without and with the renewal by the latest poll
+    time_point leaseEndOfPoll;
 
     bool isPollPending = false;
     bool needsNewConnection = false; // the last poll was unanswered
@@ -87,6 +89,9 @@
     // leaseEnd becomes the latest local time at which the lease can end.
     std::int64_t extendLease(time_point now, duration lease);
 
+    // The latest poll, which was to renew the lease, has not reached the upstream.
+    void undoRenewal();
+
     // The upstream has a new incarnation: resets everything but the measured speed.
     void restart(const protocol::upstream_report& report);
 };
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -112,6 +112,48 @@
     checkSafe(sim);
 }
 
+// Guards against leases that are renewed, on the owner's side only, by polls that never reach the upstream.
+TEST_CASE("a run on a crashed upstream is started elsewhere when the lease has expired, before the upstream is back")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1", "u2" });
+    sim.submit(0, sim.makeJob("1", 1, 14000, 60));
+    sim.runFor(milliseconds(10));
+    sim.submit(0, sim.makeJob("2", 1, 14000, 60));
+    sim.runFor(milliseconds(10));
+    const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
+    REQUIRE(sim.startsOn(home) == 2);
+    sim.crash(home);
+    sim.runFor(milliseconds(1400));
+    CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+    checkSafe(sim);
+}
+
+TEST_CASE("runs on an unreachable upstream are started elsewhere only after their lease has expired")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        openCell(sim, { "u1", "u2" });
+        for (const char* id : { "1", "2" }) {
+            job_order job = sim.makeJob(id, 1, 14000, 1500);
+            job.timeLeftMs = 10000;
+            sim.submit(0, job);
+            sim.runFor(milliseconds(10));
+        }
+        const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
+        REQUIRE(sim.startsOn(home) == 2);
+        sim.runFor(milliseconds(sim.random()() % 700));
+        sim.upstream(home).fault = upstream_fault::unreachable;
+        sim.runFor(seconds(3));
+        CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+        sim.upstream(home).fault = upstream_fault::none;
+        sim.runFor(seconds(2));
+        CHECK(outcomeOf(sim, "2") == job_outcome::completed);
+        checkSafe(sim);
+    }
+}
+
 TEST_CASE("an unanswered start is resolved before the task starts elsewhere")
 {
     cell_simulation sim(1);
