Start nothing on a restarted upstream before it has reported its capacity

What could be seen: starts that bring an upstream over its capacity (LIMIT), after it restarts under its id with less capacity than before.

Cause: a poll tells the new incarnation by its start time, and the record kept the capacity that the earlier incarnation had reported. Starts went out by it until the next report, up to 1.5 s later.

--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -74,7 +74,7 @@
 
 bool isAvailable(const upstream_record& upstream, time_point now)
 {
-    return upstream.isAdopted && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
+    return upstream.isAdopted && upstream.isCapacityKnown && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
 }
 
 double serviceRatio(const service_ratios& ratios, std::string_view service)
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -60,6 +60,7 @@
     }
 
     protocol::upstream_report lastReport;
+    bool isCapacityKnown = true; // false: the capacity is that of an earlier incarnation
     bool isAdopted = false; // it has seen this owner's fencing token, and its runs are known
     std::map<run_id, run_record> runs;
     std::uint64_t cursor = 0; // number of the last processed ended task
