Don't fail a job that fitted before the upstreams' capacity shrank

Callers got a final "failed" for a job that no upstream has the capacity for at the moment, though one had it before and may have it again.

Cause: admission compared the job with the capacities in the last reports. It now compares with the largest capacity that each incarnation has reported. A job that fits only there is queued if it can be in time, and else rejected with a retry delay.

Evidence: "a job that fitted before the upstreams' capacity shrank is rejected with a retry delay, not failed" gets failed, without a delay, before.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -54,7 +54,7 @@
 {
     return std::all_of(job.order.steps.begin(), job.order.steps.end(), [&](const protocol::job_step& step) {
         const internal::task_demand demand { &step, job.order.service, job.order.id, 0, {}, {}, {}, false };
-        return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) { return internal::canRun(item.second, demand); });
+        return std::any_of(upstreams.begin(), upstreams.end(), [&](const auto& item) { return internal::mayEverRun(item.second, demand); });
     });
 }
 
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -56,6 +56,7 @@
     if (isNew || known.isLeaving != report.isLeaving)
         note("upstream_state", report.id, formatField("leaving", report.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
     upstream.lastReport = report;
+    upstream.largestCapacity.raiseTo(report.capacity);
     upstream.isCapacityKnown = true;
     upstream.heardAt = now;
     if (!upstream.isAdopted && !upstream.isPollPending && now >= upstream.nextPollAt)
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -51,13 +51,6 @@
         return isFar ? ratio * otherRackRatio : ratio;
     }
 
-    void raiseToMaximum(resource_vector& largest, const resource_vector& freeCapacity)
-    {
-        largest.millicores = std::max(largest.millicores, freeCapacity.millicores);
-        largest.memoryMb = std::max(largest.memoryMb, freeCapacity.memoryMb);
-        largest.accelerators = std::max(largest.accelerators, freeCapacity.accelerators);
-    }
-
 } // namespace
 
 bool hasLabel(const protocol::upstream_report& report, std::string_view label)
@@ -66,10 +59,15 @@
 }
 
 bool canRun(const upstream_record& upstream, const task_demand& demand)
+{
+    return mayEverRun(upstream, demand) && demand.step->need.fitsIn(upstream.lastReport.capacity);
+}
+
+bool mayEverRun(const upstream_record& upstream, const task_demand& demand)
 {
     const protocol::upstream_report& report = upstream.lastReport;
     const bool isLabelled = demand.step->requiredLabel.empty() || hasLabel(report, demand.step->requiredLabel);
-    return report.service == demand.service && isLabelled && demand.step->need.fitsIn(report.capacity);
+    return report.service == demand.service && isLabelled && demand.step->need.fitsIn(upstream.largestCapacity);
 }
 
 bool isAvailable(const upstream_record& upstream, time_point now)
@@ -91,7 +89,7 @@
         const std::string_view service = upstream.lastReport.service;
         service_group& group = m_groups[service];
         const candidate known { &upstream, upstream.freeCapacity(), expectedRatio(upstream, serviceRatio(ratios, service), now) };
-        raiseToMaximum(group.largestFreeCapacity, known.freeCapacity);
+        group.largestFreeCapacity.raiseTo(known.freeCapacity);
         group.candidates.push_back(known);
     }
 }
@@ -142,7 +140,7 @@
     for (candidate& known : group.candidates) {
         if (known.upstream == &upstream)
             known.freeCapacity -= need;
-        raiseToMaximum(group.largestFreeCapacity, known.freeCapacity);
+        group.largestFreeCapacity.raiseTo(known.freeCapacity);
     }
 }
 
--- a/src/coordination/cells/internal/placement.h
+++ b/src/coordination/cells/internal/placement.h
@@ -41,6 +41,9 @@
 // Whether the upstream's service, labels and total capacity fit the task.
 bool canRun(const upstream_record& upstream, const task_demand& demand);
 
+// The same for the largest capacity that it has reported, which it may have again.
+bool mayEverRun(const upstream_record& upstream, const task_demand& demand);
+
 // Whether the upstream may be sent starts now, whatever its free capacity.
 bool isAvailable(const upstream_record& upstream, time_point now);
 
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -56,10 +56,12 @@
 
     explicit upstream_record(protocol::upstream_report report)
         : lastReport(std::move(report))
+        , largestCapacity(lastReport.capacity)
     {
     }
 
     protocol::upstream_report lastReport;
+    resource_vector largestCapacity; // maximum of each resource over all reports of this incarnation
     bool isCapacityKnown = true; // false: the capacity is that of an earlier incarnation
     bool isAdopted = false; // it has seen this owner's fencing token, and its runs are known
     std::map<run_id, run_record> runs;
--- a/src/coordination/cells/tests/cell_capacity_tests.cpp
+++ b/src/coordination/cells/tests/cell_capacity_tests.cpp
@@ -94,3 +94,17 @@
     CHECK(sim.overfills() == 0);
     CHECK(outcomeOf(sim, "later") == job_outcome::completed);
 }
+
+// Guards against final answers to jobs that fit as soon as the upstreams' capacity grows again.
+TEST_CASE("a job that fitted before the upstreams' capacity shrank is rejected with a retry delay, not failed")
+{
+    cell_simulation sim(1);
+    openCell(sim, 48000);
+    sim.upstream("u1").capacity.millicores = 8000;
+    sim.runFor(betweenReports);
+    sim.submit(0, sim.makeJob("1", 1, 14000, 60));
+    sim.runFor(seconds(2));
+    CHECK(outcomeOf(sim, "1") == job_outcome::rejected);
+    CHECK(sim.outcomes().at("1").answer.retryAfterMs >= 1000);
+    CHECK(sim.runsOf("1.0.0.0") == 0);
+}
--- a/src/protocol/resources.h
+++ b/src/protocol/resources.h
@@ -3,6 +3,7 @@
 
 #include "protocol/msgpack_codec.h"
 
+#include <algorithm>
 #include <cstdint>
 
 namespace jackdaw::protocol {
@@ -33,6 +34,14 @@
         return *this;
     }
 
+    // Raises each resource to that of other where it is less.
+    void raiseTo(const resource_vector& other)
+    {
+        millicores = std::max(millicores, other.millicores);
+        memoryMb = std::max(memoryMb, other.memoryMb);
+        accelerators = std::max(accelerators, other.accelerators);
+    }
+
     friend resource_vector operator-(resource_vector left, const resource_vector& right) { return left -= right; }
     friend bool operator==(const resource_vector&, const resource_vector&) = default;
 
