Product interface: fail a job once two upstreams have crashed under an idempotent task

A task now counts the incarnations that were replaced under it; after the second the job fails as it does where no retry is allowed. An upstream that is only silent doesn't count.

--- a/src/coordination/internal/dispatcher_reports.cpp
+++ b/src/coordination/internal/dispatcher_reports.cpp
@@ -10,6 +10,7 @@
     constexpr duration leaseGrace = std::chrono::seconds(1); // an upstream's lease begins later than the start was sent
     constexpr duration minRetryWait = std::chrono::milliseconds(1);
     constexpr duration maxSettleInterval = std::chrono::seconds(5);
+    constexpr std::uint32_t lostUpstreamsToGiveUp = 2; // the task is then taken for the cause of their crashes
 
 } // namespace
 
@@ -137,16 +138,18 @@
 }
 
 // The upstream can no longer tell whether it ran the task. An idempotent task may be retried after its lease expires,
-// if the rules allow it; any other fails its job.
+// if the rules allow it, unless upstreams keep crashing under it; any other fails its job.
 void dispatcher::impl::onOutcomeUnknown(time_point now, job_record& job, const protocol::task_key& key, task_record& task)
 {
-    const bool mayStartAgain = !job.answered && job.request.idempotent && m_rules->retryIdempotentAfterLease;
+    const std::uint32_t lostUpstreams = task.lostUpstreams + (task.upstream->replaced ? 1 : 0);
+    const bool mayStartAgain = !job.answered && job.request.idempotent && m_rules->retryIdempotentAfterLease && lostUpstreams < lostUpstreamsToGiveUp;
     const time_point leaseOver = task.leaseEnd + leaseGrace;
     if (mayStartAgain && now < leaseOver) {
         m_timers.cancel(task.settleTimer);
         task.settleTimer = m_timers.add(leaseOver, settle_timer { key });
         return;
     }
+    task.lostUpstreams = lostUpstreams;
     task.avoidedSerial = task.upstream->serial;
     release(now, job, task, task_phase::closed);
     if (job.answered)
--- a/src/coordination/internal/job_record.h
+++ b/src/coordination/internal/job_record.h
@@ -27,6 +27,7 @@
     std::uint32_t part = 0; // index into job_record::parts
     bool delayed = false; // in phase queued, but waits for the retry budget outside the task queue
     std::uint32_t settleRequests = 0; // settle_task actions of this attempt
+    std::uint32_t lostUpstreams = 0; // incarnations that were replaced before they reported the task's outcome
     std::uint64_t avoidedSerial = 0; // upstream of the previous attempt, avoided if another is free
     duration expected {}; // run time on an upstream of factor 1
     float expectedVariance = 0; // variance of the logarithm of the run time
--- a/src/coordination/tests/dispatcher_tests.cpp
+++ b/src/coordination/tests/dispatcher_tests.cpp
@@ -124,6 +124,36 @@
     }
 }
 
+// Guards against an idempotent task that crashes one upstream after the other until its deadline.
+TEST_CASE("a job fails once two upstreams have crashed under one of its idempotent tasks")
+{
+    rules activeRules;
+    activeRules.retryIdempotentAfterLease = true;
+    dispatch_fixture fixture(activeRules);
+    auto job = fixture.makeJob(1);
+    job.idempotent = true;
+    job.deadline = 600s;
+    std::uint64_t incarnation = 1;
+    const auto announce = [&] {
+        auto upstream = fixture.makeAnnouncement("u1");
+        upstream.incarnation = incarnation;
+        fixture.core.applyAnnouncement(fixture.now, upstream);
+    };
+    announce();
+    fixture.core.submit(fixture.now, job);
+    for (std::size_t crashes = 0; crashes < 10 && fixture.answers.empty(); ++crashes) {
+        fixture.reportLatestStart(task_outcome::no_answer);
+        ++incarnation;
+        for (int i = 0; i < 40; ++i) {
+            announce();
+            fixture.advanceBy(1s);
+        }
+    }
+    CHECK(fixture.starts.size() == 2);
+    REQUIRE(fixture.answers.size() == 1);
+    CHECK(fixture.latestFailure() == error_kind::timed_out);
+}
+
 TEST_CASE("deadlines and cancellations tell whether anything was started")
 {
     dispatch_fixture fixture;
