--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -3,11 +3,13 @@
 
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/internal/cell_job.h"
+#include "coordination/cells/internal/failure_history.h"
 #include "coordination/cells/internal/placement.h"
 #include "coordination/cells/internal/upstream_record.h"
 
 #include <map>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -30,6 +32,7 @@
     internal::upstream_map upstreams;
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
     internal::service_ratios serviceRatios;
+    internal::failure_history failures;
     std::vector<cell_action> actions;
     bool isFenced = false;
     std::uint64_t lastLife = 0; // number of the upstreams' incarnations seen so far
@@ -47,13 +50,13 @@
     // Upstreams.
     void onReport(time_point now, const protocol::upstream_report& report);
     void onUnansweredStart(time_point now, upstream_record& upstream, const run_id& name, run_record& record);
-    void onRestart(time_point now, upstream_record& upstream, const protocol::upstream_report& report);
-    void endLapsedRuns(upstream_record& upstream);
+    void onRestart(time_point now, upstream_record& upstream, const protocol::upstream_report& report, std::span<const running_task> running);
+    void endLapsedRuns(time_point now, upstream_record& upstream);
     void endUnansweredStarts(time_point now, upstream_record& upstream);
-    void removeRuns(upstream_record& upstream, std::string_view cause, const std::function<bool(const run_record& record)>& isGone);
+    std::map<run_id, run_record> removeRuns(upstream_record& upstream, std::string_view cause, const std::function<bool(const run_record& record)>& isGone);
     void requeueAllRuns(upstream_record& upstream, std::string_view cause);
     void removeUpstream(const std::string& id, std::string_view cause);
-    void removeOthersAt(const protocol::upstream_report& report);
+    void removeOthersAt(time_point now, const protocol::upstream_report& report);
     void poll(time_point now, upstream_record& upstream);
     void applyPollAnswer(time_point now, upstream_record& upstream, const poll_request& order, const poll_answer& answer);
     void reconcileRunning(time_point now, upstream_record& upstream, const poll_answer& answer);
@@ -66,7 +69,19 @@
     void recordAnswer(time_point now, upstream_record& upstream, const call_answer& answer);
     // Returns the upstream that answered a call. Null if the answer ended this ownership, or is of an upstream or an incarnation that
     // is no longer known.
-    upstream_record* findAnsweringUpstream(const upstream_target& target, const call_answer& answer);
+    upstream_record* findAnsweringUpstream(time_point now, const upstream_target& target, const call_answer& answer);
+
+    // Crashes.
+    // Counts runs that were lost with an upstream that may have crashed.
+    void addLosses(time_point now, const upstream_record& upstream, const std::map<run_id, run_record>& lost);
+    void onCrashed(time_point now, upstream_record& upstream, std::string_view cause); // and is gone for good
+    void confirmLosses(time_point now, const upstream_record& upstream); // it has crashed
+    void dismissLosses(const upstream_record& upstream); // it has not crashed
+    cell_job* findJobOfTask(std::string_view task);
+    // Holds a waiting task that may have crashed upstreams, and releases it if it has not.
+    void updateHold(std::string_view task);
+    // Holds suspects. Returns false if too many upstreams crashed under a task, and the job has been answered as failed.
+    bool applyFailureHistory(time_point now, cell_job& job);
 
     // Jobs.
     void submit(time_point now, const protocol::job_order& order, std::string_view origin);
@@ -85,6 +100,9 @@
     // Placement.
     void dispatch(time_point now);
     void dispatchJob(time_point now, cell_job& job, internal::available_upstreams& available);
+    void dispatchWaiting(time_point now);
+    void dispatchHeld(time_point now);
+    void dispatchHeld(time_point now, cell_job& job, internal::available_upstreams& available);
     static bool canStartAny(const cell_job& job, const internal::available_upstreams& available);
     void start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_record& upstream);
     bool canEverRun(const cell_job& job) const;
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -63,6 +63,8 @@
     claimRuns(now, job);
     if (job.isDone())
         return finishIfDone(now, job);
+    if (!applyFailureHistory(now, job))
+        return;
     if (!job.hasBegun && order.handOverCount == 0 && !admit(now, job))
         return;
     job.isAdmitted = true;
@@ -132,7 +134,7 @@
             record.need = job.order.steps[step].need;
             task.lastRun = std::max(task.lastRun, name.run);
             job.hasBegun = true;
-            const bool isSurplus = task.state != task_state::waiting;
+            const bool isSurplus = task.state == task_state::active || task.state == task_state::done;
             note(isSurplus ? "run_surplus" : "run_claimed", name.task, "upstream=" + id + " run=" + std::to_string(name.run));
             if (!isSurplus)
                 job.setState(step, index, task_state::active);
@@ -155,8 +157,11 @@
 // A task with several runs, which may happen across owners and submissions, waits until the last of them is gone.
 void cell_dispatcher::impl::requeue(cell_job& job, std::size_t step, std::size_t index)
 {
-    if (job.steps[step].tasks[index].state == task_state::active && countRuns(job.taskName(step, index)) == 0)
-        job.setState(step, index, task_state::waiting);
+    const std::string task = job.taskName(step, index);
+    if (job.steps[step].tasks[index].state != task_state::active || countRuns(task) > 0)
+        return;
+    job.setState(step, index, task_state::waiting);
+    updateHold(task);
 }
 
 void cell_dispatcher::impl::requeueRun(const run_record& record)
@@ -185,6 +190,8 @@
             ++left;
         }
     }
+    if (answer.outcome == job_outcome::completed)
+        failures.forget(job.order.id + '.');
     answeredJobs[job.order.id] = { answer, now + answerRetention };
     note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " runs_left=" + std::to_string(left));
     actions.emplace_back(owner_answer { { job.origins.begin(), job.origins.end() }, std::move(answer) });
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -62,6 +62,8 @@
         note("upstream_state", report.id, formatField("leaving", report.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
     upstream.lastReport = report;
     upstream.reportedAt = now;
+    upstream.largestCapacity.raiseTo(report.capacity);
+    upstream.isCapacityKnown = true;
     upstream.heardAt = now;
     if (!upstream.isAdopted && !upstream.isPollPending && now >= upstream.nextPollAt)
         poll(now, upstream);
@@ -77,27 +79,46 @@
     record.state = run_state::uncertain;
 }
 
-// Runs that had begun are gone. Starts without an answer are stopped in the new life before their tasks start again.
-void cell_dispatcher::impl::onRestart(time_point now, upstream_record& upstream, const upstream_report& report)
+// Runs that the earlier incarnation listed are gone. A start that it may not have carried out is stopped in the new one before its
+// task starts again, unless the new one lists the run. running: the list of the new incarnation.
+void cell_dispatcher::impl::onRestart(time_point now, upstream_record& upstream, const upstream_report& report, std::span<const running_task> running)
 {
     const auto before = std::exchange(upstream.runs, {});
+    const bool wasLeaving = upstream.lastReport.isLeaving; // then it ended as announced, together with its tasks
     upstream.restart(report, ++lastLife);
     for (const auto& [name, record] : before) {
         if (!record.hasBegun)
             upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
+        else if (!record.isListed)
+            upstream.runs.emplace(name, record);
     }
-    note("runs_lost", report.id, formatField("cause", "restarted") + " runs=" + std::to_string(before.size()) + " unanswered=" + std::to_string(upstream.unansweredStarts.size()));
     for (const auto& [name, start] : upstream.unansweredStarts) {
-        run_record& record = upstream.runs[name] = start.record;
-        record.state = run_state::uncertain;
+        const auto [found, isAdded] = upstream.runs.emplace(name, start.record);
+        if (isAdded && !before.contains(name))
+            found->second.job.clear(); // the task has been requeued since
+    }
+    const auto isListed = [running](const run_id& name) { return std::any_of(running.begin(), running.end(), [&name](const running_task& task) { return task.run == name; }); };
+    for (auto& [name, record] : upstream.runs) {
         record.isStopConfirmed = false;
-        record.job.clear();
+        if (isListed(name))
+            continue;
+        record.state = run_state::uncertain;
         stopRun(now, upstream, name, record);
     }
-    for (const auto& [name, record] : before)
-        requeueRun(record);
+    note("runs_lost", report.id, formatField("cause", "restarted") + " runs=" + std::to_string(before.size()) + " uncertain=" + std::to_string(upstream.runs.size()));
+    std::map<run_id, run_record> lost;
+    for (const auto& [name, record] : before) {
+        if (!isListed(name))
+            lost.emplace(name, record);
+        if (!upstream.runs.contains(name))
+            requeueRun(record);
+    }
     for (const auto& [id, job] : jobs)
         claimRuns(now, *job);
+    if (wasLeaving)
+        return dismissLosses(upstream);
+    addLosses(now, upstream, lost);
+    confirmLosses(now, upstream);
 }
 
 void cell_dispatcher::impl::requeueAllRuns(upstream_record& upstream, std::string_view cause)
@@ -120,15 +141,17 @@
 }
 
 // An upstream has answered under its id, so no other one runs at its address.
-void cell_dispatcher::impl::removeOthersAt(const upstream_report& report)
+void cell_dispatcher::impl::removeOthersAt(time_point now, const upstream_report& report)
 {
     std::vector<std::string> others;
     for (const auto& [id, other] : upstreams) {
         if (other.lastReport.address == report.address && id != report.id)
             others.push_back(id);
     }
-    for (const std::string& id : others)
+    for (const std::string& id : others) {
+        onCrashed(now, upstreams.at(id), "another upstream answers at its address");
         removeUpstream(id, "another upstream answers at its address");
+    }
 }
 
 void cell_dispatcher::impl::poll(time_point now, upstream_record& upstream)
@@ -140,11 +163,13 @@
     order.ackCursor = upstream.cursor;
     order.token = settings.token;
     order.onNewConnection = upstream.needsNewConnection;
+    upstream.leaseEndBeforePoll = upstream.leaseEnd;
     // Without a renewal, runs that can't be stopped end with their lease.
     if (upstream.hasWantedRuns())
         order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
     if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection || upstream.reportedRestart ? 0 : pollWaitMs;
+    upstream.leaseEndOfPoll = upstream.leaseEnd;
     upstream.isPollPending = true;
     upstream.pollSentAt = now;
     actions.emplace_back(std::move(order));
@@ -159,7 +184,7 @@
         upstream.clock = { answer.clockMs, now };
 }
 
-internal::upstream_record* cell_dispatcher::impl::findAnsweringUpstream(const upstream_target& target, const call_answer& answer)
+internal::upstream_record* cell_dispatcher::impl::findAnsweringUpstream(time_point now, const upstream_target& target, const call_answer& answer)
 {
     if (answer.outcome == call_outcome::fenced) {
         if (!isFenced)
@@ -172,6 +197,7 @@
         return nullptr;
     if (answer.outcome != call_outcome::other_life)
         return &found->second;
+    onCrashed(now, found->second, "another upstream or incarnation answers at its address");
     removeUpstream(target.id, "another upstream or incarnation answers at its address");
     return nullptr;
 }
@@ -183,9 +209,11 @@
         upstream_report report = upstream.lastReport;
         report.startedUnixMs = answer.bornUnixMs;
         report.sequence = 0;
-        if (reportedRestart && reportedRestart->startedUnixMs == answer.bornUnixMs)
+        const bool isReported = reportedRestart && reportedRestart->startedUnixMs == answer.bornUnixMs;
+        if (isReported)
             report = *reportedRestart;
-        onRestart(now, upstream, report);
+        onRestart(now, upstream, report, answer.running);
+        upstream.isCapacityKnown = isReported;
         upstream.reportedAt = now;
         upstream.heardAt = now;
         upstream.nextPollAt = now;
@@ -195,6 +223,7 @@
         note("upstream_answers", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     upstream.needsNewConnection = false;
     recordAnswer(now, upstream, answer.call);
+    dismissLosses(upstream);
     for (const ended_task& end : answer.ended) {
         if (end.number <= upstream.cursor)
             continue;
@@ -206,7 +235,7 @@
     if (!upstream.isAdopted) {
         upstream.isAdopted = true;
         firstAdoptedAt = std::min(firstAdoptedAt, now);
-        removeOthersAt(upstream.lastReport);
+        removeOthersAt(now, upstream.lastReport);
         note("upstream_adopted", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     }
     const bool hasUnacknowledgedEnds = order.ackCursor < upstream.cursor;
@@ -220,6 +249,7 @@
         const auto [found, isUnknown] = upstream.runs.try_emplace(running.run);
         run_record& record = found->second;
         record.hasBegun = true;
+        record.isListed = true;
         upstream.unansweredStarts.erase(running.run);
         if (isUnknown) {
             hasUnknownRuns = true;
@@ -335,9 +365,11 @@
 }
 
 // The lease has expired without an answer. That says nothing of starts that the upstream has not carried out yet.
-void cell_dispatcher::impl::endLapsedRuns(upstream_record& upstream)
+void cell_dispatcher::impl::endLapsedRuns(time_point now, upstream_record& upstream)
 {
-    removeRuns(upstream, "lease expired without an answer", [](const run_record& record) { return record.hasBegun; });
+    const auto lost = removeRuns(upstream, "lease expired without an answer", [](const run_record& record) { return record.hasBegun; });
+    if (!upstream.lastReport.isLeaving)
+        addLosses(now, upstream, lost);
 }
 
 void cell_dispatcher::impl::endUnansweredStarts(time_point now, upstream_record& upstream)
@@ -346,28 +378,28 @@
         removeRuns(upstream, "start without an answer for too long", [now](const run_record& record) { return !record.hasBegun && now >= record.since + lateCallLimit; });
 }
 
-void cell_dispatcher::impl::removeRuns(upstream_record& upstream, std::string_view cause, const std::function<bool(const run_record& record)>& isGone)
+std::map<run_id, internal::run_record> cell_dispatcher::impl::removeRuns(upstream_record& upstream, std::string_view cause, const std::function<bool(const run_record& record)>& isGone)
 {
-    std::vector<run_record> removed;
+    std::map<run_id, run_record> removed;
     for (auto item = upstream.runs.begin(); item != upstream.runs.end();) {
         if (!isGone(item->second)) {
             ++item;
             continue;
         }
-        removed.push_back(item->second);
+        removed.insert(*item);
         item = upstream.runs.erase(item);
     }
-    if (removed.empty())
-        return;
-    note("runs_lost", upstream.lastReport.id, formatField("cause", cause) + " runs=" + std::to_string(removed.size()));
-    for (const run_record& record : removed)
+    if (!removed.empty())
+        note("runs_lost", upstream.lastReport.id, formatField("cause", cause) + " runs=" + std::to_string(removed.size()));
+    for (const auto& [name, record] : removed)
         requeueRun(record);
+    return removed;
 }
 
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_record& upstream)
 {
     if (upstream.needsNewConnection && now >= upstream.leaseEnd)
-        endLapsedRuns(upstream);
+        endLapsedRuns(now, upstream);
     endUnansweredStarts(now, upstream);
     removeStoppedRuns(now, upstream);
     for (auto& [name, record] : upstream.runs) {
@@ -391,6 +423,7 @@
     const auto found = m_impl->upstreams.find(id);
     if (found == m_impl->upstreams.end())
         return;
+    m_impl->dismissLosses(found->second);
     std::set<std::string> affected;
     for (const auto& [name, record] : std::exchange(found->second.runs, {}))
         affected.insert(record.job);
@@ -411,7 +444,7 @@
 
 void cell_dispatcher::onPoll(time_point now, const poll_request& order, const poll_answer& answer)
 {
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(order.target, answer.call);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer.call);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
@@ -421,11 +454,15 @@
     } else {
         if (!upstream.needsNewConnection)
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
+        if (answer.call.outcome == call_outcome::not_received)
+            upstream.undoRenewal();
         upstream.needsNewConnection = true;
         ++upstream.consecutiveUnanswered;
         upstream.nextPollAt = std::exchange(upstream.mustPollAgain, false) ? now : now + retryInterval;
-        if (now - upstream.heardAt > removalDelay)
+        if (now - upstream.heardAt > removalDelay) {
+            m_impl->onCrashed(now, upstream, "no report or answer for too long");
             return m_impl->removeUpstream(order.target.id, "no report or answer for too long");
+        }
     }
     if (!upstream.isPollPending && now >= upstream.nextPollAt)
         m_impl->poll(now, upstream);
@@ -434,7 +471,7 @@
 
 void cell_dispatcher::onStop(time_point now, const stop_request& order, const call_answer& answer)
 {
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(order.target, answer);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -26,6 +26,11 @@
         }));
     }
 
+    bool hasSuspect(const upstream_record& upstream)
+    {
+        return std::any_of(upstream.runs.begin(), upstream.runs.end(), [](const auto& item) { return item.second.isSuspect; });
+    }
+
     // Run time / declared run time in the data's rack.
     double expectedRatio(const upstream_record& upstream, double serviceRatio, time_point now)
     {
@@ -46,13 +51,6 @@
         return isFar ? ratio * otherRackRatio : ratio;
     }
 
-    void raiseToMaximum(resource_vector& largest, const resource_vector& freeCapacity)
-    {
-        largest.millicores = std::max(largest.millicores, freeCapacity.millicores);
-        largest.memoryMb = std::max(largest.memoryMb, freeCapacity.memoryMb);
-        largest.accelerators = std::max(largest.accelerators, freeCapacity.accelerators);
-    }
-
 } // namespace
 
 bool hasLabel(const protocol::upstream_report& report, std::string_view label)
@@ -61,15 +59,20 @@
 }
 
 bool canRun(const upstream_record& upstream, const task_demand& demand)
+{
+    return mayEverRun(upstream, demand) && demand.step->need.fitsIn(upstream.lastReport.capacity);
+}
+
+bool mayEverRun(const upstream_record& upstream, const task_demand& demand)
 {
     const protocol::upstream_report& report = upstream.lastReport;
     const bool isLabelled = demand.step->requiredLabel.empty() || hasLabel(report, demand.step->requiredLabel);
-    return report.service == demand.service && isLabelled && demand.step->need.fitsIn(report.capacity);
+    return report.service == demand.service && isLabelled && demand.step->need.fitsIn(upstream.largestCapacity);
 }
 
 bool isAvailable(const upstream_record& upstream, time_point now)
 {
-    return upstream.isAdopted && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
+    return upstream.isAdopted && upstream.isCapacityKnown && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
 }
 
 double serviceRatio(const service_ratios& ratios, std::string_view service)
@@ -86,7 +89,7 @@
         const std::string_view service = upstream.lastReport.service;
         service_group& group = m_groups[service];
         const candidate known { &upstream, upstream.freeCapacity(), expectedRatio(upstream, serviceRatio(ratios, service), now) };
-        raiseToMaximum(group.largestFreeCapacity, known.freeCapacity);
+        group.largestFreeCapacity.raiseTo(known.freeCapacity);
         group.candidates.push_back(known);
     }
 }
@@ -105,19 +108,23 @@
     const protocol::job_step& step = *demand.step;
     const bool mayWait = demand.fastestRun <= demand.timeLeft;
     upstream_record* best = nullptr;
-    std::tuple<bool, std::int64_t, std::int64_t> bestCost;
+    std::tuple<bool, bool, std::int64_t, std::int64_t> bestCost;
     for (const candidate& known : group->candidates) {
         upstream_record& upstream = *known.upstream;
         if (!step.need.fitsIn(known.freeCapacity) || !canRun(upstream, demand))
             continue;
         if (step.maxPerUpstream > 0 && tasksOfStep(upstream, demand) >= step.maxPerUpstream)
             continue;
+        const bool isBesideSuspect = hasSuspect(upstream);
+        if (demand.isSuspect && isBesideSuspect)
+            continue;
+        const bool isEndangering = isBesideSuspect || (demand.isSuspect && !upstream.runs.empty());
         const double ratio = withRackPenalty(known.ratio, upstream, step);
         const auto speedClass = static_cast<std::int64_t>(ratio / speedStep);
         const auto expected = std::chrono::duration<double, std::milli>(ratio * step.estimateMs);
         if (mayWait && expected > demand.timeLeft)
             continue;
-        const std::tuple cost(upstream.lastReport.id == demand.avoidUpstream, speedClass, known.freeCapacity.millicores);
+        const std::tuple cost(upstream.lastReport.id == demand.avoidUpstream, isEndangering, speedClass, known.freeCapacity.millicores);
         if (best && cost >= bestCost)
             continue;
         best = &upstream;
@@ -133,7 +140,7 @@
     for (candidate& known : group.candidates) {
         if (known.upstream == &upstream)
             known.freeCapacity -= need;
-        raiseToMaximum(group.largestFreeCapacity, known.freeCapacity);
+        group.largestFreeCapacity.raiseTo(known.freeCapacity);
     }
 }
 
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -48,14 +48,22 @@
     return clock.now(now) + duration_cast<milliseconds>(lease).count();
 }
 
+void upstream_record::undoRenewal()
+{
+    if (leaseEnd == leaseEndOfPoll) // else a later start extended it
+        leaseEnd = leaseEndBeforePoll;
+}
+
 void upstream_record::restart(const protocol::upstream_report& report, std::uint64_t newLife)
 {
     const run_time_ratio learned = ratio;
     auto unanswered = std::move(unansweredStarts);
+    const time_point latestLeaseEnd = leaseEnd;
     *this = upstream_record(report);
     life = newLife;
     ratio = learned;
     unansweredStarts = std::move(unanswered);
+    leaseEnd = latestLeaseEnd;
 }
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -37,6 +37,8 @@
     time_point confirmedAt; // valid while running: when it was first known to run
     time_point nextStopAt; // valid while stopping or uncertain
     bool hasBegun = false; // the start was answered, or the upstream listed the run
+    bool isListed = false; // by the upstream's present incarnation, as far as known
+    bool isSuspect = false; // upstreams may have crashed under the task
     bool isStopConfirmed = false; // a stop was answered: the run can no longer begin in this life of the upstream
     time_point stopConfirmedAt; // valid once isStopConfirmed
 };
@@ -64,11 +66,14 @@
 
     explicit upstream_record(protocol::upstream_report report)
         : lastReport(std::move(report))
+        , largestCapacity(lastReport.capacity)
     {
     }
 
     protocol::upstream_report lastReport;
     std::optional<protocol::upstream_report> reportedRestart; // names a later start, which no answer has confirmed yet
+    resource_vector largestCapacity; // maximum of each resource over all reports of this incarnation
+    bool isCapacityKnown = true; // false: the capacity is that of an earlier incarnation
     bool isAdopted = false; // it has seen this owner's fencing token, and its runs are known
     std::uint64_t life = 0; // unique for each incarnation of each upstream
     std::map<run_id, run_record> runs;
@@ -76,6 +81,8 @@
     std::uint64_t cursor = 0; // number of the last processed ended task
     clock_estimate clock;
     time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
+    time_point leaseEndBeforePoll; // leaseEnd without and with the renewal by the latest poll
+    time_point leaseEndOfPoll;
 
     bool isPollPending = false;
     bool mustPollAgain = false; // at once if the pending poll fails: a report names a later start
@@ -104,7 +111,11 @@
     // leaseEnd becomes the latest local time at which the lease can end.
     std::int64_t extendLease(time_point now, duration lease);
 
-    // The upstream has a new incarnation: resets everything but the measured speed and the unanswered starts.
+    // The latest poll, which was to renew the lease, has not reached the upstream.
+    void undoRenewal();
+
+    // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts and
+    // the end of the lease, which also holds for runs that the new incarnation began before it was known.
     void restart(const protocol::upstream_report& report, std::uint64_t newLife);
 };
 
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -17,6 +17,8 @@
     constexpr duration refusalTime = milliseconds(2);
     constexpr milliseconds maxLease(1000);
     constexpr duration clockAtStart = std::chrono::seconds(50); // of an upstream that was there before the simulation
+    constexpr duration crashDelay = milliseconds(100);
+    constexpr duration restartTime = std::chrono::seconds(3);
     constexpr auto serviceName = "planning";
     constexpr auto cellName = "a";
 
@@ -96,7 +98,7 @@
 void cell_simulation::report(sim_upstream& upstream)
 {
     const std::string id = upstream.id;
-    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent) {
+    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent && upstream.fault != upstream_fault::unreachable) {
         for (std::size_t i = 0; i < m_owners.size(); ++i) {
             receiveReport(i, makeReport(id, ++upstream.reports));
         }
@@ -187,10 +189,11 @@
 
 void cell_simulation::answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome)
 {
-    const bool isSilent = isCutOff(owner, upstream) || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost;
+    const bool isUnreachable = upstream.fault == upstream_fault::unreachable;
+    const bool isSilent = isCutOff(owner, upstream) || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost || (isUnreachable && outcome != call_outcome::not_received);
     call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf(upstream) };
     duration delay = callTime;
-    if (answer.outcome == call_outcome::silent)
+    if (answer.outcome == call_outcome::silent || isUnreachable)
         delay = callTimeout;
     else if (outcome == call_outcome::not_received)
         delay = refusalTime;
@@ -209,14 +212,21 @@
     return true;
 }
 
-std::optional<call_outcome> cell_simulation::loseCall(std::size_t owner, const sim_upstream& upstream, std::function<void()> later)
+std::optional<call_outcome> cell_simulation::loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, std::function<void()> later)
 {
     if (upstream.fault == upstream_fault::crashed)
         return call_outcome::not_received;
+    if (upstream.fault == upstream_fault::unreachable)
+        return isNewConnection ? call_outcome::not_received : call_outcome::silent;
     const bool isLost = upstream.fault == upstream_fault::silent || isCutOff(owner, upstream) || isDelayed(upstream, std::move(later));
     return isLost ? std::optional(call_outcome::silent) : std::nullopt;
 }
 
+bool cell_simulation::isDown(const sim_upstream& upstream)
+{
+    return upstream.fault == upstream_fault::crashed || upstream.fault == upstream_fault::unreachable;
+}
+
 bool cell_simulation::isStopped(const sim_upstream& upstream, const run_id& run)
 {
     const auto stopped = upstream.lastStopped.find(run.task);
@@ -225,7 +235,7 @@
 
 void cell_simulation::carryOutStart(sim_upstream& upstream, const start_request& order)
 {
-    if (upstream.fault != upstream_fault::crashed && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf(upstream))
+    if (!isDown(upstream) && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf(upstream))
         begin(upstream, order);
 }
 
@@ -233,7 +243,7 @@
 {
     sim_upstream& upstream = m_upstreams.at(order.target.address);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStart(m_now, order, answer); };
-    if (const auto lost = loseCall(owner, upstream, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
+    if (const auto lost = loseCall(owner, upstream, false, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
         return answerCall(owner, upstream, onAnswer, *lost);
     if (order.target.id != upstream.id)
         return answerCall(owner, upstream, onAnswer, call_outcome::other_life);
@@ -268,6 +278,8 @@
     if (upstream.fault == upstream_fault::hung_tasks)
         return;
     const std::string id = upstream.id;
+    if (m_crashingTasks.contains(order.run.task))
+        return schedule(crashDelay, [this, id, number = run.number] { crashByTask(id, number); });
     const auto how = upstream.fault == upstream_fault::failing ? end_kind::failed : end_kind::done;
     schedule(run.end - m_now, [this, id, number = run.number, how] { end(m_upstreams.at(id), number, how); });
 }
@@ -289,12 +301,12 @@
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
     const auto later = [this, order] {
         sim_upstream& target = m_upstreams.at(order.target.id);
-        if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
+        if (!isDown(target) && check(target, order.token) == call_outcome::done)
             carryOutStop(target, order);
     };
     if (upstream.fault == upstream_fault::stops_lost)
         return answerCall(owner, upstream, onAnswer, call_outcome::silent);
-    if (const auto lost = loseCall(owner, upstream, later))
+    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, later))
         return answerCall(owner, upstream, onAnswer, *lost);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done)
@@ -317,10 +329,10 @@
     const open_poll poll { owner, order, m_now + milliseconds(order.waitMs) };
     const auto later = [this, order] {
         sim_upstream& target = m_upstreams.at(order.target.id);
-        if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
+        if (!isDown(target) && check(target, order.token) == call_outcome::done)
             carryOutPoll(target, order);
     };
-    if (const auto lost = loseCall(owner, upstream, later))
+    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, later))
         return answerPoll(poll, upstream, *lost);
     const call_outcome outcome = order.target.id == upstream.id ? check(upstream, order.token) : call_outcome::other_life;
     if (outcome != call_outcome::done)
@@ -387,15 +399,27 @@
 {
     sim_upstream& upstream = m_upstreams.at(id);
     upstream.fault = upstream_fault::crashed;
+    ++m_crashes;
+    for (const sim_task_run& run : upstream.running)
+        ++m_crashesUnder[run.run.task];
     upstream.running.clear();
     upstream.ended.clear();
     upstream.lastStopped.clear();
     upstream.ends = 0;
-    upstream.token = 0;
     upstream.leaseMs = 0;
+    upstream.token = 0;
     answerPolls(upstream, false);
 }
 
+void cell_simulation::crashByTask(const std::string& id, std::uint64_t number)
+{
+    const auto& running = m_upstreams.at(id).running;
+    if (std::none_of(running.begin(), running.end(), [number](const sim_task_run& run) { return run.number == number; }))
+        return;
+    crash(id);
+    schedule(restartTime, [this, id] { restart(id); });
+}
+
 void cell_simulation::restart(const std::string& id)
 {
     sim_upstream& upstream = m_upstreams.at(id);
@@ -412,6 +436,12 @@
     return found == m_runs.end() ? 0 : found->second;
 }
 
+std::size_t cell_simulation::crashesUnder(const std::string& task) const
+{
+    const auto found = m_crashesUnder.find(task);
+    return found == m_crashesUnder.end() ? 0 : found->second;
+}
+
 std::size_t cell_simulation::startsOn(const std::string& upstream) const
 {
     const auto found = m_starts.find(upstream);
