Cells: an upstream that is removed after long silence has no lease left

The last two leases before the removal are no longer renewed.

Evidence: the new test has one double run on the code before.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -164,8 +164,8 @@
     order.token = settings.token;
     order.onNewConnection = upstream.needsNewConnection;
     upstream.leaseEndBeforePoll = upstream.leaseEnd;
-    // Without a renewal, runs that can't be stopped end with their lease.
-    if (upstream.hasWantedRuns())
+    // Without a renewal, runs that can't be stopped end with their lease, as do all runs before a silent upstream is removed.
+    if (upstream.hasWantedRuns() && now - upstream.heardAt < removalDelay - 2 * settings.maxLease)
         order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
     if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection || upstream.reportedRestart ? 0 : pollWaitMs;
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -581,3 +581,18 @@
     CHECK(sim.runsOf("1.0.0.1") == 1);
     checkSafe(sim);
 }
+
+TEST_CASE("an upstream that is removed after long silence has no lease left")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1", "u2" });
+    job_order job = sim.makeJob("1", 1, 14000, 20000);
+    job.timeLeftMs = 30000;
+    sim.submit(0, job);
+    sim.runFor(milliseconds(100));
+    const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
+    sim.upstream(home).fault = upstream_fault::answers_lost;
+    sim.upstream(home).areReportsLost = true;
+    sim.runFor(seconds(16));
+    checkSafe(sim);
+}
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -98,7 +98,7 @@
 void cell_simulation::report(sim_upstream& upstream)
 {
     const std::string id = upstream.id;
-    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent && upstream.fault != upstream_fault::unreachable) {
+    if (upstream.fault != upstream_fault::crashed && upstream.fault != upstream_fault::silent && upstream.fault != upstream_fault::unreachable && !upstream.areReportsLost) {
         for (std::size_t i = 0; i < m_owners.size(); ++i) {
             receiveReport(i, makeReport(id, ++upstream.reports));
         }
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -45,6 +45,7 @@
     std::uint64_t reports = 0;
     std::uint64_t token = 0;
     bool isLeaving = false;
+    bool areReportsLost = false;
     std::vector<sim_task_run> running;
     std::vector<ended_task> ended;
     std::uint64_t ends = 0;
