Entry hosts: tell the age of what is known of an upstream with it

A host that was told of an upstream took it as heard of just then, so hosts that told each other kept an ended upstream known for as long as they did. A new owner waited for it when jobs were handed over.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -196,7 +196,7 @@
     for (const auto& [cell, dispatcher] : dispatchers) {
         const std::vector<std::string> ids = dispatcher->upstreamNames();
         upstreams.keep(steadyNow(), ids);
-        const std::string bytes = protocol::encodeCellMessage(protocol::upstream_list { upstreams.list(ids) });
+        const std::string bytes = protocol::encodeCellMessage(upstreams.list(steadyNow(), ids));
         for (const std::string& host : ownership.hostsOf(steadyNow(), cells::zoneOfCell(cell)))
             links.send(host, bytes);
     }
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -115,7 +115,7 @@
 
 void cell_host::impl::onUpstreamList(const protocol::upstream_list& list)
 {
-    forwardReports(upstreams.onPeerList(steadyNow(), list.reports));
+    forwardReports(upstreams.onPeerList(steadyNow(), list));
 }
 
 void cell_host::impl::forwardReports(std::span<const protocol::upstream_report> reports)
@@ -130,7 +130,7 @@
 {
     if (!upstreams.mustTell(peer.host, peer.incarnation))
         return;
-    if (!links.send(peer.host, protocol::encodeCellMessage(protocol::upstream_list { upstreams.list() })))
+    if (!links.send(peer.host, protocol::encodeCellMessage(upstreams.list(steadyNow()))))
         return; // no link yet: told after a later gossip
     upstreams.onTold(peer.host, peer.incarnation);
     logEvent(log_level::info, "upstreams_told", { { "host", peer.host }, { "upstreams", std::to_string(upstreams.size()) } });
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -257,8 +257,8 @@
             record.since = now;
             record.confirmedAt = now;
         } else if (record.state == run_state::starting || (record.state == run_state::uncertain && !record.isStopConfirmed)) {
-            const bool isWanted = !record.job.empty() && countRuns(running.run.task) == 1;
-            record.state = isWanted || record.state == run_state::starting ? run_state::running : run_state::stopping;
+            const bool isWanted = record.state == run_state::starting || (!record.job.empty() && countRuns(running.run.task) == 1);
+            record.state = isWanted ? run_state::running : run_state::stopping;
             record.confirmedAt = now;
         }
     }
--- a/src/coordination/cells/tests/upstream_directory_tests.cpp
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -28,7 +28,7 @@
     restarted.onControlUpdate(start + seconds(9));
     restarted.onReport(start + seconds(9), makeReport("u2", 7));
     REQUIRE(peer.mustTell("host", 2));
-    const auto news = restarted.onPeerList(start + seconds(10), peer.list());
+    const auto news = restarted.onPeerList(start + seconds(10), peer.list(start + seconds(10)));
     peer.onTold("host", 2);
     REQUIRE(news.size() == 1);
     CHECK(news.front().id == "u1");
@@ -54,13 +54,13 @@
 {
     upstream_directory directory;
     directory.onReport(start, makeReport("u1"));
-    directory.onPeerList(start, std::vector { makeReport("u2"), makeReport("u3") });
+    directory.onPeerList(start, { { makeReport("u2"), makeReport("u3") }, { 0, 0 } });
     CHECK(directory.countReporting(start + seconds(1), "a", seconds(5)) == 1);
     CHECK(directory.countReporting(start + seconds(6), "a", seconds(5)) == 0);
     directory.keep(start + seconds(50), std::vector<std::string> { "u3" });
     directory.expire(start + seconds(61));
     REQUIRE(directory.size() == 1);
-    CHECK(directory.list().front().id == "u3");
+    CHECK(directory.list(start).reports.front().id == "u3");
 }
 
 TEST_CASE("an older report does not replace a newer one, whoever tells it")
@@ -68,7 +68,22 @@
     upstream_directory directory;
     CHECK(directory.onReport(start, makeReport("u1", 5)).isNew);
     CHECK_FALSE(directory.onReport(start, makeReport("u1", 4)).isAccepted);
-    CHECK(directory.onPeerList(start, std::vector { makeReport("u1", 4) }).empty());
-    CHECK(directory.onPeerList(start, std::vector { makeReport("u1", 6) }).size() == 1);
-    CHECK(directory.list(std::vector<std::string> { "u1", "unknown" }).front().sequence == 6);
+    CHECK(directory.onPeerList(start, { { makeReport("u1", 4) }, { 0 } }).empty());
+    CHECK(directory.onPeerList(start, { { makeReport("u1", 6) }, { 0 } }).size() == 1);
+    CHECK(directory.list(start, std::vector<std::string> { "u1", "unknown" }).reports.front().sequence == 6);
+}
+
+TEST_CASE("entry hosts that tell each other do not keep an upstream known that has ended")
+{
+    upstream_directory first;
+    upstream_directory second;
+    first.onReport(start, makeReport("u1"));
+    for (int minute = 0; minute < 30; ++minute) {
+        const time_point now = start + seconds(20 * minute);
+        (minute % 2 == 0 ? second : first).onPeerList(now, (minute % 2 == 0 ? first : second).list(now));
+        first.expire(now);
+        second.expire(now);
+    }
+    CHECK(first.size() == 0);
+    CHECK(second.size() == 0);
 }
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -20,14 +20,16 @@
     return { true, isNew };
 }
 
-std::vector<protocol::upstream_report> upstream_directory::onPeerList(time_point now, std::span<const protocol::upstream_report> reports)
+std::vector<protocol::upstream_report> upstream_directory::onPeerList(time_point now, const protocol::upstream_list& list)
 {
     m_peerSince = std::min(m_peerSince, now);
     std::vector<protocol::upstream_report> news;
-    for (const protocol::upstream_report& report : reports) {
+    for (std::size_t i = 0; i < std::min(list.reports.size(), list.agesMs.size()); ++i) {
+        const protocol::upstream_report& report = list.reports[i];
+        const time_point heardAt = now - std::chrono::milliseconds(list.agesMs[i]);
         const auto [found, isNew] = m_upstreams.try_emplace(report.id);
         known_upstream& known = found->second;
-        known.knownAt = now;
+        known.knownAt = std::max(known.knownAt, heardAt);
         if (!isNew && !protocol::isNewer(report, known.report))
             continue;
         known.report = report;
@@ -80,21 +82,26 @@
     }));
 }
 
-std::vector<protocol::upstream_report> upstream_directory::list() const
+void upstream_directory::append(protocol::upstream_list& list, const known_upstream& known, time_point now)
 {
-    std::vector<protocol::upstream_report> out;
-    out.reserve(m_upstreams.size());
+    list.reports.push_back(known.report);
+    list.agesMs.push_back(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - known.knownAt).count()));
+}
+
+protocol::upstream_list upstream_directory::list(time_point now) const
+{
+    protocol::upstream_list out;
     for (const auto& [id, known] : m_upstreams)
-        out.push_back(known.report);
+        append(out, known, now);
     return out;
 }
 
-std::vector<protocol::upstream_report> upstream_directory::list(std::span<const std::string> ids) const
+protocol::upstream_list upstream_directory::list(time_point now, std::span<const std::string> ids) const
 {
-    std::vector<protocol::upstream_report> out;
+    protocol::upstream_list out;
     for (const std::string& id : ids) {
         if (const auto found = m_upstreams.find(id); found != m_upstreams.end())
-            out.push_back(found->second.report);
+            append(out, found->second, now);
     }
     return out;
 }
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -31,7 +31,7 @@
     change onReport(time_point now, const protocol::upstream_report& report);
 
     // Another entry host's list. Returns the reports that were not known, or are newer than those known.
-    std::vector<protocol::upstream_report> onPeerList(time_point now, std::span<const protocol::upstream_report> reports);
+    std::vector<protocol::upstream_report> onPeerList(time_point now, const protocol::upstream_list& list);
 
     // The first update from a control host has arrived.
     void onControlUpdate(time_point now);
@@ -51,8 +51,9 @@
     // Upstreams of the zone, not leaving, whose reports arrived within maxAge.
     std::size_t countReporting(time_point now, std::string_view zone, duration maxAge) const;
 
-    std::vector<protocol::upstream_report> list() const;
-    std::vector<protocol::upstream_report> list(std::span<const std::string> ids) const;
+    // The upstreams for other entry hosts: all, or those with the given ids.
+    protocol::upstream_list list(time_point now) const;
+    protocol::upstream_list list(time_point now, std::span<const std::string> ids) const;
     std::size_t size() const { return m_upstreams.size(); }
 
     void forEach(const std::function<void(const protocol::upstream_report& report)>& visit) const;
@@ -65,9 +66,11 @@
         protocol::upstream_report report;
         time_point receivedAt;
         time_point reportedAt = time_point::min(); // last report that a control host relayed
-        time_point knownAt; // last time that anybody told of it
+        time_point knownAt; // when anybody last heard of it, as far as told
     };
 
+    static void append(protocol::upstream_list& list, const known_upstream& known, time_point now);
+
     std::map<std::string, known_upstream, std::less<>> m_upstreams; // by id
     std::map<std::string, std::uint64_t, std::less<>> m_told; // incarnation of each host that was told the upstreams
     time_point m_controlSince = time_point::max();
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -226,10 +226,11 @@
 // The upstreams that an entry host knows of, for another entry host.
 struct upstream_list {
     std::vector<upstream_report> reports;
+    std::vector<std::uint32_t> agesMs; // of each report: time since anything was heard of the upstream
 
     friend bool operator==(const upstream_list&, const upstream_list&) = default;
 
-    MSGPACK_DEFINE_ARRAY(reports)
+    MSGPACK_DEFINE_ARRAY(reports, agesMs)
 };
 
 // The position of a type in this list is its kind on the wire: new types are appended at the end.
