Entry hosts: a list of upstreams is complete only while control hosts tell news

That the list was complete was decided once, by the first messages of the process. A host that was cut off from the control hosts misses upstreams that start meanwhile; when it took over a cell later, it ended the wait for earlier owners' runs early, without those upstreams.

Change: heardSince() begins anew after a silence of the control hosts, and a dispatcher asks for it each time instead of getting it once. An owner that gives a cell up tells the hosts of the zone its upstreams before.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -52,11 +52,11 @@
     cellSettings.maxLease = settings.maxLease;
     cellSettings.stopTime = settings.stopTime;
     cellSettings.reportInterval = settings.reportInterval;
-    cellSettings.reportsHeardSince = upstreams.heardSince();
     cells::cell_hooks dispatcherHooks;
     dispatcherHooks.onDecision = [cell](const cells::cell_decision& decision) {
         logEvent(log_level::info, decision.event, { { "subject", decision.subject }, { "cell", cell }, { "inputs", decision.inputs } });
     };
+    dispatcherHooks.upstreamsHeardSince = [this] { return upstreams.heardSince(steadyNow()); };
     dispatcherHooks.findOtherCell = [this](const protocol::job_order& order) { return findOtherCell(order); };
     auto dispatcher = std::make_shared<cells::cell_dispatcher>(cellSettings, std::move(dispatcherHooks), steadyNow());
     forwardKnownReports(cell, *dispatcher);
@@ -77,6 +77,7 @@
     if (found == dispatchers.end())
         return;
     const std::shared_ptr<cells::cell_dispatcher> dispatcher = found->second;
+    shareUpstreams(cell, *dispatcher); // the next owner may not have heard of the latest ones
     dispatcher->release();
     for (const cells::cell_action& action : dispatcher->takeActions()) {
         if (const auto* answer = std::get_if<cells::owner_answer>(&action))
@@ -193,13 +194,17 @@
 // Upstreams that don't report are remembered only as long as their owner tells of them.
 void cell_host::impl::shareOwnedUpstreams()
 {
-    for (const auto& [cell, dispatcher] : dispatchers) {
-        const std::vector<std::string> ids = dispatcher->upstreamNames();
-        upstreams.keep(steadyNow(), ids);
-        const std::string bytes = protocol::encodeCellMessage(upstreams.list(steadyNow(), ids));
-        for (const std::string& host : ownership.hostsOf(steadyNow(), cells::zoneOfCell(cell)))
-            links.send(host, bytes);
-    }
+    for (const auto& [cell, dispatcher] : dispatchers)
+        shareUpstreams(cell, *dispatcher);
+}
+
+void cell_host::impl::shareUpstreams(std::string_view cell, const cells::cell_dispatcher& dispatcher)
+{
+    const std::vector<std::string> ids = dispatcher.upstreamNames();
+    upstreams.keep(steadyNow(), ids);
+    const std::string bytes = protocol::encodeCellMessage(upstreams.list(steadyNow(), ids));
+    for (const std::string& host : ownership.hostsOf(steadyNow(), cells::zoneOfCell(cell)))
+        links.send(host, bytes);
 }
 
 void cell_host::impl::scheduleTick()
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -99,6 +99,7 @@
     void forwardReports(std::span<const protocol::upstream_report> reports);
     void tellUpstreams(const protocol::host_gossip& peer);
     void shareOwnedUpstreams();
+    void shareUpstreams(std::string_view cell, const cells::cell_dispatcher& dispatcher);
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
     void onConfiguration(const protocol::configuration_push& push, std::string_view sender);
     void onJobOrder(const protocol::job_order& order, std::string_view origin);
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -48,7 +48,7 @@
     const auto longestLease = duration_cast<duration>(settings.maxLease * (1 + upstream_record::clockDrift));
     if (now - std::max(handedOverAt, firstAdoptedAt) >= idlePollInterval + fencingMargin + longestLease)
         return true;
-    const bool hasHeardAll = now - settings.reportsHeardSince >= 2 * settings.reportInterval;
+    const bool hasHeardAll = !hooks.upstreamsHeardSince || now - hooks.upstreamsHeardSince() >= 2 * settings.reportInterval;
     return hasHeardAll && !upstreams.empty() && std::all_of(upstreams.begin(), upstreams.end(), [](const auto& item) { return item.second.isAdopted; });
 }
 
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -29,7 +29,6 @@
     std::uint64_t token = 0; // fencing token of this ownership; higher than that of every earlier owner
     duration maxLease = std::chrono::milliseconds(1000); // longest lease that the platform allows
     duration reportInterval = std::chrono::milliseconds(1500); // between two reports of the same upstream
-    time_point reportsHeardSince; // this host has received upstream reports since then
     duration stopTime = std::chrono::milliseconds(50); // an upstream ends a stopped task within this time
 };
 
@@ -50,6 +49,8 @@
 
 struct cell_hooks {
     std::function<void(const cell_decision& decision)> onDecision; // may be empty
+    // Since when this host has heard of every upstream that starts; time_point::max() if it may have missed some. Empty: always.
+    std::function<time_point()> upstreamsHeardSince;
     // Returns another cell with free capacity for all tasks of the job now; empty if there is none.
     std::function<std::string(const protocol::job_order& job)> findOtherCell;
 };
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -50,7 +50,6 @@
     cell_settings settings;
     settings.cell = cellName;
     settings.token = m_owners.size() + 1;
-    settings.reportsHeardSince = m_now - std::chrono::seconds(10);
     sim_owner owner;
     owner.token = settings.token;
     owner.dispatcher = std::make_unique<cell_dispatcher>(settings, cell_hooks {}, m_now);
--- a/src/coordination/cells/tests/upstream_directory_tests.cpp
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -44,10 +44,11 @@
     upstream_directory directory;
     directory.onControlUpdate(start);
     directory.onControlUpdate(start + seconds(1));
-    CHECK(directory.heardSince() == time_point::max());
+    CHECK(directory.heardSince(start + seconds(1)) == time_point::max());
     directory.onPeerList(start + seconds(2), {});
     directory.onPeerList(start + seconds(3), {});
-    CHECK(directory.heardSince() == start + seconds(2));
+    directory.onControlUpdate(start + seconds(3));
+    CHECK(directory.heardSince(start + seconds(3)) == start + seconds(2));
 }
 
 TEST_CASE("upstreams known from another host only do not count as reporting, and expire unless they are kept")
@@ -87,3 +88,15 @@
     CHECK(first.size() == 0);
     CHECK(second.size() == 0);
 }
+
+TEST_CASE("a host that control hosts have told nothing for a time does not count its list as complete")
+{
+    upstream_directory directory;
+    directory.onControlUpdate(start);
+    directory.onReport(start, makeReport("u1"));
+    directory.onPeerList(start, {});
+    CHECK(directory.heardSince(start + seconds(10)) == time_point::max());
+    const time_point back = start + seconds(30); // in the meantime, upstreams may have started
+    directory.onControlUpdate(back);
+    CHECK(directory.heardSince(back) == back);
+}
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -7,6 +7,7 @@
 namespace {
 
     constexpr duration retention = std::chrono::seconds(60); // keeps upstreams known while all control hosts are down
+    constexpr duration controlSilenceLimit = std::chrono::milliseconds(2500); // each control host sends an update at least every second
 
 } // namespace
 
@@ -41,7 +42,9 @@
 
 void upstream_directory::onControlUpdate(time_point now)
 {
-    m_controlSince = std::min(m_controlSince, now);
+    if (m_controlSince == time_point::max() || now - m_controlHeardAt > controlSilenceLimit)
+        m_controlSince = now;
+    m_controlHeardAt = now;
 }
 
 void upstream_directory::keep(time_point now, std::span<const std::string> ids)
@@ -69,9 +72,10 @@
         m_told.erase(told);
 }
 
-time_point upstream_directory::heardSince() const
+time_point upstream_directory::heardSince(time_point now) const
 {
-    return std::max(m_controlSince, m_peerSince);
+    const bool isControlSilent = m_controlSince == time_point::max() || now - m_controlHeardAt > controlSilenceLimit;
+    return isControlSilent ? time_point::max() : std::max(m_controlSince, m_peerSince);
 }
 
 std::size_t upstream_directory::countReporting(time_point now, std::string_view zone, duration maxAge) const
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -33,7 +33,7 @@
     // Another entry host's list. Returns the reports that were not known, or are newer than those known.
     std::vector<protocol::upstream_report> onPeerList(time_point now, const protocol::upstream_list& list);
 
-    // The first update from a control host has arrived.
+    // An update from a control host has arrived.
     void onControlUpdate(time_point now);
 
     // Keeps upstreams that answer this host although they don't report.
@@ -45,8 +45,9 @@
     // The host was not heard for a time, and may have missed reports.
     void forgetTold(std::string_view host);
 
-    // Since when this host has been told by a control host and by another entry host; time_point::max() before that.
-    time_point heardSince() const;
+    // Since when this host has been told without a pause by control hosts, and at least once by another entry host; time_point::max()
+    // before that, and while no control host tells it anything: upstreams may have started that it doesn't know.
+    time_point heardSince(time_point now) const;
 
     // Upstreams of the zone, not leaving, whose reports arrived within maxAge.
     std::size_t countReporting(time_point now, std::string_view zone, duration maxAge) const;
@@ -74,6 +75,7 @@
     std::map<std::string, known_upstream, std::less<>> m_upstreams; // by id
     std::map<std::string, std::uint64_t, std::less<>> m_told; // incarnation of each host that was told the upstreams
     time_point m_controlSince = time_point::max();
+    time_point m_controlHeardAt; // valid unless m_controlSince is time_point::max()
     time_point m_peerSince = time_point::max();
 };
 
