Cells: a late renewal can't make a run outlive the lease that its owner knows

Change: after a renewal without an answer that was followed by an answer, the end of the lease proves nothing for 12 s and two leases.

The simulation carries late calls out on upstreams that are cut off, too, and can let late leases begin on arrival.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -74,6 +74,7 @@
     if (record.hasBegun)
         return; // a list has named the run in the meantime
     upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
+    upstream.unansweredRenewalAt = record.since;
     if (record.state == run_state::starting)
         stopRun(now, upstream, name, record);
     record.state = run_state::uncertain;
@@ -179,6 +180,9 @@
 {
     upstream.consecutiveUnanswered = 0;
     upstream.heardAt = now;
+    // An upstream that answers a later call may have put the earlier one off.
+    if (const auto sentAt = std::exchange(upstream.unansweredRenewalAt, {}))
+        upstream.lateRenewalEnd = std::max(upstream.lateRenewalEnd, *sentAt + lateCallLimit + 2 * settings.maxLease);
     // Answers on different connections may arrive out of order, so an older clock value is ignored.
     if (answer.clockMs > 0 && (!upstream.clock.isKnown() || answer.clockMs >= upstream.clock.clockMs))
         upstream.clock = { answer.clockMs, now };
@@ -398,7 +402,7 @@
 
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_record& upstream)
 {
-    if (upstream.needsNewConnection && now >= upstream.leaseEnd)
+    if (upstream.needsNewConnection && now >= std::max(upstream.leaseEnd, upstream.lateRenewalEnd))
         endLapsedRuns(now, upstream);
     endUnansweredStarts(now, upstream);
     removeStoppedRuns(now, upstream);
@@ -456,6 +460,8 @@
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
         if (answer.call.outcome == call_outcome::not_received)
             upstream.undoRenewal();
+        else if (answer.call.outcome == call_outcome::silent && order.expiresAtMs > 0)
+            upstream.unansweredRenewalAt = upstream.pollSentAt;
         upstream.needsNewConnection = true;
         ++upstream.consecutiveUnanswered;
         upstream.nextPollAt = std::exchange(upstream.mustPollAgain, false) ? now : now + retryInterval;
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -83,6 +83,8 @@
     time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
     time_point leaseEndBeforePoll; // leaseEnd without and with the renewal by the latest poll
     time_point leaseEndOfPoll;
+    std::optional<time_point> unansweredRenewalAt; // latest renewal that got no answer, if nothing was answered since
+    time_point lateRenewalEnd; // until then runs may be held by a renewal that is carried out late
 
     bool isPollPending = false;
     bool mustPollAgain = false; // at once if the pending poll fails: a report names a later start
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -596,3 +596,29 @@
     sim.runFor(seconds(16));
     checkSafe(sim);
 }
+
+TEST_CASE("a renewal that is carried out late does not let a run outlive the lease that its owner knows")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        openCell(sim, { "u1", "u2" });
+        sim.letLateLeasesBeginOnArrival();
+        job_order job = sim.makeJob("1", 1, 14000, 20000);
+        job.timeLeftMs = 30000;
+        sim.submit(0, job);
+        sim.runFor(milliseconds(50));
+        job.id = "2"; // on the same upstream; the task that started last there is not started again as long as it may have crashed it
+        sim.submit(0, job);
+        sim.runFor(milliseconds(50));
+        const std::string home = sim.startsOn("u1") > 0 ? "u1" : "u2";
+        sim.setDelayedShare(1);
+        sim.upstream(home).fault = upstream_fault::delayed_calls;
+        sim.runFor(milliseconds(350));
+        sim.upstream(home).fault = upstream_fault::none;
+        sim.runFor(milliseconds(1200 + sim.random()() % 9000));
+        sim.upstream(home).fault = upstream_fault::unreachable;
+        sim.runFor(seconds(10));
+        checkSafe(sim);
+    }
+}
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -221,11 +221,6 @@
     return isLost ? std::optional(call_outcome::silent) : std::nullopt;
 }
 
-bool cell_simulation::isDown(const sim_upstream& upstream)
-{
-    return upstream.fault == upstream_fault::crashed || upstream.fault == upstream_fault::unreachable;
-}
-
 bool cell_simulation::isStopped(const sim_upstream& upstream, const run_id& run)
 {
     const auto stopped = upstream.lastStopped.find(run.task);
@@ -234,7 +229,7 @@
 
 void cell_simulation::carryOutStart(sim_upstream& upstream, const start_request& order)
 {
-    if (!isDown(upstream) && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf(upstream))
+    if (upstream.fault != upstream_fault::crashed && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf(upstream))
         begin(upstream, order);
 }
 
@@ -300,7 +295,7 @@
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
     const auto later = [this, order] {
         sim_upstream& target = m_upstreams.at(order.target.id);
-        if (!isDown(target) && check(target, order.token) == call_outcome::done)
+        if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
             carryOutStop(target, order);
     };
     if (upstream.fault == upstream_fault::stops_lost)
@@ -328,8 +323,10 @@
     const open_poll poll { owner, order, m_now + milliseconds(order.waitMs) };
     const auto later = [this, order] {
         sim_upstream& target = m_upstreams.at(order.target.id);
-        if (!isDown(target) && check(target, order.token) == call_outcome::done)
+        if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
             carryOutPoll(target, order);
+        if (m_lateLeasesBeginOnArrival && order.expiresAtMs > 0)
+            extendLease(target, clockOf(target) + maxLease.count());
     };
     if (const auto lost = loseCall(owner, upstream, order.onNewConnection, later))
         return answerPoll(poll, upstream, *lost);
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -81,6 +81,7 @@
     time_point now() const { return m_now; }
 
     sim_upstream& upstream(const std::string& id) { return m_upstreams.at(id); }
+    void letLateLeasesBeginOnArrival() { m_lateLeasesBeginOnArrival = true; }
     void setDelayedShare(double share) { m_delayedShare = share; } // of the calls to upstreams with delayed_calls
 
     // The next report of the upstream, whose address is its id; and the arrival of a report, also of one from another writer.
@@ -140,8 +141,6 @@
     // delayed call.
     std::optional<call_outcome> loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, std::function<void()> later);
     // Whether the run, or a later run of its task, has ended or was stopped on the upstream.
-    // Whether it can't be reached by calls that are carried out late.
-    static bool isDown(const sim_upstream& upstream);
     static bool isStopped(const sim_upstream& upstream, const run_id& run);
     void carryOutStart(sim_upstream& upstream, const start_request& order);
     void carryOutStop(sim_upstream& upstream, const stop_request& order);
@@ -167,6 +166,7 @@
     std::map<std::string, std::size_t> m_runs;
     std::map<std::string, std::size_t> m_starts;
     double m_delayedShare = 0.05;
+    bool m_lateLeasesBeginOnArrival = false;
     std::set<std::string> m_crashingTasks;
     std::map<std::string, std::size_t> m_crashesUnder;
     std::size_t m_crashes = 0;
