Pass failed runs and crashes on with a job that is handed over

A job that was handed over started with no counts: a task could crash two more upstreams, and fail max_attempts more times, under each next owner.

Cause: an owner that gives a job back names the tasks that are done, but not what went wrong with the others. An owner that ends without a word still takes its counts with it.

--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -23,6 +23,12 @@
     deadline = now + milliseconds(order.timeLeftMs);
     for (const std::string& task : order.doneTasks)
         markDone(task);
+    std::size_t step = 0;
+    std::size_t index = 0;
+    for (const protocol::task_failures& failures : order.failures) {
+        if (findTask(*this, failures.task, step, index))
+            steps[step].tasks[index].failedRuns = failures.failedRuns;
+    }
 }
 
 bool cell_job::isReady(std::size_t step) const
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -63,6 +63,8 @@
     claimRuns(job);
     if (job.isDone())
         return finishIfDone(now, job);
+    for (const protocol::task_failures& known : order.failures)
+        failures.addCrashes(now, known.task, known.crashes);
     if (!applyFailureHistory(now, job))
         return;
     if (!job.hasBegun && order.handOverCount == 0 && !admit(now, job))
@@ -234,8 +236,13 @@
         order_answer answer = protocol::makeOrderAnswer(job->order, job_outcome::released, "the owner of the cell changes");
         for (std::size_t step = 0; step < job->steps.size(); ++step) {
             for (std::size_t index = 0; index < job->steps[step].tasks.size(); ++index) {
-                if (job->steps[step].tasks[index].state == task_state::done)
-                    answer.doneTasks.push_back(job->taskName(step, index));
+                const internal::cell_task& task = job->steps[step].tasks[index];
+                const std::string name = job->taskName(step, index);
+                const auto crashes = static_cast<std::uint32_t>(m_impl->failures.crashes(name));
+                if (task.state == task_state::done)
+                    answer.doneTasks.push_back(name);
+                else if (task.failedRuns > 0 || crashes > 0)
+                    answer.failures.push_back({ name, task.failedRuns, crashes });
             }
         }
         m_impl->actions.emplace_back(owner_answer { { job->origins.begin(), job->origins.end() }, std::move(answer) });
--- a/src/coordination/cells/internal/failure_history.cpp
+++ b/src/coordination/cells/internal/failure_history.cpp
@@ -1,6 +1,7 @@
 // Confirmed and unconfirmed crashes by task.
 #include "coordination/cells/internal/failure_history.h"
 
+#include <algorithm>
 #include <iterator>
 #include <utility>
 
@@ -21,6 +22,15 @@
     history.until = now + retention;
 }
 
+void failure_history::addCrashes(time_point now, const std::string& task, std::size_t crashes)
+{
+    if (crashes == 0)
+        return;
+    task_history& history = m_tasks[task];
+    history.crashes = std::max(history.crashes, crashes);
+    history.until = now + retention;
+}
+
 std::set<std::string, std::less<>> failure_history::confirm(time_point now, std::string_view upstream)
 {
     auto tasks = dismiss(upstream);
--- a/src/coordination/cells/internal/failure_history.h
+++ b/src/coordination/cells/internal/failure_history.h
@@ -26,6 +26,9 @@
     // isLatest: none of the runs that were lost with it was started later, so it is the likeliest cause.
     void addLoss(time_point now, const std::string& task, const std::string& upstream, bool isLatest);
 
+    // Crashes that an earlier owner counted.
+    void addCrashes(time_point now, const std::string& task, std::size_t crashes);
+
     // The upstream has crashed. Returns the tasks that were lost with it.
     std::set<std::string, std::less<>> confirm(time_point now, std::string_view upstream);
     // The upstream has not crashed. Returns the tasks that were lost on it.
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -129,6 +129,7 @@
             if (std::find(job.order.doneTasks.begin(), job.order.doneTasks.end(), task) == job.order.doneTasks.end())
                 job.order.doneTasks.push_back(task);
         }
+        job.order.failures = answer.failures; // include those that this owner was told of
         ++job.order.handOverCount;
         job.host.clear(); // advance() forwards it as soon as there is another owner
         return;
--- a/src/coordination/cells/tests/cell_crash_tests.cpp
+++ b/src/coordination/cells/tests/cell_crash_tests.cpp
@@ -172,3 +172,30 @@
     CHECK(outcomeOf(sim, "1") == job_outcome::failed);
     CHECK(sim.crashesUnder("1.0.0.0") == 2);
 }
+
+// Guards against a task that crashes upstreams under each owner of the cell in turn.
+TEST_CASE("a job that is handed over keeps the crashes that its tasks caused")
+{
+    cell_simulation sim(1);
+    openCell(sim, 10);
+    sim.addCrashingTask("1.0.0.0");
+    job_order job = makeLongJob(sim, "1", 1, 60);
+    job.targetMs = longWaitMs;
+    sim.submit(0, job);
+    for (std::size_t owner = 0; owner < 6; ++owner) {
+        sim.runFor(milliseconds(4500));
+        const std::size_t next = sim.addOwner();
+        sim.runFor(milliseconds(400));
+        sim.owner(owner).release();
+        sim.runFor(milliseconds(20));
+        const jackdaw::protocol::order_answer& answer = sim.outcomes().at("1").answer;
+        if (answer.outcome != job_outcome::released)
+            break;
+        job.failures = answer.failures;
+        ++job.handOverCount;
+        sim.submit(next, job);
+    }
+    sim.runFor(seconds(8));
+    CHECK(outcomeOf(sim, "1") == job_outcome::failed);
+    CHECK(sim.runsOf("1.0.0.0") <= 3);
+}
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -98,13 +98,14 @@
     CHECK(f.router.size() == 1);
 }
 
-TEST_CASE("done tasks of a released job are forwarded to the next owner")
+TEST_CASE("done tasks and failures of a released job are forwarded to the next owner")
 {
     router_fixture f;
     f.router.submit(f.now, f.makeOrder("1"), 1);
     const auto first = f.sent();
     order_answer released = makeOrderAnswer(first.at(0).order, job_outcome::released, "");
     released.doneTasks = { "1.0.0.0" };
+    released.failures = { { "1.0.0.1", 2, 1 } };
     f.router.onAnswer(f.now, "h1", released);
     f.owner = std::nullopt;
     f.router.advance(f.now);
@@ -116,6 +117,7 @@
     REQUIRE(second.size() == 1);
     CHECK(second[0].host == "h2");
     CHECK(second[0].order.doneTasks == std::vector<std::string> { "1.0.0.0" });
+    CHECK(second[0].order.failures == released.failures);
     CHECK(second[0].order.handOverCount == 1);
 }
 
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -51,6 +51,17 @@
     MSGPACK_DEFINE_ARRAY(count, need, estimateMs, dependsOn, requiredLabel, dataRack, maxPerUpstream)
 };
 
+// What went wrong with a task under the owners so far.
+struct task_failures {
+    std::string task;
+    std::uint32_t failedRuns = 0;
+    std::uint32_t crashes = 0; // upstreams that crashed while they ran it
+
+    friend bool operator==(const task_failures&, const task_failures&) = default;
+
+    MSGPACK_DEFINE_ARRAY(task, failedRuns, crashes)
+};
+
 // Hands a job to the owner of a cell.
 struct job_order {
     std::string id;
@@ -69,10 +80,11 @@
     std::uint32_t handOverCount = 0; // number of earlier handovers of the job to other owners
     bool mayMove = true; // the owner may redirect the job to another cell instead of queueing it
     std::vector<std::string> doneTasks; // names of the tasks that are done according to earlier owners
+    std::vector<task_failures> failures {}; // of earlier owners
 
     friend bool operator==(const job_order&, const job_order&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks)
+    MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks, failures)
 };
 
 enum class job_outcome : std::uint8_t {
@@ -100,10 +112,11 @@
     std::uint32_t retryAfterMs = 0;
     std::string cell;
     std::vector<std::string> doneTasks;
+    std::vector<task_failures> failures {}; // with released: for the next owner
 
     friend bool operator==(const order_answer&, const order_answer&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, submissionNumber, handOverCount, outcome, reason, retryAfterMs, cell, doneTasks)
+    MSGPACK_DEFINE_ARRAY(id, submissionNumber, handOverCount, outcome, reason, retryAfterMs, cell, doneTasks, failures)
 };
 
 // Returns an answer that carries the order's id, submission number and handover count.
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -16,6 +16,7 @@
     order.steps = { { 8, { 14000, 64, 0 }, 60, {}, "a", "r1-3", 2 }, { 1, { 500, 64, 1 }, 20, { 0 }, "", "", 0 } };
     order.slackFactor = 1.6;
     order.doneTasks = { "5c0e7a21d94b36f8.0.0.3" };
+    order.failures = { { "5c0e7a21d94b36f8.0.0.4", 2, 1 } };
     const auto back = decodeCellMessage(encodeCellMessage(order));
     REQUIRE(back);
     CHECK(std::get<job_order>(back.value()) == order);
@@ -23,7 +24,7 @@
 
 TEST_CASE("answers and gossip are unchanged after encoding and decoding")
 {
-    const order_answer answer { "1", 7, 1, job_outcome::moved, "full", 250, "zone-b", {} };
+    const order_answer answer { "1", 7, 1, job_outcome::moved, "full", 250, "zone-b", {}, { { "1.0.0.0", 2, 1 } } };
     const auto answerBack = decodeCellMessage(encodeCellMessage(answer));
     REQUIRE(answerBack);
     CHECK(std::get<order_answer>(answerBack.value()) == answer);
