--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -74,6 +74,7 @@
     if (record.hasBegun)
         return; // a list has named the run in the meantime
     upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
+    upstream.unansweredRenewalAt = record.since;
     if (record.state == run_state::starting)
         stopRun(now, upstream, name, record);
     record.state = run_state::uncertain;
@@ -164,8 +165,8 @@
     order.token = settings.token;
     order.onNewConnection = upstream.needsNewConnection;
     upstream.leaseEndBeforePoll = upstream.leaseEnd;
-    // Without a renewal, runs that can't be stopped end with their lease.
-    if (upstream.hasWantedRuns())
+    // Without a renewal, runs that can't be stopped end with their lease, as do all runs before a silent upstream is removed.
+    if (upstream.hasWantedRuns() && now - upstream.heardAt < removalDelay - 2 * settings.maxLease)
         order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
     if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection || upstream.reportedRestart ? 0 : pollWaitMs;
@@ -179,6 +180,9 @@
 {
     upstream.consecutiveUnanswered = 0;
     upstream.heardAt = now;
+    // An upstream that answers a later call may have put the earlier one off.
+    if (const auto sentAt = std::exchange(upstream.unansweredRenewalAt, {}))
+        upstream.lateRenewalEnd = std::max(upstream.lateRenewalEnd, *sentAt + lateCallLimit + 2 * settings.maxLease);
     // Answers on different connections may arrive out of order, so an older clock value is ignored.
     if (answer.clockMs > 0 && (!upstream.clock.isKnown() || answer.clockMs >= upstream.clock.clockMs))
         upstream.clock = { answer.clockMs, now };
@@ -257,8 +261,8 @@
             record.since = now;
             record.confirmedAt = now;
         } else if (record.state == run_state::starting || (record.state == run_state::uncertain && !record.isStopConfirmed)) {
-            const bool isWanted = !record.job.empty() && countRuns(running.run.task) == 1;
-            record.state = isWanted || record.state == run_state::starting ? run_state::running : run_state::stopping;
+            const bool isWanted = record.state == run_state::starting || (!record.job.empty() && countRuns(running.run.task) == 1);
+            record.state = isWanted ? run_state::running : run_state::stopping;
             record.confirmedAt = now;
         }
     }
@@ -398,7 +402,7 @@
 
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_record& upstream)
 {
-    if (upstream.needsNewConnection && now >= upstream.leaseEnd)
+    if (upstream.needsNewConnection && now >= std::max(upstream.leaseEnd, upstream.lateRenewalEnd))
         endLapsedRuns(now, upstream);
     endUnansweredStarts(now, upstream);
     removeStoppedRuns(now, upstream);
@@ -456,6 +460,8 @@
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
         if (answer.call.outcome == call_outcome::not_received)
             upstream.undoRenewal();
+        else if (answer.call.outcome == call_outcome::silent && order.expiresAtMs > 0)
+            upstream.unansweredRenewalAt = upstream.pollSentAt;
         upstream.needsNewConnection = true;
         ++upstream.consecutiveUnanswered;
         upstream.nextPollAt = std::exchange(upstream.mustPollAgain, false) ? now : now + retryInterval;
