Cells: a start that reaches an upstream after its crash is not lost with it

Cause: an upstream that had crashed and was back, which its owner did not know yet, was sent a start. The answer to the next poll told of the restart, and the start counted as a second crash under the task. It had not begun before.

Change: only runs that had begun count.

--- a/src/coordination/cells/internal/cell_crashes.cpp
+++ b/src/coordination/cells/internal/cell_crashes.cpp
@@ -14,6 +14,8 @@
     std::map<std::string, time_point> startTimes; // by task
     time_point latest;
     for (const auto& [name, record] : lost) {
+        if (!record.hasBegun)
+            continue; // the upstream may have crashed before
         startTimes[name.task] = record.since;
         latest = std::max(latest, record.since);
     }
--- a/src/coordination/cells/tests/cell_crash_tests.cpp
+++ b/src/coordination/cells/tests/cell_crash_tests.cpp
@@ -199,3 +199,29 @@
     CHECK(outcomeOf(sim, "1") == job_outcome::failed);
     CHECK(sim.runsOf("1.0.0.0") <= 3);
 }
+
+TEST_CASE("a start that reaches an upstream after its crash does not count as lost with it")
+{
+    std::vector<std::string> events;
+    cell_settings settings;
+    settings.cell = "a";
+    cell_hooks hooks;
+    hooks.onDecision = [&events](const cell_decision& decision) { events.emplace_back(decision.event); };
+    cell_dispatcher dispatcher(settings, hooks, {});
+    time_point now;
+    const auto answerPoll = [&](std::int64_t bornUnixMs) {
+        for (const cell_action& action : dispatcher.takeActions()) {
+            if (const auto* poll = std::get_if<poll_request>(&action))
+                dispatcher.onPoll(now, *poll, { { call_outcome::done, 5000 }, bornUnixMs, {}, {} });
+        }
+    };
+    dispatcher.onUpstreamReport(now, { "u1", 1000, 1, "planning", "10.0.0.1:80", "a", { 32000, 65536, 0 }, {}, false });
+    answerPoll(1000);
+    now += milliseconds(10);
+    dispatcher.submit(now, cell_simulation(1).makeJob("1", 1, 14000, 60), "host");
+    REQUIRE(dispatcher.counts().waitingTasks == 0);
+    now += milliseconds(2);
+    answerPoll(2000);
+    CHECK(std::count(events.begin(), events.end(), "runs_lost") == 1);
+    CHECK(std::count(events.begin(), events.end(), "task_crash_counted") == 0);
+}
