--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -476,7 +476,7 @@
         sim.runFor(milliseconds(1000));
         for (const std::string& id : ids)
             sim.upstream(id).fault = upstream_fault::none;
-        const std::string reborn = ids[sim.random()() % ids.size()];
+        const std::string& reborn = ids[sim.random()() % ids.size()];
         sim.crash(reborn);
         sim.runFor(milliseconds(sim.random()() % 300));
         sim.restart(reborn);
