Dispatcher: a job whose starts all stayed unanswered may have run

What callers of the product's own interface saw: with retry.idempotent_after_lease a job whose upstreams were lost after its starts was answered as not run (deadline_passed_before_start, cancelled_before_start), though it may have run.

Cause: a task whose start got no answer went back to the queue without a trace, and the refusal looked only at reports and at starts that were still open.

Change: the job remembers that the outcome of a start is unknown.

Evidence: the new test fails in both of its cases on the code before.

--- a/src/coordination/internal/dispatcher_reports.cpp
+++ b/src/coordination/internal/dispatcher_reports.cpp
@@ -149,6 +149,7 @@
         task.settleTimer = m_timers.add(leaseOver, settle_timer { key });
         return;
     }
+    job.hasUnknownStart = true;
     task.lostUpstreams = lostUpstreams;
     task.avoidedSerial = task.upstream->serial;
     release(now, job, task, task_phase::closed);
@@ -216,7 +217,7 @@
 
 bool dispatcher::impl::mayHaveStarted(const job_record& job) const
 {
-    return job.provedStarted || job.outstanding > 0;
+    return job.provedStarted || job.hasUnknownStart || job.outstanding > 0;
 }
 
 bool dispatcher::impl::isEveryStartUnanswered(const job_record& job) const
--- a/src/coordination/internal/job_record.h
+++ b/src/coordination/internal/job_record.h
@@ -65,6 +65,7 @@
     std::size_t magnitude = 0; // index in team_record::queuedWork, from the whole job's work
     duration queuedWork {}; // sum of the expected run times of the queued tasks
     bool provedStarted = false; // a report confirmed that a task was started
+    bool hasUnknownStart = false; // a start got no answer, and its upstream can't tell any more
     bool answered = false; // the record is kept until no task is outstanding
     std::optional<timer_id> timer; // fires at the deadline; after the answer, at the end of the last lease
 };
--- a/src/coordination/tests/dispatcher_tests.cpp
+++ b/src/coordination/tests/dispatcher_tests.cpp
@@ -182,6 +182,39 @@
     }
 }
 
+TEST_CASE("a job whose starts all stayed unanswered is never said not to have run")
+{
+    rules activeRules;
+    activeRules.retryIdempotentAfterLease = true;
+    dispatcher_settings settings;
+    settings.minLeaseLimit = 1s;
+    dispatch_fixture fixture(activeRules, settings);
+    fixture.core.applyAnnouncement(fixture.now, fixture.makeAnnouncement("u1"));
+    auto job = fixture.makeJob(1);
+    job.idempotent = true;
+    fixture.core.submit(fixture.now, job);
+    REQUIRE(fixture.starts.size() == 1);
+    // The upstream is cut off and expires; its task may run.
+    fixture.reportLatestStart(task_outcome::no_answer);
+    for (int i = 0; i < 40; ++i) {
+        fixture.advanceBy(200ms);
+        fixture.reportLatestStart(task_outcome::no_answer);
+    }
+    REQUIRE(fixture.answers.empty());
+    SUBCASE("at the deadline")
+    {
+        fixture.advanceBy(10s);
+        REQUIRE(fixture.answers.size() == 1);
+        CHECK(fixture.latestFailure() != error_kind::deadline_passed_before_start);
+    }
+    SUBCASE("when it is cancelled")
+    {
+        fixture.core.cancel(fixture.now, fixture.submissionId(1));
+        REQUIRE(fixture.answers.size() == 1);
+        CHECK(fixture.latestFailure() != error_kind::cancelled_before_start);
+    }
+}
+
 TEST_CASE("teams share the slots by weight, however many tasks they queue")
 {
     rules activeRules;
