Cells: a failed run of a task that another run has completed does not count

A task may have two runs after a change of owner. When one had succeeded and the other failed, the failure could still end the job as failed.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -317,6 +317,8 @@
         job->setState(record.step, record.index, task_state::done);
         return finishIfDone(now, *job);
     }
+    if (task.state == task_state::done)
+        return; // another run of the task has succeeded
     note("run_ended_early", end.run.task, "upstream=" + upstream.lastReport.id + " run=" + std::to_string(end.run.run) + " how=" + std::string(toText(end.how)));
     if (end.how == end_kind::failed && ++task.failedRuns >= job->order.maxAttempts) {
         const std::string reason = "task " + end.run.task + " failed on " + upstream.lastReport.id + ", attempt " + std::to_string(task.failedRuns);
