--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -156,7 +156,7 @@
         if (silent.contains(host))
             continue;
         logEvent(log_level::info, "host_recovered", { { "host", host } });
-        upstreams.forgetTold(host);
+        upstreams.forgetPeer(host);
     }
     silentHosts = std::move(silent);
 }
@@ -191,7 +191,7 @@
         shareOwnedUpstreams();
 }
 
-// Upstreams that don't report are remembered only as long as their owner tells of them.
+// Upstreams that don't report stay known to other hosts only as long as their owner sends its list.
 void cell_host::impl::shareOwnedUpstreams()
 {
     for (const auto& [cell, dispatcher] : dispatchers)
@@ -201,7 +201,7 @@
 void cell_host::impl::shareUpstreams(std::string_view cell, const cells::cell_dispatcher& dispatcher)
 {
     const std::vector<std::string> ids = dispatcher.upstreamNames();
-    upstreams.keep(steadyNow(), ids);
+    upstreams.refresh(steadyNow(), ids);
     const std::string bytes = protocol::encodeCellMessage(upstreams.list(steadyNow(), ids));
     for (const std::string& host : ownership.hostsOf(steadyNow(), cells::zoneOfCell(cell)))
         links.send(host, bytes);
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -97,7 +97,7 @@
     void onReports(std::span<const protocol::upstream_report> newReports);
     void onUpstreamList(const protocol::upstream_list& list);
     void forwardReports(std::span<const protocol::upstream_report> reports);
-    void tellUpstreams(const protocol::host_gossip& peer);
+    void sendUpstreamList(const protocol::host_gossip& peer);
     void shareOwnedUpstreams();
     void shareUpstreams(std::string_view cell, const cells::cell_dispatcher& dispatcher);
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -58,7 +58,7 @@
         for (const auto& [cell, dispatcher] : dispatchers)
             dispatcher->onOriginLost(now, gossip.host);
     }
-    tellUpstreams(gossip);
+    sendUpstreamList(gossip);
     if (gossip.zoneCellCount > zoneCells.cellCount(gossip.zone))
         updateCellCount(gossip.zone, gossip.zoneCellCount);
     // Control hosts push new configurations; the pull from another entry host works while the link to them is broken.
@@ -126,14 +126,14 @@
     }
 }
 
-void cell_host::impl::tellUpstreams(const protocol::host_gossip& peer)
+void cell_host::impl::sendUpstreamList(const protocol::host_gossip& peer)
 {
-    if (!upstreams.mustTell(peer.host, peer.incarnation))
+    if (!upstreams.needsList(peer.host, peer.incarnation))
         return;
     if (!links.send(peer.host, protocol::encodeCellMessage(upstreams.list(steadyNow()))))
-        return; // no link yet: told after a later gossip
-    upstreams.onTold(peer.host, peer.incarnation);
-    logEvent(log_level::info, "upstreams_told", { { "host", peer.host }, { "upstreams", std::to_string(upstreams.size()) } });
+        return; // no link yet: sent after a later gossip
+    upstreams.onListSent(peer.host, peer.incarnation);
+    logEvent(log_level::info, "upstream_list_sent", { { "host", peer.host }, { "upstreams", std::to_string(upstreams.size()) } });
 }
 
 void cell_host::impl::onConfiguration(const protocol::configuration_push& push, std::string_view sender)
--- a/src/coordination/cells/tests/upstream_directory_tests.cpp
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -27,19 +27,19 @@
     upstream_directory restarted;
     restarted.onControlUpdate(start + seconds(9));
     restarted.onReport(start + seconds(9), makeReport("u2", 7));
-    REQUIRE(peer.mustTell("host", 2));
-    const auto news = restarted.onPeerList(start + seconds(10), peer.list(start + seconds(10)));
-    peer.onTold("host", 2);
-    REQUIRE(news.size() == 1);
-    CHECK(news.front().id == "u1");
+    REQUIRE(peer.needsList("host", 2));
+    const auto changed = restarted.onPeerList(start + seconds(10), peer.list(start + seconds(10)));
+    peer.onListSent("host", 2);
+    REQUIRE(changed.size() == 1);
+    CHECK(changed.front().id == "u1");
     CHECK(restarted.size() == 2);
-    CHECK_FALSE(peer.mustTell("host", 2));
-    CHECK(peer.mustTell("host", 3));
-    peer.forgetTold("host");
-    CHECK(peer.mustTell("host", 2));
+    CHECK_FALSE(peer.needsList("host", 2));
+    CHECK(peer.needsList("host", 3));
+    peer.forgetPeer("host");
+    CHECK(peer.needsList("host", 2));
 }
 
-TEST_CASE("the list of upstreams counts as complete only after another entry host has told its own")
+TEST_CASE("the list of upstreams counts as complete only after another entry host has sent its own")
 {
     upstream_directory directory;
     directory.onControlUpdate(start);
@@ -51,20 +51,20 @@
     CHECK(directory.heardSince(start + seconds(3)) == start + seconds(2));
 }
 
-TEST_CASE("upstreams known from another host only do not count as reporting, and expire unless they are kept")
+TEST_CASE("upstreams known from another host only do not count as reporting, and expire unless they are refreshed")
 {
     upstream_directory directory;
     directory.onReport(start, makeReport("u1"));
     directory.onPeerList(start, { { makeReport("u2"), makeReport("u3") }, { 0, 0 } });
     CHECK(directory.countReporting(start + seconds(1), "a", seconds(5)) == 1);
     CHECK(directory.countReporting(start + seconds(6), "a", seconds(5)) == 0);
-    directory.keep(start + seconds(50), std::vector<std::string> { "u3" });
+    directory.refresh(start + seconds(50), std::vector<std::string> { "u3" });
     directory.expire(start + seconds(61));
     REQUIRE(directory.size() == 1);
     CHECK(directory.list(start).reports.front().id == "u3");
 }
 
-TEST_CASE("an older report does not replace a newer one, whoever tells it")
+TEST_CASE("an older report does not replace a newer one, whoever sends it")
 {
     upstream_directory directory;
     CHECK(directory.onReport(start, makeReport("u1", 5)).isNew);
@@ -74,7 +74,7 @@
     CHECK(directory.list(start, std::vector<std::string> { "u1", "unknown" }).reports.front().sequence == 6);
 }
 
-TEST_CASE("entry hosts that tell each other do not keep an upstream known that has ended")
+TEST_CASE("entry hosts that exchange lists do not keep an upstream known that has ended")
 {
     upstream_directory first;
     upstream_directory second;
@@ -89,7 +89,7 @@
     CHECK(second.size() == 0);
 }
 
-TEST_CASE("a host that control hosts have told nothing for a time does not count its list as complete")
+TEST_CASE("a host that has received no update from control hosts for a time does not count its list as complete")
 {
     upstream_directory directory;
     directory.onControlUpdate(start);
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -1,4 +1,4 @@
-// Reports by upstream, their age, and which hosts were told.
+// Reports by upstream, their age, and the hosts that were sent the list.
 #include "coordination/cells/upstream_directory.h"
 
 #include <algorithm>
@@ -24,7 +24,7 @@
 std::vector<protocol::upstream_report> upstream_directory::onPeerList(time_point now, const protocol::upstream_list& list)
 {
     m_peerSince = std::min(m_peerSince, now);
-    std::vector<protocol::upstream_report> news;
+    std::vector<protocol::upstream_report> changed;
     for (std::size_t i = 0; i < std::min(list.reports.size(), list.agesMs.size()); ++i) {
         const protocol::upstream_report& report = list.reports[i];
         const time_point heardAt = now - std::chrono::milliseconds(list.agesMs[i]);
@@ -35,9 +35,9 @@
             continue;
         known.report = report;
         known.receivedAt = now;
-        news.push_back(report);
+        changed.push_back(report);
     }
-    return news;
+    return changed;
 }
 
 void upstream_directory::onControlUpdate(time_point now)
@@ -47,7 +47,7 @@
     m_controlHeardAt = now;
 }
 
-void upstream_directory::keep(time_point now, std::span<const std::string> ids)
+void upstream_directory::refresh(time_point now, std::span<const std::string> ids)
 {
     for (const std::string& id : ids) {
         if (const auto found = m_upstreams.find(id); found != m_upstreams.end())
@@ -55,21 +55,21 @@
     }
 }
 
-bool upstream_directory::mustTell(std::string_view host, std::uint64_t incarnation) const
+bool upstream_directory::needsList(std::string_view host, std::uint64_t incarnation) const
 {
-    const auto told = m_told.find(host);
-    return told == m_told.end() || told->second != incarnation;
+    const auto sent = m_sentTo.find(host);
+    return sent == m_sentTo.end() || sent->second != incarnation;
 }
 
-void upstream_directory::onTold(std::string_view host, std::uint64_t incarnation)
+void upstream_directory::onListSent(std::string_view host, std::uint64_t incarnation)
 {
-    m_told[std::string(host)] = incarnation;
+    m_sentTo[std::string(host)] = incarnation;
 }
 
-void upstream_directory::forgetTold(std::string_view host)
+void upstream_directory::forgetPeer(std::string_view host)
 {
-    if (const auto told = m_told.find(host); told != m_told.end())
-        m_told.erase(told);
+    if (const auto sent = m_sentTo.find(host); sent != m_sentTo.end())
+        m_sentTo.erase(sent);
 }
 
 time_point upstream_directory::heardSince(time_point now) const
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -1,6 +1,6 @@
 // The upstreams that an entry host knows of: from control hosts, which relay the upstreams' reports, and from other entry hosts.
-// An upstream that can't reach any control host is known only to those that heard of it before, so entry hosts tell each other:
-// an owner that didn't know such an upstream would neither fence earlier owners there nor find their tasks.
+// An upstream that can't reach any control host is known only to entry hosts that received its reports earlier, so entry hosts
+// exchange their lists: an owner that didn't know such an upstream would neither fence earlier owners there nor find their tasks.
 #pragma once
 
 #include "protocol/cell_messages.h"
@@ -36,17 +36,17 @@
     // An update from a control host has arrived.
     void onControlUpdate(time_point now);
 
-    // Keeps upstreams that answer this host although they don't report.
-    void keep(time_point now, std::span<const std::string> ids);
+    // Postpones the expiry of upstreams that answer this host, also if they don't report.
+    void refresh(time_point now, std::span<const std::string> ids);
 
-    // Whether the process of another entry host still has to be told the upstreams.
-    bool mustTell(std::string_view host, std::uint64_t incarnation) const;
-    void onTold(std::string_view host, std::uint64_t incarnation);
-    // The host was not heard for a time, and may have missed reports.
-    void forgetTold(std::string_view host);
+    // Whether the list has not been sent to this process of another entry host yet.
+    bool needsList(std::string_view host, std::uint64_t incarnation) const;
+    void onListSent(std::string_view host, std::uint64_t incarnation);
+    // The host was silent for a time and may have missed reports: it needs the list again.
+    void forgetPeer(std::string_view host);
 
-    // Since when this host has been told without a pause by control hosts, and at least once by another entry host; time_point::max()
-    // before that, and while no control host tells it anything: upstreams may have started that it doesn't know.
+    // Since when control hosts have sent updates without a pause, and another entry host has sent its list; time_point::max() before
+    // that, and while control hosts are silent, since upstreams may have started that this host doesn't know.
     time_point heardSince(time_point now) const;
 
     // Upstreams of the zone, not leaving, whose reports arrived within maxAge.
@@ -67,13 +67,13 @@
         protocol::upstream_report report;
         time_point receivedAt;
         time_point reportedAt = time_point::min(); // last report that a control host relayed
-        time_point knownAt; // when anybody last heard of it, as far as told
+        time_point knownAt; // when any host last heard of it, as far as known
     };
 
     static void append(protocol::upstream_list& list, const known_upstream& known, time_point now);
 
     std::map<std::string, known_upstream, std::less<>> m_upstreams; // by id
-    std::map<std::string, std::uint64_t, std::less<>> m_told; // incarnation of each host that was told the upstreams
+    std::map<std::string, std::uint64_t, std::less<>> m_sentTo; // incarnation of each host that the list was sent to
     time_point m_controlSince = time_point::max();
     time_point m_controlHeardAt; // valid unless m_controlSince is time_point::max()
     time_point m_peerSince = time_point::max();
