Links between hosts by libevent: their end needs no thread

Cause: a link is closed and dialled anew when the peer has not answered for 200 ms, which happens to most links while 147 hosts start, and when frames stay unacknowledged, which they do as long as the receiver does not know the sender. Each close blocks on nng.

Change: links are libevent connections on the process's event loop, one descriptor each; a close ends at once. The wire format of nng's push and pull sockets is kept, so that hosts of earlier builds are understood. A peer that comes back without having ended its connection has the old one closed; keep-alive ends those of peers that never come back.

Evidence: new tests: 150 peers start, vanish, stall and return, fifty rounds: threads, descriptors and memory as after the first round; the other three tests are on new behaviour.

--- a/cmake/Libraries.cmake
+++ b/cmake/Libraries.cmake
@@ -12,7 +12,6 @@
 pkg_check_modules(LIBEVENT REQUIRED IMPORTED_TARGET libevent libevent_pthreads)
 
 find_library(EVHTP_LIBRARY evhtp REQUIRED)
-find_library(NNG_LIBRARY nng REQUIRED)
 if(NOT JACKDAW_PLATFORM_ONLY)
     find_library(LUA_LIBRARY lua5.4 REQUIRED)
 endif()
@@ -20,9 +19,6 @@
 add_library(jackdaw_evhtp INTERFACE)
 target_link_libraries(jackdaw_evhtp INTERFACE ${EVHTP_LIBRARY} PkgConfig::LIBEVENT Threads::Threads)
 
-add_library(jackdaw_nng INTERFACE)
-target_link_libraries(jackdaw_nng INTERFACE ${NNG_LIBRARY} Threads::Threads)
-
 if(NOT JACKDAW_PLATFORM_ONLY)
     add_library(jackdaw_lua INTERFACE)
     target_include_directories(jackdaw_lua SYSTEM INTERFACE /usr/include/lua5.4)
--- a/src/transport/internal/mesh_link.cpp
+++ b/src/transport/internal/mesh_link.cpp
@@ -1,70 +1,145 @@
-// nng push socket with one asynchronous send at a time. nng's threads only post to the loop.
+// Dials by libevent's bufferevents. Invariant: a connection carries messages only after the peer's header has arrived.
 #include "transport/internal/mesh_link.h"
 
-#include "transport/internal/nng_socket_closer.h"
+#include "transport/internal/pipeline_protocol.h"
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/push.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <stdexcept>
+#include <utility>
 
 namespace jackdaw::transport::internal {
 namespace {
 
-    constexpr nng_duration minReconnectMs = 50;
-    constexpr nng_duration maxReconnectMs = 100; // a host that has just started is reached within it
+    constexpr protocol::duration minRedialDelay = std::chrono::milliseconds(50);
+    constexpr protocol::duration maxRedialDelay = std::chrono::milliseconds(100); // a host that has just started is reached within it
 
 } // namespace
 
-class mesh_link::impl : public std::enable_shared_from_this<impl> {
+class mesh_link::impl {
 public:
-    impl(event_loop& eventLoop, std::function<void()> sentHook)
+    impl(event_loop& eventLoop, const std::string& text, std::function<void()> sentHook)
         : loop(eventLoop)
         , onSent(std::move(sentHook))
     {
-        if (nng_push0_open(&socket) != 0 || nng_aio_alloc(&operation, &impl::onFinished, this) != 0)
-            throw std::runtime_error("nng could not open a push socket");
-        nng_socket_set_ms(socket, NNG_OPT_RECONNMINT, minReconnectMs);
-        nng_socket_set_ms(socket, NNG_OPT_RECONNMAXT, maxReconnectMs);
+        int length = sizeof(address);
+        if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&address), &length) == 0)
+            addressLength = length;
+        dial();
     }
 
-    ~impl()
-    {
-        nng_aio_stop(operation);
-        nng_aio_free(operation);
-        closeInBackground(socket);
-    }
+    ~impl() { hangUp(); }
 
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    // Runs on a thread of nng.
-    static void onFinished(void* argument)
+    void dial()
+    {
+        if (addressLength == 0)
+            return; // no such address: nothing is ever sent
+        stream = bufferevent_socket_new(loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        if (!stream)
+            throw std::runtime_error("libevent could not create a connection");
+        bufferevent_setcb(stream, &impl::onReadable, &impl::onWritten, &impl::onEvent, this);
+        bufferevent_write(stream, pushHeader.data(), pushHeader.size());
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        if (bufferevent_socket_connect(stream, reinterpret_cast<const sockaddr*>(&address), addressLength) != 0)
+            onClosed();
+    }
+
+    void hangUp()
+    {
+        if (stream)
+            bufferevent_free(stream);
+        stream = nullptr;
+        isOpen = false;
+    }
+
+    void onClosed()
+    {
+        const bool isLost = isOpen && isSending; // the peer may have read it in part
+        hangUp();
+        redialTimer = loop.after(redialDelay, [this] { dial(); });
+        redialDelay = std::min(redialDelay * 2, maxRedialDelay);
+        if (isLost)
+            finishSending();
+    }
+
+    void finishSending()
+    {
+        isSending = false;
+        unsent.clear();
+        onSent();
+    }
+
+    void writeUnsent()
     {
-        auto* self = static_cast<impl*>(argument);
-        if (nng_aio_result(self->operation) != 0)
-            nng_msg_free(nng_aio_get_msg(self->operation));
-        self->loop.post([weak = self->weak_from_this()] {
-            const std::shared_ptr<impl> link = weak.lock();
-            if (!link)
-                return;
-            link->isSending = false;
-            link->onSent();
-        });
+        const message_length length = encodeMessageLength(unsent.size());
+        evbuffer* output = bufferevent_get_output(stream);
+        evbuffer_add(output, length.data(), length.size());
+        evbuffer_add(output, unsent.data(), unsent.size());
+    }
+
+    void readHeader()
+    {
+        evbuffer* input = bufferevent_get_input(stream);
+        pipeline_header header {};
+        if (isOpen || evbuffer_get_length(input) < header.size())
+            return;
+        evbuffer_remove(input, header.data(), header.size());
+        if (header != pullHeader)
+            return onClosed();
+        isOpen = true;
+        redialDelay = minRedialDelay;
+        if (isSending)
+            writeUnsent();
+    }
+
+    static void onReadable(bufferevent*, void* self)
+    {
+        static_cast<impl*>(self)->readHeader();
+    }
+
+    static void onWritten(bufferevent*, void* self)
+    {
+        auto& link = *static_cast<impl*>(self);
+        if (link.isOpen && link.isSending)
+            link.finishSending();
+    }
+
+    static void onEvent(bufferevent* stream, short events, void* self)
+    {
+        if ((events & BEV_EVENT_CONNECTED) != 0) {
+            const int enabled = 1;
+            setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
+            return;
+        }
+        static_cast<impl*>(self)->onClosed();
     }
 
     event_loop& loop;
     std::function<void()> onSent;
-    nng_socket socket {};
-    nng_aio* operation = nullptr;
+    sockaddr_storage address {};
+    int addressLength = 0;
+    bufferevent* stream = nullptr; // null while waiting to dial
+    bool isOpen = false;
     bool isSending = false;
+    std::string unsent; // valid while isSending
+    protocol::duration redialDelay = minRedialDelay;
+    std::unique_ptr<event_loop::timer> redialTimer;
 };
 
 mesh_link::mesh_link(event_loop& loop, const std::string& address, std::function<void()> onSent)
-    : m_impl(std::make_shared<impl>(loop, std::move(onSent)))
+    : m_impl(std::make_unique<impl>(loop, address, std::move(onSent)))
 {
-    // An address that can't be dialled now is dialled again in the background.
-    nng_dial(m_impl->socket, ("tcp://" + address).c_str(), nullptr, NNG_FLAG_NONBLOCK);
 }
 
 mesh_link::~mesh_link() = default;
@@ -74,15 +149,17 @@
     return m_impl->isSending;
 }
 
+bool mesh_link::isOpen() const
+{
+    return m_impl->isOpen;
+}
+
 void mesh_link::send(std::string_view bytes)
 {
-    nng_msg* message = nullptr;
-    if (nng_msg_alloc(&message, 0) != 0)
-        throw std::bad_alloc();
-    nng_msg_append(message, bytes.data(), bytes.size());
+    m_impl->unsent = bytes;
     m_impl->isSending = true;
-    nng_aio_set_msg(m_impl->operation, message);
-    nng_send_aio(m_impl->socket, m_impl->operation);
+    if (m_impl->isOpen)
+        m_impl->writeUnsent();
 }
 
 } // namespace jackdaw::transport::internal
--- a/src/transport/internal/mesh_link.h
+++ b/src/transport/internal/mesh_link.h
@@ -1,4 +1,5 @@
-// The sending side of one link: an nng push socket that dials one address and sends one buffer at a time.
+// The sending side of one link: dials one address, again and again until the peer answers, and sends one buffer at a time.
+// It has one descriptor and no thread; destroying it closes the connection at once.
 #pragma once
 
 #include "transport/event_loop.h"
@@ -12,18 +13,21 @@
 
 class mesh_link {
 public:
-    // The hook runs on the loop's thread when the buffer in hand was sent, or could not be.
+    // The hook runs on the loop's thread when the buffer in hand was handed to the system, or was lost with its connection.
     mesh_link(event_loop& loop, const std::string& address, std::function<void()> onSent);
     ~mesh_link();
 
     bool isSending() const;
 
-    // Only while isSending() is false.
+    // The peer has answered on the present connection.
+    bool isOpen() const;
+
+    // Only while isSending() is false. A buffer that is sent before the link is open waits for it.
     void send(std::string_view bytes);
 
 private:
     class impl;
-    std::shared_ptr<impl> m_impl;
+    std::unique_ptr<impl> m_impl;
 };
 
 } // namespace jackdaw::transport::internal
--- a/src/transport/internal/mesh_listener.cpp
+++ b/src/transport/internal/mesh_listener.cpp
@@ -1,62 +1,155 @@
-// nng pull socket; its thread posts what arrives to the loop.
+// Accepts by libevent's listener, and splits what arrives into messages.
 #include "transport/internal/mesh_listener.h"
 
-#include "transport/internal/nng_socket_closer.h"
+#include "transport/internal/pipeline_protocol.h"
 
-#include <nng/nng.h>
-#include <nng/protocol/pipeline0/pull.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <event2/util.h>
 
-#include <stdexcept>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <map>
+#include <span>
 
 namespace jackdaw::transport::internal {
+namespace {
+
+    // A peer that lost power sends no end of its connections; the system then closes them after about 30 s.
+    constexpr int keepAliveIdleSeconds = 15;
+    constexpr int keepAliveIntervalSeconds = 5;
+    constexpr int keepAliveProbes = 3;
+
+    void keepAlive(evutil_socket_t descriptor)
+    {
+        const int enabled = 1;
+        setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &enabled, sizeof(enabled));
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &keepAliveIdleSeconds, sizeof(keepAliveIdleSeconds));
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &keepAliveIntervalSeconds, sizeof(keepAliveIntervalSeconds));
+        setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof(keepAliveProbes));
+    }
 
-class mesh_listener::impl : public std::enable_shared_from_this<impl> {
+} // namespace
+
+class mesh_listener::impl {
 public:
-    impl(event_loop& eventLoop, std::size_t maxMessageBytes, bytes_hook hook)
+    struct connection {
+        impl* owner = nullptr;
+        connection_id id = 0;
+        bufferevent* stream = nullptr;
+        bool isOpen = false; // the peer's header has arrived
+    };
+
+    impl(event_loop& eventLoop, std::size_t bound, bytes_hook hook)
         : loop(eventLoop)
+        , maxMessageBytes(bound)
         , onBytes(std::move(hook))
     {
-        if (nng_pull0_open(&socket) != 0 || nng_aio_alloc(&operation, &impl::onFinished, this) != 0)
-            throw std::runtime_error("nng could not open a pull socket");
-        nng_socket_set_size(socket, NNG_OPT_RECVMAXSZ, maxMessageBytes);
     }
 
     ~impl()
     {
-        nng_listener_close(listener);
-        nng_aio_stop(operation);
-        nng_aio_free(operation);
-        closeInBackground(socket);
+        if (listener)
+            evconnlistener_free(listener);
+        for (const auto& [id, link] : connections)
+            bufferevent_free(link.stream);
     }
 
     impl(const impl&) = delete;
     impl& operator=(const impl&) = delete;
 
-    // Runs on a thread of nng.
-    static void onFinished(void* argument)
+    void accept(evutil_socket_t descriptor)
+    {
+        keepAlive(descriptor);
+        bufferevent* stream = bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
+        if (!stream) {
+            evutil_closesocket(descriptor);
+            return;
+        }
+        connection& link = connections[++lastConnection];
+        link = { this, lastConnection, stream, false };
+        bufferevent_setcb(stream, &impl::onReadable, nullptr, &impl::onEvent, &link);
+        bufferevent_write(stream, pullHeader.data(), pullHeader.size());
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+    }
+
+    void close(connection_id id)
     {
-        auto* self = static_cast<impl*>(argument);
-        if (nng_aio_result(self->operation) != 0)
+        const auto found = connections.find(id);
+        if (found == connections.end())
             return;
-        nng_msg* message = nng_aio_get_msg(self->operation);
-        std::string bytes(static_cast<const char*>(nng_msg_body(message)), nng_msg_len(message));
-        nng_msg_free(message);
-        self->loop.post([weak = self->weak_from_this(), bytes = std::move(bytes)]() mutable {
-            if (const std::shared_ptr<impl> held = weak.lock())
-                held->onBytes(std::move(bytes));
-        });
-        nng_recv_aio(self->socket, self->operation);
+        bufferevent_free(found->second.stream);
+        connections.erase(found);
+    }
+
+    // Returns false if the connection does not speak the links' protocol.
+    static bool readHeader(connection& link)
+    {
+        evbuffer* input = bufferevent_get_input(link.stream);
+        pipeline_header header {};
+        if (evbuffer_get_length(input) < header.size())
+            return true;
+        evbuffer_remove(input, header.data(), header.size());
+        link.isOpen = header == pushHeader;
+        return link.isOpen;
+    }
+
+    void read(connection& link)
+    {
+        const connection_id id = link.id;
+        if (!link.isOpen && !readHeader(link))
+            return close(id);
+        evbuffer* input = bufferevent_get_input(link.stream);
+        while (link.isOpen && evbuffer_get_length(input) >= messageLengthBytes) {
+            message_length prefix {};
+            evbuffer_copyout(input, prefix.data(), prefix.size());
+            const std::uint64_t length = decodeMessageLength(prefix);
+            if (length > maxMessageBytes)
+                return close(id);
+            if (evbuffer_get_length(input) < messageLengthBytes + length)
+                return;
+            evbuffer_drain(input, messageLengthBytes);
+            std::string message(length, '\0');
+            evbuffer_remove(input, message.data(), message.size());
+            onBytes(id, message);
+            if (!connections.contains(id))
+                return; // the hook has closed it
+        }
+    }
+
+    static void onReadable(bufferevent*, void* argument)
+    {
+        auto& link = *static_cast<connection*>(argument);
+        link.owner->read(link);
+    }
+
+    static void onEvent(bufferevent*, short, void* argument)
+    {
+        const auto& link = *static_cast<connection*>(argument);
+        link.owner->close(link.id);
+    }
+
+    static void onAccept(evconnlistener*, evutil_socket_t descriptor, sockaddr*, int, void* self)
+    {
+        static_cast<impl*>(self)->accept(descriptor);
     }
 
     event_loop& loop;
+    const std::size_t maxMessageBytes;
     bytes_hook onBytes;
-    nng_socket socket {};
-    nng_listener listener {};
-    nng_aio* operation = nullptr;
+    evconnlistener* listener = nullptr;
+    std::map<connection_id, connection> connections;
+    connection_id lastConnection = 0;
 };
 
 mesh_listener::mesh_listener(event_loop& loop, std::size_t maxMessageBytes, bytes_hook onBytes)
-    : m_impl(std::make_shared<impl>(loop, maxMessageBytes, std::move(onBytes)))
+    : m_impl(std::make_unique<impl>(loop, maxMessageBytes, std::move(onBytes)))
 {
 }
 
@@ -64,11 +157,30 @@
 
 protocol::result<void> mesh_listener::listen(const std::string& address)
 {
-    const int code = nng_listen(m_impl->socket, ("tcp://" + address).c_str(), &m_impl->listener, 0);
-    if (code != 0)
-        return protocol::makeError(protocol::error_kind::internal, "can't listen on " + address + ": " + nng_strerror(code));
-    nng_recv_aio(m_impl->socket, m_impl->operation);
+    constexpr int systemBacklog = -1;
+    sockaddr_storage name {};
+    int length = sizeof(name);
+    if (evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&name), &length) != 0)
+        return protocol::makeError(protocol::error_kind::internal, "can't listen on " + address + ": not an IP address and port");
+    m_impl->listener = evconnlistener_new_bind(m_impl->loop.base(), &impl::onAccept, m_impl.get(), LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, systemBacklog, reinterpret_cast<const sockaddr*>(&name), length);
+    if (!m_impl->listener)
+        return protocol::makeError(protocol::error_kind::internal, "can't listen on " + address + ": " + std::strerror(errno));
     return boost::outcome_v2::success();
 }
 
+void mesh_listener::close(connection_id connection)
+{
+    m_impl->close(connection);
+}
+
+bool mesh_listener::isConnected(connection_id connection) const
+{
+    return m_impl->connections.contains(connection);
+}
+
+std::size_t mesh_listener::connections() const
+{
+    return m_impl->connections.size();
+}
+
 } // namespace jackdaw::transport::internal
--- a/src/transport/internal/mesh_listener.h
+++ b/src/transport/internal/mesh_listener.h
@@ -1,30 +1,42 @@
-// The receiving side of a process's links: an nng pull socket.
+// The receiving side of a process's links. One descriptor a connection, and no thread.
 #pragma once
 
 #include "protocol/result.h"
 #include "transport/event_loop.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace jackdaw::transport::internal {
 
 class mesh_listener {
 public:
-    using bytes_hook = std::function<void(std::string bytes)>;
+    using connection_id = std::uint64_t; // never used twice
 
-    // The hook runs on the loop's thread, in the order of arrival.
+    // The view holds during the hook only.
+    using bytes_hook = std::function<void(connection_id connection, std::string_view bytes)>;
+
+    // The hook runs on the loop's thread, for each connection in the order of arrival. A connection with a longer message, or
+    // one that does not speak the links' protocol, is closed.
     mesh_listener(event_loop& loop, std::size_t maxMessageBytes, bytes_hook onBytes);
     ~mesh_listener();
 
     // The address is "ip:port".
     protocol::result<void> listen(const std::string& address);
 
+    // Closes a connection whose peer has opened a new one. May be called from the hook.
+    void close(connection_id connection);
+
+    bool isConnected(connection_id connection) const;
+    std::size_t connections() const;
+
 private:
     class impl;
-    std::shared_ptr<impl> m_impl;
+    std::unique_ptr<impl> m_impl;
 };
 
 } // namespace jackdaw::transport::internal
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -5,6 +5,7 @@
 #include "transport/internal/mesh_link.h"
 #include "transport/internal/mesh_listener.h"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -12,6 +13,7 @@
 namespace {
 
     using protocol::time_point;
+    using connection_id = internal::mesh_listener::connection_id;
 
     constexpr int ticksPerSilenceLimit = 6;
 
@@ -44,7 +46,7 @@
         : loop(eventLoop)
         , settings(std::move(meshSettings))
         , onDelivery(std::move(hook))
-        , listener(loop, settings.maxMessageBytes, [this](const std::string& bytes) { receive(bytes); })
+        , listener(loop, settings.maxMessageBytes, [this](connection_id connection, std::string_view bytes) { receive(connection, bytes); })
         , ticker(loop.every(settings.silenceLimit / ticksPerSilenceLimit, [this] { tick(); }))
     {
     }
@@ -137,16 +139,28 @@
         sentBytes += peer.unsent.size();
     }
 
-    void receive(const std::string& bytes)
+    void receive(connection_id connection, std::string_view bytes)
     {
         const auto frame = internal::decodeFrame(bytes);
         if (!frame)
             return;
+        replaceConnection(frame.value().sender, connection);
         note(frame.value());
         for (const std::string& body : frame.value().bodies)
             onDelivery({ frame.value().sender, frame.value().senderIncarnation, body });
     }
 
+    // A process that lost power or was cut off never ends its connections; it opens new ones when it is back.
+    void replaceConnection(const std::string& sender, connection_id connection)
+    {
+        connection_id& latest = inbound[sender];
+        if (connection <= latest)
+            return;
+        if (latest != 0)
+            listener.close(latest);
+        latest = connection;
+    }
+
     void note(const internal::mesh_frame& frame)
     {
         const auto found = peers.find(frame.sender);
@@ -167,6 +181,7 @@
     void tick()
     {
         const time_point now = protocol::steadyNow();
+        std::erase_if(inbound, [this](const auto& item) { return !listener.isConnected(item.second); });
         for (auto& [host, peer] : peers) {
             const bool isUnopened = !peer.hasSent && peer.link->isSending() && now - peer.dialledAt >= peer.dialPatience;
             const bool isSilent = peer.ackedSequence < peer.lastSequence && now - peer.unackedSince >= settings.silenceLimit;
@@ -187,6 +202,7 @@
     std::map<std::string, peer, std::less<>> peers;
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     internal::mesh_listener listener;
+    std::map<std::string, connection_id> inbound; // by sender, its latest connection
     std::unique_ptr<event_loop::timer> ticker;
     std::uint64_t sentMessages = 0;
     std::uint64_t sentBytes = 0;
@@ -230,6 +246,16 @@
     return m_impl->sentBytes;
 }
 
+std::size_t mesh::openLinks() const
+{
+    return static_cast<std::size_t>(std::count_if(m_impl->peers.begin(), m_impl->peers.end(), [](const auto& item) { return item.second.link->isOpen(); }));
+}
+
+std::size_t mesh::acceptedConnections() const
+{
+    return m_impl->listener.connections();
+}
+
 std::uint64_t mesh::droppedMessages() const
 {
     return m_impl->dropped;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -1,5 +1,5 @@
-// Links between the system's own processes: nng, one pull listener for each process and one push socket for each peer.
-// Sends never block; each peer has a bounded queue. A silent link is closed and dialled anew.
+// Links between the system's own processes: one listener for each process and one sending connection for each peer, all on
+// the event loop. Sends never block; each peer has a bounded queue. A silent link is closed and dialled anew.
 #pragma once
 
 #include "protocol/result.h"
@@ -51,6 +51,8 @@
     std::uint64_t sentMessages() const;
     std::uint64_t sentBytes() const;
     std::uint64_t droppedMessages() const;
+    std::size_t openLinks() const; // sending connections on which the peer has answered
+    std::size_t acceptedConnections() const;
 
 private:
     class impl;
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -6,9 +6,21 @@
 
 #include <doctest/doctest.h>
 
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/util.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <filesystem>
+#include <fstream>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -27,6 +39,62 @@
     return static_cast<std::uint16_t>(std::stoi(address.substr(address.rfind(':') + 1)));
 }
 
+std::size_t entriesOf(const char* folder)
+{
+    const std::filesystem::directory_iterator entries(folder);
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
+struct process_size {
+    std::size_t threads = entriesOf("/proc/self/task");
+    std::size_t descriptors = entriesOf("/proc/self/fd");
+    std::size_t residentKiB = readResidentKiB();
+
+    static std::size_t readResidentKiB()
+    {
+        std::ifstream status("/proc/self/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("VmRSS:"))
+                return std::stoul(line.substr(std::string("VmRSS:").size()));
+        }
+        return 0;
+    }
+};
+
+// The sanitizer keeps freed memory for a while; it reports what is never freed by itself.
+#ifdef __SANITIZE_ADDRESS__
+constexpr bool isMemoryMeasurable = false;
+#else
+constexpr bool isMemoryMeasurable = true;
+#endif
+
+sockaddr_in parseAddress(const std::string& address)
+{
+    sockaddr_in name {};
+    int length = sizeof(name);
+    REQUIRE(evutil_parse_sockaddr_port(address.c_str(), reinterpret_cast<sockaddr*>(&name), &length) == 0);
+    return name;
+}
+
+// A process that listens and never accepts: the kernel opens its connections, and nobody answers on them.
+class stalled_listener {
+public:
+    explicit stalled_listener(const std::string& address)
+    {
+        const int reuse = 1;
+        setsockopt(m_descriptor, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+        const sockaddr_in name = parseAddress(address);
+        REQUIRE(bind(m_descriptor, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0);
+        REQUIRE(listen(m_descriptor, 16) == 0);
+    }
+    ~stalled_listener() { close(m_descriptor); }
+    stalled_listener(const stalled_listener&) = delete;
+    stalled_listener& operator=(const stalled_listener&) = delete;
+
+private:
+    const int m_descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+};
+
 struct mesh_fixture {
     event_loop loop;
     bool hasFinished = false;
@@ -179,3 +247,127 @@
     fixture.runUntil([&] { return rounds >= 6; });
     CHECK(heard == std::vector<std::string> { "first" });
 }
+
+TEST_CASE("peers that vanish and return leave threads, descriptors or memory behind")
+{
+    constexpr std::size_t peers = 150;
+    constexpr int rounds = 50;
+    constexpr std::size_t memorySlackKiB = 1024;
+    mesh_fixture fixture;
+    const std::string hubAddress = freeAddress();
+    std::vector<std::string> addresses;
+    // An address for each, since a connection of another one could take the port of a peer that is away.
+    const std::string port = std::to_string(portOf(freeAddress()));
+    for (std::size_t i = 0; i < peers; ++i)
+        addresses.push_back("127.1.0." + std::to_string(i + 1) + ':' + port);
+
+    std::set<std::string> heardByHub;
+    const auto hub = fixture.start("hub", 1, hubAddress, [&](const mesh_delivery& delivery) { heardByHub.emplace(delivery.sender); });
+    for (std::size_t i = 0; i < peers; ++i)
+        hub->setPeer("peer" + std::to_string(i), addresses[i]);
+
+    std::optional<process_size> afterFirst;
+    for (int round = 1; round <= rounds; ++round) {
+        heardByHub.clear();
+        std::set<std::size_t> heardByPeers;
+        std::vector<std::unique_ptr<mesh>> started;
+        for (std::size_t i = 0; i < peers; ++i) {
+            started.push_back(fixture.start("peer" + std::to_string(i), round, addresses[i], [&heardByPeers, i](const mesh_delivery&) { heardByPeers.insert(i); }));
+            started.back()->setPeer("hub", hubAddress);
+            started.back()->send("hub", "hello");
+            hub->send("peer" + std::to_string(i), "hello");
+        }
+        fixture.runUntil([&] {
+            for (std::size_t i = 0; i < peers; ++i) {
+                if (!heardByPeers.contains(i))
+                    hub->send("peer" + std::to_string(i), "hello");
+            }
+            return heardByHub.size() == peers && heardByPeers.size() == peers;
+        });
+        started.clear();
+        fixture.runUntil([&] { return hub->acceptedConnections() == 0 && hub->openLinks() == 0; });
+        {
+            std::vector<std::unique_ptr<stalled_listener>> stalled;
+            for (const std::string& address : addresses) {
+                stalled.push_back(std::make_unique<stalled_listener>(address));
+                hub->send("peer" + std::to_string(stalled.size() - 1), "hello");
+            }
+            const auto stalledUntil = jackdaw::protocol::steadyNow() + std::chrono::milliseconds(400);
+            fixture.runUntil([stalledUntil] { return jackdaw::protocol::steadyNow() >= stalledUntil; });
+        }
+        if (round == 1)
+            afterFirst.emplace();
+    }
+    const process_size atEnd;
+    CHECK(atEnd.threads <= afterFirst->threads);
+    CHECK(atEnd.descriptors <= afterFirst->descriptors + peers); // a link may have a connection under way
+    if (isMemoryMeasurable)
+        CHECK(atEnd.residentKiB <= afterFirst->residentKiB + memorySlackKiB);
+}
+
+TEST_CASE("a peer that comes back without having ended its connection keeps the old one open here")
+{
+    mesh_fixture fixture;
+    const std::string addressB = freeAddress();
+    std::vector<std::string> heard;
+    auto a = fixture.start("a", 1, freeAddress(), {});
+    auto b = fixture.start("b", 2, addressB, [&](const mesh_delivery& delivery) { heard.emplace_back(delivery.body); });
+    tests::tcp_relay relay(fixture.loop, portOf(addressB));
+    a->setPeer("b", "127.0.0.1:" + std::to_string(relay.port()));
+    for (std::size_t round = 1; round <= 5; ++round) {
+        heard.clear();
+        fixture.runUntil([&] {
+            a->send("b", "hello");
+            return !heard.empty();
+        });
+        CHECK(b->acceptedConnections() == 1);
+        relay.silencePresent();
+    }
+}
+
+TEST_CASE("a process of an earlier build, which speaks the pipeline protocol, is not understood")
+{
+    mesh_fixture fixture;
+    const std::string address = freeAddress();
+    std::vector<std::string> heard;
+    const auto receiver = fixture.start("b", 1, address, [&](const mesh_delivery& delivery) { heard.emplace_back(delivery.body); });
+
+    sockaddr_in name = parseAddress(address);
+    bufferevent* stream = bufferevent_socket_new(fixture.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+    const std::string frame = internal::encodeFrame({ 1, "a", 2, 1, 0, 0, { "body" } });
+    REQUIRE(frame.size() < 256);
+    std::string bytes("\0SP\0\0\x50\0\0\0\0\0\0\0\0\0", 15);
+    bytes.push_back(static_cast<char>(frame.size()));
+    bytes += frame;
+    bufferevent_write(stream, bytes.data(), bytes.size());
+    bufferevent_enable(stream, EV_READ | EV_WRITE);
+    REQUIRE(bufferevent_socket_connect(stream, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
+    fixture.runUntil([&] { return !heard.empty(); });
+    CHECK(heard == std::vector<std::string> { "body" });
+
+    std::string answer(8, 'x');
+    REQUIRE(evbuffer_get_length(bufferevent_get_input(stream)) == answer.size());
+    evbuffer_remove(bufferevent_get_input(stream), answer.data(), answer.size());
+    CHECK(answer == std::string("\0SP\0\0\x51\0\0", 8));
+    bufferevent_free(stream);
+}
+
+TEST_CASE("a connection that does not speak the links' protocol, or announces a message over the bound, stays open")
+{
+    for (const std::string& bytes : { std::string("GET / HTTP/1.1\r\n\r\n"), std::string("\0SP\0\0\x50\0\0\xff\xff\xff\xff\xff\xff\xff\xff", 16) }) {
+        mesh_fixture fixture;
+        const std::string address = freeAddress();
+        const auto receiver = fixture.start("b", 1, address, {});
+        sockaddr_in name = parseAddress(address);
+        bufferevent* stream = bufferevent_socket_new(fixture.loop.base(), -1, BEV_OPT_CLOSE_ON_FREE);
+        bool isClosed = false;
+        bufferevent_setcb(
+            stream, nullptr, nullptr, [](bufferevent*, short events, void* flag) { *static_cast<bool*>(flag) = *static_cast<bool*>(flag) || (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0; }, &isClosed);
+        bufferevent_write(stream, bytes.data(), bytes.size());
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        REQUIRE(bufferevent_socket_connect(stream, reinterpret_cast<sockaddr*>(&name), sizeof(name)) == 0);
+        fixture.runUntil([&] { return isClosed; });
+        CHECK(receiver->acceptedConnections() == 0);
+        bufferevent_free(stream);
+    }
+}
