HTTP server: a request line that arrives in two parts keeps its path whole

Cause: libevhtp drops what follows of a path whose bytes arrive in a later read. On a full link of 2 Mbit/s a request's head is split between packets; the shortened path matches no route.

Change: a gate in front of libevhtp holds back what arrives until the request line is complete.

Splits in headers and body did no harm.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,8 @@
 // HTTP server by libevhtp. A request that is not answered at once is paused and resumed with its reply.
 #include "transport/http_server.h"
 
+#include "transport/internal/request_line_gate.h"
+
 #include <evhtp/evhtp.h>
 
 #include <event2/buffer.h>
@@ -10,7 +12,8 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
-#include <set>
+#include <map>
+#include <memory>
 
 namespace jackdaw::transport {
 namespace {
@@ -212,8 +215,8 @@
     ~impl()
     {
         stopAccepting();
-        const std::set<evhtp_connection_t*> open = std::move(connections);
-        for (evhtp_connection_t* connection : open)
+        const auto open = std::move(connections);
+        for (const auto& [connection, gate] : open)
             evhtp_connection_free(connection);
         evhtp_free(server);
     }
@@ -236,7 +239,8 @@
 
     static evhtp_res onAccepted(evhtp_connection_t* connection, void* self)
     {
-        static_cast<impl*>(self)->connections.insert(connection);
+        impl& server = *static_cast<impl*>(self);
+        server.connections[connection] = std::make_unique<internal::request_line_gate>(evhtp_connection_get_bev(connection), server.limits.maxHeaderBytes);
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, toHook(&impl::onConnectionClosed), self);
         evhtp_connection_set_hook(connection, evhtp_hook_on_headers, toHook(&impl::onHeaders), self);
         return EVHTP_RES_OK;
@@ -248,8 +252,16 @@
         return EVHTP_RES_OK;
     }
 
-    static evhtp_res onHeaders(evhtp_request_t*, evhtp_headers_t* headers, void* self)
+    internal::request_line_gate* gateOf(evhtp_request_t* request)
+    {
+        const auto found = connections.find(evhtp_request_get_connection(request));
+        return found == connections.end() ? nullptr : found->second.get();
+    }
+
+    static evhtp_res onHeaders(evhtp_request_t* request, evhtp_headers_t* headers, void* self)
     {
+        if (internal::request_line_gate* gate = static_cast<impl*>(self)->gateOf(request))
+            gate->onHeadRead();
         std::size_t bytes = 0;
         const evhtp_header_t* header = nullptr;
         TAILQ_FOREACH(header, headers, next)
@@ -267,6 +279,8 @@
         // Owned by the library's request, released by onRequestFinished.
         auto* reference = new responder_reference(held);
         evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(&onRequestFinished), reference);
+        if (internal::request_line_gate* gate = gateOf(request))
+            gate->onRequestEnded();
         onRequest(readRequest(request), held);
         if (held->hasReplied())
             return;
@@ -279,7 +293,7 @@
     handler onRequest;
     evhtp_t* server;
     timeval readTimeout;
-    std::set<evhtp_connection_t*> connections;
+    std::map<evhtp_connection_t*, std::unique_ptr<internal::request_line_gate>> connections;
     std::size_t openRequests = 0;
     bool isListening = false;
     std::uint16_t port = 0;
--- a/src/transport/tests/http_tests.cpp
+++ b/src/transport/tests/http_tests.cpp
@@ -269,3 +269,34 @@
     fixture.run();
     CHECK(waiting);
 }
+
+TEST_CASE("a request whose head arrives in two parts loses a part of its path or of a header")
+{
+    http_fixture fixture;
+    std::vector<std::string> seen;
+    fixture.serve([&](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+        seen.push_back(request.path + ' ' + std::string(request.header("Host")) + ' ' + request.body);
+        responder->reply({});
+    });
+    const std::string bytes = "POST /prefix/0123456789abcdef HTTP/1.1\r\nHost: name.example\r\nContent-Length: 4\r\n\r\nbody";
+    std::vector<int> descriptors;
+    for (std::size_t split = 1; split < bytes.size(); ++split) {
+        descriptors.push_back(fixture.connectRaw());
+        REQUIRE(write(descriptors.back(), bytes.data(), split) == static_cast<ssize_t>(split));
+    }
+    const auto second = fixture.loop.after(std::chrono::milliseconds(100), [&] {
+        for (std::size_t split = 1; split < bytes.size(); ++split) {
+            const std::string rest = bytes.substr(split);
+            CHECK(write(descriptors[split - 1], rest.data(), rest.size()) == static_cast<ssize_t>(rest.size()));
+        }
+    });
+    const auto poll = fixture.loop.every(std::chrono::milliseconds(10), [&] {
+        if (seen.size() == descriptors.size())
+            fixture.finish();
+    });
+    fixture.run();
+    for (const std::string& request : seen)
+        CHECK(request == "/prefix/0123456789abcdef name.example body");
+    for (const int descriptor : descriptors)
+        close(descriptor);
+}
