Cells: a call that waits behind the owner's own bytes has not failed

Cause: a start without an answer for 40 ms was stopped over a new connection and its task started elsewhere: three calls more on the link whose queue had kept the first one waiting. A burst begins it, the repairs keep it going: a metastable failure.

Change: whether a call is unanswered is decided in coordination/cells (call_watch): when calls that were sent later have been answered, or when nothing has been answered for longer than answers take, bounded by the job's objective; while later calls wait too, it is our own link. A late answer still counts. Stop and poll time-outs follow the measured answer times. The owner's admission counts the wait on its link.

The simulation ends starts and stops by the caller's time-out; lost polls as before.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -21,6 +21,10 @@
     constexpr duration fencingMargin = milliseconds(300); // for a fenced owner's poll to be answered and its next timer to run
     // A few run times of a short task. Doubled with each consecutive refusal.
     constexpr duration refusalEjection = milliseconds(200);
+    // A start that waits longer than its job may take is late; a second one may still be of use. Beyond the longer bound a lease
+    // of 1 s is nearly over.
+    constexpr duration minAnswerLimit = milliseconds(150);
+    constexpr duration maxAnswerLimit = milliseconds(600);
     constexpr int maxRefusalDoublings = 4; // gives 1.6 s, about as long as an upstream takes to report again
     // Skips the run numbers that an owner before the previous one may have used.
     constexpr std::uint32_t supersededRunIncrement = 16;
@@ -202,13 +206,16 @@
     record.need = shape.need;
     record.expectedMs = shape.estimateMs;
     record.since = now;
+    record.answerLimit = std::clamp(job.objectiveEnd - job.submittedAt, minAnswerLimit, maxAnswerLimit);
     record.isSuspect = failures.isSuspect(job.taskName(step, index));
     const run_id name { job.taskName(step, index), ++task.lastRun };
     task.lastUpstream = upstream.lastReport.id;
     job.setState(step, index, task_state::active);
     job.hasBegun = true;
     upstream.runs[name] = record;
-    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, settings.maxLease), settings.token });
+    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, settings.maxLease), settings.token, now, settings.maxLease });
+    calls.onSent(now);
+    repairs.onStart();
     if (!upstream.isPollPending)
         poll(now, upstream);
 }
@@ -221,6 +228,7 @@
 
 void cell_dispatcher::onStart(time_point now, const start_request& order, const call_answer& answer)
 {
+    m_impl->calls.onEnded(now, order.sentAt, isAnswer(answer.outcome));
     internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer);
     if (!answering)
         return;
@@ -233,6 +241,7 @@
         m_impl->recordAnswer(now, upstream, answer);
         upstream.consecutiveRefusals = 0;
         record.hasBegun = true;
+        upstream.unansweredStarts.erase(order.run);
         if (record.state == run_state::starting) {
             record.state = run_state::running;
             record.confirmedAt = now;
@@ -241,13 +250,14 @@
     }
     m_impl->note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::string(toText(answer.outcome)));
     if (answer.outcome == call_outcome::silent) {
-        ++upstream.consecutiveUnanswered;
-        m_impl->onUnansweredStart(now, upstream, order.run, record);
+        if (record.state == run_state::starting || record.state == run_state::stopping)
+            m_impl->onUnansweredStart(now, upstream, order.run, record);
         return;
     }
     // The start was refused without effect, so the run does not exist.
     const internal::run_record refused = record;
     upstream.runs.erase(run);
+    upstream.unansweredStarts.erase(order.run);
     if (answer.outcome == call_outcome::unhealthy || answer.outcome == call_outcome::not_received || answer.outcome == call_outcome::no_room) {
         upstream.consecutiveRefusals = std::min(upstream.consecutiveRefusals + 1, maxRefusalDoublings);
         upstream.ejectedUntil = now + refusalEjection * (1 << (upstream.consecutiveRefusals - 1));
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include "coordination/cells/cell_dispatcher.h"
+#include "coordination/cells/internal/call_watch.h"
 #include "coordination/cells/internal/cell_job.h"
 #include "coordination/cells/internal/failure_history.h"
 #include "coordination/cells/internal/placement.h"
+#include "coordination/cells/internal/repair_budget.h"
 #include "coordination/cells/internal/upstream_record.h"
 
 #include <map>
@@ -33,6 +35,8 @@
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
     internal::service_ratios serviceRatios;
     internal::failure_history failures;
+    internal::call_watch calls; // starts and stops, which are answered at once
+    internal::repair_budget repairs;
     std::vector<cell_action> actions;
     bool isFenced = false;
     std::uint64_t lastLife = 0; // number of the upstreams' incarnations seen so far
@@ -64,6 +68,7 @@
     void onRunEnded(time_point now, upstream_record& upstream, const ended_task& end);
     void updateEjection(time_point now, upstream_record& upstream, end_kind how);
     void checkUpstream(time_point now, upstream_record& upstream);
+    void checkStarts(time_point now, upstream_record& upstream);
     void removeStoppedRuns(time_point now, upstream_record& upstream);
     void stopRun(time_point now, upstream_record& upstream, const run_id& name, run_record& record);
     void recordAnswer(time_point now, upstream_record& upstream, const call_answer& answer);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -100,7 +100,9 @@
         return false;
     }
     const internal::available_upstreams available(upstreams, serviceRatios, now);
-    if (fitsNow(job, available))
+    const duration run = fastestRun(job, available);
+    const duration link = calls.expectedWait(now);
+    if (fitsNow(job, available) && now + link + run <= job.objectiveEnd)
         return true;
     if (job.order.mayMove && hooks.findOtherCell) {
         if (const std::string cell = hooks.findOtherCell(job.order); !cell.empty()) {
@@ -111,11 +113,10 @@
         }
     }
     const duration wait = estimateWait(now, job);
-    const duration run = fastestRun(job, available);
-    if (now + wait + run <= job.objectiveEnd)
+    if (now + wait + link + run <= job.objectiveEnd)
         return true;
-    note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
-    finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait, job.order.id)));
+    note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " link_ms=" + toMs(link) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
+    finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait + link, job.order.id)));
     return false;
 }
 
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -15,6 +15,12 @@
 namespace {
 
     constexpr std::uint32_t pollWaitMs = 300; // gives three renewals within the shortest lease of 1 s
+    // Added to the time that a poll waits for a task to end. The longest leaves time for another poll within the shortest lease.
+    constexpr int pollAnswerTimes = 2;
+    constexpr duration minPollAnswerTime = milliseconds(200);
+    constexpr duration maxPollAnswerTime = milliseconds(450);
+    constexpr int stopAnswerTimes = 2; // a stop is sent again when it has not been answered for so long
+    constexpr duration maxStopTime = milliseconds(600);
     constexpr duration retryInterval = milliseconds(150); // between calls while unanswered; several fit within a lease
     constexpr duration stopMargin = milliseconds(20); // for drift of the upstream's clock and late wake-up of its timer
     constexpr duration lateCallLimit = std::chrono::seconds(12); // an unanswered call may be carried out up to this much later
@@ -73,6 +79,7 @@
 {
     if (record.hasBegun)
         return; // a list has named the run in the meantime
+    ++upstream.consecutiveUnanswered;
     upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
     upstream.unansweredRenewalAt = record.since;
     if (record.state == run_state::starting)
@@ -164,12 +171,14 @@
     order.ackCursor = upstream.cursor;
     order.token = settings.token;
     order.onNewConnection = upstream.needsNewConnection;
+    order.timeout = std::clamp(pollAnswerTimes * calls.answerTime(), minPollAnswerTime, maxPollAnswerTime);
     upstream.leaseEndBeforePoll = upstream.leaseEnd;
     // Without a renewal, runs that can't be stopped end with their lease, as do all runs before a silent upstream is removed.
     if (upstream.hasWantedRuns() && now - upstream.heardAt < removalDelay - 2 * settings.maxLease)
         order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
     if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection || upstream.reportedRestart ? 0 : pollWaitMs;
+    order.timeout += milliseconds(order.waitMs);
     upstream.leaseEndOfPoll = upstream.leaseEnd;
     upstream.isPollPending = true;
     upstream.pollSentAt = now;
@@ -352,8 +361,13 @@
     const bool isUncertain = record.state == run_state::uncertain || record.state == run_state::starting;
     if (record.state != run_state::uncertain)
         record.state = run_state::stopping;
-    record.nextStopAt = now + retryInterval;
-    actions.emplace_back(stop_request { upstream.target(), name, settings.token, isUncertain });
+    const bool isRepair = isUncertain || record.nextStopAt != time_point();
+    const duration timeout = std::clamp(stopAnswerTimes * calls.answerTime(), retryInterval, maxStopTime);
+    record.nextStopAt = now + timeout;
+    if (isRepair && !repairs.take(now))
+        return;
+    actions.emplace_back(stop_request { upstream.target(), name, settings.token, isUncertain, now, timeout });
+    calls.onSent(now);
 }
 
 // After an answered stop the run ends within the upstream's bound, even if no poll has confirmed it.
@@ -402,12 +416,23 @@
     return removed;
 }
 
+void cell_dispatcher::impl::checkStarts(time_point now, upstream_record& upstream)
+{
+    for (auto& [name, record] : upstream.runs) {
+        if (record.state != run_state::starting || record.hasBegun || !calls.isUnanswered(now, record.since, record.answerLimit))
+            continue;
+        note("start_unanswered", name.task, "upstream=" + upstream.lastReport.id + " run=" + std::to_string(name.run) + " for_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - record.since).count()) + " answers_take_ms=" + std::to_string(std::chrono::duration_cast<milliseconds>(calls.answerTime()).count()));
+        onUnansweredStart(now, upstream, name, record);
+    }
+}
+
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_record& upstream)
 {
     if (upstream.needsNewConnection && now >= std::max(upstream.leaseEnd, upstream.lateRenewalEnd))
         endLapsedRuns(now, upstream);
     endUnansweredStarts(now, upstream);
     removeStoppedRuns(now, upstream);
+    checkStarts(now, upstream);
     for (auto& [name, record] : upstream.runs) {
         const bool isUnclaimed = record.job.empty() && record.state == run_state::running && now - record.since >= claimGracePeriod;
         const bool isStopDue = (record.state == run_state::stopping || record.state == run_state::uncertain) && !record.isStopConfirmed && now >= record.nextStopAt;
@@ -479,6 +504,7 @@
 
 void cell_dispatcher::onStop(time_point now, const stop_request& order, const call_answer& answer)
 {
+    m_impl->calls.onEnded(now, order.sentAt, isAnswer(answer.outcome));
     internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer);
     if (!answering)
         return;
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -36,6 +36,7 @@
     time_point since; // when the start was sent or the run first listed
     time_point confirmedAt; // valid while running: when it was first known to run
     time_point nextStopAt; // valid while stopping or uncertain
+    duration answerLimit {}; // a start without an answer for so long counts as unanswered in any case
     bool hasBegun = false; // the start was answered, or the upstream listed the run
     bool isListed = false; // by the upstream's present incarnation, as far as known
     bool isSuspect = false; // upstreams may have crashed under the task
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -12,7 +12,10 @@
 namespace {
 
     constexpr duration callTime = milliseconds(1); // one way
-    constexpr duration callTimeout = milliseconds(40);
+    constexpr duration connectTimeout = milliseconds(40);
+    constexpr duration lostPollTime = milliseconds(40);
+    constexpr std::size_t callBytes = 350; // headers and fields
+    constexpr std::size_t connectionBytes = 200; // of its packets
     constexpr duration reportInterval = milliseconds(1500);
     constexpr duration refusalTime = milliseconds(2);
     constexpr milliseconds maxLease(1000);
@@ -160,14 +163,42 @@
         outcome.isInTime = answer->answer.outcome == protocol::job_outcome::completed && outcome.took <= m_objectives.at(answer->answer.id);
         m_outcomes[answer->answer.id] = outcome;
     } else if (const auto* start = std::get_if<start_request>(&action)) {
-        schedule(callTime, [this, owner, order = *start] { arriveStart(owner, order); });
+        const auto timeOut = [this, owner, order = *start] { m_owners[owner].dispatcher->onStart(m_now, order, {}); };
+        send(
+            owner, callBytes + start->spec.size(), start->timeout, [this, owner, order = *start](call_number number) { arriveStart(owner, order, number); }, timeOut);
     } else if (const auto* stop = std::get_if<stop_request>(&action)) {
-        schedule(callTime, [this, owner, order = *stop] { arriveStop(owner, order); });
+        ++m_stops;
+        m_newConnections += stop->onNewConnection ? 1 : 0;
+        const auto timeOut = [this, owner, order = *stop] { m_owners[owner].dispatcher->onStop(m_now, order, {}); };
+        send(
+            owner, callBytes + (stop->onNewConnection ? connectionBytes : 0), stop->timeout, [this, owner, order = *stop](call_number number) { arriveStop(owner, order, number); }, timeOut);
     } else if (const auto* poll = std::get_if<poll_request>(&action)) {
-        schedule(callTime, [this, owner, order = *poll] { arrivePoll(owner, order); });
+        m_newConnections += poll->onNewConnection ? 1 : 0;
+        const auto timeOut = [this, owner, order = *poll] { m_owners[owner].dispatcher->onPoll(m_now, order, {}); };
+        send(
+            owner, callBytes + (poll->onNewConnection ? connectionBytes : 0), poll->timeout, [this, owner, order = *poll](call_number number) { arrivePoll(owner, order, number); }, timeOut);
     }
 }
 
+void cell_simulation::send(std::size_t owner, std::size_t bytes, duration timeout, std::function<void(call_number number)> arrive, std::function<void()> timeOut)
+{
+    const call_number number = ++m_lastCall;
+    m_openCalls.insert(number);
+    duration wait {};
+    if (m_linkRate > 0) {
+        time_point& freeAt = m_owners[owner].linkFreeAt;
+        freeAt = std::max(freeAt, m_now) + std::chrono::duration_cast<duration>(std::chrono::duration<double>(static_cast<double>(bytes) / m_linkRate));
+        wait = freeAt - m_now;
+    }
+    schedule(wait + callTime, [arrive = std::move(arrive), number] { arrive(number); });
+    schedule(timeout, [this, owner, number, timeOut = std::move(timeOut)] {
+        if (m_openCalls.erase(number) == 0)
+            return;
+        timeOut();
+        processActions(owner);
+    });
+}
+
 std::int64_t cell_simulation::clockOf(const sim_upstream& upstream) const
 {
     return std::chrono::duration_cast<milliseconds>(m_now - upstream.clockStart).count();
@@ -186,17 +217,24 @@
     return call_outcome::done;
 }
 
-void cell_simulation::answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome)
+void cell_simulation::answerCall(std::size_t owner, call_number number, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome, bool isPoll)
 {
     const bool isUnreachable = upstream.fault == upstream_fault::unreachable;
     const bool isSilent = isCutOff(owner, upstream) || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost || (isUnreachable && outcome != call_outcome::not_received);
-    call_answer answer { isSilent ? call_outcome::silent : outcome, isSilent ? 0 : clockOf(upstream) };
+    const bool isLost = isSilent || outcome == call_outcome::silent;
+    if (isLost && !isPoll)
+        return; // the call times out
+    const call_answer answer { isLost ? call_outcome::silent : outcome, isLost ? 0 : clockOf(upstream) };
     duration delay = callTime;
-    if (answer.outcome == call_outcome::silent || isUnreachable)
-        delay = callTimeout;
+    if (isLost)
+        delay = lostPollTime;
+    else if (isUnreachable)
+        delay = connectTimeout;
     else if (outcome == call_outcome::not_received)
         delay = refusalTime;
-    schedule(delay, [this, owner, onAnswer = std::move(onAnswer), answer] {
+    schedule(delay, [this, owner, number, onAnswer = std::move(onAnswer), answer] {
+        if (m_openCalls.erase(number) == 0)
+            return;
         onAnswer(answer);
         processActions(owner);
     });
@@ -233,14 +271,14 @@
         begin(upstream, order);
 }
 
-void cell_simulation::arriveStart(std::size_t owner, const start_request& order)
+void cell_simulation::arriveStart(std::size_t owner, const start_request& order, call_number number)
 {
     sim_upstream& upstream = m_upstreams.at(order.target.address);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStart(m_now, order, answer); };
     if (const auto lost = loseCall(owner, upstream, false, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
-        return answerCall(owner, upstream, onAnswer, *lost);
+        return answerCall(owner, number, upstream, onAnswer, *lost);
     if (order.target.id != upstream.id)
-        return answerCall(owner, upstream, onAnswer, call_outcome::other_life);
+        return answerCall(owner, number, upstream, onAnswer, call_outcome::other_life);
     call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done && isStopped(upstream, order.run))
         outcome = call_outcome::superseded;
@@ -248,7 +286,7 @@
         outcome = call_outcome::expired;
     if (outcome == call_outcome::done)
         begin(upstream, order);
-    answerCall(owner, upstream, onAnswer, outcome);
+    answerCall(owner, number, upstream, onAnswer, outcome);
 }
 
 void cell_simulation::begin(sim_upstream& upstream, const start_request& order)
@@ -289,7 +327,7 @@
     answerPolls(upstream, false);
 }
 
-void cell_simulation::arriveStop(std::size_t owner, const stop_request& order)
+void cell_simulation::arriveStop(std::size_t owner, const stop_request& order, call_number number)
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
@@ -299,13 +337,13 @@
             carryOutStop(target, order);
     };
     if (upstream.fault == upstream_fault::stops_lost)
-        return answerCall(owner, upstream, onAnswer, call_outcome::silent);
+        return answerCall(owner, number, upstream, onAnswer, call_outcome::silent);
     if (const auto lost = loseCall(owner, upstream, order.onNewConnection, later))
-        return answerCall(owner, upstream, onAnswer, *lost);
+        return answerCall(owner, number, upstream, onAnswer, *lost);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done)
         carryOutStop(upstream, order);
-    answerCall(owner, upstream, onAnswer, outcome);
+    answerCall(owner, number, upstream, onAnswer, outcome);
 }
 
 void cell_simulation::carryOutStop(sim_upstream& upstream, const stop_request& order)
@@ -317,10 +355,10 @@
     }
 }
 
-void cell_simulation::arrivePoll(std::size_t owner, const poll_request& order)
+void cell_simulation::arrivePoll(std::size_t owner, const poll_request& order, call_number number)
 {
     sim_upstream& upstream = m_upstreams.at(order.target.address);
-    const open_poll poll { owner, order, m_now + milliseconds(order.waitMs) };
+    const open_poll poll { owner, number, order, m_now + milliseconds(order.waitMs) };
     const auto later = [this, order] {
         sim_upstream& target = m_upstreams.at(order.target.id);
         if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
@@ -383,12 +421,12 @@
         answer.running.push_back({ run.run });
     answer.ended = upstream.ended;
     answerCall(
-        poll.owner, upstream, [this, poll, answer](const call_answer& call) {
+        poll.owner, poll.number, upstream, [this, poll, answer](const call_answer& call) {
             poll_answer whole = answer;
             whole.call = call;
             m_owners[poll.owner].dispatcher->onPoll(m_now, poll.order, whole);
         },
-        outcome);
+        outcome, true);
 }
 
 void cell_simulation::crash(const std::string& id)
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -82,6 +82,8 @@
 
     sim_upstream& upstream(const std::string& id) { return m_upstreams.at(id); }
     void letLateLeasesBeginOnArrival() { m_lateLeasesBeginOnArrival = true; }
+    // Bounds what each owner can send; calls then wait in turn. 0: no bound.
+    void setLinkRate(double bytesPerSecond) { m_linkRate = bytesPerSecond; }
     void setDelayedShare(double share) { m_delayedShare = share; } // of the calls to upstreams with delayed_calls
 
     // The next report of the upstream, whose address is its id; and the arrival of a report, also of one from another writer.
@@ -98,16 +100,21 @@
     std::size_t startsOn(const std::string& upstream) const;
     std::size_t crashesUnder(const std::string& task) const; // crashes of upstreams that ran it
     std::size_t crashes() const { return m_crashes; }
+    std::size_t stops() const { return m_stops; } // sent by all owners
+    std::size_t newConnections() const { return m_newConnections; } // that owners asked for
+    std::size_t starts() const { return m_runNumber; } // carried out by upstreams
     std::size_t doubleRuns() const { return m_doubleRuns; } // starts of a task that was already running
     std::size_t overfills() const { return m_overfills; }
     std::mt19937_64& random() { return m_random; }
 
 private:
+    using call_number = std::uint64_t;
     struct sim_owner {
         std::unique_ptr<cell_dispatcher> dispatcher;
         std::uint64_t token = 0;
         bool isCut = false; // from all upstreams
         std::set<std::string> unreachable; // upstreams that the owner is cut off from
+        time_point linkFreeAt; // when all bytes in its link's queue are sent
         time_point nextAdvance;
     };
     struct due_event {
@@ -118,6 +125,7 @@
     };
     struct open_poll {
         std::size_t owner = 0;
+        call_number number = 0;
         poll_request order;
         time_point until;
     };
@@ -126,9 +134,11 @@
     void report(sim_upstream& upstream);
     void processActions(std::size_t owner);
     void perform(std::size_t owner, const cell_action& action);
-    void arriveStart(std::size_t owner, const start_request& order);
-    void arriveStop(std::size_t owner, const stop_request& order);
-    void arrivePoll(std::size_t owner, const poll_request& order);
+    // Sends a call over the owner's link. arrive runs when it has arrived; timeOut when it has not been answered in time.
+    void send(std::size_t owner, std::size_t bytes, duration timeout, std::function<void(call_number number)> arrive, std::function<void()> timeOut);
+    void arriveStart(std::size_t owner, const start_request& order, call_number number);
+    void arriveStop(std::size_t owner, const stop_request& order, call_number number);
+    void arrivePoll(std::size_t owner, const poll_request& order, call_number number);
     void answerPolls(sim_upstream& upstream, bool isOver);
     void answerPoll(const open_poll& poll, sim_upstream& upstream, call_outcome outcome);
     void begin(sim_upstream& upstream, const start_request& order);
@@ -147,7 +157,7 @@
     void carryOutPoll(sim_upstream& upstream, const poll_request& order);
     void extendLease(sim_upstream& upstream, std::int64_t expiresAtMs);
     void endLease(sim_upstream& upstream);
-    void answerCall(std::size_t owner, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome);
+    void answerCall(std::size_t owner, call_number number, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome, bool isPoll = false);
     std::int64_t clockOf(const sim_upstream& upstream) const;
 
     std::mt19937_64 m_random;
@@ -157,6 +167,11 @@
     std::priority_queue<due_event> m_events;
     std::map<std::string, std::vector<open_poll>> m_polls;
     std::uint64_t m_eventNumber = 0;
+    double m_linkRate = 0;
+    call_number m_lastCall = 0;
+    std::set<call_number> m_openCalls; // neither answered nor timed out
+    std::size_t m_stops = 0;
+    std::size_t m_newConnections = 0;
     std::uint64_t m_runNumber = 0;
     std::map<std::string, std::uint32_t> m_runMs; // by job
     std::map<std::string, time_point> m_submittedAt;
--- a/src/coordination/cells/upstream_calls.cpp
+++ b/src/coordination/cells/upstream_calls.cpp
@@ -3,6 +3,11 @@
 
 namespace jackdaw::cells {
 
+bool isAnswer(call_outcome outcome)
+{
+    return outcome != call_outcome::silent && outcome != call_outcome::not_received;
+}
+
 std::string_view toText(call_outcome outcome)
 {
     switch (outcome) {
--- a/src/coordination/cells/upstream_calls.h
+++ b/src/coordination/cells/upstream_calls.h
@@ -1,6 +1,8 @@
 // Calls from a cell's dispatcher to upstreams that run tasks under leases and fencing tokens, and the answers to them.
 #pragma once
 
+#include "protocol/time.h"
+
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -31,6 +33,8 @@
     std::string spec;
     std::int64_t expiresAtMs = 0; // on the upstream's steady clock; end of the lease for all tasks that run there
     std::uint64_t token = 0;
+    protocol::time_point sentAt;
+    protocol::duration timeout {}; // the call then ends as silent
 };
 
 struct stop_request {
@@ -38,6 +42,8 @@
     run_id run;
     std::uint64_t token = 0;
     bool onNewConnection = false;
+    protocol::time_point sentAt;
+    protocol::duration timeout {};
 };
 
 // Long poll for running and ended tasks. Also renews the lease and acknowledges ended tasks.
@@ -48,6 +54,7 @@
     std::uint32_t waitMs = 0; // the upstream delays its answer by up to this until a task ends
     std::uint64_t token = 0;
     bool onNewConnection = false;
+    protocol::duration timeout {}; // waitMs included
 };
 
 enum class call_outcome {
@@ -66,6 +73,9 @@
 struct call_answer {
     call_outcome outcome = call_outcome::silent;
     std::int64_t clockMs = 0; // the upstream's steady clock when it answered; 0: not known
+    std::uint32_t sentBytes = 0; // of the request; for metrics
+    std::uint32_t receivedBytes = 0; // of the answer
+    bool isOnNewConnection = false; // the call opened a connection
 };
 
 struct running_task {
@@ -93,6 +103,18 @@
     std::vector<ended_task> ended; // those with a number above ackCursor
 };
 
+inline const call_answer& callOf(const call_answer& answer)
+{
+    return answer;
+}
+inline const call_answer& callOf(const poll_answer& answer)
+{
+    return answer.call;
+}
+
+// Whether the upstream has answered, whatever it said.
+bool isAnswer(call_outcome outcome);
+
 // For logs.
 std::string_view toText(call_outcome outcome);
 std::string_view toText(end_kind kind);
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -8,6 +8,10 @@
 
 #include <deque>
 #include <map>
+#include <numeric>
+#include <span>
+#include <string_view>
+#include <utility>
 
 namespace jackdaw::transport {
 namespace {
@@ -55,6 +59,25 @@
         evbuffer_add(evhttp_request_get_output_buffer(request), call.body.data(), call.body.size());
     }
 
+    // Lines as they are written in HTTP/1.1.
+    std::size_t headerBytes(std::span<const http_header> headers)
+    {
+        constexpr std::size_t separators = std::string_view(": \r\n").size();
+        return std::accumulate(headers.begin(), headers.end(), std::size_t { 0 }, [](std::size_t sum, const http_header& header) { return sum + header.name.size() + header.value.size() + separators; });
+    }
+
+    std::size_t requestBytes(const endpoint& target, const http_call& call)
+    {
+        constexpr std::size_t fixedLines = std::string_view("POST  HTTP/1.1\r\nHost: \r\nContent-Length: 000\r\n\r\n").size();
+        return fixedLines + call.path.size() + target.host.size() + headerBytes(call.headers) + call.body.size();
+    }
+
+    std::size_t responseBytes(const http_response& response)
+    {
+        constexpr std::size_t fixedLines = std::string_view("HTTP/1.1 200 OK\r\n\r\n").size();
+        return fixedLines + headerBytes(response.headers) + response.body.size();
+    }
+
     timeval toTimeval(protocol::duration delay)
     {
         constexpr std::int64_t microsecondsPerSecond = 1'000'000;
@@ -72,6 +95,8 @@
         endpoint target;
         http_client::completion done; // set while a call is on its way
         bool isPooled = true;
+        bool isNew = true; // no call has ended on it
+        std::size_t sentBytes = 0; // of the present call
         void* owner = nullptr; // the client, for evhttp's callback
     };
 
@@ -144,6 +169,7 @@
     void start(connection& link, const http_call& call, completion done)
     {
         link.done = std::move(done);
+        link.sentBytes = requestBytes(link.target, call);
         const timeval timeout = toTimeval(call.timeout);
         evhttp_connection_set_timeout_tv(link.handle, &timeout);
         // Freed by evhttp; the callback does not run once the connection is freed.
@@ -171,6 +197,9 @@
         } else {
             result.outcome = request ? request_outcome::refused : request_outcome::silent;
         }
+        result.sentBytes = link.sentBytes;
+        result.receivedBytes = result.outcome == request_outcome::answered ? responseBytes(result.response) : 0;
+        result.isOnNewConnection = std::exchange(link.isNew, false);
         completion done = std::move(link.done);
         link.done = nullptr;
         // Posted, because the connection and the hook's owner must not change inside evhttp's callback.
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -32,6 +32,9 @@
 struct http_result {
     request_outcome outcome = request_outcome::silent;
     http_response response; // only for answered
+    std::size_t sentBytes = 0; // of the request's headers and body, about
+    std::size_t receivedBytes = 0; // of the response's, about
+    bool isOnNewConnection = false;
 };
 
 struct http_call {
