Metrics: bytes and messages by purpose and peer, threads, descriptors, memory and links

What was missing: nothing said which traffic fills a link, or that threads grow.

Change: jackdaw_traffic_bytes_total and _messages_total by direction, role of the peer and purpose, a log line `traffic` each 5 s with the same; jackdaw_process_threads, _descriptors, _resident_bytes, jackdaw_links_open, _accepted, jackdaw_upstream_connections_total. An entry host adds the sender of a gossip message as a peer at once: without its acknowledgements the sender took the link for broken every 0.9 s.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -25,6 +25,7 @@
     constexpr duration busyTick = milliseconds(20); // an eighth of the shortest objective
     constexpr duration idleTick = milliseconds(100); // a tenth of the silence limit
     constexpr duration reportFreshness = std::chrono::seconds(5); // three report intervals of 1.5 s; older upstreams may have ended
+    constexpr duration trafficLogInterval = std::chrono::seconds(5);
     constexpr std::uint64_t roundsPerUpstreamList = 66; // 10 s: several within the time that other hosts remember an upstream
 
 } // namespace
@@ -202,9 +203,12 @@
 {
     const std::vector<std::string> ids = dispatcher.upstreamNames();
     upstreams.refresh(steadyNow(), ids);
-    const std::string bytes = protocol::encodeCellMessage(upstreams.list(steadyNow(), ids));
-    for (const std::string& host : ownership.hostsOf(steadyNow(), cells::zoneOfCell(cell)))
-        links.send(host, bytes);
+    sendToAll(ownership.hostsOf(steadyNow(), cells::zoneOfCell(cell)), upstreams.list(steadyNow(), ids));
+}
+
+void cell_host::impl::logTraffic()
+{
+    logEvent(log_level::info, "traffic", { { "interval_ms", std::to_string(std::chrono::duration_cast<milliseconds>(trafficLogInterval).count()) }, { "messages_and_bytes", traffic.takeSummary() } });
 }
 
 void cell_host::impl::scheduleTick()
@@ -239,6 +243,7 @@
         if (!self.dispatchers.empty())
             self.sendGossip(self.ownership.otherOwners(steadyNow()));
     }));
+    self.timers.push_back(self.loop.every(trafficLogInterval, [&self] { self.logTraffic(); }));
     self.sendDirectoryRequest();
     self.scheduleTick();
     return boost::outcome_v2::success();
@@ -302,6 +307,7 @@
     self.metrics.upstreams.set(static_cast<double>(adopted));
     self.metrics.configurationVersion.set(static_cast<double>(self.configuration.version));
     self.metrics.logLinesLeftOut.set(static_cast<double>(state::logLinesLeftOut()));
+    self.processGauges.update(self.links);
     return self.allMetrics.toPrometheus();
 }
 
--- a/src/apps/cell_host/cell_host_metrics.h
+++ b/src/apps/cell_host/cell_host_metrics.h
@@ -14,6 +14,7 @@
         , unfinished(all.addCounter("jackdaw_jobs_total", "Jobs of this host's callers, by outcome.", { { "outcome", "unfinished" } }))
         , jobTime(all.addHistogram("jackdaw_job_seconds", "From a job's arrival to its answer."))
         , starts(all.addCounter("jackdaw_task_starts_total", "Starts sent to upstreams."))
+        , newConnections(all.addCounter("jackdaw_upstream_connections_total", "Connections opened to upstreams."))
         , ownershipChanges(all.addCounter("jackdaw_cell_changes_total", "Cells taken or given up."))
         , openJobs(all.addGauge("jackdaw_open_jobs", "Jobs of this host's callers that wait for their answer."))
         , waitingTasks(all.addGauge("jackdaw_waiting_tasks", "Tasks of owned cells that wait for room."))
@@ -49,6 +50,7 @@
     state::counter& unfinished;
     state::latency_histogram& jobTime;
     state::counter& starts;
+    state::counter& newConnections;
     state::counter& ownershipChanges;
     state::gauge& openJobs;
     state::gauge& waitingTasks;
--- a/src/apps/cell_host/internal/cell_host_actions.cpp
+++ b/src/apps/cell_host/internal/cell_host_actions.cpp
@@ -43,8 +43,9 @@
 void cell_host::impl::perform(const std::shared_ptr<cells::cell_dispatcher>& dispatcher, const cells::cell_action& action)
 {
     // Passes the answer to the dispatcher that sent the order, unless the cell was released in the meantime.
-    const auto forwardAnswer = [this, &dispatcher](const auto& order, auto onAnswer) {
-        return [this, weak = std::weak_ptr(dispatcher), order, onAnswer](const auto& answer) {
+    const auto forwardAnswer = [this, &dispatcher](std::string_view purpose, const auto& order, auto onAnswer) {
+        return [this, weak = std::weak_ptr(dispatcher), purpose, order, onAnswer](const auto& answer) {
+            countCall(purpose, cells::callOf(answer));
             const auto locked = weak.lock();
             if (!locked)
                 return;
@@ -54,16 +55,25 @@
     };
     if (const auto* start = std::get_if<cells::start_request>(&action)) {
         metrics.starts.add();
-        hooks.upstreams.start(*start, forwardAnswer(*start, &cells::cell_dispatcher::onStart));
+        hooks.upstreams.start(*start, forwardAnswer("start", *start, &cells::cell_dispatcher::onStart));
     } else if (const auto* stop = std::get_if<cells::stop_request>(&action)) {
-        hooks.upstreams.stop(*stop, forwardAnswer(*stop, &cells::cell_dispatcher::onStop));
+        hooks.upstreams.stop(*stop, forwardAnswer("stop", *stop, &cells::cell_dispatcher::onStop));
     } else if (const auto* poll = std::get_if<cells::poll_request>(&action)) {
-        hooks.upstreams.poll(*poll, forwardAnswer(*poll, &cells::cell_dispatcher::onPoll));
+        hooks.upstreams.poll(*poll, forwardAnswer("poll", *poll, &cells::cell_dispatcher::onPoll));
     } else {
         answerOrigins(std::get<cells::owner_answer>(action));
     }
 }
 
+void cell_host::impl::countCall(std::string_view purpose, const cells::call_answer& answer)
+{
+    traffic.add(apps::traffic_direction::sent, apps::peer_role::upstream, purpose, answer.sentBytes);
+    if (answer.receivedBytes > 0)
+        traffic.add(apps::traffic_direction::received, apps::peer_role::upstream, purpose, answer.receivedBytes);
+    if (answer.isOnNewConnection)
+        metrics.newConnections.add();
+}
+
 void cell_host::impl::perform(const cells::router_action& action)
 {
     if (const auto* send = std::get_if<cells::forward_job>(&action)) {
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -3,6 +3,8 @@
 
 #include "apps/cell_host/cell_host.h"
 #include "apps/cell_host/cell_host_metrics.h"
+#include "apps/shared/process_gauges.h"
+#include "apps/shared/traffic_account.h"
 #include "apps/shared/zone_address.h"
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
@@ -55,6 +57,8 @@
     std::map<cells::caller_id, waiting_caller> completions;
     state::metrics allMetrics;
     cell_host_metrics metrics { allMetrics };
+    apps::process_gauges processGauges { allMetrics };
+    apps::traffic_account traffic { allMetrics };
     std::set<std::string> entryPeers;
     std::set<std::string> controlPeers;
     std::set<std::string> silentHosts; // hosts whose loss was reported to the dispatchers
@@ -94,6 +98,7 @@
     void onGossip(const protocol::host_gossip& gossip);
     void onDirectory(const protocol::directory_update& update);
     void addControl(const std::string& host);
+    void addEntryHost(const std::string& host);
     void onReports(std::span<const protocol::upstream_report> newReports);
     void onUpstreamList(const protocol::upstream_list& list);
     void forwardReports(std::span<const protocol::upstream_report> reports);
@@ -125,6 +130,11 @@
     void answerOrigins(const cells::owner_answer& answer);
     void perform(const cells::router_action& action);
     void sendTo(const std::string& host, const cell_message& message);
+    // Encodes the message once. Messages that a host's link can't take are dropped.
+    void sendToAll(std::span<const std::string> hosts, const cell_message& message);
+    bool sendBytes(apps::peer_role peer, const std::string& host, std::string_view kind, std::string_view bytes);
+    void countCall(std::string_view purpose, const cells::call_answer& answer);
+    void logTraffic();
 };
 
 } // namespace jackdaw::cell_host
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -28,6 +28,8 @@
     if (!decoded)
         return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(delivery.sender) }, { "reason", decoded.error().detail } });
     const cell_message& message = decoded.value();
+    const bool isFromControl = delivery.sender.starts_with(protocol::controlMeshPrefix);
+    traffic.add(apps::traffic_direction::received, isFromControl ? apps::peer_role::control : apps::peer_role::entry, protocol::kindOf(message), delivery.body.size());
     if (const auto* gossip = std::get_if<protocol::host_gossip>(&message))
         onGossip(*gossip);
     else if (const auto* update = std::get_if<protocol::directory_update>(&message))
@@ -53,6 +55,9 @@
 void cell_host::impl::onGossip(const protocol::host_gossip& gossip)
 {
     const time_point now = steadyNow();
+    // The sender may know this host before the control hosts name the sender here. Without an answer it would take the link for
+    // broken and open another one.
+    addEntryHost(gossip.host);
     if (ownership.onGossip(now, gossip)) {
         logEvent(log_level::info, "host_restarted", { { "host", gossip.host } });
         for (const auto& [cell, dispatcher] : dispatchers)
@@ -76,18 +81,22 @@
 {
     ownership.onDirectoryKnown(steadyNow());
     upstreams.onControlUpdate(steadyNow());
-    for (const std::string& host : update.entryHosts) {
-        if (host == settings.host || !entryPeers.insert(host).second)
-            continue;
-        logEvent(log_level::info, "entry_host_discovered", { { "host", host } });
-        links.setPeer(host, apps::toText({ host, settings.meshPort }));
-        sendGossip({ host });
-    }
+    for (const std::string& host : update.entryHosts)
+        addEntryHost(host);
     for (const std::string& host : update.controlHosts)
         addControl(host);
     onReports(update.reports);
 }
 
+void cell_host::impl::addEntryHost(const std::string& host)
+{
+    if (host == settings.host || !entryPeers.insert(host).second)
+        return;
+    logEvent(log_level::info, "entry_host_discovered", { { "host", host } });
+    links.setPeer(host, apps::toText({ host, settings.meshPort }));
+    sendGossip({ host });
+}
+
 void cell_host::impl::addControl(const std::string& host)
 {
     if (controlPeers.insert(host).second)
@@ -130,7 +139,7 @@
 {
     if (!upstreams.needsList(peer.host, peer.incarnation))
         return;
-    if (!links.send(peer.host, protocol::encodeCellMessage(upstreams.list(steadyNow()))))
+    if (!sendBytes(apps::peer_role::entry, peer.host, "upstream_list", protocol::encodeCellMessage(upstreams.list(steadyNow()))))
         return; // no link yet: sent after a later gossip
     upstreams.onListSent(peer.host, peer.incarnation);
     logEvent(log_level::info, "upstream_list_sent", { { "host", peer.host }, { "upstreams", std::to_string(upstreams.size()) } });
@@ -155,9 +164,10 @@
 
 void cell_host::impl::sendDirectoryRequest()
 {
-    const std::string bytes = protocol::encodeCellMessage(protocol::directory_request { settings.host, incarnation, configuration.version, isLeaving });
+    const cell_message request = protocol::directory_request { settings.host, incarnation, configuration.version, isLeaving };
+    const std::string bytes = protocol::encodeCellMessage(request);
     for (const std::string& host : controlPeers)
-        links.send(controlMeshName(host), bytes);
+        sendBytes(apps::peer_role::control, controlMeshName(host), protocol::kindOf(request), bytes);
 }
 
 void cell_host::impl::sendGossip(const std::vector<std::string>& hosts)
@@ -169,15 +179,28 @@
         if (const auto dispatcher = dispatchers.find(claim.cell); dispatcher != dispatchers.end())
             claim.freeCapacity = dispatcher->second->rooms(steadyNow());
     }
-    const std::string bytes = protocol::encodeCellMessage(gossip);
+    sendToAll(hosts, gossip);
+}
+
+bool cell_host::impl::sendBytes(apps::peer_role peer, const std::string& host, std::string_view kind, std::string_view bytes)
+{
+    if (!links.send(host, bytes))
+        return false;
+    traffic.add(apps::traffic_direction::sent, peer, kind, bytes.size());
+    return true;
+}
+
+void cell_host::impl::sendToAll(std::span<const std::string> hosts, const cell_message& message)
+{
+    const std::string bytes = protocol::encodeCellMessage(message);
     for (const std::string& host : hosts)
-        links.send(host, bytes);
+        sendBytes(apps::peer_role::entry, host, protocol::kindOf(message), bytes);
 }
 
 void cell_host::impl::sendTo(const std::string& host, const cell_message& message)
 {
-    if (!links.send(host, protocol::encodeCellMessage(message)))
-        logEvent(log_level::warning, "message_dropped", { { "host", host }, { "kind", std::to_string(message.index()) } });
+    if (!sendBytes(apps::peer_role::entry, host, protocol::kindOf(message), protocol::encodeCellMessage(message)))
+        logEvent(log_level::warning, "message_dropped", { { "host", host }, { "kind", std::string(protocol::kindOf(message)) } });
 }
 
 } // namespace jackdaw::cell_host
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -6,6 +6,8 @@
 #include "apps/control/group_log.h"
 #include "apps/control/storage_opening.h"
 #include "apps/hub/host_directory.h"
+#include "apps/shared/process_gauges.h"
+#include "apps/shared/traffic_account.h"
 #include "apps/shared/zone_address.h"
 #include "protocol/config_messages.h"
 #include "state/log.h"
@@ -31,6 +33,7 @@
 
     constexpr auto groupName = "hubs";
     constexpr duration heartbeatInterval = std::chrono::milliseconds(500);
+    constexpr duration trafficLogInterval = std::chrono::seconds(5);
     constexpr duration batchInterval = std::chrono::milliseconds(100); // a twentieth of an upstream's drain time
     constexpr duration leaderTransferTime = std::chrono::milliseconds(500); // time that a stopping leader leaves for the transfer
     constexpr duration changeTimeout = std::chrono::milliseconds(900); // below the time-out of operators' tools, 1 s
@@ -73,6 +76,9 @@
     state::gauge& entryHostsBehindGauge = allMetrics.addGauge("jackdaw_entry_hosts_behind", "Live entry hosts that reported an older version than the newest applied here.");
     state::gauge& entryHostsGauge = allMetrics.addGauge("jackdaw_entry_hosts", "Entry hosts heard in the last seconds.");
     state::gauge& logLinesLeftOutGauge = allMetrics.addGauge("jackdaw_log_lines_left_out", "Log lines that were not written since the start.");
+    apps::process_gauges processGauges { allMetrics };
+    apps::traffic_account traffic { allMetrics };
+    std::unique_ptr<transport::event_loop::timer> trafficTimer;
     control::group_log groupLog;
     std::uint64_t changeNumber = 0;
     std::optional<time_point> appliedAt; // of the newest configuration, until all live entry hosts have reported it
@@ -113,7 +119,18 @@
     void sendToControl(const std::string& host, const cell_message& message)
     {
         addControl(host);
-        links.send(controlMeshName(host), protocol::encodeCellMessage(message));
+        sendBytes(apps::peer_role::control, controlMeshName(host), protocol::kindOf(message), protocol::encodeCellMessage(message));
+    }
+
+    void sendToEntry(const std::string& host, const cell_message& message)
+    {
+        sendBytes(apps::peer_role::entry, host, protocol::kindOf(message), protocol::encodeCellMessage(message));
+    }
+
+    void sendBytes(apps::peer_role peer, const std::string& host, std::string_view kind, std::string_view bytes)
+    {
+        if (links.send(host, bytes))
+            traffic.add(apps::traffic_direction::sent, peer, kind, bytes.size());
     }
 
     void addControl(const std::string& host)
@@ -131,6 +148,7 @@
     void logDistribution(time_point now);
     void sendHeartbeats();
     void sendBatch();
+    void logTraffic();
     void rescheduleNodeTimer();
     void stop();
     void changeConfiguration(configuration newConfiguration, change_completion done);
@@ -141,6 +159,8 @@
     const auto message = protocol::decodeCellMessage(delivery.body);
     if (!message)
         return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(delivery.sender) }, { "reason", message.error().detail } });
+    const bool isFromControl = delivery.sender.starts_with(protocol::controlMeshPrefix);
+    traffic.add(apps::traffic_direction::received, isFromControl ? apps::peer_role::control : apps::peer_role::entry, protocol::kindOf(message.value()), delivery.body.size());
     if (const auto* request = std::get_if<protocol::directory_request>(&message.value()))
         return onDirectoryRequest(*request);
     if (const auto* heartbeat = std::get_if<protocol::control_heartbeat>(&message.value()))
@@ -156,7 +176,7 @@
     if (directory.recordDirectoryRequest(steadyNow(), request)) {
         const protocol::directory_update update = directory.fullUpdate(steadyNow());
         logEvent(log_level::info, "entry_host_registered", { { "host", request.host }, { "version", std::to_string(request.configurationVersion) }, { "upstreams_told", std::to_string(update.reports.size()) } });
-        links.send(request.host, protocol::encodeCellMessage(update));
+        sendToEntry(request.host, update);
     }
     if (request.configurationVersion < node.rules().inForce().version)
         pushConfiguration(request.host);
@@ -203,7 +223,7 @@
 
 void control_host::impl::pushConfiguration(const std::string& entry)
 {
-    links.send(entry, protocol::encodeCellMessage(protocol::configuration_push { node.rules().inForce().version, node.rules().text() }));
+    sendToEntry(entry, protocol::configuration_push { node.rules().inForce().version, node.rules().text() });
 }
 
 void control_host::impl::sendHeartbeats()
@@ -224,9 +244,15 @@
     const time_point now = steadyNow();
     if (!directory.isBatchDue(now))
         return;
-    const std::string bytes = protocol::encodeCellMessage(directory.takeBatch(now));
+    const cell_message update = directory.takeBatch(now);
+    const std::string bytes = protocol::encodeCellMessage(update);
     for (const std::string& entry : directory.liveEntryHosts(now))
-        links.send(entry, bytes);
+        sendBytes(apps::peer_role::entry, entry, protocol::kindOf(update), bytes);
+}
+
+void control_host::impl::logTraffic()
+{
+    logEvent(log_level::info, "traffic", { { "interval_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(trafficLogInterval).count()) }, { "messages_and_bytes", traffic.takeSummary() } });
 }
 
 void control_host::impl::rescheduleNodeTimer()
@@ -300,6 +326,7 @@
     self.loop.onSignal(SIGHUP, [] { logEvent(log_level::info, "reload_ignored", { { "reason", "no setting of this program changes while it runs" } }); });
     self.heartbeatTimer = self.loop.every(heartbeatInterval, [&self] { self.sendHeartbeats(); });
     self.batchTimer = self.loop.every(batchInterval, [&self] { self.sendBatch(); });
+    self.trafficTimer = self.loop.every(trafficLogInterval, [&self] { self.logTraffic(); });
     self.sendHeartbeats();
     self.rescheduleNodeTimer();
     logEvent(log_level::info, "started", { { "host", self.settings.host }, { "incarnation", std::to_string(self.node.self().incarnation) }, { "version", std::to_string(self.node.rules().inForce().version) } });
@@ -347,6 +374,7 @@
     self.entryHostsGauge.set(static_cast<double>(self.directory.liveEntryHosts(steadyNow()).size()));
     self.entryHostsBehindGauge.set(static_cast<double>(self.directory.entryHostsBehind(steadyNow(), self.node.rules().inForce().version).size()));
     self.logLinesLeftOutGauge.set(static_cast<double>(state::logLinesLeftOut()));
+    self.processGauges.update(self.links);
     return self.allMetrics.toPrometheus();
 }
 
--- a/src/protocol/cell_messages.cpp
+++ b/src/protocol/cell_messages.cpp
@@ -1,6 +1,7 @@
 // Encodes and decodes cell messages: an array of the kind and the packed fields.
 #include "protocol/cell_messages.h"
 
+#include <array>
 #include <optional>
 #include <tuple>
 #include <utility>
@@ -31,6 +32,12 @@
     return std::tie(report.startedUnixMs, report.sequence) > std::tie(other.startedUnixMs, other.sequence);
 }
 
+std::string_view kindOf(const cell_message& message)
+{
+    constexpr std::array<std::string_view, std::variant_size_v<cell_message>> names { "gossip", "directory_request", "control_heartbeat", "directory_update", "configuration", "raft", "job", "job_answer", "job_cancel", "configuration_pull", "upstream_list" };
+    return names[message.index()];
+}
+
 std::string_view toText(job_outcome outcome)
 {
     switch (outcome) {
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -249,7 +249,8 @@
 // The position of a type in this list is its kind on the wire: new types are appended at the end.
 using cell_message = std::variant<host_gossip, directory_request, control_heartbeat, directory_update, configuration_push, control_raft_message, job_order, order_answer, job_cancel, configuration_pull, upstream_list>;
 
-// Name of the outcome for logs.
+// Names for logs and metrics.
+std::string_view kindOf(const cell_message& message);
 std::string_view toText(job_outcome outcome);
 
 std::string encodeCellMessage(const cell_message& message);
--- a/src/protocol/config_messages.h
+++ b/src/protocol/config_messages.h
@@ -36,10 +36,12 @@
 
 using config_message = std::variant<rules_push, rules_pull, drain_request>;
 
+constexpr std::string_view controlMeshPrefix = "control/";
+
 // The mesh name of a host's control process. An entry process uses the name of its host.
 inline std::string controlMeshName(std::string_view host)
 {
-    return "control/" + std::string(host);
+    return std::string(controlMeshPrefix) + std::string(host);
 }
 
 std::string encodeConfigMessage(const config_message& message);
