Entry hosts: a starting host gets the list of upstreams from a few hosts, not from each

What callers saw: read, not measured at full size: at 147 hosts and 1,100 upstreams each returning host would get 146 lists of about 200 KB, some 13 s of a link of 19 Mbit/s, while it should serve.

Cause: each host sent its whole list to each peer whose incarnation was new to it.

Change: three hosts of the peer's zone, chosen by hash, and the owners of the zone's cells send theirs; the first the whole list, the others that of the zone. Where the zone has no other host, hosts of other zones do. The directory request names the zone.

Evidence: ownership simulation with 61 hosts in three zones: three senders beside the owners for each host that starts (before: 60).

--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -139,10 +139,14 @@
 {
     if (!upstreams.needsList(peer.host, peer.incarnation))
         return;
-    if (!sendBytes(apps::peer_role::entry, peer.host, "upstream_list", protocol::encodeCellMessage(upstreams.list(steadyNow()))))
+    const std::optional<std::size_t> rank = ownership.listSenderRank(steadyNow(), peer.host, peer.zone);
+    if (!rank)
+        return upstreams.onListSent(peer.host, peer.incarnation); // other hosts send it theirs
+    const protocol::upstream_list list = *rank == 0 ? upstreams.list(steadyNow()) : upstreams.listOfZone(steadyNow(), peer.zone);
+    if (!sendBytes(apps::peer_role::entry, peer.host, "upstream_list", protocol::encodeCellMessage(list)))
         return; // no link yet: sent after a later gossip
     upstreams.onListSent(peer.host, peer.incarnation);
-    logEvent(log_level::info, "upstream_list_sent", { { "host", peer.host }, { "upstreams", std::to_string(upstreams.size()) } });
+    logEvent(log_level::info, "upstream_list_sent", { { "host", peer.host }, { "upstreams", std::to_string(list.reports.size()) } });
 }
 
 void cell_host::impl::onConfiguration(const protocol::configuration_push& push, std::string_view sender)
@@ -164,7 +168,7 @@
 
 void cell_host::impl::sendDirectoryRequest()
 {
-    const cell_message request = protocol::directory_request { settings.host, incarnation, configuration.version, isLeaving };
+    const cell_message request = protocol::directory_request { settings.host, incarnation, configuration.version, isLeaving, settings.zone };
     const std::string bytes = protocol::encodeCellMessage(request);
     for (const std::string& host : controlPeers)
         sendBytes(apps::peer_role::control, controlMeshName(host), protocol::kindOf(request), bytes);
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -16,6 +16,8 @@
     constexpr int hostHashBits = 10;
     constexpr std::uint64_t hostHashMask = (1U << hostHashBits) - 1;
 
+    constexpr std::size_t listSenders = 3; // two may be lost or just starting themselves
+
     // Backoff after a claim was fenced off: first for the other owner's gossip to arrive, then for a partition between the two
     // hosts to end.
     constexpr duration minBackoff = std::chrono::milliseconds(300);
@@ -88,6 +90,28 @@
     return now - found->second.heardAt < (isRemote ? m_settings.remoteSilenceLimit : m_settings.silenceLimit);
 }
 
+bool cell_ownership::ownsCellOf(std::string_view zone) const
+{
+    return std::any_of(m_claims.begin(), m_claims.end(), [zone](const auto& claim) { return zoneOfCell(claim.first) == zone; });
+}
+
+std::optional<std::size_t> cell_ownership::listSenderRank(time_point now, std::string_view host, std::string_view zone) const
+{
+    const auto score = [host](std::string_view sender) { return XXH3_64bits_withSeed(sender.data(), sender.size(), XXH3_64bits(host.data(), host.size())); };
+    const std::vector<std::string> others = hostsOf(now, zone);
+    const bool isOfZone = zone == m_settings.zone;
+    const bool hasSenderInZone = isOfZone || std::any_of(others.begin(), others.end(), [host](const std::string& other) { return other != host; });
+    std::size_t rank = 0;
+    for (const auto& [other, known] : m_hosts) {
+        const bool isSender = other != host && (known.gossip.zone == zone || !hasSenderInZone) && isLive(now, other);
+        rank += isSender && score(other) > score(m_settings.host) ? 1 : 0;
+    }
+    const bool isChosen = (isOfZone || !hasSenderInZone) && rank < listSenders;
+    if (!isChosen && !ownsCellOf(zone))
+        return std::nullopt;
+    return isChosen ? rank : listSenders;
+}
+
 bool cell_ownership::needsFrequentGossip(std::string_view host) const
 {
     const auto found = m_hosts.find(host);
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -88,6 +88,11 @@
     // depends on it and tens of hosts with a twentieth of a processor each would spend much of it on gossip.
     bool needsFrequentGossip(std::string_view host) const;
 
+    // The place of this host among those that send the list of upstreams to a host that has just started: a few of its zone, chosen
+    // by hash, and the owners of the zone's cells after them. Empty: this host sends none. Load pattern: after a loss of power all
+    // hosts start at once, and a list from each to each would fill the links of weak hosts for seconds.
+    std::optional<std::size_t> listSenderRank(time_point now, std::string_view host, std::string_view zone) const;
+
     // This host's gossip. The caller fills in free capacity and the configuration version.
     protocol::host_gossip gossip() const;
 
@@ -104,6 +109,7 @@
     };
 
     bool isLive(time_point now, std::string_view host) const;
+    bool ownsCellOf(std::string_view zone) const;
     bool isBackingOff(time_point now, std::string_view cell) const;
     bool isPreferredClaimant(time_point now, std::string_view zone) const;
     bool hasLiveHost(time_point now, std::string_view zone, bool isLeaving) const;
--- a/src/coordination/cells/tests/cell_ownership_tests.cpp
+++ b/src/coordination/cells/tests/cell_ownership_tests.cpp
@@ -324,3 +324,33 @@
     group.pass(seconds(120));
     CHECK(group.ownersOf("b") == names { "a1" });
 }
+
+TEST_CASE("every host sends its list of upstreams to each host that starts, or none does")
+{
+    host_group group;
+    for (int number = 0; number < 30; ++number)
+        group.add("a" + std::to_string(number), "a", 90);
+    for (int number = 0; number < 30; ++number)
+        group.add("b" + std::to_string(number), "b", 90);
+    group.add("c0", "c", 90);
+    group.pass(seconds(6));
+    for (const std::string started : { "a3", "a17", "b5", "c0" }) {
+        const std::string zone(1, started.front());
+        std::set<std::size_t> ranks;
+        std::size_t senders = 0;
+        std::size_t owners = 0;
+        for (auto& [name, host] : group.hosts) {
+            if (name == started)
+                continue;
+            const auto rank = host.ownership->listSenderRank(group.now, started, zone);
+            senders += rank ? 1 : 0;
+            owners += host.owned.contains(zone) ? 1 : 0;
+            if (rank)
+                ranks.insert(*rank);
+        }
+        CHECK(ranks.contains(0));
+        CHECK(ranks.contains(1));
+        CHECK(ranks.contains(2));
+        CHECK(senders <= 3 + owners);
+    }
+}
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -100,6 +100,16 @@
     return out;
 }
 
+protocol::upstream_list upstream_directory::listOfZone(time_point now, std::string_view zone) const
+{
+    protocol::upstream_list out;
+    for (const auto& [id, known] : m_upstreams) {
+        if (known.report.zone == zone)
+            append(out, known, now);
+    }
+    return out;
+}
+
 protocol::upstream_list upstream_directory::list(time_point now, std::span<const std::string> ids) const
 {
     protocol::upstream_list out;
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -54,6 +54,7 @@
 
     // The upstreams for other entry hosts: all, or those with the given ids.
     protocol::upstream_list list(time_point now) const;
+    protocol::upstream_list listOfZone(time_point now, std::string_view zone) const;
     protocol::upstream_list list(time_point now, std::span<const std::string> ids) const;
     std::size_t size() const { return m_upstreams.size(); }
 
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -179,10 +179,11 @@
     std::uint64_t incarnation = 0;
     std::uint64_t configurationVersion = 0;
     bool isLeaving = false;
+    std::string zone {}; // empty: not known, then the host gets the reports of all zones
 
     friend bool operator==(const directory_request&, const directory_request&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, configurationVersion, isLeaving)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, configurationVersion, isLeaving, zone)
 };
 
 // Heartbeat between control hosts.
