Control hosts: reports of other zones as news and signs of life only

What callers saw: read, not measured before: 1,100 upstreams report each 1.5 s, and each report went to each of 147 entry hosts (730 a second); each batch, ten a second from each of five control hosts, carried the list of all hosts.

Change: an entry host gets every report of its own zone; of other zones reports that change something, a refresh each 10 s, and one a second as a sign that the zone reports. The list of hosts goes out when it changes and once a second, no longer in each batch.

Evidence: directory tests: 20 upstreams in one zone over 15 s: 200 reports to the own zone, at most 70 to another (before: 200), a leaving one at once; three host lists in 3 s of batches each 0.1 s (before: 30).

--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <map>
 #include <optional>
 
 namespace jackdaw::hub {
@@ -244,10 +245,15 @@
     const time_point now = steadyNow();
     if (!directory.isBatchDue(now))
         return;
-    const cell_message update = directory.takeBatch(now);
-    const std::string bytes = protocol::encodeCellMessage(update);
-    for (const std::string& entry : directory.liveEntryHosts(now))
-        sendBytes(apps::peer_role::entry, entry, protocol::kindOf(update), bytes);
+    const directory_batch batch = directory.takeBatch(now);
+    std::map<std::string, std::string> bytesOfZone;
+    for (const std::string& entry : directory.liveEntryHosts(now)) {
+        const std::string zone = directory.zoneOf(entry);
+        auto encoded = bytesOfZone.find(zone);
+        if (encoded == bytesOfZone.end())
+            encoded = bytesOfZone.emplace(zone, protocol::encodeCellMessage(batch.forZone(zone))).first;
+        sendBytes(apps::peer_role::entry, entry, protocol::kindOf(protocol::directory_update {}), encoded->second);
+    }
 }
 
 void control_host::impl::logTraffic()
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -10,6 +10,15 @@
     constexpr duration silenceLimit = std::chrono::seconds(5); // ten message intervals of hosts, three report intervals of upstreams
     constexpr duration leavingRepeatTime = std::chrono::seconds(3); // two report intervals of 1.5 s: a leaving upstream reports twice
     constexpr duration hostListInterval = std::chrono::seconds(1); // the host list is resent, since a batch can be lost
+    // Other zones get one report of a zone at least this often: a host claims a zone without hosts only while it hears reports.
+    constexpr duration zoneSignInterval = std::chrono::seconds(1);
+    constexpr duration refreshInterval = std::chrono::seconds(10); // several within the time for which entry hosts remember an upstream
+
+    bool isSameButForSequence(protocol::upstream_report report, const protocol::upstream_report& other)
+    {
+        report.sequence = other.sequence;
+        return report == other;
+    }
 
 } // namespace
 
@@ -88,7 +97,8 @@
     upstream_record& known = found->second;
     if (!isNew && !protocol::isNewer(report, known.report))
         return false;
-    known = { report, now, false };
+    const bool isNews = isNew || (known.isNews && !known.isSent) || !isSameButForSequence(report, known.report);
+    known = { report, now, false, isNews, known.sentToAllAt };
     return true;
 }
 
@@ -101,6 +111,7 @@
     ++found->second.report.sequence;
     found->second.report.isLeaving = true;
     found->second.isSent = false;
+    found->second.isNews = true;
 }
 
 bool host_directory::isBatchDue(time_point now) const
@@ -127,19 +138,45 @@
     return update;
 }
 
-protocol::directory_update host_directory::takeBatch(time_point now)
+protocol::directory_update directory_batch::forZone(std::string_view zone) const
 {
-    protocol::directory_update update = hostUpdate(now);
+    if (zone.empty())
+        return update;
+    protocol::directory_update out { update.entryHosts, update.controlHosts, {} };
+    for (std::size_t i = 0; i < update.reports.size(); ++i) {
+        if (isForAllZones[i] || update.reports[i].zone == zone)
+            out.reports.push_back(update.reports[i]);
+    }
+    return out;
+}
+
+directory_batch host_directory::takeBatch(time_point now)
+{
+    directory_batch batch;
+    if (m_hostsChanged || now - m_lastHostListAt >= hostListInterval) {
+        batch.update = hostUpdate(now);
+        m_lastHostListAt = now;
+    }
     for (auto& [id, upstream] : m_upstreams) {
         const bool isRepeated = upstream.report.isLeaving && now - upstream.receivedAt <= leavingRepeatTime;
-        if (!upstream.isSent || isRepeated)
-            update.reports.push_back(upstream.report);
+        if (upstream.isSent && !isRepeated)
+            continue;
+        time_point& lastOfZone = m_lastToAllAt[upstream.report.zone];
+        const bool isForAll = upstream.isNews || isRepeated || now - upstream.sentToAllAt >= refreshInterval || now - lastOfZone >= zoneSignInterval;
+        if (isForAll) {
+            upstream.sentToAllAt = now;
+            lastOfZone = now;
+        }
+        batch.update.reports.push_back(upstream.report);
+        batch.isForAllZones.push_back(isForAll);
         upstream.isSent = true;
+        upstream.isNews = false;
     }
+    std::erase_if(m_lastToAllAt, [now](const auto& item) { return now - item.second > 2 * silenceLimit; });
     std::erase_if(m_upstreams, [now](const auto& item) { return now - item.second.receivedAt > 2 * silenceLimit; });
     m_hostsChanged = false;
     m_lastBatchAt = now;
-    return update;
+    return batch;
 }
 
 std::vector<std::string> host_directory::liveEntryHosts(time_point now) const
@@ -152,6 +189,12 @@
     return m_controlHosts.live(now);
 }
 
+std::string host_directory::zoneOf(std::string_view entryHost) const
+{
+    const protocol::directory_request* request = m_entryHosts.find(entryHost);
+    return request ? request->zone : std::string();
+}
+
 std::string host_directory::operatorAddressOf(std::string_view controlHost) const
 {
     const protocol::control_heartbeat* heartbeat = m_controlHosts.find(controlHost);
--- a/src/apps/hub/host_directory.h
+++ b/src/apps/hub/host_directory.h
@@ -20,6 +20,18 @@
 using protocol::duration;
 using protocol::time_point;
 
+// What control hosts send to all entry hosts, many times a second.
+//
+// Load pattern: a thousand upstreams report every 1.5 s, and each report would go to each of hundreds of entry hosts. A host
+// needs each report of its own zone; of other zones it needs to know who came, changed or left, and that the zone still reports.
+struct directory_batch {
+    protocol::directory_update update;
+    std::vector<bool> isForAllZones; // of each report
+
+    // The batch for entry hosts of the zone; everything if the zone is empty.
+    protocol::directory_update forZone(std::string_view zone) const;
+};
+
 class host_directory {
 public:
     // The seeds are control hosts from the settings, and may include this host.
@@ -45,15 +57,16 @@
     // until each upstream has reported again.
     protocol::directory_update fullUpdate(time_point now) const;
 
-    // The live hosts, and the reports that are new since the last batch or are repeated. Drops upstreams
-    // that did not report for twice the silence limit.
-    protocol::directory_update takeBatch(time_point now);
+    // The reports that are new since the last batch or are repeated, and the live hosts if they have changed or were not part of a
+    // batch for a while. Drops upstreams that did not report for twice the silence limit.
+    directory_batch takeBatch(time_point now);
 
     // True when a host or report is new, or when the host list must be resent.
     bool isBatchDue(time_point now) const;
 
     std::vector<std::string> liveEntryHosts(time_point now) const;
     std::vector<std::string> liveControlHosts(time_point now) const; // without this host
+    std::string zoneOf(std::string_view entryHost) const; // empty when it is not known
     std::string operatorAddressOf(std::string_view controlHost) const; // empty when the host is unknown
     std::uint64_t configurationVersionOf(std::string_view entryHost) const; // 0 when the host is unknown
     std::vector<std::string> entryHostsBehind(time_point now, std::uint64_t version) const; // live ones with an older version
@@ -77,6 +90,8 @@
         protocol::upstream_report report;
         time_point receivedAt;
         bool isSent = false; // was part of a batch
+        bool isNews = true; // says more than that the upstream still runs
+        time_point sentToAllAt; // when it was last part of a batch for all zones
     };
 
     protocol::directory_update hostUpdate(time_point now) const;
@@ -89,6 +104,8 @@
     std::map<std::string, upstream_record, std::less<>> m_upstreams;
     bool m_hostsChanged = false; // since the last batch
     time_point m_lastBatchAt;
+    time_point m_lastHostListAt;
+    std::map<std::string, time_point, std::less<>> m_lastToAllAt; // by zone: when a report of it last went to all zones
 };
 
 } // namespace jackdaw::hub
--- a/src/apps/hub/tests/host_directory_tests.cpp
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 
 using namespace jackdaw::hub;
@@ -30,11 +31,11 @@
     host_directory directory("c1", {});
     CHECK(directory.recordUpstreamReport(now, makeReport("u1", 1)));
     CHECK(directory.recordUpstreamReport(now, makeReport("u2", 1, true)));
-    CHECK(directory.takeBatch(now).reports.size() == 2);
+    CHECK(directory.takeBatch(now).update.reports.size() == 2);
     now += milliseconds(100);
-    CHECK(directory.takeBatch(now).reports == std::vector<upstream_report> { makeReport("u2", 1, true) });
+    CHECK(directory.takeBatch(now).update.reports == std::vector<upstream_report> { makeReport("u2", 1, true) });
     now += seconds(4);
-    CHECK(directory.takeBatch(now).reports.empty());
+    CHECK(directory.takeBatch(now).update.reports.empty());
 }
 
 TEST_CASE("reports with a lower sequence or from an earlier incarnation are ignored")
@@ -45,7 +46,7 @@
     CHECK_FALSE(directory.recordUpstreamReport(now, makeReport("u1", 4)));
     CHECK(directory.recordUpstreamReport(now, makeReport("u1", 1, false, 2000)));
     CHECK_FALSE(directory.recordUpstreamReport(now, makeReport("u1", 6, true, 1000)));
-    CHECK_FALSE(directory.takeBatch(now).reports.at(0).isLeaving);
+    CHECK_FALSE(directory.takeBatch(now).update.reports.at(0).isLeaving);
 }
 
 TEST_CASE("a deregistered upstream is announced as leaving")
@@ -55,7 +56,7 @@
     directory.recordUpstreamReport(now, makeReport("u1", 1));
     directory.takeBatch(now);
     directory.deregisterUpstream("u1");
-    const upstream_report last = directory.takeBatch(now).reports.at(0);
+    const upstream_report last = directory.takeBatch(now).update.reports.at(0);
     CHECK(last.isLeaving);
     CHECK(jackdaw::protocol::isNewer(last, makeReport("u1", 1))); // else hosts that hold the earlier report would ignore it
 }
@@ -69,10 +70,10 @@
     CHECK(directory.recordControlHeartbeat(now, { "c2", 1, "10.0.0.2:80" }));
     CHECK(directory.configurationVersionOf("e1") == 8);
     CHECK(directory.operatorAddressOf("c2") == "10.0.0.2:80");
-    CHECK(directory.takeBatch(now).controlHosts == std::vector<std::string> { "c2", "c1" });
+    CHECK(directory.takeBatch(now).update.controlHosts == std::vector<std::string> { "c2", "c1" });
     now += seconds(6);
     CHECK(directory.liveEntryHosts(now).empty());
-    CHECK(directory.takeBatch(now).controlHosts == std::vector<std::string> { "c1" });
+    CHECK(directory.takeBatch(now).update.controlHosts == std::vector<std::string> { "c1" });
     CHECK(directory.recordDirectoryRequest(now, { "e1", 1, 8, false }));
 }
 
@@ -129,3 +130,49 @@
         CHECK(item.second.operatorAddressOf(first) == (item.first == first ? "" : first + ":80"));
     }
 }
+
+TEST_CASE("each report goes to the entry hosts of all zones, or news of an upstream do not")
+{
+    const auto reportOf = [](const std::string& id, std::uint64_t sequence, const std::string& zone, bool isLeaving = false) {
+        upstream_report report = makeReport(id, sequence, isLeaving);
+        report.zone = zone;
+        return report;
+    };
+    time_point now(seconds(10));
+    host_directory directory("c1", {});
+    constexpr std::uint64_t upstreams = 20;
+    std::size_t toOwnZone = 0;
+    std::size_t toOtherZone = 0;
+    bool isLeavingKnown = false;
+    for (std::uint64_t round = 1; round <= 10; ++round, now += milliseconds(1500)) {
+        for (std::uint64_t number = 0; number < upstreams; ++number)
+            directory.recordUpstreamReport(now, reportOf("u" + std::to_string(number), round, "a", round == 10 && number == 7));
+        const directory_batch batch = directory.takeBatch(now);
+        CHECK(batch.forZone("").reports.size() == upstreams);
+        toOwnZone += batch.forZone("a").reports.size();
+        const std::vector<upstream_report> other = batch.forZone("b").reports;
+        toOtherZone += other.size();
+        CHECK(!other.empty()); // the zone still reports
+        if (round == 1)
+            CHECK(other.size() == upstreams);
+        isLeavingKnown = std::any_of(other.begin(), other.end(), [](const upstream_report& report) { return report.isLeaving; });
+    }
+    CHECK(toOwnZone == 10 * upstreams);
+    CHECK(toOtherZone <= 3 * upstreams + 10);
+    CHECK(isLeavingKnown);
+}
+
+TEST_CASE("the list of all hosts is part of each batch, or is not repeated")
+{
+    time_point now(seconds(10));
+    host_directory directory("c1", {});
+    directory.recordDirectoryRequest(now, { "e1", 1, 7, false, "a" });
+    CHECK(directory.zoneOf("e1") == "a");
+    int lists = 0;
+    for (int round = 0; round < 30; ++round, now += milliseconds(100)) {
+        directory.recordDirectoryRequest(now, { "e1", 1, 7, false, "a" });
+        directory.recordUpstreamReport(now, makeReport("u1", static_cast<std::uint64_t>(round) + 1));
+        lists += directory.takeBatch(now).update.entryHosts.empty() ? 0 : 1;
+    }
+    CHECK(lists == 3);
+}
