Gossip: hosts hear often only from those on whose silence something hangs

Cause: a full mesh: each host told each other each 0.9 s, its zone and all owners each 0.15 s; owners told everybody each 0.15 s and owners each 0.05 s. Each message drew an acknowledgement of its own within 0.15 s. Each owner look-up went through all hosts.

Change: three needs (coordination/cells/cell_ownership): frequent (a zone's owners and its hosts, owners among themselves, the hosts that are next in line), occasional (each 0.9 s, 3 s of silence), and between zones without cells only three delegates of a zone for each host, chosen by hash. The interval between owners grows with their number. A new host is answered at once. Acknowledgements wait 0.3 s for a frame to ride on; reports that only show that upstreams run go out twice a second. A zone of up to three hosts hears what it heard before.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -18,9 +18,10 @@
 namespace {
 
     constexpr duration gossipInterval = milliseconds(150); // six within the silence limit, 1 s
-    // 900 ms: three within 3 s, the silence limit for a host of another zone while neither that host nor this one owns a cell.
+    // 900 ms: three within 3 s, the silence limit for hosts that gossip occasionally.
     constexpr std::uint64_t roundsPerFullGossip = 6;
     constexpr duration ownerGossipInterval = milliseconds(50); // a third of the shortest objective, 156 ms
+    constexpr std::size_t ownersPerGossipInterval = 8; // for each further eight owners the interval is longer by itself
     constexpr duration directoryRequestInterval = milliseconds(500); // ten within the directory's silence limit, 5 s
     constexpr duration busyTick = milliseconds(20); // an eighth of the shortest objective
     constexpr duration idleTick = milliseconds(100); // a tenth of the silence limit
@@ -186,12 +187,23 @@
 {
     const bool isFullRound = ++gossipRounds % roundsPerFullGossip == 0;
     std::vector<std::string> hosts;
-    std::copy_if(entryPeers.begin(), entryPeers.end(), std::back_inserter(hosts), [&](const std::string& host) { return isFullRound || ownership.needsFrequentGossip(host); });
+    std::copy_if(entryPeers.begin(), entryPeers.end(), std::back_inserter(hosts), [&](const std::string& host) { return ownership.isGossipDue(steadyNow(), host, isFullRound); });
     sendGossip(hosts);
     if (gossipRounds % roundsPerUpstreamList == 0)
         shareOwnedUpstreams();
 }
 
+// Owners tell each other their free capacity. The more owners there are, the less often, so that the rate of messages stays bounded;
+// jobs that move are then spread over more cells.
+void cell_host::impl::sendGossipToOwners()
+{
+    if (dispatchers.empty())
+        return;
+    const std::vector<std::string> owners = ownership.otherOwners(steadyNow());
+    if (++ownerGossipRounds % (owners.size() / ownersPerGossipInterval + 1) == 0)
+        sendGossip(owners);
+}
+
 // Upstreams that don't report stay known to other hosts only as long as their owner sends its list.
 void cell_host::impl::shareOwnedUpstreams()
 {
@@ -239,10 +251,7 @@
     }
     self.timers.push_back(self.loop.every(directoryRequestInterval, [&self] { self.sendDirectoryRequest(); }));
     self.timers.push_back(self.loop.every(gossipInterval, [&self] { self.sendPeriodicGossip(); }));
-    self.timers.push_back(self.loop.every(ownerGossipInterval, [&self] {
-        if (!self.dispatchers.empty())
-            self.sendGossip(self.ownership.otherOwners(steadyNow()));
-    }));
+    self.timers.push_back(self.loop.every(ownerGossipInterval, [&self] { self.sendGossipToOwners(); }));
     self.timers.push_back(self.loop.every(trafficLogInterval, [&self] { self.logTraffic(); }));
     self.sendDirectoryRequest();
     self.scheduleTick();
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -68,6 +68,7 @@
     protocol::configuration_push configuration; // in force; its version never decreases
     time_point lastPullAt;
     std::uint64_t gossipRounds = 0;
+    std::uint64_t ownerGossipRounds = 0;
     bool isLeaving = false;
     bool isPerformingActions = false;
     bool zoneHasOwner = false; // as of the last advance()
@@ -112,6 +113,7 @@
     void sendDirectoryRequest();
     void sendGossip(const std::vector<std::string>& hosts);
     void sendPeriodicGossip();
+    void sendGossipToOwners();
     void advance();
     void applyOwnership();
     void takeCell(const std::string& cell, std::uint64_t token);
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -58,11 +58,14 @@
     // The sender may know this host before the control hosts name the sender here. Without an answer it would take the link for
     // broken and open another one.
     addEntryHost(gossip.host);
+    const bool isNewOrRestarted = !ownership.knows(gossip.host, gossip.incarnation);
     if (ownership.onGossip(now, gossip)) {
         logEvent(log_level::info, "host_restarted", { { "host", gossip.host } });
         for (const auto& [cell, dispatcher] : dispatchers)
             dispatcher->onOriginLost(now, gossip.host);
     }
+    if (isNewOrRestarted)
+        sendGossip({ gossip.host }); // it must not wait for the next round to know this host
     sendUpstreamList(gossip);
     if (gossip.zoneCellCount > zoneCells.cellCount(gossip.zone))
         updateCellCount(gossip.zone, gossip.zoneCellCount);
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -10,6 +10,7 @@
     constexpr duration silenceLimit = std::chrono::seconds(5); // ten message intervals of hosts, three report intervals of upstreams
     constexpr duration leavingRepeatTime = std::chrono::seconds(3); // two report intervals of 1.5 s: a leaving upstream reports twice
     constexpr duration hostListInterval = std::chrono::seconds(1); // the host list is resent, since a batch can be lost
+    constexpr duration refreshBatchInterval = std::chrono::milliseconds(500); // for reports that only show that upstreams run
     // Other zones get one report of a zone at least this often: a host claims a zone without hosts only while it hears reports.
     constexpr duration zoneSignInterval = std::chrono::seconds(1);
     constexpr duration refreshInterval = std::chrono::seconds(10); // several within the time for which entry hosts remember an upstream
@@ -118,7 +119,10 @@
 {
     if (m_hostsChanged || now - m_lastBatchAt >= hostListInterval)
         return true;
-    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& item) { return !item.second.isSent; });
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& item) {
+        const upstream_record& upstream = item.second;
+        return !upstream.isSent && (upstream.isNews || now - m_lastBatchAt >= refreshBatchInterval);
+    });
 }
 
 protocol::directory_update host_directory::hostUpdate(time_point now) const
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -16,6 +16,8 @@
     constexpr int hostHashBits = 10;
     constexpr std::uint64_t hostHashMask = (1U << hostHashBits) - 1;
 
+    constexpr std::size_t delegates = 3; // hosts of a zone that gossip to a host of another zone; two may be lost
+
     constexpr std::size_t listSenders = 3; // two may be lost or just starting themselves
 
     // Backoff after a claim was fenced off: first for the other owner's gossip to arrive, then for a partition between the two
@@ -29,10 +31,17 @@
 
 cell_ownership::cell_ownership(ownership_settings settings)
     : m_settings(std::move(settings))
+    , m_mostProcessor(m_settings.processorMillicores)
     , m_cells({ m_settings.zone })
 {
 }
 
+bool cell_ownership::knows(std::string_view host, std::uint64_t incarnation) const
+{
+    const auto found = m_hosts.find(host);
+    return found != m_hosts.end() && found->second.gossip.incarnation == incarnation;
+}
+
 bool cell_ownership::onGossip(time_point now, const protocol::host_gossip& gossip)
 {
     const auto [known, isNew] = m_hosts.try_emplace(gossip.host);
@@ -40,6 +49,12 @@
     const bool wasWithoutClaim = !isNew && !isRestarted && known->second.gossip.claims.empty();
     known->second = { gossip, now, wasWithoutClaim ? known->second.idleSince : now };
     m_cells.insert(gossip.zone);
+    if (gossip.claims.empty())
+        m_claimants.erase(gossip.host);
+    else
+        m_claimants.insert(gossip.host);
+    if (gossip.zone == m_settings.zone)
+        m_mostProcessor = std::max(m_mostProcessor, gossip.processorMillicores);
     for (const protocol::cell_claim& claim : gossip.claims)
         m_highestToken = std::max(m_highestToken, claim.fencingToken);
     return isRestarted;
@@ -85,9 +100,60 @@
     const auto found = m_hosts.find(host);
     if (found == m_hosts.end())
         return false;
-    const protocol::host_gossip& gossip = found->second.gossip;
-    const bool isRemote = gossip.zone != m_settings.zone && gossip.claims.empty() && m_claims.empty();
-    return now - found->second.heardAt < (isRemote ? m_settings.remoteSilenceLimit : m_settings.silenceLimit);
+    return isLive(now, found->second);
+}
+
+bool cell_ownership::isLive(time_point now, const known_host& host) const
+{
+    return now - host.heardAt < (gossipNeed(host) == gossip_need::frequent ? m_settings.silenceLimit : m_settings.occasionalSilenceLimit);
+}
+
+// Each of two hosts comes to the same result, as far as they know each other's claims.
+gossip_need cell_ownership::gossipNeed(const known_host& host) const
+{
+    const bool isSameZone = host.gossip.zone == m_settings.zone;
+    const int owners = (m_claims.empty() ? 0 : 1) + (host.gossip.claims.empty() ? 0 : 1);
+    const bool areNextOwners = isSameZone && m_settings.processorMillicores == m_mostProcessor && host.gossip.processorMillicores == m_mostProcessor;
+    if (owners == 2 || (isSameZone && owners == 1) || areNextOwners)
+        return gossip_need::frequent;
+    return isSameZone || owners == 1 ? gossip_need::occasional : gossip_need::by_delegates;
+}
+
+// The live hosts of this zone with the highest hashes are its delegates for the host.
+bool cell_ownership::isDelegateFor(time_point now, std::string_view host) const
+{
+    const std::uint64_t seed = XXH3_64bits(host.data(), host.size());
+    const auto score = [seed](std::string_view delegate) { return XXH3_64bits_withSeed(delegate.data(), delegate.size(), seed); };
+    const std::uint64_t own = score(m_settings.host);
+    std::size_t better = 0;
+    for (const auto& [other, known] : m_hosts) {
+        if (known.gossip.zone == m_settings.zone && !known.gossip.isLeaving && score(other) > own && isLive(now, known) && ++better == delegates)
+            return false;
+    }
+    return true;
+}
+
+bool cell_ownership::isGossipDue(time_point now, std::string_view host, bool isFullRound) const
+{
+    const bool isStarting = !m_directoryKnownSince || now - *m_directoryKnownSince < m_settings.silenceLimit;
+    const auto found = m_hosts.find(host);
+    if (found == m_hosts.end())
+        return isStarting || isFullRound;
+    const gossip_need need = gossipNeed(found->second);
+    if (need == gossip_need::frequent || (isStarting && need == gossip_need::occasional))
+        return true;
+    return isFullRound && (need == gossip_need::occasional || isDelegateFor(now, host));
+}
+
+void cell_ownership::updateZones(time_point now)
+{
+    m_mostProcessor = m_settings.processorMillicores;
+    m_zoneSizes.clear();
+    for (const auto& [host, known] : m_hosts) {
+        ++m_zoneSizes[known.gossip.zone];
+        if (known.gossip.zone == m_settings.zone && now - known.heardAt < m_settings.occasionalSilenceLimit)
+            m_mostProcessor = std::max(m_mostProcessor, known.gossip.processorMillicores);
+    }
 }
 
 bool cell_ownership::ownsCellOf(std::string_view zone) const
@@ -99,33 +165,30 @@
 {
     const auto score = [host](std::string_view sender) { return XXH3_64bits_withSeed(sender.data(), sender.size(), XXH3_64bits(host.data(), host.size())); };
     const std::vector<std::string> others = hostsOf(now, zone);
-    const bool isOfZone = zone == m_settings.zone;
-    const bool hasSenderInZone = isOfZone || std::any_of(others.begin(), others.end(), [host](const std::string& other) { return other != host; });
+    const bool hasSenderInZone = zone == m_settings.zone || std::any_of(others.begin(), others.end(), [host](const std::string& other) { return other != host; });
+    // For a zone without other hosts the owners of cells send theirs, since they all know each other.
+    const auto isCandidate = [&](std::string_view hostZone, bool isOwner) { return hasSenderInZone ? hostZone == zone : isOwner; };
     std::size_t rank = 0;
     for (const auto& [other, known] : m_hosts) {
-        const bool isSender = other != host && (known.gossip.zone == zone || !hasSenderInZone) && isLive(now, other);
+        const bool isSender = other != host && isCandidate(known.gossip.zone, !known.gossip.claims.empty()) && isLive(now, known);
         rank += isSender && score(other) > score(m_settings.host) ? 1 : 0;
     }
-    const bool isChosen = (isOfZone || !hasSenderInZone) && rank < listSenders;
+    const bool isChosen = isCandidate(m_settings.zone, !m_claims.empty()) && rank < listSenders;
     if (!isChosen && !ownsCellOf(zone))
         return std::nullopt;
     return isChosen ? rank : listSenders;
 }
 
-bool cell_ownership::needsFrequentGossip(std::string_view host) const
-{
-    const auto found = m_hosts.find(host);
-    if (!m_claims.empty() || found == m_hosts.end())
-        return true;
-    const protocol::host_gossip& gossip = found->second.gossip;
-    return gossip.zone == m_settings.zone || !gossip.claims.empty();
-}
-
 std::vector<std::string> cell_ownership::silentHosts(time_point now) const
 {
     std::vector<std::string> out;
     for (const auto& [host, heard] : m_hosts) {
-        if (!isLive(now, host))
+        if (isLive(now, heard))
+            continue;
+        // Of a zone with more hosts than delegates, others than those may never be heard here.
+        const auto size = m_zoneSizes.find(heard.gossip.zone);
+        const bool isExpected = gossipNeed(heard) != gossip_need::by_delegates || size == m_zoneSizes.end() || size->second <= delegates;
+        if (isExpected)
             out.push_back(host);
     }
     return out;
@@ -136,8 +199,9 @@
     std::optional<cell_owner> best;
     if (const auto own = m_claims.find(cell); own != m_claims.end())
         best = cell_owner { m_settings.host, own->second, true };
-    for (const auto& [host, heard] : m_hosts) {
-        if (!isLive(now, host))
+    for (const std::string& host : m_claimants) {
+        const known_host& heard = m_hosts.find(host)->second;
+        if (!isLive(now, heard))
             continue;
         for (const protocol::cell_claim& claim : heard.gossip.claims) {
             if (claim.cell == cell && (!best || claim.fencingToken > best->token))
@@ -150,8 +214,8 @@
 std::vector<std::string> cell_ownership::otherOwners(time_point now) const
 {
     std::vector<std::string> out;
-    for (const auto& [host, heard] : m_hosts) {
-        if (isLive(now, host) && !heard.gossip.claims.empty())
+    for (const std::string& host : m_claimants) {
+        if (isLive(now, m_hosts.find(host)->second))
             out.push_back(host);
     }
     return out;
@@ -161,7 +225,7 @@
 {
     std::vector<std::string> out;
     for (const auto& [host, heard] : m_hosts) {
-        if (heard.gossip.zone == zone && isLive(now, host))
+        if (heard.gossip.zone == zone && isLive(now, heard))
             out.push_back(host);
     }
     return out;
@@ -171,7 +235,7 @@
 {
     return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
         const protocol::host_gossip& gossip = item.second.gossip;
-        return gossip.zone == zone && gossip.isLeaving == isLeaving && isLive(now, item.first);
+        return gossip.zone == zone && gossip.isLeaving == isLeaving && isLive(now, item.second);
     });
 }
 
@@ -191,7 +255,7 @@
     const auto own = rank(m_settings.processorMillicores, m_claims.size(), m_settings.host);
     return std::none_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
         const protocol::host_gossip& gossip = item.second.gossip;
-        if (gossip.isLeaving || !isLive(now, item.first) || (!isOtherZone && gossip.zone != zone))
+        if (gossip.isLeaving || !isLive(now, item.second) || (!isOtherZone && gossip.zone != zone))
             return false;
         return rank(gossip.processorMillicores, gossip.claims.size(), item.first) < own;
     });
@@ -229,7 +293,7 @@
     return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
         const protocol::host_gossip& gossip = item.second.gossip;
         const bool isIdle = gossip.claims.empty() && now - item.second.idleSince >= m_settings.rebalanceDelay;
-        return isIdle && gossip.zone == m_settings.zone && !gossip.isLeaving && isLive(now, item.first) && gossip.processorMillicores >= m_settings.processorMillicores;
+        return isIdle && gossip.zone == m_settings.zone && !gossip.isLeaving && isLive(now, item.second) && gossip.processorMillicores >= m_settings.processorMillicores;
     });
 }
 
@@ -283,6 +347,7 @@
 std::vector<ownership_change> cell_ownership::advance(time_point now, std::int64_t unixMs)
 {
     std::vector<ownership_change> changes;
+    updateZones(now);
     removeForgottenCells(now, changes);
     for (const std::string& cell : m_cells) {
         const auto own = m_claims.find(cell);
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -27,8 +27,8 @@
     std::string zone;
     std::uint32_t processorMillicores = 0;
     duration silenceLimit = std::chrono::milliseconds(1000); // six gossip intervals of 150 ms fit; then a host is silent
-    // For a host of another zone while neither it nor this host owns a cell, since such hosts gossip less often to each other.
-    duration remoteSilenceLimit = std::chrono::seconds(3);
+    // For hosts that gossip occasionally to each other: three intervals of 900 ms.
+    duration occasionalSilenceLimit = std::chrono::seconds(3);
     // Three gossip intervals, counted from the receipt of the list of entry hosts. A new host claims no cell before.
     duration initialClaimDelay = std::chrono::milliseconds(450);
     duration remoteTakeoverDelay = std::chrono::seconds(3); // before another zone takes over cells of a zone of silent hosts
@@ -50,6 +50,16 @@
     std::uint64_t token = 0; // 0: this host no longer owns the cell
 };
 
+// How often a host sends its gossip to another one.
+//
+// Load pattern: hundreds of hosts with a twentieth of a processor each. If each told each of them everything several times a
+// second, they would spend much of their processors and links on gossip, more with each host that is added.
+enum class gossip_need {
+    frequent, // a take-over or a job depends on noticing at once when one of the two falls silent
+    occasional, // the same zone, or one of the two owns a cell
+    by_delegates // another zone, and neither owns a cell: a few hosts of each zone show that it has hosts
+};
+
 class cell_ownership {
 public:
     explicit cell_ownership(ownership_settings settings);
@@ -57,6 +67,9 @@
     // The list of entry hosts has been received. This host claims no cell before.
     void onDirectoryKnown(time_point now);
 
+    // Whether gossip of this life of the host has been received.
+    bool knows(std::string_view host, std::uint64_t incarnation) const;
+
     // Returns true if the sender has restarted, which shows as a changed incarnation.
     bool onGossip(time_point now, const protocol::host_gossip& gossip);
 
@@ -83,10 +96,9 @@
     // Other live hosts of the zone.
     std::vector<std::string> hostsOf(time_point now, std::string_view zone) const;
 
-    // Whether the host gets this host's gossip at every interval. True for all hosts while this host owns a cell; otherwise for
-    // hosts of its zone, owners of cells, and hosts not heard from yet. The others get it less often, since no decision of theirs
-    // depends on it and tens of hosts with a twentieth of a processor each would spend much of it on gossip.
-    bool needsFrequentGossip(std::string_view host) const;
+    // Whether this host's gossip goes to the host in a round. Every round is for those that need it frequently; a full round, one
+    // in several, is for the others as well.
+    bool isGossipDue(time_point now, std::string_view host, bool isFullRound) const;
 
     // The place of this host among those that send the list of upstreams to a host that has just started: a few of its zone, chosen
     // by hash, and the owners of the zone's cells after them. Empty: this host sends none. Load pattern: after a loss of power all
@@ -109,6 +121,10 @@
     };
 
     bool isLive(time_point now, std::string_view host) const;
+    bool isLive(time_point now, const known_host& host) const;
+    gossip_need gossipNeed(const known_host& host) const;
+    bool isDelegateFor(time_point now, std::string_view host) const;
+    void updateZones(time_point now);
     bool ownsCellOf(std::string_view zone) const;
     bool isBackingOff(time_point now, std::string_view cell) const;
     bool isPreferredClaimant(time_point now, std::string_view zone) const;
@@ -125,6 +141,9 @@
     std::optional<time_point> m_directoryKnownSince;
     bool m_isLeaving = false;
     std::map<std::string, known_host, std::less<>> m_hosts; // other than this host
+    std::set<std::string, std::less<>> m_claimants; // of m_hosts, those whose last gossip names claims
+    std::uint32_t m_mostProcessor = 0; // of the live hosts of this zone; those that have it take over first
+    std::map<std::string, std::size_t, std::less<>> m_zoneSizes; // hosts of m_hosts by zone
     std::map<std::string, std::uint64_t, std::less<>> m_claims; // fencing token by cell
     std::map<std::string, time_point, std::less<>> m_unclaimedSince; // cells without an owner
     std::map<std::string, claim_backoff, std::less<>> m_claimBackoffs;
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -16,6 +16,7 @@
     using connection_id = internal::mesh_listener::connection_id;
 
     constexpr int ticksPerSilenceLimit = 6;
+    constexpr int ackShare = 3; // an acknowledgement waits a third of the silence limit for a frame that carries it
 
     // A host that has just got power loses the first packet of a connection, which the kernel sends again after a second.
     constexpr protocol::duration firstDialPatience = std::chrono::milliseconds(200);
@@ -36,6 +37,7 @@
         std::string unsent; // the frame that the link has in hand
         bool isFlushPosted = false;
         bool owesAck = false; // heard a frame with bodies since the last frame to this peer
+        time_point owesAckSince; // valid while owesAck
     };
 
 } // namespace
@@ -167,7 +169,10 @@
         if (found == peers.end())
             return;
         peer& peer = found->second;
-        peer.owesAck = peer.owesAck || !frame.bodies.empty();
+        if (!peer.owesAck && !frame.bodies.empty()) {
+            peer.owesAck = true;
+            peer.owesAckSince = protocol::steadyNow();
+        }
         const bool isNewIncarnation = peer.heardIncarnation != frame.senderIncarnation;
         peer.heardSequence = isNewIncarnation ? frame.sequence : std::max(peer.heardSequence, frame.sequence);
         peer.heardIncarnation = frame.senderIncarnation;
@@ -191,7 +196,7 @@
                 peer.ackedSequence = peer.lastSequence; // what is lost is lost: nobody sends it again
                 dial(host, peer);
             }
-            if (peer.owesAck && !peer.link->isSending())
+            if (peer.owesAck && now - peer.owesAckSince >= settings.silenceLimit / ackShare && !peer.link->isSending())
                 sendFrame(peer);
         }
     }
