Cells: one upstream that does not answer, or answers late, is no full link

What callers saw: nothing yet; found when the change was read again. On a quiet link one start to a dead upstream let the expected wait grow up to the time-out of the call, and the late answer of an upstream that had been frozen did the same: jobs that could be served were refused.

Cause: the expected wait took the oldest call under way, and the time of the last answer, whatever came after it.

Change: calls that count as unanswered, and answers that come after those to later calls, say nothing of the link.

Evidence: new test, fails before (60 ms and 700 ms of expected wait on an idle link).

--- a/src/coordination/cells/internal/call_watch.cpp
+++ b/src/coordination/cells/internal/call_watch.cpp
@@ -12,6 +12,8 @@
     constexpr duration minAnswerTime = milliseconds(40); // twenty round trips
     constexpr duration reorderWindow = milliseconds(20); // upstreams that answer at different speeds reorder answers by less
 
+    constexpr duration maxLinkWait = milliseconds(600); // a call that waits longer does not wait for its link alone
+
     // As for retransmissions in TCP (RFC 6298).
     constexpr int meanShare = 8;
     constexpr int deviationShare = 4;
@@ -23,13 +25,14 @@
 {
     if (const auto pending = m_pending.find(sentAt); pending != m_pending.end())
         m_pending.erase(pending);
-    if (!isAnswered)
+    // An answer that comes after those to later calls says nothing of the link: its upstream was late.
+    if (!isAnswered || sentAt < m_newestAnswered)
         return;
     const duration took = now - sentAt;
     m_deviation += (std::chrono::abs(took - m_meanTime) - m_deviation) / deviationShare;
     m_lastTime = took;
     m_meanTime += (took - m_meanTime) / meanShare;
-    m_newestAnswered = std::max(m_newestAnswered, sentAt);
+    m_newestAnswered = sentAt;
     m_lastAnswerAt = now;
 }
 
@@ -48,7 +51,8 @@
 
 duration call_watch::expectedWait(time_point now) const
 {
-    const auto oldest = m_pending.upper_bound(m_newestAnswered);
+    const auto isWaiting = [this, now](time_point sentAt) { return !isUnanswered(now, sentAt, maxLinkWait); };
+    const auto oldest = std::find_if(m_pending.upper_bound(m_newestAnswered), m_pending.end(), isWaiting);
     const duration sinceSent = oldest == m_pending.end() ? duration::zero() : now - *oldest;
     // The queue that the last answered call met drains while nothing is added to it.
     return std::max(sinceSent, m_lastTime - (now - m_lastAnswerAt));
