--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -120,6 +120,48 @@
         raise ConnectionError("broken off") from error
 
 
+class Proxy:
+    """Passes TCP connections on. silence() makes the open ones silent for good, without a reset; new ones work."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target = listen, target
+        self.links = []  # [is silent, writers]
+
+    async def open(self):
+        self.server = await asyncio.start_server(self.serve, *self.listen)
+
+    def silence(self):
+        for link in self.links:
+            link["silent"] = True
+        return len(self.links)
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        link = {"silent": False}
+        self.links.append(link)
+        await asyncio.gather(self.pump(link, reader, far_writer), self.pump(link, far_reader, writer))
+        self.links.remove(link)
+
+    @staticmethod
+    async def pump(link, reader, writer):
+        try:
+            while True:
+                data = await reader.read(65536)
+                if link["silent"]:
+                    return  # both sockets stay open, and nothing passes any more
+                if not data:
+                    break
+                writer.write(data)
+                await writer.drain()
+        except OSError:
+            pass
+        writer.close()
+
+
 class Run:
     def __init__(self, task, run, begin, cpu):
         self.task, self.run, self.begin, self.cpu = task, run, begin, cpu
@@ -289,6 +331,7 @@
         self.name = "%s-%s-%d" % (role, zone, number)
         self.bootstrap = True
         self.process = None
+        self.mesh_port = None  # a port of its own when proxies stand between this machine and the others
 
     def settings(self):
         ports = self.bench.ports
@@ -296,7 +339,7 @@
         if self.role == "entry":
             fields = [("name", self.name), ("host", self.ip), ("zone", self.zone), ("processor_cores", 0.25), ("seeds", seeds),
                       ("callers", "%s:%d" % (self.ip, ports["frontend"])), ("readiness", "%s:%d" % (self.ip, ports["readiness"])),
-                      ("control_mesh_port", ports["mesh0"]), ("entry_mesh_port", ports["mesh1"]), ("max_lease_ms", HOLD_MAX_MS),
+                      ("control_mesh_port", ports["mesh0"]), ("entry_mesh_port", self.mesh_port or ports["mesh1"]), ("max_lease_ms", HOLD_MAX_MS),
                       ("report_interval_ms", 1500), ("task_stop_ms", STOP_TIMEOUT_MS), ("grace_s", 6.0), ("metrics_port", 0)]
         else:
             fields = [("name", self.name), ("host", self.ip), ("data_folder", os.path.join(self.bench.folder, self.name)), ("seeds", seeds),
@@ -350,7 +393,7 @@
         self.route_host, self.route_prefix = "nony24.example", "/lohu930/"
 
     def free_ports(self):
-        names = ["operators", "frontend", "readiness", "mesh0", "mesh1"]
+        names = ["operators", "frontend", "readiness", "mesh0", "mesh1", "mesh2"]
         hosts = [machine.ip for machine in self.entries + self.controls]
         for _ in range(50):
             with socket.socket() as probe:
@@ -368,6 +411,15 @@
                 continue
         raise CouldNotRun("no free ports")
 
+    async def put_proxies_around(self, machine):
+        """Call before open(). The machine listens on, and dials, a mesh port of its own; proxies pass it on to the common one."""
+        machine.mesh_port = self.ports["mesh2"]
+        proxies = [Proxy((machine.ip, self.ports["mesh1"]), (machine.ip, machine.mesh_port))]
+        proxies += [Proxy((other.ip, machine.mesh_port), (other.ip, self.ports["mesh1"])) for other in self.entries if other is not machine]
+        for proxy in proxies:
+            await proxy.open()
+        return proxies
+
     def control_order(self):
         start = len(self.starts) % len(self.controls)
         return self.controls[start:] + self.controls[:start]
@@ -508,11 +560,13 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run_case(folder, zones, runners, case, limit_s=110, net="127.77"):
+def run_case(folder, zones, runners, case, limit_s=110, net="127.77", prepare=None):
     """Runs the case, and exits with 1 if it returns that the rule was broken, 0 if it held, 2 if it couldn't run."""
     bench = None
 
     async def play():
+        if prepare:
+            await prepare(bench)
         await bench.open(runners)
         return await case(bench)
 
@@ -529,4 +583,5 @@
     finally:
         if bench:
             bench.close()
-    sys.exit(code)
+    sys.stdout.flush()
+    os._exit(code)  # connections that were left open or silent on purpose need no clean-up
