--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -439,7 +439,7 @@
         for machine in self.controls + self.entries:
             machine.start()
         for number, (zone, cpu) in enumerate(runners):
-            runner = Runner(self, "i-%08x" % (0x7f3a0000 + number), zone, "%s.%d.%d" % (self.net, self.zones.index(zone) + 1, 150 + number), cpu=cpu)
+            runner = Runner(self, "i-%08x" % (0x7f3a0000 + number), zone, "%s.%d.%d" % (self.net, self.zones.index(zone) + 1, 150 + number % 100), cpu=cpu)
             await runner.open()
             self.runners.append(runner)
         await self.configure(self.configuration(7))
