--- a/review/standin/harness.py
+++ b/review/standin/harness.py
@@ -564,6 +564,14 @@
     """Runs the case, and exits with 1 if it returns that the rule was broken, 0 if it held, 2 if it couldn't run."""
     bench = None
 
+    def on_signal(number, _):
+        if bench:
+            bench.close()
+        os._exit(2)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+
     async def play():
         if prepare:
             await prepare(bench)
