A host that stood still starts no job whose caller has given up

Cause: a request's time was counted from the moment at which it was read, and the end of its connection, which lay behind it, was read after the start orders had gone out. Zones know nothing of each other's submissions; only the pause before a caller sends a job again keeps two runs apart. The same held for orders of other hosts, and for a task that waits when a frozen owner reads an upstream's answer before its timers run.

Fix: stall_watch tells how long input that is read now may have waited; the time left of jobs from callers and from other hosts is shortened by it, and without any they are rejected as not run. No start after the caller's deadline. Why it works: the bound is an upper one, so a job that is admitted has a caller that still waits, unless its bytes waited in the network.

Cost: after a stall as long as the deadline, requests that came at its end are answered with 429 although their callers still wait.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -269,6 +269,7 @@
 {
     const cells::caller_id caller = ++m_impl->lastCaller;
     m_impl->completions.emplace(caller, impl::waiting_caller { std::move(done), steadyNow() });
+    m_impl->applyInputDelay(order);
     m_impl->jobRouter.submit(steadyNow(), std::move(order), caller);
     m_impl->performActions();
     return caller;
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -12,6 +12,7 @@
 #include "coordination/cells/upstream_directory.h"
 #include "coordination/cells/zone_cells.h"
 #include "transport/mesh.h"
+#include "transport/stall_watch.h"
 
 #include <map>
 #include <memory>
@@ -62,6 +63,7 @@
     std::set<std::string> entryPeers;
     std::set<std::string> controlPeers;
     std::set<std::string> silentHosts; // hosts whose loss was reported to the dispatchers
+    transport::stall_watch stalls { loop };
     cells::spill_targets spillTargets;
     cells::zone_cells zoneCells;
     cells::caller_id lastCaller = 0;
@@ -110,6 +112,8 @@
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
     void onConfiguration(const protocol::configuration_push& push, std::string_view sender);
     void onJobOrder(const protocol::job_order& order, std::string_view origin);
+    // Takes the time that input may have waited during a stall off the time that the job's caller still waits.
+    void applyInputDelay(protocol::job_order& order) const;
 
     void sendDirectoryRequest();
     void sendGossip(const std::vector<std::string>& hosts);
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -24,9 +24,11 @@
 
 void cell_host::impl::onDelivery(const transport::mesh_delivery& delivery)
 {
-    const auto decoded = protocol::decodeCellMessage(delivery.body);
+    auto decoded = protocol::decodeCellMessage(delivery.body);
     if (!decoded)
         return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(delivery.sender) }, { "reason", decoded.error().detail } });
+    if (auto* order = std::get_if<protocol::job_order>(&decoded.value()))
+        applyInputDelay(*order);
     const cell_message& message = decoded.value();
     const bool isFromControl = delivery.sender.starts_with(protocol::controlMeshPrefix);
     traffic.add(apps::traffic_direction::received, isFromControl ? apps::peer_role::control : apps::peer_role::entry, protocol::kindOf(message), delivery.body.size());
@@ -172,6 +174,15 @@
     answerOrigins({ { std::string(origin) }, protocol::makeOrderAnswer(order, protocol::job_outcome::not_owned, "this host does not own the cell") });
 }
 
+void cell_host::impl::applyInputDelay(protocol::job_order& order) const
+{
+    const auto delay = std::chrono::duration_cast<milliseconds>(stalls.maxInputDelay());
+    if (delay == milliseconds::zero())
+        return;
+    protocol::shortenTimeLeft(order, delay);
+    logEvent(log_level::info, "job_read_late", { { "subject", order.id }, { "may_have_waited_ms", std::to_string(delay.count()) }, { "time_left_ms", std::to_string(order.timeLeftMs) } });
+}
+
 void cell_host::impl::sendDirectoryRequest()
 {
     const cell_message request = protocol::directory_request { settings.host, incarnation, configuration.version, isLeaving, settings.zone };
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -134,13 +134,19 @@
     dispatchHeld(now);
 }
 
+// Input that was read late may call for starts before the next check of deadlines.
+bool cell_dispatcher::impl::mayStart(time_point now, const cell_job& job) const
+{
+    return now < job.deadline && (job.order.handOverCount == 0 || isTakeoverComplete(now, job.submittedAt));
+}
+
 // Load pattern: hundreds of waiting jobs, and a task that ends every millisecond. A heap orders only as many jobs as there is
 // free capacity for.
 void cell_dispatcher::impl::dispatchWaiting(time_point now)
 {
     std::vector<cell_job*> waiting;
     for (const auto& [id, job] : jobs) {
-        if (job->isAdmitted && job->waitingTasks() > 0 && (job->order.handOverCount == 0 || isTakeoverComplete(now, job->submittedAt)))
+        if (job->isAdmitted && job->waitingTasks() > 0 && mayStart(now, *job))
             waiting.push_back(job.get());
     }
     if (waiting.empty())
--- a/src/coordination/cells/internal/cell_crashes.cpp
+++ b/src/coordination/cells/internal/cell_crashes.cpp
@@ -98,7 +98,7 @@
     std::vector<cell_job*> withHeld;
     for (const auto& [id, job] : jobs) {
         const bool hasHeld = std::any_of(job->steps.begin(), job->steps.end(), [](const internal::cell_step& step) { return step.held > 0; });
-        if (hasHeld && (job->order.handOverCount == 0 || isTakeoverComplete(now, job->submittedAt)))
+        if (hasHeld && mayStart(now, *job))
             withHeld.push_back(job.get());
     }
     if (withHeld.empty())
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -98,6 +98,7 @@
     void requeueRun(const run_record& record);
     void finish(time_point now, cell_job& job, protocol::order_answer answer);
     void finishIfDone(time_point now, cell_job& job);
+    void endOverdue(time_point now, cell_job& job); // its caller has stopped waiting
     void checkJobs(time_point now);
     void checkJob(time_point now, cell_job& job, const internal::available_upstreams& available);
     cell_job* findJob(std::string_view id);
@@ -110,6 +111,7 @@
     void dispatchHeld(time_point now, cell_job& job, internal::available_upstreams& available);
     static bool canStartAny(const cell_job& job, const internal::available_upstreams& available);
     void start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_record& upstream);
+    bool mayStart(time_point now, const cell_job& job) const;
     bool canEverRun(const cell_job& job) const;
     bool fitsNow(const cell_job& job, const internal::available_upstreams& available) const;
     duration estimateWait(time_point now, const cell_job& job) const;
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -63,6 +63,8 @@
     claimRuns(now, job);
     if (job.isDone())
         return finishIfDone(now, job);
+    if (now >= job.deadline)
+        return endOverdue(now, job);
     for (const protocol::task_failures& known : order.failures)
         failures.addCrashes(now, known.task, known.crashes);
     if (!applyFailureHistory(now, job))
@@ -201,6 +203,11 @@
     jobs.erase(jobs.find(job.order.id));
 }
 
+void cell_dispatcher::impl::endOverdue(time_point now, cell_job& job)
+{
+    finish(now, job, protocol::makeOrderAnswer(job.order, job.hasBegun ? job_outcome::unfinished : job_outcome::rejected, "the caller's deadline passed", retryWithoutUpstreamsMs));
+}
+
 void cell_dispatcher::impl::checkJobs(time_point now)
 {
     const internal::available_upstreams available(upstreams, serviceRatios, now);
@@ -216,7 +223,7 @@
 void cell_dispatcher::impl::checkJob(time_point now, cell_job& job, const internal::available_upstreams& available)
 {
     if (now >= job.deadline)
-        return finish(now, job, protocol::makeOrderAnswer(job.order, job.hasBegun ? job_outcome::unfinished : job_outcome::rejected, "the caller's deadline passed", retryWithoutUpstreamsMs));
+        return endOverdue(now, job);
     const bool cannotMeetObjective = !job.hasBegun && now + fastestRun(job, available) > job.objectiveEnd;
     if (!cannotMeetObjective)
         return;
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -15,6 +15,7 @@
     constexpr duration answerGracePeriod = milliseconds(200); // for the owner's answer at the deadline to arrive
     constexpr duration resendInterval = milliseconds(500); // the order or its answer may have been lost with a connection
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a failed owner is replaced within this time
+    constexpr std::uint32_t retryAfterDelayMs = 1000; // the smallest Retry-After, 1 s; the host reads requests at once again
 
 } // namespace
 
@@ -32,6 +33,11 @@
         known->second.callers.push_back(caller);
         return;
     }
+    if (order.timeLeftMs == 0) {
+        m_jobOfCaller.erase(caller);
+        m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "the caller's deadline has passed", retryAfterDelayMs) });
+        return;
+    }
     pending_job job;
     job.deadline = now + milliseconds(order.timeLeftMs);
     job.arrivedAt = now;
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -50,7 +50,8 @@
     // homeCellOf: returns the cell of this zone that a new job is forwarded to first.
     job_router(cell_lookup homeCellOf, owner_lookup ownerOf);
 
-    // A resubmission of a job in progress adds the caller to that job.
+    // A resubmission of a job in progress adds the caller to that job. A job without time left is rejected: its caller may have
+    // given up and sent it again elsewhere.
     void submit(time_point now, protocol::job_order order, caller_id caller);
 
     // The caller's connection is lost or the caller has stopped waiting. Cancels the job if no other caller waits for it.
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <initializer_list>
+#include <optional>
 
 using namespace jackdaw::cells;
 using namespace jackdaw::cells::tests;
@@ -369,6 +370,39 @@
     checkSafe(sim);
 }
 
+// An owner that stood still reads answers of upstreams, or the order itself, before its timers run.
+TEST_CASE("a job that waits is started after its caller's deadline")
+{
+    const jackdaw::protocol::upstream_report report { "u1", 1000, 1, "planning", "10.0.0.1:80", "a", { 16000, 65536, 0 }, {}, false };
+    const jackdaw::cells::time_point start { seconds(100) };
+    const cell_simulation sim(1);
+    for (const bool isReadLate : { false, true }) {
+        CAPTURE(isReadLate);
+        cell_dispatcher dispatcher({}, {}, start);
+        dispatcher.onUpstreamReport(start, report);
+        std::optional<poll_request> poll;
+        for (const cell_action& action : dispatcher.takeActions()) {
+            if (const auto* order = std::get_if<poll_request>(&action))
+                poll = *order;
+        }
+        REQUIRE(poll);
+        job_order job = sim.makeJob("1", 1, 14000, 900);
+        job.handOverCount = 1; // it waits until the upstream is adopted
+        if (isReadLate)
+            jackdaw::protocol::shortenTimeLeft(job, milliseconds(1500));
+        dispatcher.submit(start, job, "host");
+        const auto woken = start + (isReadLate ? milliseconds(10) : milliseconds(3500));
+        poll_answer answer;
+        answer.bornUnixMs = 1000;
+        answer.call = { call_outcome::done, 5000 };
+        dispatcher.onPoll(woken, *poll, answer);
+        for (const cell_action& action : dispatcher.takeActions())
+            CHECK_FALSE(std::holds_alternative<start_request>(action));
+        dispatcher.advance(woken);
+        CHECK(dispatcher.counts().jobs == 0);
+    }
+}
+
 TEST_CASE("a resubmitted job does not start a task whose earlier run has not ended")
 {
     for (std::uint64_t seed = 1; seed <= 5; ++seed) {
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -131,6 +131,27 @@
     CHECK(f.answers.at(0).answer.retryAfterMs > 0);
 }
 
+TEST_CASE("a job that was read after its caller's deadline is sent to an owner")
+{
+    router_fixture f;
+    job_order late = f.makeOrder("1");
+    jackdaw::protocol::shortenTimeLeft(late, milliseconds(1500));
+    CHECK(late.timeLeftMs == 0);
+    f.router.submit(f.now, late, 1);
+    CHECK(f.sent().empty());
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0].callers == std::vector<caller_id> { 1 });
+    CHECK(f.answers[0].answer.outcome == job_outcome::rejected);
+    CHECK(f.answers[0].answer.retryAfterMs > 0);
+    CHECK(f.router.size() == 0);
+    job_order inTime = f.makeOrder("2");
+    jackdaw::protocol::shortenTimeLeft(inTime, milliseconds(600));
+    f.router.submit(f.now, inTime, 2);
+    const auto sent = f.sent();
+    REQUIRE(sent.size() == 1);
+    CHECK(sent[0].order.timeLeftMs == 900);
+}
+
 TEST_CASE("an unanswered order is resent, and its caller is answered after the deadline")
 {
     router_fixture f;
--- a/src/protocol/cell_messages.cpp
+++ b/src/protocol/cell_messages.cpp
@@ -1,6 +1,7 @@
 // Encodes and decodes cell messages: an array of the kind and the packed fields.
 #include "protocol/cell_messages.h"
 
+#include <algorithm>
 #include <array>
 #include <optional>
 #include <tuple>
@@ -27,6 +28,11 @@
     return { order.id, order.submissionNumber, order.handOverCount, outcome, std::string(reason), retryAfterMs, {}, {} };
 }
 
+void shortenTimeLeft(job_order& order, std::chrono::milliseconds delay)
+{
+    order.timeLeftMs -= static_cast<std::uint32_t>(std::clamp<std::int64_t>(delay.count(), 0, order.timeLeftMs));
+}
+
 bool isNewer(const upstream_report& report, const upstream_report& other)
 {
     return std::tie(report.startedUnixMs, report.sequence) > std::tie(other.startedUnixMs, other.sequence);
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -92,6 +92,10 @@
     MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks, failures)
 };
 
+// The order may have waited unread for up to this long: its caller may stop waiting earlier by as much. Its age stays as it is, since
+// it may also have waited less.
+void shortenTimeLeft(job_order& order, std::chrono::milliseconds delay);
+
 enum class job_outcome : std::uint8_t {
     completed, // all tasks are done
     failed, // a task failed maxAttempts times
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -12,6 +12,7 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <cerrno>
 #include <map>
 #include <memory>
 
@@ -119,6 +120,16 @@
 
         void onCallerGone(std::function<void()> hook) override { m_goneHook = std::move(hook); }
 
+        // Looks past the bytes that libevent has read: the end of the stream may wait behind them.
+        bool isCallerGone() const override
+        {
+            if (!m_request)
+                return true;
+            char next = 0;
+            const ssize_t length = recv(bufferevent_getfd(evhtp_request_get_bev(m_request)), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+            return length == 0 || (length < 0 && (errno == ECONNRESET || errno == EPIPE || errno == ETIMEDOUT));
+        }
+
         event_loop& loop() { return m_loop; }
 
         bool hasReplied() const { return m_hasReplied; }
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -23,6 +23,9 @@
 
     // The hook runs when the caller closes the connection before the reply.
     virtual void onCallerGone(std::function<void()> hook) = 0;
+
+    // Whether the caller has closed the connection, also if that has not been read yet.
+    virtual bool isCallerGone() const = 0;
 };
 
 struct http_server_limits {
--- /dev/null
+++ b/src/transport/stall_watch.h
@@ -0,0 +1,28 @@
+// Notices when an event loop has stood still: the process was stopped, its machine was suspended, or a task ran for long. Requests
+// and messages that are read after a stall may have waited in the kernel since it began, and their senders may have given up.
+#pragma once
+
+#include "protocol/time.h"
+#include "transport/event_loop.h"
+
+#include <memory>
+
+namespace jackdaw::transport {
+
+class stall_watch {
+public:
+    // Starts with the loop's first pass. Belongs to the loop's thread, as all functions do.
+    explicit stall_watch(event_loop& loop);
+    ~stall_watch();
+    stall_watch(const stall_watch&) = delete;
+    stall_watch& operator=(const stall_watch&) = delete;
+
+    // The longest time that input which is read now may have waited. Zero unless the loop has just stalled.
+    protocol::duration maxInputDelay() const;
+
+private:
+    class impl;
+    std::unique_ptr<impl> m_impl;
+};
+
+} // namespace jackdaw::transport
--- a/src/transport/tests/http_tests.cpp
+++ b/src/transport/tests/http_tests.cpp
@@ -217,6 +217,30 @@
     CHECK(fixture.server->openRequests() == 0);
 }
 
+// A host that stood still reads a request together with the end of its connection.
+TEST_CASE("a request that is read after its caller has left passes for one whose caller waits")
+{
+    for (const bool isClosed : { false, true }) {
+        CAPTURE(isClosed);
+        http_fixture fixture;
+        std::vector<bool> seen;
+        fixture.serve([&](const http_request&, const std::shared_ptr<http_responder>& responder) {
+            seen.push_back(responder->isCallerGone());
+            responder->reply({});
+            fixture.finish();
+        });
+        const int descriptor = fixture.connectRaw();
+        const std::string text = "POST /v1/jobs/x HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n{}";
+        REQUIRE(write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+        if (isClosed)
+            close(descriptor);
+        fixture.run();
+        CHECK(seen == std::vector<bool> { isClosed });
+        if (!isClosed)
+            close(descriptor);
+    }
+}
+
 TEST_CASE("a request whose caller left is freed though nobody answers it")
 {
     http_fixture fixture;
