A host that leaves cancels the jobs that it can't finish

Cause: the process ended without telling the owners of its open jobs. They went on until they took it for silent, 3 s later.

Callers get an answer instead of a broken connection.

Ruled out: that a longer stay of the process would do, since the platform kills it after the grace period.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -303,6 +303,12 @@
     m_impl->performActions();
 }
 
+void cell_host::abandonJobs()
+{
+    m_impl->jobRouter.abandonJobs();
+    m_impl->performActions();
+}
+
 bool cell_host::isLeaving() const
 {
     return m_impl->isLeaving;
--- a/src/apps/cell_host/cell_host.h
+++ b/src/apps/cell_host/cell_host.h
@@ -47,6 +47,11 @@
     // Releases the host's cells to other hosts before a planned stop. New jobs are still accepted.
     void leave();
     bool isLeaving() const;
+
+    // Ends the jobs of this host's callers and stops their tasks. To be called before the process ends, with time left for the
+    // messages to go out.
+    void abandonJobs();
+
     std::size_t openJobs() const; // jobs of this host's callers that are not answered yet
 
     // Current metrics in the Prometheus text format.
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -105,6 +105,16 @@
     return true;
 }
 
+void job_router::abandonJobs()
+{
+    while (!m_jobs.empty()) {
+        const auto& [id, job] = *m_jobs.begin();
+        if (!job.host.empty())
+            m_actions.emplace_back(forward_cancel { job.host, id });
+        finish(std::string(id), protocol::makeOrderAnswer(job.order, job_outcome::unfinished, "this host is stopping"));
+    }
+}
+
 void job_router::finish(const std::string& id, order_answer answer)
 {
     const auto known = m_jobs.find(id);
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -60,6 +60,9 @@
     // Returns false if the job is not in progress on this host.
     bool cancel(std::string_view job);
 
+    // Ends all jobs as unfinished and cancels them at their owners: the process is about to end, and its callers' connections with it.
+    void abandonJobs();
+
     void onAnswer(time_point now, std::string_view host, const protocol::order_answer& answer);
 
     // Forwards jobs whose owner has changed, resends unanswered orders, and ends jobs past their deadline.
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -180,6 +180,30 @@
     CHECK(f.router.size() == 0);
 }
 
+// The callers' connections end with the process, and callers send their jobs again.
+TEST_CASE("a host that leaves ends without cancelling its open jobs, and their tasks run on")
+{
+    router_fixture f;
+    f.router.submit(f.now, f.makeOrder("1"), 1);
+    f.router.submit(f.now, f.makeOrder("2"), 2);
+    f.sent();
+    f.router.abandonJobs();
+    std::vector<std::string> cancelled;
+    std::vector<caller_id> answered;
+    for (const router_action& action : f.router.takeActions()) {
+        if (const auto* cancel = std::get_if<forward_cancel>(&action)) {
+            CHECK(cancel->host == "h1");
+            cancelled.push_back(cancel->job);
+        } else if (const auto* answer = std::get_if<answer_callers>(&action)) {
+            CHECK(answer->answer.outcome == job_outcome::unfinished);
+            answered.insert(answered.end(), answer->callers.begin(), answer->callers.end());
+        }
+    }
+    CHECK(cancelled == std::vector<std::string> { "1", "2" });
+    CHECK(answered == std::vector<caller_id> { 1, 2 });
+    CHECK(f.router.size() == 0);
+}
+
 TEST_CASE("a resent order that is answered as not owned may have run the first time")
 {
     router_fixture f;
