An owner ends the jobs of a silent origin host before its callers are back

The callers' connections break, and they send their jobs again 1.3 s later; the first runs go on until the owner takes the host for silent.

Cause: hosts of different zones, of which one owns no cell, hear each other every 900 ms and count as silent after 3 s. That fits gossip, not jobs.

Fix: a host that has jobs in a cell gossips to its owner every 150 ms, and the owner ends the jobs of an origin from which nothing has arrived for 1 s. Any message counts, orders that are sent again too, so hosts of an earlier release are heard every 500 ms. While messages may be unread after a stall nothing is ended. Why it works: 1 s, a check every 50 ms and the time of a stop are less than 1.3 s.

Evidence: with the limit at 3 s as before, the new test fails (the runs go on 1.25 s after the last sign); with 1 s it passes. Which hosts are live for ownership is decided as before. Cost: one small message every 150 ms for each pair of hosts with jobs between them.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -164,6 +164,16 @@
     silentHosts = std::move(silent);
 }
 
+void cell_host::impl::endSilentOrigins()
+{
+    if (stalls.maxInputDelay() > duration::zero())
+        return; // what they have sent may be unread
+    for (const auto& [cell, dispatcher] : dispatchers) {
+        dispatcher->onOriginHeard(steadyNow(), settings.host);
+        dispatcher->endSilentOrigins(steadyNow());
+    }
+}
+
 void cell_host::impl::advance()
 {
     const time_point now = steadyNow();
@@ -178,6 +188,7 @@
         ownershipCheckedAt = now;
         applyOwnership();
         handleSilentHosts();
+        endSilentOrigins();
     }
     for (const auto& [cell, dispatcher] : dispatchers)
         dispatcher->advance(now);
@@ -194,7 +205,8 @@
 {
     const bool isFullRound = ++gossipRounds % roundsPerFullGossip == 0;
     std::vector<std::string> hosts;
-    std::copy_if(entryPeers.begin(), entryPeers.end(), std::back_inserter(hosts), [&](const std::string& host) { return ownership.isGossipDue(steadyNow(), host, isFullRound); });
+    const std::set<std::string> owners = jobRouter.owners();
+    std::copy_if(entryPeers.begin(), entryPeers.end(), std::back_inserter(hosts), [&](const std::string& host) { return owners.contains(host) || ownership.isGossipDue(steadyNow(), host, isFullRound); });
     sendGossip(hosts);
     if (gossipRounds % roundsPerUpstreamList == 0)
         shareOwnedUpstreams();
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -124,6 +124,7 @@
     void takeCell(const std::string& cell, std::uint64_t token);
     void dropCell(const std::string& cell);
     void handleSilentHosts();
+    void endSilentOrigins();
     std::string findOtherCell(const protocol::job_order& order);
     std::string homeCellOf(std::string_view job) const;
     bool hasOwnerInZone() const;
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -30,6 +30,9 @@
     duration maxLease = std::chrono::milliseconds(1000); // longest lease that the platform allows
     duration reportInterval = std::chrono::milliseconds(1500); // between two reports of the same upstream
     duration stopTime = std::chrono::milliseconds(50); // an upstream ends a stopped task within this time
+    // Origins with jobs here send something every 150 ms. With the time to stop the tasks, it ends before callers whose host was
+    // lost send their jobs again, 1.3 s later.
+    duration originSilenceLimit = std::chrono::milliseconds(1000);
 };
 
 // An answer to send to each entry host in origins.
@@ -84,6 +87,12 @@
     // except for jobs that another origin waits for.
     void onOriginLost(time_point now, std::string_view origin);
 
+    // Anything has arrived from the origin.
+    void onOriginHeard(time_point now, std::string_view origin);
+    // Drops origins that nothing was heard from for longer than a live one is silent while it has jobs here. Not to be called while
+    // messages that have arrived may be unread.
+    void endSilentOrigins(time_point now);
+
     void onStart(time_point now, const start_request& order, const call_answer& answer);
     void onStop(time_point now, const stop_request& order, const call_answer& answer);
     void onPoll(time_point now, const poll_request& order, const poll_answer& answer);
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -33,6 +33,7 @@
     time_point firstAdoptedAt = time_point::max(); // until then nothing has fenced earlier owners
     internal::upstream_map upstreams;
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
+    std::map<std::string, time_point, std::less<>> originsHeardAt; // of origins with open jobs
     internal::service_ratios serviceRatios;
     internal::failure_history failures;
     internal::call_watch calls; // starts and stops, which are answered at once
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -4,6 +4,7 @@
 #include "coordination/cells/internal/cell_admission.h"
 
 #include <algorithm>
+#include <set>
 
 namespace jackdaw::cells {
 
@@ -41,6 +42,7 @@
         actions.emplace_back(owner_answer { { std::string(origin) }, protocol::makeOrderAnswer(order, job_outcome::not_owned, "the cell is owned under another token") });
         return;
     }
+    originsHeardAt[std::string(origin)] = now;
     if (cell_job* known = findJob(order.id)) {
         known->origins.emplace(origin);
         return;
@@ -261,6 +263,27 @@
         cancel(now, id, origin);
 }
 
+void cell_dispatcher::onOriginHeard(time_point now, std::string_view origin)
+{
+    if (const auto known = m_impl->originsHeardAt.find(origin); known != m_impl->originsHeardAt.end())
+        known->second = now;
+}
+
+void cell_dispatcher::endSilentOrigins(time_point now)
+{
+    std::set<std::string, std::less<>> open;
+    for (const auto& [id, job] : m_impl->jobs)
+        open.insert(job->origins.begin(), job->origins.end());
+    std::erase_if(m_impl->originsHeardAt, [&open](const auto& item) { return !open.contains(item.first); });
+    const auto origins = m_impl->originsHeardAt; // onOriginLost() may change it
+    for (const auto& [origin, heardAt] : origins) {
+        if (now - heardAt < m_impl->settings.originSilenceLimit)
+            continue;
+        m_impl->note("origin_silent", origin, "heard_ms_ago=" + toMs(now - heardAt));
+        onOriginLost(now, origin);
+    }
+}
+
 void cell_dispatcher::release()
 {
     for (auto& [id, job] : m_impl->jobs) {
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -193,6 +193,16 @@
     }
 }
 
+std::set<std::string> job_router::owners() const
+{
+    std::set<std::string> hosts;
+    for (const auto& [id, job] : m_jobs) {
+        if (!job.host.empty())
+            hosts.insert(job.host);
+    }
+    return hosts;
+}
+
 std::vector<router_action> job_router::takeActions()
 {
     return std::exchange(m_actions, {});
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -68,6 +69,9 @@
     // Forwards jobs whose owner has changed, resends unanswered orders, and ends jobs past their deadline.
     void advance(time_point now);
 
+    // Hosts that own the cells of jobs in progress. They have to hear from this host, or they end its jobs.
+    std::set<std::string> owners() const;
+
     std::vector<router_action> takeActions();
     std::size_t size() const { return m_jobs.size(); }
 
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -370,6 +370,52 @@
     checkSafe(sim);
 }
 
+// The callers of a host that is lost send their jobs again 1.3 s later, perhaps to another zone, which does not know of these runs.
+TEST_CASE("the runs of an origin that falls silent go on until its callers are back")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1", "u2" });
+    job_order job = sim.makeJob("1", 2, 14000, 9000);
+    job.timeLeftMs = 14000;
+    sim.submit(0, job);
+    const auto run = [&](milliseconds length, bool isOriginAlive) {
+        for (milliseconds passed { 0 }; passed < length; passed += milliseconds(50)) {
+            sim.runFor(milliseconds(50));
+            if (isOriginAlive)
+                sim.owner(0).onOriginHeard(sim.now(), "host");
+            sim.owner(0).endSilentOrigins(sim.now());
+        }
+    };
+    run(seconds(3), true);
+    CHECK(sim.upstream("u1").running.size() + sim.upstream("u2").running.size() == 2);
+    run(milliseconds(1250), false);
+    CHECK(sim.upstream("u1").running.empty());
+    CHECK(sim.upstream("u2").running.empty());
+    CHECK(sim.owner(0).counts().jobs == 0);
+}
+
+TEST_CASE("a second origin that waits for a job, or a job of the same origin that came later, is ended with a silent one")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1", "u2" });
+    job_order job = sim.makeJob("1", 2, 14000, 3000);
+    job.timeLeftMs = 5000;
+    job.fencingToken = 1;
+    sim.submit(0, job);
+    sim.runFor(milliseconds(900));
+    sim.owner(0).submit(sim.now(), job, "other");
+    sim.runFor(milliseconds(200));
+    sim.owner(0).endSilentOrigins(sim.now());
+    CHECK(sim.owner(0).counts().jobs == 1);
+    sim.runFor(milliseconds(600));
+    sim.owner(0).onOriginHeard(sim.now(), "other");
+    job_order later = sim.makeJob("2", 1, 14000, 60);
+    sim.submit(0, later);
+    sim.owner(0).endSilentOrigins(sim.now());
+    CHECK(sim.owner(0).counts().jobs == 2);
+    checkSafe(sim);
+}
+
 // An owner that stood still reads answers of upstreams, or the order itself, before its timers run.
 TEST_CASE("a job that waits is started after its caller's deadline")
 {
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -152,6 +152,16 @@
     CHECK(sent[0].order.timeLeftMs == 900);
 }
 
+TEST_CASE("the owner of a job in progress is not told that the job's host is alive")
+{
+    router_fixture f;
+    CHECK(f.router.owners().empty());
+    f.router.submit(f.now, f.makeOrder("1"), 1);
+    CHECK(f.router.owners() == std::set<std::string> { "h1" });
+    f.router.cancel("1");
+    CHECK(f.router.owners().empty());
+}
+
 TEST_CASE("an unanswered order is resent, and its caller is answered after the deadline")
 {
     router_fixture f;
