Cancellations are sent until the owner has answered

The origin host cancels the job of the caller that is gone by one message, which is lost; the tasks run on to the job's deadline, beside the resubmission 1.3 s later.

Cause: a cancellation was one message without an answer.

Fix: the origin host keeps it and sends it every 200 ms until the owner answers the submission, at most until the job's deadline. It carries the number of the submission, so that one that arrives late does not end a later submission of the same host.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -290,13 +290,13 @@
 void cell_host::removeCaller(cells::caller_id caller)
 {
     m_impl->completions.erase(caller);
-    m_impl->jobRouter.onCallerGone(caller);
+    m_impl->jobRouter.onCallerGone(steadyNow(), caller);
     m_impl->performActions();
 }
 
 bool cell_host::cancel(std::string_view job)
 {
-    const bool isKnown = m_impl->jobRouter.cancel(job);
+    const bool isKnown = m_impl->jobRouter.cancel(steadyNow(), job);
     m_impl->performActions();
     return isKnown;
 }
@@ -317,7 +317,7 @@
 
 void cell_host::abandonJobs()
 {
-    m_impl->jobRouter.abandonJobs();
+    m_impl->jobRouter.abandonJobs(steadyNow());
     m_impl->performActions();
 }
 
--- a/src/apps/cell_host/internal/cell_host_actions.cpp
+++ b/src/apps/cell_host/internal/cell_host_actions.cpp
@@ -87,10 +87,8 @@
     }
     if (const auto* cancel = std::get_if<cells::forward_cancel>(&action)) {
         if (cancel->host != settings.host)
-            return sendTo(cancel->host, protocol::job_cancel { cancel->job });
-        for (const auto& [cell, dispatcher] : dispatchers)
-            dispatcher->cancel(steadyNow(), cancel->job, settings.host);
-        return;
+            return sendTo(cancel->host, protocol::job_cancel { cancel->job, cancel->submissionNumber });
+        return onJobCancel({ cancel->job, cancel->submissionNumber }, settings.host);
     }
     const auto& answer = std::get<cells::answer_callers>(action);
     for (const cells::caller_id caller : answer.callers) {
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -50,8 +50,7 @@
         if (pull->version < configuration.version)
             sendTo(std::string(delivery.sender), configuration);
     } else if (const auto* cancel = std::get_if<protocol::job_cancel>(&message)) {
-        for (const auto& [cell, dispatcher] : dispatchers)
-            dispatcher->cancel(steadyNow(), cancel->id, delivery.sender);
+        onJobCancel(*cancel, delivery.sender);
     }
     performActions();
 }
@@ -176,6 +175,18 @@
     answerOrigins({ { std::string(origin) }, protocol::makeOrderAnswer(order, protocol::job_outcome::not_owned, "this host does not own the cell") });
 }
 
+void cell_host::impl::onJobCancel(const protocol::job_cancel& cancel, std::string_view origin)
+{
+    for (const auto& [cell, dispatcher] : dispatchers)
+        dispatcher->cancel(steadyNow(), cancel.id, origin, cancel.submissionNumber);
+    if (!dispatchers.empty() || cancel.submissionNumber == 0)
+        return;
+    protocol::job_order order;
+    order.id = cancel.id;
+    order.submissionNumber = cancel.submissionNumber;
+    answerOrigins({ { std::string(origin) }, protocol::makeOrderAnswer(order, protocol::job_outcome::not_owned, "this host owns no cell") });
+}
+
 void cell_host::impl::applyInputDelay(protocol::job_order& order) const
 {
     const auto delay = std::chrono::duration_cast<milliseconds>(stalls.maxInputDelay());
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -80,8 +80,9 @@
 
     // origin: the entry host that sent the job and gets the answer.
     void submit(time_point now, const protocol::job_order& job, std::string_view origin);
-    // The job is cancelled once every origin that waits for it has cancelled.
-    void cancel(time_point now, std::string_view job, std::string_view origin);
+    // The job is cancelled once every origin that waits for it has cancelled. submissionNumber: the origin's number of the order;
+    // a later order of the origin stays. 0: the latest, without an answer to the origin.
+    void cancel(time_point now, std::string_view job, std::string_view origin, std::uint64_t submissionNumber = 0);
 
     // The origin's process has ended, or nothing was heard from it for too long. Its jobs are cancelled and their tasks stopped,
     // except for jobs that another origin waits for.
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -99,6 +99,7 @@
     void requeueRun(const run_record& record);
     void finish(time_point now, cell_job& job, protocol::order_answer answer);
     void finishIfDone(time_point now, cell_job& job);
+    void answerCancel(std::string_view job, std::string_view origin, std::uint64_t submissionNumber);
     void endOverdue(time_point now, cell_job& job); // its caller has stopped waiting
     void checkJobs(time_point now);
     void checkJob(time_point now, cell_job& job, const internal::available_upstreams& available);
--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -31,6 +31,20 @@
     }
 }
 
+void cell_job::addOrigin(std::string_view origin, std::uint64_t submissionNumber)
+{
+    std::uint64_t& latest = origins[std::string(origin)];
+    latest = std::max(latest, submissionNumber);
+}
+
+std::vector<std::string> cell_job::originNames() const
+{
+    std::vector<std::string> names;
+    for (const auto& [origin, submission] : origins)
+        names.push_back(origin);
+    return names;
+}
+
 bool cell_job::isReady(std::size_t step) const
 {
     const auto& after = order.steps[step].dependsOn;
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -9,7 +9,7 @@
 #include "protocol/time.h"
 
 #include <cstdint>
-#include <set>
+#include <map>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -47,7 +47,7 @@
     cell_job(const job_order& wanted, time_point now);
 
     job_order order;
-    std::set<std::string, std::less<>> origins;
+    std::map<std::string, std::uint64_t, std::less<>> origins; // with the number of each one's latest order
     std::vector<cell_step> steps;
     time_point submittedAt;
     time_point objectiveEnd;
@@ -63,6 +63,8 @@
     // Declared run time of the longest chain of dependent steps.
     duration declaredCriticalPath() const;
 
+    void addOrigin(std::string_view origin, std::uint64_t submissionNumber);
+    std::vector<std::string> originNames() const;
     std::string taskName(std::size_t step, std::size_t index) const;
 
     void markDone(std::string_view task);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -44,7 +44,7 @@
     }
     originsHeardAt[std::string(origin)] = now;
     if (cell_job* known = findJob(order.id)) {
-        known->origins.emplace(origin);
+        known->addOrigin(origin, order.submissionNumber);
         return;
     }
     if (const order_answer* answer = findCachedAnswer(order)) {
@@ -56,7 +56,7 @@
     }
     auto owned = std::make_unique<cell_job>(order, now);
     cell_job& job = *owned;
-    job.origins.emplace(origin);
+    job.addOrigin(origin, order.submissionNumber);
     for (internal::cell_step& step : job.steps) {
         for (internal::cell_task& task : step.tasks)
             task.lastRun = order.handOverCount * runsPerHandOver;
@@ -201,7 +201,7 @@
         failures.forget(job.order.id + '.');
     answeredJobs[job.order.id] = { answer, now + answerRetention };
     note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " runs_left=" + std::to_string(left));
-    actions.emplace_back(owner_answer { { job.origins.begin(), job.origins.end() }, std::move(answer) });
+    actions.emplace_back(owner_answer { job.originNames(), std::move(answer) });
     jobs.erase(jobs.find(job.order.id));
 }
 
@@ -234,18 +234,33 @@
     finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::rejected, "other work went first", internal::retryAfterMs(wait, job.order.id)));
 }
 
+void cell_dispatcher::impl::answerCancel(std::string_view job, std::string_view origin, std::uint64_t submissionNumber)
+{
+    order_answer answer;
+    answer.id = job;
+    answer.submissionNumber = submissionNumber;
+    answer.outcome = job_outcome::unfinished;
+    answer.reason = "cancelled";
+    actions.emplace_back(owner_answer { { std::string(origin) }, std::move(answer) });
+}
+
 void cell_dispatcher::submit(time_point now, const protocol::job_order& job, std::string_view origin)
 {
     m_impl->submit(now, job, origin);
 }
 
-void cell_dispatcher::cancel(time_point now, std::string_view job, std::string_view origin)
+void cell_dispatcher::cancel(time_point now, std::string_view job, std::string_view origin, std::uint64_t submissionNumber)
 {
+    if (submissionNumber > 0)
+        m_impl->answerCancel(job, origin, submissionNumber);
     internal::cell_job* known = m_impl->findJob(job);
     if (!known)
         return;
-    if (const auto waiting = known->origins.find(origin); waiting != known->origins.end())
+    if (const auto waiting = known->origins.find(origin); waiting != known->origins.end()) {
+        if (submissionNumber > 0 && waiting->second > submissionNumber)
+            return; // the caller of the later order still waits
         known->origins.erase(waiting);
+    }
     if (!known->origins.empty())
         return;
     m_impl->finish(now, *known, protocol::makeOrderAnswer(known->order, job_outcome::unfinished, "cancelled"));
@@ -272,8 +287,10 @@
 void cell_dispatcher::endSilentOrigins(time_point now)
 {
     std::set<std::string, std::less<>> open;
-    for (const auto& [id, job] : m_impl->jobs)
-        open.insert(job->origins.begin(), job->origins.end());
+    for (const auto& [id, job] : m_impl->jobs) {
+        for (const auto& [origin, submission] : job->origins)
+            open.insert(origin);
+    }
     std::erase_if(m_impl->originsHeardAt, [&open](const auto& item) { return !open.contains(item.first); });
     const auto origins = m_impl->originsHeardAt; // onOriginLost() may change it
     for (const auto& [origin, heardAt] : origins) {
@@ -299,7 +316,7 @@
                     answer.failures.push_back({ name, task.failedRuns, crashes });
             }
         }
-        m_impl->actions.emplace_back(owner_answer { { job->origins.begin(), job->origins.end() }, std::move(answer) });
+        m_impl->actions.emplace_back(owner_answer { job->originNames(), std::move(answer) });
     }
     m_impl->note("cell_released", m_impl->settings.cell, "jobs=" + std::to_string(m_impl->jobs.size()));
     m_impl->jobs.clear();
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -14,6 +14,7 @@
 
     constexpr duration answerGracePeriod = milliseconds(200); // for the owner's answer at the deadline to arrive
     constexpr duration resendInterval = milliseconds(500); // the order or its answer may have been lost with a connection
+    constexpr duration cancelResendInterval = milliseconds(200); // several before callers send the job again, 1.3 s later
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a failed owner is replaced within this time
     constexpr std::uint32_t retryAfterDelayMs = 1000; // the smallest Retry-After, 1 s; the host reads requests at once again
 
@@ -79,7 +80,7 @@
     m_actions.emplace_back(forward_job { job.host, std::move(order) });
 }
 
-void job_router::onCallerGone(caller_id caller)
+void job_router::onCallerGone(time_point now, caller_id caller)
 {
     const auto found = m_jobOfCaller.find(caller);
     if (found == m_jobOfCaller.end())
@@ -91,26 +92,33 @@
         return;
     std::erase(known->second.callers, caller);
     if (known->second.callers.empty())
-        cancel(id);
+        cancel(now, id);
 }
 
-bool job_router::cancel(std::string_view job)
+void job_router::sendCancel(time_point now, const pending_job& job)
+{
+    if (job.host.empty())
+        return;
+    const forward_cancel message { job.host, job.order.id, job.order.submissionNumber };
+    m_cancels[{ message.job, message.submissionNumber }] = { message, now, job.deadline + answerGracePeriod };
+    m_actions.emplace_back(message);
+}
+
+bool job_router::cancel(time_point now, std::string_view job)
 {
     const auto known = m_jobs.find(job);
     if (known == m_jobs.end())
         return false;
-    if (!known->second.host.empty())
-        m_actions.emplace_back(forward_cancel { known->second.host, known->first });
+    sendCancel(now, known->second);
     finish(std::string(known->first), protocol::makeOrderAnswer(known->second.order, job_outcome::unfinished, "cancelled"));
     return true;
 }
 
-void job_router::abandonJobs()
+void job_router::abandonJobs(time_point now)
 {
     while (!m_jobs.empty()) {
         const auto& [id, job] = *m_jobs.begin();
-        if (!job.host.empty())
-            m_actions.emplace_back(forward_cancel { job.host, id });
+        sendCancel(now, job);
         finish(std::string(id), protocol::makeOrderAnswer(job.order, job_outcome::unfinished, "this host is stopping"));
     }
 }
@@ -126,6 +134,9 @@
 
 void job_router::onAnswer(time_point now, std::string_view host, const order_answer& answer)
 {
+    // Whatever the owner answers to the submission, it no longer runs it.
+    if (const auto cancelled = m_cancels.find({ answer.id, answer.submissionNumber }); cancelled != m_cancels.end() && cancelled->second.message.host == host)
+        m_cancels.erase(cancelled);
     const auto known = m_jobs.find(answer.id);
     if (known == m_jobs.end())
         return;
@@ -167,6 +178,13 @@
 
 void job_router::advance(time_point now)
 {
+    std::erase_if(m_cancels, [now](const auto& item) { return now >= item.second.until; });
+    for (auto& [key, cancelled] : m_cancels) {
+        if (now - cancelled.sentAt < cancelResendInterval)
+            continue;
+        cancelled.sentAt = now;
+        m_actions.emplace_back(cancelled.message);
+    }
     std::vector<std::string> overdue;
     for (auto& [id, job] : m_jobs) {
         if (now >= job.deadline + answerGracePeriod) {
@@ -187,8 +205,7 @@
     }
     for (const std::string& id : overdue) {
         const pending_job& job = m_jobs.at(id);
-        if (!job.host.empty())
-            m_actions.emplace_back(forward_cancel { job.host, id });
+        sendCancel(now, job);
         finish(id, protocol::makeOrderAnswer(job.order, job_outcome::unfinished, "no answer before the caller's deadline"));
     }
 }
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -34,6 +35,7 @@
 struct forward_cancel {
     std::string host;
     std::string job;
+    std::uint64_t submissionNumber = 0;
 };
 
 struct answer_callers {
@@ -56,17 +58,17 @@
     void submit(time_point now, protocol::job_order order, caller_id caller);
 
     // The caller's connection is lost or the caller has stopped waiting. Cancels the job if no other caller waits for it.
-    void onCallerGone(caller_id caller);
+    void onCallerGone(time_point now, caller_id caller);
 
     // Returns false if the job is not in progress on this host.
-    bool cancel(std::string_view job);
+    bool cancel(time_point now, std::string_view job);
 
     // Ends all jobs as unfinished and cancels them at their owners: the process is about to end, and its callers' connections with it.
-    void abandonJobs();
+    void abandonJobs(time_point now);
 
     void onAnswer(time_point now, std::string_view host, const protocol::order_answer& answer);
 
-    // Forwards jobs whose owner has changed, resends unanswered orders, and ends jobs past their deadline.
+    // Forwards jobs whose owner has changed, resends unanswered orders and cancellations, and ends jobs past their deadline.
     void advance(time_point now);
 
     // Hosts that own the cells of jobs in progress. They have to hear from this host, or they end its jobs.
@@ -89,6 +91,15 @@
         bool mayHaveRun = false; // the order was sent to an owner that has not confirmed that no task ran
     };
 
+    // A cancellation that its owner has not answered. While it is lost, the job's tasks run on.
+    struct pending_cancel {
+        forward_cancel message;
+        time_point sentAt;
+        time_point until; // the owner ends the job by itself
+    };
+    using cancel_key = std::pair<std::string, std::uint64_t>; // job and submission number
+
+    void sendCancel(time_point now, const pending_job& job);
     void forwardToOwner(time_point now, pending_job& job);
     void send(time_point now, pending_job& job);
     void finish(const std::string& id, protocol::order_answer answer);
@@ -97,6 +108,7 @@
     owner_lookup m_ownerOf;
     std::map<std::string, pending_job, std::less<>> m_jobs;
     std::map<caller_id, std::string> m_jobOfCaller;
+    std::map<cancel_key, pending_cancel> m_cancels;
     std::vector<router_action> m_actions;
     std::uint64_t m_lastSubmission = 0;
 };
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -416,6 +416,39 @@
     checkSafe(sim);
 }
 
+TEST_CASE("a cancellation that is sent again ends the next submission of the job, or is not answered")
+{
+    cell_dispatcher dispatcher({}, {}, {});
+    dispatcher.onUpstreamReport({}, { "u1", 1000, 1, "planning", "10.0.0.1:80", "a", { 32000, 65536, 0 }, {}, false });
+    dispatcher.takeActions();
+    const cell_simulation sim(1);
+    job_order job = sim.makeJob("1", 2, 14000, 900);
+    const auto answers = [&] {
+        std::vector<owner_answer> out;
+        for (const cell_action& action : dispatcher.takeActions()) {
+            if (const auto* answer = std::get_if<owner_answer>(&action))
+                out.push_back(*answer);
+        }
+        return out;
+    };
+    job.handOverCount = 1;
+    job.submissionNumber = 5;
+    dispatcher.submit({}, job, "host");
+    job.submissionNumber = 6; // the first cancellation of 5 was lost
+    dispatcher.submit({}, job, "host");
+    CHECK(answers().empty());
+    for (const std::uint64_t number : { 5, 5, 6, 6 }) {
+        CAPTURE(number);
+        dispatcher.cancel({}, "1", "host", number);
+        CHECK(dispatcher.counts().jobs == (number == 5 ? 1 : 0));
+        const auto given = answers();
+        REQUIRE_FALSE(given.empty());
+        CHECK(given[0].origins == std::vector<std::string> { "host" });
+        CHECK(given[0].answer.submissionNumber == number);
+        CHECK(given[0].answer.outcome == job_outcome::unfinished);
+    }
+}
+
 // An owner that stood still reads answers of upstreams, or the order itself, before its timers run.
 TEST_CASE("a job that waits is started after its caller's deadline")
 {
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -158,7 +158,7 @@
     CHECK(f.router.owners().empty());
     f.router.submit(f.now, f.makeOrder("1"), 1);
     CHECK(f.router.owners() == std::set<std::string> { "h1" });
-    f.router.cancel("1");
+    f.router.cancel(f.now, "1");
     CHECK(f.router.owners().empty());
 }
 
@@ -182,7 +182,7 @@
     router_fixture f;
     f.router.submit(f.now, f.makeOrder("1"), 1);
     f.sent();
-    f.router.onCallerGone(1);
+    f.router.onCallerGone(f.now, 1);
     bool isCancelled = false;
     for (const router_action& action : f.router.takeActions())
         isCancelled = isCancelled || std::holds_alternative<forward_cancel>(action);
@@ -197,7 +197,7 @@
     f.router.submit(f.now, f.makeOrder("1"), 1);
     f.router.submit(f.now, f.makeOrder("2"), 2);
     f.sent();
-    f.router.abandonJobs();
+    f.router.abandonJobs(f.now);
     std::vector<std::string> cancelled;
     std::vector<caller_id> answered;
     for (const router_action& action : f.router.takeActions()) {
@@ -214,6 +214,55 @@
     CHECK(f.router.size() == 0);
 }
 
+// Links fall silent and connections are reset; the caller of a job that is lost in that way sends it again 1.3 s later.
+TEST_CASE("a cancellation is lost with its link, and the tasks run on")
+{
+    router_fixture f;
+    f.router.submit(f.now, f.makeOrder("1"), 1);
+    const auto sent = f.sent();
+    f.router.onCallerGone(f.now, 1);
+    const auto cancels = [&] {
+        std::vector<forward_cancel> out;
+        for (const router_action& action : f.router.takeActions()) {
+            if (const auto* cancel = std::get_if<forward_cancel>(&action))
+                out.push_back(*cancel);
+        }
+        return out;
+    };
+    REQUIRE(cancels().size() == 1);
+    std::size_t resent = 0;
+    for (int i = 0; i < 50; ++i) { // 1 s
+        f.now += milliseconds(20);
+        f.router.advance(f.now);
+        for (const forward_cancel& cancel : cancels()) {
+            ++resent;
+            CHECK(cancel.host == "h1");
+            CHECK(cancel.job == "1");
+            CHECK(cancel.submissionNumber == sent.at(0).order.submissionNumber);
+        }
+    }
+    CHECK(resent >= 4);
+    f.router.onAnswer(f.now, "other", makeOrderAnswer(sent[0].order, job_outcome::unfinished, "cancelled"));
+    f.now += milliseconds(300);
+    f.router.advance(f.now);
+    CHECK(cancels().size() == 1);
+    f.router.onAnswer(f.now, "h1", makeOrderAnswer(sent[0].order, job_outcome::unfinished, "cancelled"));
+    f.now += milliseconds(300);
+    f.router.advance(f.now);
+    CHECK(cancels().empty());
+}
+
+TEST_CASE("a cancellation is sent for ever to an owner that never answers")
+{
+    router_fixture f;
+    f.router.submit(f.now, f.makeOrder("1"), 1);
+    f.router.cancel(f.now, "1");
+    f.sent();
+    f.now += seconds(2); // the job's deadline has passed, and the owner ends it by itself
+    f.router.advance(f.now);
+    CHECK(f.router.takeActions().empty());
+}
+
 TEST_CASE("a resent order that is answered as not owned may have run the first time")
 {
     router_fixture f;
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -131,13 +131,14 @@
 // Returns an answer that carries the order's id, submission number and handover count.
 order_answer makeOrderAnswer(const job_order& order, job_outcome outcome, std::string_view reason, std::uint32_t retryAfterMs = 0);
 
-// The caller no longer waits for the job, or cancels it.
+// The caller no longer waits for the job, or cancels it. The owner answers as to an order; until then the origin sends it again.
 struct job_cancel {
     std::string id;
+    std::uint64_t submissionNumber = 0; // of the order; 0, from an earlier release: the latest, and no answer is expected
 
     friend bool operator==(const job_cancel&, const job_cancel&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id)
+    MSGPACK_DEFINE_ARRAY(id, submissionNumber)
 };
 
 // Free capacity for the tasks of one service; empty while tasks are queued in the cell.
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -48,7 +48,7 @@
 
 TEST_CASE("truncated messages and unknown kinds are rejected")
 {
-    const std::string bytes = encodeCellMessage(job_cancel { "5c0e7a21d94b36f8" });
+    const std::string bytes = encodeCellMessage(job_cancel { "5c0e7a21d94b36f8", 0 });
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK_FALSE(decodeCellMessage(std::string_view(bytes).substr(0, length)));
     std::string unknown = bytes;
