A new owner does not keep runs alive whose host was lost

The next owner finds the runs just before their lease ends, renews them for 400 ms in case a job claims them, and stops them up to 1.45 s after the loss; the callers are back after 1.3 s.

Cause: runs that nobody had claimed were renewed, and the time for which they wait is the same whether the earlier owner was lost, which takes up to 1 s to notice, or is fenced, which it notices with its next poll.

Fix: unclaimed runs are not renewed; after a loss they are stopped after 200 ms. Ownership tells whether the last owner of the cell is alive in the same life.

Evidence: with renewal and 400 ms as before, the new test fails for take-overs 850 to 900 ms after the loss; now none of 17 offsets, busy or idle, has a run left after 1.25 s. A first trial with 200 ms for every take-over lost the runs of a fenced owner (test "a fenced owner stops ..."), and was dropped.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -39,19 +39,21 @@
         if (change.token == 0)
             dropCell(change.cell);
         else
-            takeCell(change.cell, change.token);
+            takeCell(change);
     }
     metrics.ownershipChanges.add(changes.size());
     if (!changes.empty())
         sendGossip({ entryPeers.begin(), entryPeers.end() });
 }
 
-void cell_host::impl::takeCell(const std::string& cell, std::uint64_t token)
+void cell_host::impl::takeCell(const cells::ownership_change& taken)
 {
-    logEvent(log_level::info, "cell_ownership_acquired", { { "cell", cell }, { "token", std::to_string(token) }, { "upstreams", std::to_string(upstreams.size()) } });
+    const std::string& cell = taken.cell;
+    logEvent(log_level::info, "cell_ownership_acquired", { { "cell", cell }, { "token", std::to_string(taken.token) }, { "upstreams", std::to_string(upstreams.size()) }, { "earlier_owner_lost", taken.isEarlierOwnerLost ? "yes" : "no" } });
     cells::cell_settings cellSettings;
     cellSettings.cell = cell;
-    cellSettings.token = token;
+    cellSettings.token = taken.token;
+    cellSettings.isEarlierOwnerLost = taken.isEarlierOwnerLost;
     cellSettings.maxLease = settings.maxLease;
     cellSettings.stopTime = settings.stopTime;
     cellSettings.reportInterval = settings.reportInterval;
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -122,7 +122,7 @@
     void sendGossipToOwners();
     void advance();
     void applyOwnership();
-    void takeCell(const std::string& cell, std::uint64_t token);
+    void takeCell(const cells::ownership_change& taken);
     void dropCell(const std::string& cell);
     void handleSilentHosts();
     void endSilentOrigins();
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -30,6 +30,7 @@
     duration maxLease = std::chrono::milliseconds(1000); // longest lease that the platform allows
     duration reportInterval = std::chrono::milliseconds(1500); // between two reports of the same upstream
     duration stopTime = std::chrono::milliseconds(50); // an upstream ends a stopped task within this time
+    bool isEarlierOwnerLost = false; // it was silent or has restarted, and so may the origins of its jobs
     // Origins with jobs here send something every 150 ms. With the time to stop the tasks, it ends before callers whose host was
     // lost send their jobs again, 1.3 s later.
     duration originSilenceLimit = std::chrono::milliseconds(1000);
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -66,8 +66,10 @@
         m_claimants.insert(gossip.host);
     if (gossip.zone == m_settings.zone)
         m_mostProcessor = std::max(m_mostProcessor, gossip.processorMillicores);
-    for (const protocol::cell_claim& claim : gossip.claims)
+    for (const protocol::cell_claim& claim : gossip.claims) {
         m_highestToken = std::max(m_highestToken, claim.fencingToken);
+        recordOwner(claim.cell, claim.fencingToken, gossip.host, gossip.incarnation);
+    }
     return isRestarted;
 }
 
@@ -350,11 +352,28 @@
         }
         m_unclaimedSince.erase(cell);
         m_claimBackoffs.erase(cell);
+        m_lastOwners.erase(cell);
         return true;
     });
     std::erase_if(m_lastReportAt, [&](const auto& item) { return now - item.second > m_settings.zoneRetention; });
 }
 
+void cell_ownership::recordOwner(const std::string& cell, std::uint64_t token, std::string_view host, std::uint64_t incarnation)
+{
+    last_owner& last = m_lastOwners[cell];
+    if (token >= last.token)
+        last = { token, std::string(host), incarnation };
+}
+
+bool cell_ownership::isLastOwnerLost(time_point now, const std::string& cell) const
+{
+    const auto last = m_lastOwners.find(cell);
+    if (last == m_lastOwners.end())
+        return true;
+    const last_owner& owner = last->second;
+    return owner.host != m_settings.host && !(knows(owner.host, owner.incarnation) && isLive(now, owner.host));
+}
+
 std::vector<ownership_change> cell_ownership::advance(time_point now, std::int64_t unixMs)
 {
     std::vector<ownership_change> changes;
@@ -374,7 +393,8 @@
             continue;
         const std::uint64_t token = nextToken(unixMs);
         m_claims[cell] = token;
-        changes.push_back({ cell, token });
+        changes.push_back({ cell, token, isLastOwnerLost(now, cell) });
+        recordOwner(cell, token, m_settings.host, m_settings.incarnation);
     }
     return changes;
 }
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -48,6 +48,7 @@
 struct ownership_change {
     std::string cell;
     std::uint64_t token = 0; // 0: this host no longer owns the cell
+    bool isEarlierOwnerLost = false; // with a token: the last owner is silent, has restarted or is not known
 };
 
 // How often a host sends its gossip to another one.
@@ -119,6 +120,13 @@
         time_point idleSince; // valid while it has no claim
     };
 
+    // Who had the highest token of a cell.
+    struct last_owner {
+        std::uint64_t token = 0;
+        std::string host;
+        std::uint64_t incarnation = 0;
+    };
+
     struct claim_backoff {
         time_point until;
         duration length {};
@@ -140,6 +148,8 @@
     bool shouldRebalance(time_point now, const std::string& cell) const;
     bool mayClaim(time_point now, const std::string& cell);
     std::uint64_t nextToken(std::int64_t unixMs) const;
+    void recordOwner(const std::string& cell, std::uint64_t token, std::string_view host, std::uint64_t incarnation);
+    bool isLastOwnerLost(time_point now, const std::string& cell) const;
 
     ownership_settings m_settings;
     std::optional<time_point> m_directoryKnownSince;
@@ -150,6 +160,7 @@
     std::map<std::string, std::size_t, std::less<>> m_zoneSizes; // hosts of m_hosts by zone
     std::map<std::string, std::uint64_t, std::less<>> m_claims; // fencing token by cell
     std::map<std::string, time_point, std::less<>> m_unclaimedSince; // cells without an owner
+    std::map<std::string, last_owner, std::less<>> m_lastOwners; // by cell
     std::map<std::string, claim_backoff, std::less<>> m_claimBackoffs;
     std::map<std::string, time_point, std::less<>> m_lastReportAt; // by zone
     std::set<std::string, std::less<>> m_cells;
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -24,7 +24,11 @@
     constexpr duration retryInterval = milliseconds(150); // between calls while unanswered; several fit within a lease
     constexpr duration stopMargin = milliseconds(20); // for drift of the upstream's clock and late wake-up of its timer
     constexpr duration lateCallLimit = std::chrono::seconds(12); // an unanswered call may be carried out up to this much later
-    constexpr duration claimGracePeriod = milliseconds(400); // for the origin host of a failed owner's job to forward the job
+    // For an earlier owner to notice that it is fenced, with its next poll, and for the job's origin host to forward the job.
+    constexpr duration claimGracePeriod = milliseconds(400);
+    // Nobody has to notice anything. The loss was noticed after 1 s; if it took the job's origin host as well, the caller sends the
+    // job again 1.3 s after the loss, perhaps to another zone.
+    constexpr duration claimGracePeriodAfterLoss = milliseconds(200);
     // An upstream is removed this long after its last report or answer, when its unanswered starts have expired. Ended tasks without
     // a known job are remembered as long.
     constexpr duration removalDelay = std::chrono::seconds(13);
@@ -277,6 +281,7 @@
     }
     if (!hasUnknownRuns)
         return;
+    upstream.noteLease(now, settings.maxLease); // an earlier owner may just have renewed it
     for (const auto& [id, job] : jobs)
         claimRuns(now, *job);
 }
@@ -433,8 +438,9 @@
     endUnansweredStarts(now, upstream);
     removeStoppedRuns(now, upstream);
     checkStarts(now, upstream);
+    const duration gracePeriod = settings.isEarlierOwnerLost ? claimGracePeriodAfterLoss : claimGracePeriod;
     for (auto& [name, record] : upstream.runs) {
-        const bool isUnclaimed = record.job.empty() && record.state == run_state::running && now - record.since >= claimGracePeriod;
+        const bool isUnclaimed = record.job.empty() && record.state == run_state::running && now - record.since >= gracePeriod;
         const bool isStopDue = (record.state == run_state::stopping || record.state == run_state::uncertain) && !record.isStopConfirmed && now >= record.nextStopAt;
         if (isUnclaimed || isStopDue)
             stopRun(now, upstream, name, record);
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -28,7 +28,10 @@
 
 bool upstream_record::hasWantedRuns() const
 {
-    return std::any_of(runs.begin(), runs.end(), [](const auto& item) { return item.second.state == run_state::starting || item.second.state == run_state::running; });
+    return std::any_of(runs.begin(), runs.end(), [](const auto& item) {
+        const run_record& run = item.second;
+        return run.state == run_state::starting || (run.state == run_state::running && !run.job.empty());
+    });
 }
 
 std::ptrdiff_t upstream_record::countRuns(std::string_view task) const
@@ -42,10 +45,15 @@
 {
     if (!clock.isKnown())
         return 0;
+    noteLease(now, lease);
+    return clock.now(now) + duration_cast<milliseconds>(lease).count();
+}
+
+void upstream_record::noteLease(time_point now, duration lease)
+{
     constexpr duration transit = milliseconds(20); // how far the clock estimate may be behind
     const auto longest = duration_cast<duration>(lease * (1 + clockDrift)) + transit;
     leaseEnd = std::max(leaseEnd, now + longest);
-    return clock.now(now) + duration_cast<milliseconds>(lease).count();
 }
 
 void upstream_record::undoRenewal()
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -106,7 +106,7 @@
 
     // Free capacity for new starts. Zero while the upstream has a run whose resource need is unknown.
     resource_vector freeCapacity() const;
-    // True if a job wants a run that has not been told to stop, or may still claim it.
+    // True if a job wants a run that has not been told to stop. Runs that no job has claimed yet end with the earlier owner's lease.
     bool hasWantedRuns() const;
     std::ptrdiff_t countRuns(std::string_view task) const;
 
@@ -114,6 +114,9 @@
     // leaseEnd becomes the latest local time at which the lease can end.
     std::int64_t extendLease(time_point now, duration lease);
 
+    // The lease may last for this long from now.
+    void noteLease(time_point now, duration lease);
+
     // The latest poll, which was to renew the lease, has not reached the upstream.
     void undoRenewal();
 
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -449,6 +449,38 @@
     }
 }
 
+// The owner and the host of the job's caller may be one, and the caller sends the job again 1.3 s after it was lost.
+TEST_CASE("the next owner keeps runs of a lost host alive until its callers are back")
+{
+    for (milliseconds takeover { 700 }; takeover <= milliseconds(1100); takeover += milliseconds(25)) {
+        for (const bool isBusy : { false, true }) {
+            CAPTURE(takeover.count());
+            CAPTURE(isBusy);
+            cell_simulation sim(1);
+            openCell(sim, { "u1", "u2" });
+            job_order job = sim.makeJob("lost", 2, 14000, 9000);
+            job.timeLeftMs = 14000;
+            sim.submit(0, job);
+            sim.runFor(milliseconds(1000));
+            sim.setOwnerCut(0, true);
+            sim.runFor(takeover);
+            const std::size_t next = sim.addOwner(true);
+            sim.runFor(milliseconds(10));
+            if (isBusy) { // the leases of the upstreams are renewed
+                job_order other = sim.makeJob("other", 2, 14000, 5000);
+                other.timeLeftMs = 10000;
+                sim.submit(next, other);
+            }
+            sim.runFor(milliseconds(1250) - takeover - milliseconds(10));
+            for (const char* upstream : { "u1", "u2" }) {
+                for (const sim_task_run& run : sim.upstream(upstream).running)
+                    CHECK_FALSE(run.run.task.starts_with("lost"));
+            }
+            checkSafe(sim);
+        }
+    }
+}
+
 // An owner that stood still reads answers of upstreams, or the order itself, before its timers run.
 TEST_CASE("a job that waits is started after its caller's deadline")
 {
--- a/src/coordination/cells/tests/cell_ownership_tests.cpp
+++ b/src/coordination/cells/tests/cell_ownership_tests.cpp
@@ -21,6 +21,7 @@
     struct group_host {
         std::unique_ptr<cell_ownership> ownership;
         std::map<std::string, std::uint64_t> owned;
+        std::map<std::string, bool> areEarlierOwnersLost; // as of the last claim of each cell
         bool isRunning = true;
     };
 
@@ -94,6 +95,8 @@
         for (const std::string& zone : reportingZones)
             host.ownership->onZoneReport(now, zone);
         for (const ownership_change& change : host.ownership->advance(now, startMs + now.time_since_epoch().count() / 1000)) {
+            if (change.token != 0)
+                host.areEarlierOwnersLost[change.cell] = change.isEarlierOwnerLost;
             if (change.token == 0)
                 host.owned.erase(change.cell);
             else
@@ -234,6 +237,24 @@
     CHECK(group.ownersOf("a") == names { "a2" });
 }
 
+TEST_CASE("a new owner takes a lost owner for one that has released the cell, or the other way round")
+{
+    host_group group;
+    group.add("a1", "a", 600);
+    group.add("a2", "a", 250);
+    group.pass(seconds(3));
+    CHECK(group.hosts["a1"].areEarlierOwnersLost.at("a")); // the hosts may all have restarted
+    group.hosts["a1"].isRunning = false;
+    group.pass(milliseconds(1600));
+    CHECK(group.hosts["a2"].areEarlierOwnersLost.at("a"));
+    group.hosts["a1"].isRunning = true;
+    group.pass(seconds(3));
+    group.hosts["a2"].ownership->leave();
+    group.pass(milliseconds(400));
+    CHECK(group.ownersOf("a") == names { "a1" });
+    CHECK_FALSE(group.hosts["a1"].areEarlierOwnersLost.at("a"));
+}
+
 TEST_CASE("a planned stop hands over the cell at once")
 {
     host_group group;
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -48,11 +48,12 @@
     return upstream;
 }
 
-std::size_t cell_simulation::addOwner()
+std::size_t cell_simulation::addOwner(bool isEarlierOwnerLost)
 {
     cell_settings settings;
     settings.cell = cellName;
     settings.token = m_owners.size() + 1;
+    settings.isEarlierOwnerLost = isEarlierOwnerLost;
     sim_owner owner;
     owner.token = settings.token;
     owner.dispatcher = std::make_unique<cell_dispatcher>(settings, cell_hooks {}, m_now);
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -67,7 +67,7 @@
     sim_upstream& addUpstream(const std::string& id, std::int64_t millicores, double slowness = 1);
 
     // Adds an owner with a higher token. The previous owner continues until it is released.
-    std::size_t addOwner();
+    std::size_t addOwner(bool isEarlierOwnerLost = false);
     cell_dispatcher& owner(std::size_t number) { return *m_owners[number].dispatcher; }
     void setOwnerCut(std::size_t number, bool isCut) { m_owners[number].isCut = isCut; }
     void cutFrom(std::size_t number, const std::string& upstream) { m_owners[number].unreachable.insert(upstream); }
