An order that was late on its link no longer extends its job

The owner counts the caller's time from its arrival, and the job's tasks may run on after the caller has given up, by as much as the order was late, up to the moment at which the caller is back.

Cause: an order carries the time that was left when it was sent, and the owner ignored the same order when it came again after 500 ms.

Fix: the order that is sent again, of the same origin and submission, can only shorten the job's deadline. Orders of other callers do not.

The first order's delay stays unknown for 500 ms.

--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -44,6 +44,9 @@
     }
     originsHeardAt[std::string(origin)] = now;
     if (cell_job* known = findJob(order.id)) {
+        // The first order may have waited on a link that was full or cut.
+        if (known->origins.contains(origin) && known->order.submissionNumber == order.submissionNumber)
+            known->deadline = std::min(known->deadline, now + milliseconds(order.timeLeftMs));
         known->addOrigin(origin, order.submissionNumber);
         return;
     }
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -481,6 +481,27 @@
     }
 }
 
+TEST_CASE("a job whose order was late on its link runs on after its caller's deadline")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1", "u2" });
+    job_order job = sim.makeJob("1", 2, 14000, 9000);
+    job.fencingToken = 1;
+    job.timeLeftMs = 3000; // when it was sent, 1.2 s ago
+    sim.submit(0, job);
+    sim.runFor(milliseconds(100));
+    job.timeLeftMs = 1700; // the same order, sent again
+    sim.owner(0).submit(sim.now(), job, "host");
+    job.timeLeftMs = 100; // of another caller
+    job.submissionNumber = 1;
+    sim.owner(0).submit(sim.now(), job, "other");
+    sim.runFor(milliseconds(1600));
+    CHECK(sim.upstream("u1").running.size() + sim.upstream("u2").running.size() == 2);
+    sim.runFor(milliseconds(200));
+    CHECK(sim.upstream("u1").running.empty());
+    CHECK(sim.upstream("u2").running.empty());
+}
+
 // An owner that stood still reads answers of upstreams, or the order itself, before its timers run.
 TEST_CASE("a job that waits is started after its caller's deadline")
 {
