An owner that gives a job back names the upstreams that may run its tasks

Cause: what a releasing owner knew of upstreams went to the hosts of the zone, not with the job.

Fix: the answer that gives a job back carries the upstreams that may run its tasks, and whether these are all; the origin host passes them on with the job, until an owner is lost. The next owner adds them to those it knows, and starts tasks once they are adopted. It need not wait for the rest of the cell. Why it works: the word travels with the job, and a lost message loses both.

Evidence: with these lines taken out again, the new tests fail (the named upstream is not polled; none is named). A zone that was divided in the meantime drops the word.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -83,7 +83,7 @@
         return;
     const std::shared_ptr<cells::cell_dispatcher> dispatcher = found->second;
     shareUpstreams(cell, *dispatcher); // the next owner may not have heard of the latest ones
-    dispatcher->release();
+    dispatcher->release(steadyNow());
     for (const cells::cell_action& action : dispatcher->takeActions()) {
         if (const auto* answer = std::get_if<cells::owner_answer>(&action))
             answerOrigins(*answer);
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -111,7 +111,7 @@
     void shareUpstreams(std::string_view cell, const cells::cell_dispatcher& dispatcher);
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
     void onConfiguration(const protocol::configuration_push& push, std::string_view sender);
-    void onJobOrder(const protocol::job_order& order, std::string_view origin);
+    void onJobOrder(protocol::job_order order, std::string_view origin);
     void onJobCancel(const protocol::job_cancel& cancel, std::string_view origin);
     // Takes the time that input may have waited during a stall off the time that the job's caller still waits.
     void applyInputDelay(protocol::job_order& order) const;
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -168,10 +168,15 @@
     configuration = push;
 }
 
-void cell_host::impl::onJobOrder(const protocol::job_order& order, std::string_view origin)
+void cell_host::impl::onJobOrder(protocol::job_order order, std::string_view origin)
 {
-    if (const auto dispatcher = dispatchers.find(order.cell); dispatcher != dispatchers.end())
+    const auto removed = std::erase_if(order.runsOn, [&](const protocol::upstream_report& report) { return zoneCells.cellOf(report.zone, report.id) != order.cell; });
+    if (removed > 0)
+        order.areRunsKnown = false; // the zone has been divided since
+    if (const auto dispatcher = dispatchers.find(order.cell); dispatcher != dispatchers.end()) {
+        forwardReports(upstreams.onNamedUpstreams(steadyNow(), order.runsOn));
         return dispatcher->second->submit(steadyNow(), order, origin);
+    }
     answerOrigins({ { std::string(origin) }, protocol::makeOrderAnswer(order, protocol::job_outcome::not_owned, "this host does not own the cell") });
 }
 
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -137,7 +137,7 @@
 // Input that was read late may call for starts before the next check of deadlines.
 bool cell_dispatcher::impl::mayStart(time_point now, const cell_job& job) const
 {
-    return now < job.deadline && (job.order.handOverCount == 0 || isTakeoverComplete(now, job.submittedAt));
+    return now < job.deadline && areEarlierRunsKnown(now, job);
 }
 
 // Load pattern: hundreds of waiting jobs, and a task that ends every millisecond. A heap orders only as many jobs as there is
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -118,6 +118,8 @@
     bool fitsNow(const cell_job& job, const internal::available_upstreams& available) const;
     duration estimateWait(time_point now, const cell_job& job) const;
     static duration fastestRun(const cell_job& job, const internal::available_upstreams& available);
+    bool areEarlierRunsKnown(time_point now, const cell_job& job) const;
+    std::vector<protocol::upstream_report> upstreamsWithRunsOf(const cell_job& job) const;
     bool isTakeoverComplete(time_point now, time_point handedOverAt) const;
     void logTakeover(time_point now);
 
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -12,6 +12,7 @@
 using internal::task_state;
 using protocol::job_outcome;
 using protocol::order_answer;
+using protocol::upstream_report;
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
@@ -57,6 +58,8 @@
         actions.emplace_back(owner_answer { { std::string(origin) }, std::move(copy) });
         return;
     }
+    for (const upstream_report& report : order.runsOn)
+        onReport(now, report);
     auto owned = std::make_unique<cell_job>(order, now);
     cell_job& job = *owned;
     job.addOrigin(origin, order.submissionNumber);
@@ -304,7 +307,36 @@
     }
 }
 
-void cell_dispatcher::release()
+// Whether every upstream that may run the job's tasks for an earlier owner is known here, with its runs. Unless the last owner has
+// named these upstreams, they may be any.
+bool cell_dispatcher::impl::areEarlierRunsKnown(time_point now, const cell_job& job) const
+{
+    const auto isAdopted = [this](const upstream_report& report) {
+        const auto found = upstreams.find(report.id);
+        return found != upstreams.end() && found->second.isAdopted;
+    };
+    const bool areNamed = job.order.areRunsKnown && std::all_of(job.order.runsOn.begin(), job.order.runsOn.end(), isAdopted);
+    return job.order.handOverCount == 0 || areNamed || isTakeoverComplete(now, job.submittedAt);
+}
+
+std::vector<upstream_report> cell_dispatcher::impl::upstreamsWithRunsOf(const cell_job& job) const
+{
+    std::size_t step = 0;
+    std::size_t index = 0;
+    const auto isOfJob = [&](const auto& item) { return internal::findTask(job, item.first.task, step, index); };
+    std::vector<upstream_report> out;
+    for (const auto& [id, upstream] : upstreams) {
+        if (std::any_of(upstream.runs.begin(), upstream.runs.end(), isOfJob) || std::any_of(upstream.unansweredStarts.begin(), upstream.unansweredStarts.end(), isOfJob))
+            out.push_back(upstream.lastReport);
+    }
+    for (const upstream_report& report : job.order.runsOn) {
+        if (const auto found = upstreams.find(report.id); found != upstreams.end() && !found->second.isAdopted)
+            out.push_back(report);
+    }
+    return out;
+}
+
+void cell_dispatcher::release(time_point now)
 {
     for (auto& [id, job] : m_impl->jobs) {
         order_answer answer = protocol::makeOrderAnswer(job->order, job_outcome::released, "the owner of the cell changes");
@@ -319,6 +351,8 @@
                     answer.failures.push_back({ name, task.failedRuns, crashes });
             }
         }
+        answer.runsOn = m_impl->upstreamsWithRunsOf(*job);
+        answer.areRunsKnown = m_impl->areEarlierRunsKnown(now, *job);
         m_impl->actions.emplace_back(owner_answer { job->originNames(), std::move(answer) });
     }
     m_impl->note("cell_released", m_impl->settings.cell, "jobs=" + std::to_string(m_impl->jobs.size()));
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -157,16 +157,20 @@
                 job.order.doneTasks.push_back(task);
         }
         job.order.failures = answer.failures; // include those that this owner was told of
+        job.order.runsOn = answer.runsOn;
+        job.order.areRunsKnown = answer.areRunsKnown;
         ++job.order.handOverCount;
         job.host.clear(); // advance() forwards it as soon as there is another owner
         return;
     }
     if (answer.outcome == job_outcome::not_owned) {
         // A resent order may have been accepted the first time, under an ownership that has ended since.
-        if (job.sendCount > 1)
+        if (job.sendCount > 1) {
             ++job.order.handOverCount;
-        else
+            job.order.areRunsKnown = false;
+        } else {
             job.mayHaveRun = job.order.handOverCount > 0;
+        }
         job.host.clear(); // advance() forwards it to the owner that gossip names
         return;
     }
@@ -199,8 +203,10 @@
                 send(now, job);
             continue;
         }
-        if (!job.host.empty())
+        if (!job.host.empty()) {
             ++job.order.handOverCount;
+            job.order.areRunsKnown = false; // the earlier owner was lost
+        }
         forwardToOwner(now, job);
     }
     for (const std::string& id : overdue) {
--- a/src/coordination/cells/tests/cell_crash_tests.cpp
+++ b/src/coordination/cells/tests/cell_crash_tests.cpp
@@ -186,7 +186,7 @@
         sim.runFor(milliseconds(4500));
         const std::size_t next = sim.addOwner();
         sim.runFor(milliseconds(400));
-        sim.owner(owner).release();
+        sim.owner(owner).release(sim.now());
         sim.runFor(milliseconds(20));
         const jackdaw::protocol::order_answer& answer = sim.outcomes().at("1").answer;
         if (answer.outcome != job_outcome::released)
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -10,6 +10,7 @@
 using namespace jackdaw::cells::tests;
 using jackdaw::protocol::job_order;
 using jackdaw::protocol::job_outcome;
+using jackdaw::protocol::order_answer;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -179,7 +180,7 @@
     const std::size_t second = sim.addOwner();
     sim.runFor(milliseconds(350)); // the poll of the previous owner is answered within its wait
     CHECK(sim.owner(0).isFenced());
-    sim.owner(0).release();
+    sim.owner(0).release(sim.now());
     job.handOverCount = 1;
     sim.submit(second, job);
     sim.runFor(seconds(2));
@@ -226,7 +227,7 @@
         for (int step = 0; step < 500; ++step) {
             sim.runFor(milliseconds(10));
             if (!isReleased && sim.owner(0).isFenced()) {
-                sim.owner(0).release();
+                sim.owner(0).release(sim.now());
                 isReleased = true;
             }
         }
@@ -250,7 +251,7 @@
         job.targetMs = 5000;
         sim.submit(0, job);
         sim.runFor(milliseconds(50));
-        sim.owner(0).release();
+        sim.owner(0).release(sim.now());
         const std::string home = sim.startsOn("u1") > 0 ? "u1" : (sim.startsOn("u2") > 0 ? "u2" : "u3");
         sim.cutFrom(second, home);
         sim.setOwnerCut(second, false);
@@ -449,6 +450,94 @@
     }
 }
 
+// After a cut heals, the job may reach the next owner before the news of an upstream that only the earlier owner knew.
+TEST_CASE("the next owner starts a task that runs on an upstream of which only the releasing owner knew")
+{
+    using jackdaw::protocol::upstream_report;
+    const jackdaw::cells::time_point now { seconds(100) };
+    const auto report = [](const char* id) { return upstream_report { id, 1000, 1, "planning", std::string(id) + ":80", "a", { 16000, 65536, 0 }, {}, false }; };
+    const auto adopt = [&](cell_dispatcher& owner, const char* id, std::vector<running_task> running) {
+        poll_answer answer;
+        answer.bornUnixMs = 1000;
+        answer.call = { call_outcome::done, 5000 };
+        answer.running = std::move(running);
+        for (const cell_action& action : owner.takeActions()) {
+            const auto* poll = std::get_if<poll_request>(&action);
+            if (poll && poll->target.id == id)
+                return owner.onPoll(now, *poll, answer);
+        }
+        FAIL("the upstream was not polled");
+    };
+    const auto starts = [](cell_dispatcher& owner) {
+        std::vector<std::string> out;
+        for (const cell_action& action : owner.takeActions()) {
+            if (const auto* start = std::get_if<start_request>(&action))
+                out.push_back(start->run.task + " on " + start->target.id);
+        }
+        return out;
+    };
+    const cell_simulation sim(1);
+    job_order job = sim.makeJob("1", 1, 14000, 900);
+    job.fencingToken = 1;
+    cell_settings settings;
+    settings.token = 1;
+    cell_dispatcher first(settings, {}, now);
+    first.onUpstreamReport(now, report("known to the first"));
+    adopt(first, "known to the first", {});
+    first.submit(now, job, "host");
+    CHECK(starts(first) == std::vector<std::string> { "1.0.0.0 on known to the first" });
+    first.release(now);
+    order_answer released;
+    for (const cell_action& action : first.takeActions()) {
+        if (const auto* answer = std::get_if<owner_answer>(&action))
+            released = answer->answer;
+    }
+    REQUIRE(released.outcome == job_outcome::released);
+
+    settings.token = 2;
+    cell_dispatcher second(settings, {}, now);
+    second.onUpstreamReport(now, report("known to the second"));
+    adopt(second, "known to the second", {});
+    second.onUpstreamReport(now, report("silent"));
+    job.fencingToken = 2;
+    job.handOverCount = 1;
+    job.runsOn = released.runsOn;
+    job.areRunsKnown = released.areRunsKnown;
+    second.submit(now, job, "host");
+    // It adopts the upstream that the first owner named, and claims the run there.
+    adopt(second, "known to the first", { { { "1.0.0.0", 1 } } });
+    CHECK(starts(second).empty());
+    // A job without runs need not wait for the upstream that is silent.
+    job_order other = sim.makeJob("2", 1, 14000, 60);
+    other.fencingToken = 2;
+    other.handOverCount = 1;
+    other.areRunsKnown = true;
+    second.submit(now, other, "host");
+    CHECK(starts(second) == std::vector<std::string> { "2.0.0.0 on known to the second" });
+}
+
+TEST_CASE("an owner that does not know all runs itself names its upstreams as all that may run a job")
+{
+    const jackdaw::cells::time_point now { seconds(100) };
+    cell_settings settings;
+    settings.token = 1;
+    cell_dispatcher owner(settings, {}, now);
+    owner.onUpstreamReport(now, { "silent", 1000, 1, "planning", "silent:80", "a", { 16000, 65536, 0 }, {}, false });
+    job_order job = cell_simulation(1).makeJob("1", 1, 14000, 900);
+    job.fencingToken = 1;
+    job.handOverCount = 1;
+    job.runsOn = { { "named", 1000, 1, "planning", "named:80", "a", { 16000, 65536, 0 }, {}, false } };
+    owner.submit(now, job, "host");
+    owner.takeActions();
+    owner.release(now);
+    const auto actions = owner.takeActions();
+    REQUIRE(actions.size() == 1);
+    const order_answer& released = std::get<owner_answer>(actions[0]).answer;
+    CHECK_FALSE(released.areRunsKnown);
+    REQUIRE(released.runsOn.size() == 1);
+    CHECK(released.runsOn[0].id == "named");
+}
+
 // The owner and the host of the job's caller may be one, and the caller sends the job again 1.3 s after it was lost.
 TEST_CASE("the next owner keeps runs of a lost host alive until its callers are back")
 {
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -106,6 +106,9 @@
     order_answer released = makeOrderAnswer(first.at(0).order, job_outcome::released, "");
     released.doneTasks = { "1.0.0.0" };
     released.failures = { { "1.0.0.1", 2, 1 } };
+    released.runsOn.resize(1);
+    released.runsOn[0].id = "u1";
+    released.areRunsKnown = true;
     f.router.onAnswer(f.now, "h1", released);
     f.owner = std::nullopt;
     f.router.advance(f.now);
@@ -119,6 +122,11 @@
     CHECK(second[0].order.doneTasks == std::vector<std::string> { "1.0.0.0" });
     CHECK(second[0].order.failures == released.failures);
     CHECK(second[0].order.handOverCount == 1);
+    CHECK(second[0].order.runsOn == released.runsOn);
+    CHECK(second[0].order.areRunsKnown);
+    f.owner = cell_owner { "h3", 13, false }; // h2 is lost
+    f.router.advance(f.now);
+    CHECK_FALSE(f.sent().at(0).order.areRunsKnown);
 }
 
 TEST_CASE("without an owner a new job is rejected at once as not run")
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -2,6 +2,7 @@
 #include "coordination/cells/upstream_directory.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace jackdaw::cells {
 namespace {
@@ -26,20 +27,31 @@
     m_peerSince = std::min(m_peerSince, now);
     std::vector<protocol::upstream_report> changed;
     for (std::size_t i = 0; i < std::min(list.reports.size(), list.agesMs.size()); ++i) {
-        const protocol::upstream_report& report = list.reports[i];
-        const time_point heardAt = now - std::chrono::milliseconds(list.agesMs[i]);
-        const auto [found, isNew] = m_upstreams.try_emplace(report.id);
-        known_upstream& known = found->second;
-        known.knownAt = std::max(known.knownAt, heardAt);
-        if (!isNew && !protocol::isNewer(report, known.report))
-            continue;
-        known.report = report;
-        known.receivedAt = now;
-        changed.push_back(report);
+        if (merge(now, list.reports[i], now - std::chrono::milliseconds(list.agesMs[i])))
+            changed.push_back(list.reports[i]);
     }
     return changed;
 }
 
+std::vector<protocol::upstream_report> upstream_directory::onNamedUpstreams(time_point now, std::span<const protocol::upstream_report> reports)
+{
+    std::vector<protocol::upstream_report> changed;
+    std::copy_if(reports.begin(), reports.end(), std::back_inserter(changed), [&](const protocol::upstream_report& report) { return merge(now, report, now); });
+    return changed;
+}
+
+bool upstream_directory::merge(time_point now, const protocol::upstream_report& report, time_point heardAt)
+{
+    const auto [found, isNew] = m_upstreams.try_emplace(report.id);
+    known_upstream& known = found->second;
+    known.knownAt = std::max(known.knownAt, heardAt);
+    if (!isNew && !protocol::isNewer(report, known.report))
+        return false;
+    known.report = report;
+    known.receivedAt = now;
+    return true;
+}
+
 void upstream_directory::onControlUpdate(time_point now)
 {
     if (m_controlSince == time_point::max() || now - m_controlHeardAt > controlSilenceLimit)
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -33,6 +33,9 @@
     // Another entry host's list. Returns the reports that were not known, or are newer than those known.
     std::vector<protocol::upstream_report> onPeerList(time_point now, const protocol::upstream_list& list);
 
+    // Upstreams that another host has told of by name. The same result, but the host may know more of them.
+    std::vector<protocol::upstream_report> onNamedUpstreams(time_point now, std::span<const protocol::upstream_report> reports);
+
     // An update from a control host has arrived.
     void onControlUpdate(time_point now);
 
@@ -71,6 +74,8 @@
         time_point knownAt; // when any host last heard of it, as far as known
     };
 
+    // Returns whether the report was not known, or is newer than the one known.
+    bool merge(time_point now, const protocol::upstream_report& report, time_point heardAt);
     static void append(protocol::upstream_list& list, const known_upstream& known, time_point now);
 
     std::map<std::string, known_upstream, std::less<>> m_upstreams; // by id
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -86,10 +86,12 @@
     bool mayMove = true; // the owner may redirect the job to another cell instead of queueing it
     std::vector<std::string> doneTasks; // names of the tasks that are done according to earlier owners
     std::vector<task_failures> failures {}; // of earlier owners
+    std::vector<upstream_report> runsOn {}; // upstreams that may run tasks of the job, according to the last owner that released it
+    bool areRunsKnown = false; // the last owner has released the job, and runsOn names all such upstreams
 
     friend bool operator==(const job_order&, const job_order&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks, failures)
+    MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks, failures, runsOn, areRunsKnown)
 };
 
 // The order may have waited unread for up to this long: its caller may stop waiting earlier by as much. Its age stays as it is, since
@@ -121,11 +123,13 @@
     std::uint32_t retryAfterMs = 0;
     std::string cell;
     std::vector<std::string> doneTasks;
-    std::vector<task_failures> failures {}; // with released: for the next owner
+    std::vector<task_failures> failures {}; // with released, as the fields below: for the next owner
+    std::vector<upstream_report> runsOn {};
+    bool areRunsKnown = false;
 
     friend bool operator==(const order_answer&, const order_answer&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, submissionNumber, handOverCount, outcome, reason, retryAfterMs, cell, doneTasks, failures)
+    MSGPACK_DEFINE_ARRAY(id, submissionNumber, handOverCount, outcome, reason, retryAfterMs, cell, doneTasks, failures, runsOn, areRunsKnown)
 };
 
 // Returns an answer that carries the order's id, submission number and handover count.
