A list of upstreams is complete only while every control host tells news

The next owner logged `takeover_complete adopted=14 known=14` 20 ms after its claim, while a fifteenth upstream of the cell was known to the one control host that it was not in touch with yet.

Cause: any control host that told news made the list count as complete. An upstream reports to one of them.

Fix: each control host that was named within 60 s must have told news without a pause. Only jobs of a lost owner depend on it; those that were given back carry the word of their owner.

Evidence: with any control host enough, the new test fails; with each, it passes. The existing tests of the directory now name the control host that they meant before, with the same checks.

--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -100,7 +100,7 @@
 
     void onDelivery(const transport::mesh_delivery& delivery);
     void onGossip(const protocol::host_gossip& gossip);
-    void onDirectory(const protocol::directory_update& update);
+    void onDirectory(const protocol::directory_update& update, std::string_view sender);
     void addControl(const std::string& host);
     void addEntryHost(const std::string& host);
     void onReports(std::span<const protocol::upstream_report> newReports);
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -37,7 +37,7 @@
     if (const auto* gossip = std::get_if<protocol::host_gossip>(&message))
         onGossip(*gossip);
     else if (const auto* update = std::get_if<protocol::directory_update>(&message))
-        onDirectory(*update);
+        onDirectory(*update, delivery.sender);
     else if (const auto* push = std::get_if<protocol::configuration_push>(&message))
         onConfiguration(*push, delivery.sender);
     else if (const auto* order = std::get_if<protocol::job_order>(&message))
@@ -86,10 +86,11 @@
     jobRouter.advance(now);
 }
 
-void cell_host::impl::onDirectory(const protocol::directory_update& update)
+void cell_host::impl::onDirectory(const protocol::directory_update& update, std::string_view sender)
 {
     ownership.onDirectoryKnown(steadyNow());
-    upstreams.onControlUpdate(steadyNow());
+    if (sender.starts_with(protocol::controlMeshPrefix))
+        upstreams.onControlUpdate(steadyNow(), sender.substr(protocol::controlMeshPrefix.size()), update.controlHosts);
     for (const std::string& host : update.entryHosts)
         addEntryHost(host);
     for (const std::string& host : update.controlHosts)
--- a/src/coordination/cells/tests/upstream_directory_tests.cpp
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 const time_point start { seconds(100) };
+const std::vector<std::string> controlHosts { "c1" };
 
 upstream_report makeReport(const std::string& id, std::uint64_t sequence = 1)
 {
@@ -25,7 +26,7 @@
     peer.onReport(start, makeReport("u1"));
     peer.onReport(start, makeReport("u2"));
     upstream_directory restarted;
-    restarted.onControlUpdate(start + seconds(9));
+    restarted.onControlUpdate(start + seconds(9), "c1", controlHosts);
     restarted.onReport(start + seconds(9), makeReport("u2", 7));
     REQUIRE(peer.needsList("host", 2));
     const auto changed = restarted.onPeerList(start + seconds(10), peer.list(start + seconds(10)));
@@ -42,12 +43,12 @@
 TEST_CASE("the list of upstreams counts as complete only after another entry host has sent its own")
 {
     upstream_directory directory;
-    directory.onControlUpdate(start);
-    directory.onControlUpdate(start + seconds(1));
+    directory.onControlUpdate(start, "c1", controlHosts);
+    directory.onControlUpdate(start + seconds(1), "c1", controlHosts);
     CHECK(directory.heardSince(start + seconds(1)) == time_point::max());
     directory.onPeerList(start + seconds(2), {});
     directory.onPeerList(start + seconds(3), {});
-    directory.onControlUpdate(start + seconds(3));
+    directory.onControlUpdate(start + seconds(3), "c1", controlHosts);
     CHECK(directory.heardSince(start + seconds(3)) == start + seconds(2));
 }
 
@@ -92,11 +93,34 @@
 TEST_CASE("a host that has received no update from control hosts for a time does not count its list as complete")
 {
     upstream_directory directory;
-    directory.onControlUpdate(start);
+    directory.onControlUpdate(start, "c1", controlHosts);
     directory.onReport(start, makeReport("u1"));
     directory.onPeerList(start, {});
     CHECK(directory.heardSince(start + seconds(10)) == time_point::max());
     const time_point back = start + seconds(30); // in the meantime, upstreams may have started
-    directory.onControlUpdate(back);
+    directory.onControlUpdate(back, "c1", controlHosts);
     CHECK(directory.heardSince(back) == back);
 }
+
+// After a cut, an upstream that has started may have reported to the one control host that this host does not hear yet.
+TEST_CASE("a list counts as complete while one of several control hosts is silent")
+{
+    upstream_directory directory;
+    const std::vector<std::string> both { "c1", "c2" };
+    directory.onPeerList(start, {});
+    directory.onControlUpdate(start, "c1", both);
+    CHECK(directory.heardSince(start) == time_point::max());
+    directory.onControlUpdate(start + seconds(1), "c2", both);
+    CHECK(directory.heardSince(start + seconds(1)) == start + seconds(1));
+    const auto hear = [&](seconds from, seconds until, const char* host, const std::vector<std::string>& named) {
+        for (seconds at = from; at <= until; at += seconds(1))
+            directory.onControlUpdate(start + at, host, named);
+    };
+    hear(seconds(2), seconds(10), "c1", controlHosts); // c2 is cut off
+    CHECK(directory.heardSince(start + seconds(10)) == time_point::max());
+    directory.onControlUpdate(start + seconds(11), "c2", both);
+    CHECK(directory.heardSince(start + seconds(11)) == start + seconds(11));
+    hear(seconds(12), seconds(80), "c1", controlHosts); // c2 was removed
+    directory.expire(start + seconds(80));
+    CHECK(directory.heardSince(start + seconds(80)) == start);
+}
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -7,7 +7,8 @@
 namespace jackdaw::cells {
 namespace {
 
-    constexpr duration retention = std::chrono::seconds(60); // keeps upstreams known while all control hosts are down
+    // Keeps upstreams known while all control hosts are down. A control host that nobody hears for as long was removed.
+    constexpr duration retention = std::chrono::seconds(60);
     constexpr duration controlSilenceLimit = std::chrono::milliseconds(2500); // each control host sends an update at least every second
 
 } // namespace
@@ -52,11 +53,15 @@
     return true;
 }
 
-void upstream_directory::onControlUpdate(time_point now)
+void upstream_directory::onControlUpdate(time_point now, std::string_view sender, std::span<const std::string> controlHosts)
 {
-    if (m_controlSince == time_point::max() || now - m_controlHeardAt > controlSilenceLimit)
-        m_controlSince = now;
-    m_controlHeardAt = now;
+    for (const std::string& host : controlHosts)
+        m_controlHosts[host].namedAt = now;
+    control_host& heard = m_controlHosts[std::string(sender)];
+    if (heard.since == time_point::max() || now - heard.heardAt > controlSilenceLimit)
+        heard.since = now;
+    heard.heardAt = now;
+    heard.namedAt = now;
 }
 
 void upstream_directory::refresh(time_point now, std::span<const std::string> ids)
@@ -86,8 +91,12 @@
 
 time_point upstream_directory::heardSince(time_point now) const
 {
-    const bool isControlSilent = m_controlSince == time_point::max() || now - m_controlHeardAt > controlSilenceLimit;
-    return isControlSilent ? time_point::max() : std::max(m_controlSince, m_peerSince);
+    time_point since = m_controlHosts.empty() ? time_point::max() : m_peerSince;
+    for (const auto& [host, known] : m_controlHosts) {
+        const bool isSilent = known.since == time_point::max() || now - known.heardAt > controlSilenceLimit;
+        since = std::max(since, isSilent ? time_point::max() : known.since);
+    }
+    return since;
 }
 
 std::size_t upstream_directory::countReporting(time_point now, std::string_view zone, duration maxAge) const
@@ -141,6 +150,7 @@
 void upstream_directory::expire(time_point now)
 {
     std::erase_if(m_upstreams, [now](const auto& item) { return now - item.second.knownAt > retention; });
+    std::erase_if(m_controlHosts, [now](const auto& item) { return now - item.second.namedAt > retention; });
 }
 
 } // namespace jackdaw::cells
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -36,8 +36,8 @@
     // Upstreams that another host has told of by name. The same result, but the host may know more of them.
     std::vector<protocol::upstream_report> onNamedUpstreams(time_point now, std::span<const protocol::upstream_report> reports);
 
-    // An update from a control host has arrived.
-    void onControlUpdate(time_point now);
+    // An update from a control host has arrived, with the control hosts that it knows of.
+    void onControlUpdate(time_point now, std::string_view sender, std::span<const std::string> controlHosts);
 
     // Postpones the expiry of upstreams that answer this host, also if they don't report.
     void refresh(time_point now, std::span<const std::string> ids);
@@ -48,8 +48,8 @@
     // The host was silent for a time and may have missed reports: it needs the list again.
     void forgetPeer(std::string_view host);
 
-    // Since when control hosts have sent updates without a pause, and another entry host has sent its list; time_point::max() before
-    // that, and while control hosts are silent, since upstreams may have started that this host doesn't know.
+    // Since when every control host has sent updates without a pause, and another entry host has sent its list; time_point::max()
+    // before that, and while any control host is silent. An upstream that has started may have reported to that one only.
     time_point heardSince(time_point now) const;
 
     // Upstreams of the zone, not leaving, whose reports arrived within maxAge.
@@ -63,7 +63,7 @@
 
     void forEach(const std::function<void(const protocol::upstream_report& report)>& visit) const;
 
-    // Removes upstreams that nothing was heard of for too long.
+    // Removes upstreams and control hosts that nothing was heard of for too long.
     void expire(time_point now);
 
 private:
@@ -79,9 +79,14 @@
     static void append(protocol::upstream_list& list, const known_upstream& known, time_point now);
 
     std::map<std::string, known_upstream, std::less<>> m_upstreams; // by id
+    struct control_host {
+        time_point namedAt; // when an update last named it
+        time_point since = time_point::max(); // of its updates without a pause
+        time_point heardAt; // valid unless since is time_point::max()
+    };
+
     std::map<std::string, std::uint64_t, std::less<>> m_sentTo; // incarnation of each host that the list was sent to
-    time_point m_controlSince = time_point::max();
-    time_point m_controlHeardAt; // valid unless m_controlSince is time_point::max()
+    std::map<std::string, control_host, std::less<>> m_controlHosts;
     time_point m_peerSince = time_point::max();
 };
 
