The owners of a host's jobs notice the end of its process at once

Cause: only silence told the owner. The end of a process shows at once: its connections end, and its address refuses new ones.

Fix: a link that is refused tells the mesh's user, and the cell host ends the jobs of that origin. A link that is reset, silent or cut is not refused, so nothing is ended for it before the second of silence. Why it works: a link is dialled anew 50 ms after it has ended; the runs are stopped within 0.1 s of the kill, so what happens to the owner later finds them stopped.

Evidence: with the report taken out again, the new test of the mesh fails (nothing refused); with it the peer that ended is named and the relay's, which lives, is not. A freeze of the owner in the first 0.1 s still leaves the runs to their leases, which then end 1.1 s after the kill, in time.

--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -36,7 +36,8 @@
         , settings(hostSettings)
         , incarnation(hostIncarnation)
         , hooks(std::move(hostHooks))
-        , links(loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); })
+        , links(
+              loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); }, [this](std::string_view host) { onRefused(host); })
         , ownership(ownershipSettings())
         , jobRouter([this](std::string_view job) { return homeCellOf(job); }, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); })
     {
@@ -99,6 +100,7 @@
     }
 
     void onDelivery(const transport::mesh_delivery& delivery);
+    void onRefused(std::string_view host);
     void onGossip(const protocol::host_gossip& gossip);
     void onDirectory(const protocol::directory_update& update, std::string_view sender);
     void addControl(const std::string& host);
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -55,6 +55,14 @@
     performActions();
 }
 
+// The callers of a process that has ended notice it at once, and send their jobs again 1.3 s later.
+void cell_host::impl::onRefused(std::string_view host)
+{
+    for (const auto& [cell, dispatcher] : dispatchers)
+        dispatcher->onOriginLost(steadyNow(), host);
+    performActions();
+}
+
 void cell_host::impl::onGossip(const protocol::host_gossip& gossip)
 {
     const time_point now = steadyNow();
--- a/src/transport/internal/mesh_link.cpp
+++ b/src/transport/internal/mesh_link.cpp
@@ -13,6 +13,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <stdexcept>
 #include <utility>
 
@@ -26,9 +27,9 @@
 
 class mesh_link::impl {
 public:
-    impl(event_loop& eventLoop, const std::string& text, std::function<void()> sentHook)
+    impl(event_loop& eventLoop, const std::string& text, hooks linkHooks)
         : loop(eventLoop)
-        , onSent(std::move(sentHook))
+        , hook(std::move(linkHooks))
     {
         int length = sizeof(address);
         if (evutil_parse_sockaddr_port(text.c_str(), reinterpret_cast<sockaddr*>(&address), &length) == 0)
@@ -77,7 +78,7 @@
     {
         isSending = false;
         unsent.clear();
-        onSent();
+        hook.onSent();
     }
 
     void writeUnsent()
@@ -122,11 +123,15 @@
             setsockopt(bufferevent_getfd(stream), IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof(enabled));
             return;
         }
-        static_cast<impl*>(self)->onClosed();
+        const bool isRefused = (events & BEV_EVENT_ERROR) != 0 && EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+        auto& link = *static_cast<impl*>(self);
+        link.onClosed();
+        if (isRefused)
+            link.hook.onRefused();
     }
 
     event_loop& loop;
-    std::function<void()> onSent;
+    const hooks hook;
     sockaddr_storage address {};
     int addressLength = 0;
     bufferevent* stream = nullptr; // null while waiting to dial
@@ -137,8 +142,8 @@
     std::unique_ptr<event_loop::timer> redialTimer;
 };
 
-mesh_link::mesh_link(event_loop& loop, const std::string& address, std::function<void()> onSent)
-    : m_impl(std::make_unique<impl>(loop, address, std::move(onSent)))
+mesh_link::mesh_link(event_loop& loop, const std::string& address, hooks linkHooks)
+    : m_impl(std::make_unique<impl>(loop, address, std::move(linkHooks)))
 {
 }
 
--- a/src/transport/internal/mesh_link.h
+++ b/src/transport/internal/mesh_link.h
@@ -13,8 +13,13 @@
 
 class mesh_link {
 public:
-    // The hook runs on the loop's thread when the buffer in hand was handed to the system, or was lost with its connection.
-    mesh_link(event_loop& loop, const std::string& address, std::function<void()> onSent);
+    struct hooks {
+        std::function<void()> onSent; // the buffer in hand was handed to the system, or was lost with its connection
+        std::function<void()> onRefused; // nobody listens at the address
+    };
+
+    // The hooks run on the loop's thread.
+    mesh_link(event_loop& loop, const std::string& address, hooks linkHooks);
     ~mesh_link();
 
     bool isSending() const;
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -44,10 +44,11 @@
 
 class mesh::impl {
 public:
-    impl(event_loop& eventLoop, mesh_settings meshSettings, delivery_hook hook)
+    impl(event_loop& eventLoop, mesh_settings meshSettings, delivery_hook hook, refusal_hook refusalHook)
         : loop(eventLoop)
         , settings(std::move(meshSettings))
         , onDelivery(std::move(hook))
+        , onRefused(std::move(refusalHook))
         , listener(loop, settings.maxMessageBytes, [this](connection_id connection, std::string_view bytes) { receive(connection, bytes); })
         , ticker(loop.every(settings.silenceLimit / ticksPerSilenceLimit, [this] { tick(); }))
     {
@@ -65,7 +66,11 @@
 
     void dial(const std::string& host, peer& peer)
     {
-        peer.link = std::make_unique<internal::mesh_link>(loop, peer.address, [this, host] { onSent(host); });
+        const auto reportRefusal = [this, host] {
+            if (onRefused)
+                onRefused(host);
+        };
+        peer.link = std::make_unique<internal::mesh_link>(loop, peer.address, internal::mesh_link::hooks { [this, host] { onSent(host); }, reportRefusal });
         peer.dialledAt = protocol::steadyNow();
         peer.hasSent = false;
     }
@@ -204,6 +209,7 @@
     event_loop& loop;
     mesh_settings settings;
     delivery_hook onDelivery;
+    const refusal_hook onRefused;
     std::map<std::string, peer, std::less<>> peers;
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     internal::mesh_listener listener;
@@ -214,8 +220,8 @@
     std::uint64_t dropped = 0;
 };
 
-mesh::mesh(event_loop& loop, mesh_settings settings, delivery_hook onDelivery)
-    : m_impl(std::make_unique<impl>(loop, std::move(settings), std::move(onDelivery)))
+mesh::mesh(event_loop& loop, mesh_settings settings, delivery_hook onDelivery, refusal_hook onRefused)
+    : m_impl(std::make_unique<impl>(loop, std::move(settings), std::move(onDelivery), std::move(onRefused)))
 {
 }
 
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -35,8 +35,11 @@
 public:
     using delivery_hook = std::function<void(const mesh_delivery& delivery)>;
 
-    // The hook runs on the loop's thread.
-    mesh(event_loop& loop, mesh_settings settings, delivery_hook onDelivery);
+    // Nobody listens at the peer's address: its process has ended, and its links with it. Runs for each attempt to reach it.
+    using refusal_hook = std::function<void(std::string_view host)>;
+
+    // The hooks run on the loop's thread. onRefused may be empty, and must not change the peers.
+    mesh(event_loop& loop, mesh_settings settings, delivery_hook onDelivery, refusal_hook onRefused = {});
     ~mesh();
 
     protocol::result<void> listen();
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -177,6 +177,33 @@
     CHECK(a->droppedMessages() == 6);
 }
 
+// Callers of a host that is killed send their jobs again after 1.3 s; the owners of its jobs must not wait for its silence.
+TEST_CASE("the end of a peer's process passes for silence, or the loss of a link for the end of the process")
+{
+    event_loop loop;
+    const std::string address = freeAddress();
+    const std::string peerAddress = freeAddress();
+    auto peer = std::make_unique<mesh>(loop, mesh_settings { "peer", 1, peerAddress }, [](const mesh_delivery&) {});
+    REQUIRE(peer->listen());
+    tests::tcp_relay relay(loop, portOf(peerAddress));
+    std::vector<std::string> refused;
+    mesh self(
+        loop, { "self", 1, address }, [](const mesh_delivery&) {}, [&](std::string_view host) { refused.emplace_back(host); });
+    self.setPeer("direct", peerAddress);
+    self.setPeer("relayed", "127.0.0.1:" + std::to_string(relay.port()));
+    const auto runFor = [&](std::chrono::milliseconds length) {
+        const auto end = loop.after(length, [&] { loop.stop(); });
+        loop.run();
+    };
+    runFor(std::chrono::milliseconds(300));
+    CHECK(refused.empty());
+    peer.reset();
+    runFor(std::chrono::milliseconds(300));
+    REQUIRE_FALSE(refused.empty());
+    for (const std::string& host : refused)
+        CHECK(host == "direct"); // whoever listens at the other address has not ended
+}
+
 TEST_CASE("a link that went silent is dialled anew")
 {
     mesh_fixture fixture;
