A new owner's lease does not hold runs whose host was lost

Cause: a lease holds for everything on an upstream.

Fix: after the loss of an owner, and until the unclaimed runs have been told to stop, a renewal ends 320 ms after they were found; polls are short in that time, so that the full lease follows at once. Why it works: 0.9 s to notice the loss and 0.32 s are less than 1.3 s, whatever happens to the new owner.

Cost: for 0.2 s after the loss of an owner an upstream that answers later than 0.2 s loses its tasks, which start again.

--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -62,6 +62,7 @@
     void requeueAllRuns(upstream_record& upstream, std::string_view cause);
     void removeUpstream(const std::string& id, std::string_view cause);
     void removeOthersAt(time_point now, const protocol::upstream_report& report);
+    duration leaseFor(time_point now, const upstream_record& upstream) const;
     void poll(time_point now, upstream_record& upstream);
     void applyPollAnswer(time_point now, upstream_record& upstream, const poll_request& order, const poll_answer& answer);
     void reconcileRunning(time_point now, upstream_record& upstream, const poll_answer& answer);
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -15,6 +15,8 @@
 namespace {
 
     constexpr std::uint32_t pollWaitMs = 300; // gives three renewals within the shortest lease of 1 s
+    constexpr std::uint32_t pollWaitOfLostRunsMs = 100; // the lease can be renewed again soon after they were stopped
+    constexpr duration maxLeaseOfLostRuns = milliseconds(320); // with the time in which a loss is noticed, it ends within 1.3 s
     // Added to the time that a poll waits for a task to end. The longest leaves time for another poll within the shortest lease.
     constexpr int pollAnswerTimes = 2;
     constexpr duration minPollAnswerTime = milliseconds(200);
@@ -166,6 +168,14 @@
     }
 }
 
+// A lease holds for all runs of the upstream, also for those whose hosts may be lost. Should this owner be lost as well before it has
+// stopped them, they still end in time.
+duration cell_dispatcher::impl::leaseFor(time_point now, const upstream_record& upstream) const
+{
+    const auto since = settings.isEarlierOwnerLost ? upstream.unclaimedSince() : std::nullopt;
+    return since ? std::clamp<duration>(*since + maxLeaseOfLostRuns - now, duration::zero(), settings.maxLease) : settings.maxLease;
+}
+
 void cell_dispatcher::impl::poll(time_point now, upstream_record& upstream)
 {
     if (isFenced)
@@ -179,9 +189,11 @@
     upstream.leaseEndBeforePoll = upstream.leaseEnd;
     // Without a renewal, runs that can't be stopped end with their lease, as do all runs before a silent upstream is removed.
     if (upstream.hasWantedRuns() && now - upstream.heardAt < removalDelay - 2 * settings.maxLease)
-        order.expiresAtMs = upstream.extendLease(now, settings.maxLease);
+        order.expiresAtMs = upstream.extendLease(now, leaseFor(now, upstream));
     if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection || upstream.reportedRestart ? 0 : pollWaitMs;
+    if (settings.isEarlierOwnerLost && upstream.unclaimedSince())
+        order.waitMs = std::min(order.waitMs, pollWaitOfLostRunsMs);
     order.timeout += milliseconds(order.waitMs);
     upstream.leaseEndOfPoll = upstream.leaseEnd;
     upstream.isPollPending = true;
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -34,6 +34,16 @@
     });
 }
 
+std::optional<time_point> upstream_record::unclaimedSince() const
+{
+    std::optional<time_point> first;
+    for (const auto& [name, run] : runs) {
+        if (run.job.empty() && run.state == run_state::running)
+            first = std::min(first.value_or(run.since), run.since);
+    }
+    return first;
+}
+
 std::ptrdiff_t upstream_record::countRuns(std::string_view task) const
 {
     const auto first = runs.lower_bound({ std::string(task), 0 });
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -108,6 +108,8 @@
     resource_vector freeCapacity() const;
     // True if a job wants a run that has not been told to stop. Runs that no job has claimed yet end with the earlier owner's lease.
     bool hasWantedRuns() const;
+    // When the first of the runs was listed that no job has claimed and that were not told to stop; empty if there are none.
+    std::optional<time_point> unclaimedSince() const;
     std::ptrdiff_t countRuns(std::string_view task) const;
 
     // Extends the known lease and returns its new end on the upstream's clock in ms; 0 if that clock is not known yet.
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <initializer_list>
 #include <optional>
+#include <utility>
 
 using namespace jackdaw::cells;
 using namespace jackdaw::cells::tests;
@@ -542,29 +543,34 @@
 TEST_CASE("the next owner keeps runs of a lost host alive until its callers are back")
 {
     for (milliseconds takeover { 700 }; takeover <= milliseconds(1100); takeover += milliseconds(25)) {
-        for (const bool isBusy : { false, true }) {
+        for (const auto& [isBusy, isNextLost] : { std::pair(false, false), std::pair(true, false), std::pair(true, true) }) {
             CAPTURE(takeover.count());
             CAPTURE(isBusy);
+            CAPTURE(isNextLost);
             cell_simulation sim(1);
-            openCell(sim, { "u1", "u2" });
-            job_order job = sim.makeJob("lost", 2, 14000, 9000);
+            openCell(sim, { "u1" });
+            job_order job = sim.makeJob("lost", 1, 14000, 9000);
             job.timeLeftMs = 14000;
             sim.submit(0, job);
+            job_order kept = sim.makeJob("kept", 1, 14000, 9000);
+            kept.timeLeftMs = 14000;
+            if (isBusy)
+                sim.submit(0, kept);
             sim.runFor(milliseconds(1000));
             sim.setOwnerCut(0, true);
             sim.runFor(takeover);
             const std::size_t next = sim.addOwner(true);
-            sim.runFor(milliseconds(10));
-            if (isBusy) { // the leases of the upstreams are renewed
-                job_order other = sim.makeJob("other", 2, 14000, 5000);
-                other.timeLeftMs = 10000;
-                sim.submit(next, other);
-            }
-            sim.runFor(milliseconds(1250) - takeover - milliseconds(10));
-            for (const char* upstream : { "u1", "u2" }) {
-                for (const sim_task_run& run : sim.upstream(upstream).running)
-                    CHECK_FALSE(run.run.task.starts_with("lost"));
+            if (isBusy) { // a job whose host lives: its runs have to be renewed
+                kept.handOverCount = 1;
+                sim.submit(next, kept);
             }
+            sim.runFor(milliseconds(150));
+            sim.setOwnerCut(next, isNextLost);
+            sim.runFor(milliseconds(1250) - takeover - milliseconds(150));
+            for (const sim_task_run& run : sim.upstream("u1").running)
+                CHECK_FALSE(run.run.task.starts_with("lost"));
+            if (isBusy && !isNextLost && takeover <= milliseconds(900))
+                CHECK(sim.upstream("u1").running.size() == 1);
             checkSafe(sim);
         }
     }
