Comment of release(): line length

Found when reading the whole change once more as a newcomer: one line of the doc comment of cell_dispatcher::release() was longer than its neighbours.

--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -102,8 +102,8 @@
     void advance(time_point now);
     time_point nextTimer(time_point now) const;
 
-    // Returns every job to its origin for handover to the next owner, with the upstreams that may run its tasks. Call it when the cell is lost or handed over; the
-    // dispatcher must not be used for further scheduling afterwards.
+    // Returns every job to its origin for handover to the next owner, with the upstreams that may run its tasks. Call it when the
+    // cell is lost or handed over; the dispatcher must not be used for further scheduling afterwards.
     void release(time_point now);
 
     // True once an upstream has seen a higher token, which ends this ownership.
