Test of lost owners: no structured binding inside a capture

clang 14, which the linter uses, refuses to name a structured binding inside the function that doctest's CAPTURE makes; g++ takes it. The test of cell_dispatcher that loses two owners now copies both into variables of their own, and checks the same.

--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -543,7 +543,9 @@
 TEST_CASE("the next owner keeps runs of a lost host alive until its callers are back")
 {
     for (milliseconds takeover { 700 }; takeover <= milliseconds(1100); takeover += milliseconds(25)) {
-        for (const auto& [isBusy, isNextLost] : { std::pair(false, false), std::pair(true, false), std::pair(true, true) }) {
+        for (const auto& variant : { std::pair(false, false), std::pair(true, false), std::pair(true, true) }) {
+            const bool isBusy = variant.first;
+            const bool isNextLost = variant.second;
             CAPTURE(takeover.count());
             CAPTURE(isBusy);
             CAPTURE(isNextLost);
