Simulated cells: origins, killed owners, and leases of late calls that count from their arrival

The simulation had no origins: nothing could fall silent but by hand in a test. It now beats for each origin every 150 ms and ends silent ones as hosts do. Owners can be killed, calls be delayed by kind.

--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -390,6 +390,7 @@
     };
     run(seconds(3), true);
     CHECK(sim.upstream("u1").running.size() + sim.upstream("u2").running.size() == 2);
+    sim.setOriginLost("host");
     run(milliseconds(1250), false);
     CHECK(sim.upstream("u1").running.empty());
     CHECK(sim.upstream("u2").running.empty());
@@ -404,6 +405,7 @@
     job.timeLeftMs = 5000;
     job.fencingToken = 1;
     sim.submit(0, job);
+    sim.setOriginLost("host");
     sim.runFor(milliseconds(900));
     sim.owner(0).submit(sim.now(), job, "other");
     sim.runFor(milliseconds(200));
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -17,11 +17,14 @@
     constexpr std::size_t callBytes = 350; // headers and fields
     constexpr std::size_t connectionBytes = 200; // of its packets
     constexpr duration reportInterval = milliseconds(1500);
+    constexpr duration heartbeatInterval = milliseconds(150); // of origins with open jobs
+    constexpr duration originCheckInterval = milliseconds(50);
     constexpr duration refusalTime = milliseconds(2);
     constexpr milliseconds maxLease(1000);
     constexpr duration clockAtStart = std::chrono::seconds(50); // of an upstream that was there before the simulation
     constexpr duration crashDelay = milliseconds(100);
     constexpr duration restartTime = std::chrono::seconds(3);
+    constexpr std::uint64_t tokensPerOwner = std::uint64_t(1) << 32;
     constexpr auto serviceName = "planning";
     constexpr auto cellName = "a";
 
@@ -35,6 +38,8 @@
 cell_simulation::cell_simulation(std::uint64_t seed)
     : m_random(seed)
 {
+    sendHeartbeats();
+    endSilentOrigins();
 }
 
 sim_upstream& cell_simulation::addUpstream(const std::string& id, std::int64_t millicores, double slowness)
@@ -48,16 +53,18 @@
     return upstream;
 }
 
-std::size_t cell_simulation::addOwner(bool isEarlierOwnerLost)
+std::size_t cell_simulation::addOwner(bool isEarlierOwnerLost, const std::string& unreachable)
 {
     cell_settings settings;
     settings.cell = cellName;
-    settings.token = m_owners.size() + 1;
+    settings.token = 1 + m_owners.size() * tokensPerOwner;
     settings.isEarlierOwnerLost = isEarlierOwnerLost;
     sim_owner owner;
     owner.token = settings.token;
     owner.dispatcher = std::make_unique<cell_dispatcher>(settings, cell_hooks {}, m_now);
     owner.nextAdvance = m_now;
+    if (!unreachable.empty())
+        owner.unreachable.insert(unreachable);
     m_owners.push_back(std::move(owner));
     for (auto& [id, upstream] : m_upstreams) {
         m_owners.back().dispatcher->onUpstreamReport(m_now, makeReport(id, ++upstream.reports));
@@ -81,15 +88,44 @@
     return job;
 }
 
-void cell_simulation::submit(std::size_t owner, const job_order& job, std::uint32_t runMs)
+void cell_simulation::killOwner(std::size_t number)
 {
+    m_owners[number].isCut = true;
+    m_owners[number].isKilled = true;
+}
+
+void cell_simulation::sendHeartbeats()
+{
+    for (const auto& [name, origin] : m_origins) {
+        for (std::size_t i = 0; i < m_owners.size(); ++i) {
+            if (!origin.isLost)
+                m_owners[i].dispatcher->onOriginHeard(m_now, name);
+        }
+    }
+    schedule(heartbeatInterval, [this] { sendHeartbeats(); });
+}
+
+void cell_simulation::endSilentOrigins()
+{
+    for (std::size_t i = 0; i < m_owners.size(); ++i) {
+        if (m_owners[i].isKilled)
+            continue;
+        m_owners[i].dispatcher->endSilentOrigins(m_now);
+        processActions(i);
+    }
+    schedule(originCheckInterval, [this] { endSilentOrigins(); });
+}
+
+void cell_simulation::submit(std::size_t owner, const job_order& job, std::uint32_t runMs, const std::string& origin)
+{
+    m_origins.try_emplace(origin);
     m_runMs[job.id] = runMs > 0 ? runMs : job.steps.front().estimateMs;
     m_needs[job.id] = job.steps.front().need.millicores;
     m_objectives[job.id] = milliseconds(static_cast<std::int64_t>(job.slackFactor * m_runMs.at(job.id)) + job.targetMs);
     m_submittedAt.try_emplace(job.id, m_now);
     job_order addressed = job;
     addressed.fencingToken = m_owners[owner].token;
-    m_owners[owner].dispatcher->submit(m_now, addressed, "host");
+    m_owners[owner].dispatcher->submit(m_now, addressed, origin);
     processActions(owner);
 }
 
@@ -141,6 +177,10 @@
         for (std::size_t i = 0; i < m_owners.size(); ++i) {
             if (m_owners[i].nextAdvance > m_now)
                 continue;
+            if (m_owners[i].isKilled) {
+                m_owners[i].nextAdvance = time_point::max();
+                continue;
+            }
             m_owners[i].dispatcher->advance(m_now);
             m_owners[i].nextAdvance = m_owners[i].dispatcher->nextTimer(m_now);
             processActions(i);
@@ -150,8 +190,10 @@
 
 void cell_simulation::processActions(std::size_t owner)
 {
-    for (const cell_action& action : m_owners[owner].dispatcher->takeActions())
-        perform(owner, action);
+    for (const cell_action& action : m_owners[owner].dispatcher->takeActions()) {
+        if (!m_owners[owner].isKilled)
+            perform(owner, action);
+    }
     m_owners[owner].nextAdvance = std::min(m_owners[owner].nextAdvance, m_owners[owner].dispatcher->nextTimer(m_now));
 }
 
@@ -242,21 +284,28 @@
 }
 
 // Whether the upstream's fault delays the call. If so, later is called after 2 to 11 s.
-bool cell_simulation::isDelayed(const sim_upstream& upstream, std::function<void()> later)
+bool cell_simulation::isDelayed(const sim_upstream& upstream, const late_call& later)
 {
-    if (upstream.fault != upstream_fault::delayed_calls || std::uniform_real_distribution<double>(0, 1)(m_random) >= m_delayedShare)
+    if (!later || upstream.fault != upstream_fault::delayed_calls || std::uniform_real_distribution<double>(0, 1)(m_random) >= m_delayedShare)
         return false;
-    schedule(std::chrono::seconds(2 + m_random() % 10), std::move(later));
+    const duration delay = std::chrono::seconds(2 + m_random() % 10);
+    schedule(delay, [later, delay] { later(delay); });
     return true;
 }
 
-std::optional<call_outcome> cell_simulation::loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, std::function<void()> later)
+// The end of the lease that a call grants which is carried out late.
+std::int64_t cell_simulation::lateLeaseEnd(std::int64_t expiresAtMs, duration delay) const
+{
+    return expiresAtMs > 0 && m_lateLeasesBeginOnArrival ? expiresAtMs + std::chrono::duration_cast<milliseconds>(delay).count() : expiresAtMs;
+}
+
+std::optional<call_outcome> cell_simulation::loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, const late_call& later)
 {
     if (upstream.fault == upstream_fault::crashed)
         return call_outcome::not_received;
     if (upstream.fault == upstream_fault::unreachable)
         return isNewConnection ? call_outcome::not_received : call_outcome::silent;
-    const bool isLost = upstream.fault == upstream_fault::silent || isCutOff(owner, upstream) || isDelayed(upstream, std::move(later));
+    const bool isLost = upstream.fault == upstream_fault::silent || isCutOff(owner, upstream) || isDelayed(upstream, later);
     return isLost ? std::optional(call_outcome::silent) : std::nullopt;
 }
 
@@ -266,9 +315,14 @@
     return stopped != upstream.lastStopped.end() && run.run <= stopped->second;
 }
 
-void cell_simulation::carryOutStart(sim_upstream& upstream, const start_request& order)
+void cell_simulation::carryOutStart(sim_upstream& upstream, start_request order, duration delay)
 {
-    if (upstream.fault != upstream_fault::crashed && check(upstream, order.token) == call_outcome::done && !isStopped(upstream, order.run) && order.expiresAtMs > clockOf(upstream))
+    if (upstream.fault == upstream_fault::crashed || check(upstream, order.token) != call_outcome::done)
+        return;
+    order.expiresAtMs = lateLeaseEnd(order.expiresAtMs, delay);
+    if (isStopped(upstream, order.run))
+        return extendLease(upstream, order.expiresAtMs);
+    if (order.expiresAtMs > clockOf(upstream))
         begin(upstream, order);
 }
 
@@ -276,7 +330,8 @@
 {
     sim_upstream& upstream = m_upstreams.at(order.target.address);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStart(m_now, order, answer); };
-    if (const auto lost = loseCall(owner, upstream, false, [this, order] { carryOutStart(m_upstreams.at(order.target.id), order); }))
+    const late_call later = [this, order](duration delay) { carryOutStart(m_upstreams.at(order.target.id), order, delay); };
+    if (const auto lost = loseCall(owner, upstream, false, m_delayedCalls.areStartsDelayed ? later : late_call()))
         return answerCall(owner, number, upstream, onAnswer, *lost);
     if (order.target.id != upstream.id)
         return answerCall(owner, number, upstream, onAnswer, call_outcome::other_life);
@@ -332,14 +387,14 @@
 {
     sim_upstream& upstream = m_upstreams.at(order.target.id);
     const auto onAnswer = [this, owner, order](const call_answer& answer) { m_owners[owner].dispatcher->onStop(m_now, order, answer); };
-    const auto later = [this, order] {
+    const late_call later = [this, order](duration) {
         sim_upstream& target = m_upstreams.at(order.target.id);
         if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
             carryOutStop(target, order);
     };
     if (upstream.fault == upstream_fault::stops_lost)
         return answerCall(owner, number, upstream, onAnswer, call_outcome::silent);
-    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, later))
+    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, m_delayedCalls.areStopsDelayed ? later : late_call()))
         return answerCall(owner, number, upstream, onAnswer, *lost);
     const call_outcome outcome = check(upstream, order.token);
     if (outcome == call_outcome::done)
@@ -360,14 +415,15 @@
 {
     sim_upstream& upstream = m_upstreams.at(order.target.address);
     const open_poll poll { owner, number, order, m_now + milliseconds(order.waitMs) };
-    const auto later = [this, order] {
+    const late_call later = [this, order](duration delay) {
         sim_upstream& target = m_upstreams.at(order.target.id);
-        if (target.fault != upstream_fault::crashed && check(target, order.token) == call_outcome::done)
-            carryOutPoll(target, order);
-        if (m_lateLeasesBeginOnArrival && order.expiresAtMs > 0)
-            extendLease(target, clockOf(target) + maxLease.count());
+        if (target.fault == upstream_fault::crashed || check(target, order.token) != call_outcome::done)
+            return;
+        poll_request late = order;
+        late.expiresAtMs = lateLeaseEnd(order.expiresAtMs, delay);
+        carryOutPoll(target, late);
     };
-    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, later))
+    if (const auto lost = loseCall(owner, upstream, order.onNewConnection, m_delayedCalls.arePollsDelayed ? later : late_call()))
         return answerPoll(poll, upstream, *lost);
     const call_outcome outcome = order.target.id == upstream.id ? check(upstream, order.token) : call_outcome::other_life;
     if (outcome != call_outcome::done)
@@ -471,6 +527,14 @@
     return found == m_runs.end() ? 0 : found->second;
 }
 
+std::size_t cell_simulation::runningTasksOf(const std::string& job) const
+{
+    std::size_t count = 0;
+    for (const auto& [id, upstream] : m_upstreams)
+        count += static_cast<std::size_t>(std::count_if(upstream.running.begin(), upstream.running.end(), [&](const sim_task_run& item) { return jobOf(item.run.task) == job; }));
+    return count;
+}
+
 std::size_t cell_simulation::crashesUnder(const std::string& task) const
 {
     const auto found = m_crashesUnder.find(task);
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -54,6 +54,13 @@
     time_point clockStart; // its clock begins anew with each life
 };
 
+// Calls to upstreams with delayed_calls that may be carried out late.
+struct delayed_calls {
+    bool areStartsDelayed = true;
+    bool areStopsDelayed = true;
+    bool arePollsDelayed = true;
+};
+
 struct sim_outcome {
     protocol::order_answer answer;
     duration took {};
@@ -67,15 +74,21 @@
     sim_upstream& addUpstream(const std::string& id, std::int64_t millicores, double slowness = 1);
 
     // Adds an owner with a higher token. The previous owner continues until it is released.
-    std::size_t addOwner(bool isEarlierOwnerLost = false);
+    // unreachable: an upstream that it is cut off from; empty: none.
+    std::size_t addOwner(bool isEarlierOwnerLost = false, const std::string& unreachable = {});
     cell_dispatcher& owner(std::size_t number) { return *m_owners[number].dispatcher; }
     void setOwnerCut(std::size_t number, bool isCut) { m_owners[number].isCut = isCut; }
     void cutFrom(std::size_t number, const std::string& upstream) { m_owners[number].unreachable.insert(upstream); }
+    // The owner's process ends.
+    void killOwner(std::size_t number);
+
+    // Every owner hears live origins every 150 ms, as soon as they have submitted a job.
+    void setOriginLost(const std::string& origin, bool isLost = true) { m_origins[origin].isLost = isLost; }
 
     // Each task of the job runs for runMs on an upstream of slowness 1.
     protocol::job_order makeJob(const std::string& id, std::uint32_t tasks, std::int64_t millicores, std::uint32_t runMs, std::uint32_t priority = 0) const;
     // runMs: actual run time of the tasks; 0: as declared.
-    void submit(std::size_t owner, const protocol::job_order& job, std::uint32_t runMs = 0);
+    void submit(std::size_t owner, const protocol::job_order& job, std::uint32_t runMs = 0, const std::string& origin = "host");
 
     void runFor(duration length);
     time_point now() const { return m_now; }
@@ -85,6 +98,7 @@
     // Bounds what each owner can send; calls then wait in turn. 0: no bound.
     void setLinkRate(double bytesPerSecond) { m_linkRate = bytesPerSecond; }
     void setDelayedShare(double share) { m_delayedShare = share; } // of the calls to upstreams with delayed_calls
+    void setDelayedCalls(delayed_calls calls) { m_delayedCalls = calls; }
 
     // The next report of the upstream, whose address is its id; and the arrival of a report, also of one from another writer.
     protocol::upstream_report makeReport(const std::string& id, std::uint64_t sequence) const;
@@ -97,6 +111,7 @@
 
     const std::map<std::string, sim_outcome>& outcomes() const { return m_outcomes; }
     std::size_t runsOf(const std::string& task) const; // how often it was started
+    std::size_t runningTasksOf(const std::string& job) const; // at present, on all upstreams
     std::size_t startsOn(const std::string& upstream) const;
     std::size_t crashesUnder(const std::string& task) const; // crashes of upstreams that ran it
     std::size_t crashes() const { return m_crashes; }
@@ -109,14 +124,19 @@
 
 private:
     using call_number = std::uint64_t;
+    using late_call = std::function<void(duration delay)>;
     struct sim_owner {
         std::unique_ptr<cell_dispatcher> dispatcher;
         std::uint64_t token = 0;
         bool isCut = false; // from all upstreams
+        bool isKilled = false;
         std::set<std::string> unreachable; // upstreams that the owner is cut off from
         time_point linkFreeAt; // when all bytes in its link's queue are sent
         time_point nextAdvance;
     };
+    struct sim_origin {
+        bool isLost = false;
+    };
     struct due_event {
         time_point at;
         std::uint64_t number = 0;
@@ -132,6 +152,9 @@
 
     void schedule(duration delay, std::function<void()> work);
     void report(sim_upstream& upstream);
+    void sendHeartbeats();
+    void endSilentOrigins();
+    std::int64_t lateLeaseEnd(std::int64_t expiresAtMs, duration delay) const;
     void processActions(std::size_t owner);
     void perform(std::size_t owner, const cell_action& action);
     // Sends a call over the owner's link. arrive runs when it has arrived; timeOut when it has not been answered in time.
@@ -146,13 +169,13 @@
     bool isCutOff(std::size_t owner, const sim_upstream& upstream) const;
     void crashByTask(const std::string& id, std::uint64_t number);
     call_outcome check(sim_upstream& upstream, std::uint64_t token) const;
-    bool isDelayed(const sim_upstream& upstream, std::function<void()> later);
+    bool isDelayed(const sim_upstream& upstream, const late_call& later);
     // Returns the outcome that the owner sees of a call that does not arrive in time; empty if it arrives. later carries out a
-    // delayed call.
-    std::optional<call_outcome> loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, std::function<void()> later);
+    // delayed call; it is empty if calls of this kind are never delayed.
+    std::optional<call_outcome> loseCall(std::size_t owner, const sim_upstream& upstream, bool isNewConnection, const late_call& later);
     // Whether the run, or a later run of its task, has ended or was stopped on the upstream.
     static bool isStopped(const sim_upstream& upstream, const run_id& run);
-    void carryOutStart(sim_upstream& upstream, const start_request& order);
+    void carryOutStart(sim_upstream& upstream, start_request order, duration delay);
     void carryOutStop(sim_upstream& upstream, const stop_request& order);
     void carryOutPoll(sim_upstream& upstream, const poll_request& order);
     void extendLease(sim_upstream& upstream, std::int64_t expiresAtMs);
@@ -180,7 +203,9 @@
     std::map<std::string, sim_outcome> m_outcomes;
     std::map<std::string, std::size_t> m_runs;
     std::map<std::string, std::size_t> m_starts;
+    std::map<std::string, sim_origin> m_origins;
     double m_delayedShare = 0.05;
+    delayed_calls m_delayedCalls;
     bool m_lateLeasesBeginOnArrival = false;
     std::set<std::string> m_crashingTasks;
     std::map<std::string, std::size_t> m_crashesUnder;
