Leases end before the callers of any run on the upstream are back

Callers saw two runs of one task: the run of a caller that had left went on for up to 2.7 s after it, while callers send their jobs again after 1.3 s, to any zone.

Cause: a lease counted from its renewal. It holds for everything that runs on an upstream, so an owner renewed runs that nobody waited for together with others, as long as its stops were not carried out; and an owner that was lost between 0.3 and 1.0 s after a job's origin had renewed its runs for up to 1 s more.

Evidence: cell_losses_tests, every call on time, late stops and most stops late against eighteen losses.

Fix: each run knows until when its callers can't be back: 1.25 s after an origin of its job was last heard, fixed once no job wants the run, 270 ms after it was found if no job has claimed it. No renewal and no start extends a lease beyond the earliest of these on the upstream, whoever is lost afterwards. As the lease that an upstream has already holds for a new run, too, no task starts for an origin that was not heard within 0.2 s. Input that was read late after a stall counts as heard at its earliest. renewal_withheld in the log says when a run keeps others from being renewed.

Runs beside a stopped one, or of an origin that is silent for 0.6 s, do not lapse (test).

--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -28,7 +28,7 @@
     if (!decoded)
         return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(delivery.sender) }, { "reason", decoded.error().detail } });
     for (const auto& [cell, dispatcher] : dispatchers)
-        dispatcher->onOriginHeard(steadyNow(), delivery.sender);
+        dispatcher->onOriginHeard(steadyNow() - stalls.maxInputDelay(), delivery.sender);
     if (auto* order = std::get_if<protocol::job_order>(&decoded.value()))
         applyInputDelay(*order);
     const cell_message& message = decoded.value();
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -134,10 +134,12 @@
     dispatchHeld(now);
 }
 
-// Input that was read late may call for starts before the next check of deadlines.
+// Input that was read late may call for starts before the next check of deadlines. The lease that an upstream has already holds for
+// a new run as well, so an origin must have been heard lately.
 bool cell_dispatcher::impl::mayStart(time_point now, const cell_job& job) const
 {
-    return now < job.deadline && areEarlierRunsKnown(now, job);
+    const bool isLeaseInTime = upstream_record::longestLeaseUntil(now, keptUntil(job)) >= settings.maxLease;
+    return now < job.deadline && isLeaseInTime && areEarlierRunsKnown(now, job);
 }
 
 // Load pattern: hundreds of waiting jobs, and a task that ends every millisecond. A heap orders only as many jobs as there is
@@ -146,7 +148,7 @@
 {
     std::vector<cell_job*> waiting;
     for (const auto& [id, job] : jobs) {
-        if (job->isAdmitted && job->waitingTasks() > 0 && mayStart(now, *job))
+        if (job->isAdmitted && job->waitingTasks() > 0)
             waiting.push_back(job.get());
     }
     if (waiting.empty())
@@ -159,7 +161,7 @@
         std::pop_heap(waiting.begin(), waiting.end(), hasLaterRank);
         cell_job& first = *waiting.back();
         waiting.pop_back();
-        if (!canStartAny(first, available))
+        if (!mayStart(now, first) || !canStartAny(first, available))
             continue;
         dispatchJob(now, first, available);
         std::erase_if(waiting, [&available](const cell_job* job) { return !canStartAny(*job, available); });
@@ -219,7 +221,7 @@
     job.setState(step, index, task_state::active);
     job.hasBegun = true;
     upstream.runs[name] = record;
-    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, settings.maxLease), settings.token, now, settings.maxLease });
+    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, leaseFor(now, upstream)), settings.token, now, settings.maxLease });
     calls.onSent(now);
     repairs.onStart();
     if (!upstream.isPollPending)
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -34,6 +34,7 @@
     // Origins with jobs here send something every 150 ms. With the time to stop the tasks, it ends before callers whose host was
     // lost send their jobs again, 1.3 s later.
     duration originSilenceLimit = std::chrono::milliseconds(1000);
+    duration resubmissionDelay = std::chrono::milliseconds(1300); // after which callers that left send their jobs again, to any host
 };
 
 // An answer to send to each entry host in origins.
@@ -89,8 +90,8 @@
     // except for jobs that another origin waits for.
     void onOriginLost(time_point now, std::string_view origin);
 
-    // Anything has arrived from the origin.
-    void onOriginHeard(time_point now, std::string_view origin);
+    // Anything has arrived from the origin, at heardAt at the earliest.
+    void onOriginHeard(time_point heardAt, std::string_view origin);
     // Drops origins that nothing was heard from for longer than a live one is silent while it has jobs here. Not to be called while
     // messages that have arrived may be unread.
     void endSilentOrigins(time_point now);
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -62,7 +62,10 @@
     void requeueAllRuns(upstream_record& upstream, std::string_view cause);
     void removeUpstream(const std::string& id, std::string_view cause);
     void removeOthersAt(time_point now, const protocol::upstream_report& report);
-    duration leaseFor(time_point now, const upstream_record& upstream) const;
+    // The lease that the upstream may be given now. Zero: it must not be renewed.
+    duration leaseFor(time_point now, upstream_record& upstream) const;
+    time_point leaseLimitOf(const upstream_record& upstream) const;
+    time_point keptUntil(const run_record& record) const;
     void poll(time_point now, upstream_record& upstream);
     void applyPollAnswer(time_point now, upstream_record& upstream, const poll_request& order, const poll_answer& answer);
     void reconcileRunning(time_point now, upstream_record& upstream, const poll_answer& answer);
@@ -100,6 +103,10 @@
     void requeueRun(const run_record& record);
     void finish(time_point now, cell_job& job, protocol::order_answer answer);
     void finishIfDone(time_point now, cell_job& job);
+    // Until when a run of the job is certain to be over before a caller that has left sends the job again.
+    time_point keptUntil(const cell_job& job) const;
+    // When an origin of the job was last known to wait for it.
+    time_point lastWantedAt(const cell_job& job) const;
     void answerCancel(std::string_view job, std::string_view origin, std::uint64_t submissionNumber);
     void endOverdue(time_point now, cell_job& job); // its caller has stopped waiting
     void checkJobs(time_point now);
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -52,6 +52,7 @@
     time_point submittedAt;
     time_point objectiveEnd;
     time_point deadline; // when the caller stops waiting
+    time_point abandonedAt; // valid once no origin waits: when the last one was known to wait
     bool hasBegun = false; // a start was sent, or an earlier owner's run was found
     bool isAdmitted = false; // may be scheduled; set by admission, or at once for jobs that may already have run
 
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -19,6 +19,8 @@
 namespace {
 
     constexpr duration answerRetention = std::chrono::seconds(10); // resubmissions of a job may arrive seconds later
+    // Between a caller's leaving and the owner: its connection's end is noticed, and the link from the origin carries the news.
+    constexpr duration messageMargin = milliseconds(50);
     constexpr std::uint32_t retryWithoutUpstreamsMs = 1000; // upstreams report every 1 to 2 s
     // Run numbers per handover: more than the starts that one owner is expected to need for a task, so that the next owner's numbers
     // are higher. If they are not, the upstream refuses the start as superseded, and the run number is raised.
@@ -189,14 +191,33 @@
         finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::completed, {}));
 }
 
+time_point cell_dispatcher::impl::lastWantedAt(const cell_job& job) const
+{
+    if (job.origins.empty())
+        return job.abandonedAt;
+    time_point last = job.submittedAt;
+    for (const auto& [origin, submission] : job.origins) {
+        if (const auto heard = originsHeardAt.find(origin); heard != originsHeardAt.end())
+            last = std::max(last, heard->second);
+    }
+    return std::min(last, job.deadline);
+}
+
+time_point cell_dispatcher::impl::keptUntil(const cell_job& job) const
+{
+    return lastWantedAt(job) + settings.resubmissionDelay - messageMargin;
+}
+
 // Answers and removes the job, and stops its remaining runs.
 void cell_dispatcher::impl::finish(time_point now, cell_job& job, order_answer answer)
 {
     std::size_t left = 0;
+    const time_point runsKeptUntil = keptUntil(job);
     for (auto& [id, upstream] : upstreams) {
         for (auto& [name, record] : upstream.runs) {
             if (record.job != job.order.id)
                 continue;
+            record.keptUntil = runsKeptUntil;
             if (record.state != run_state::stopping && record.state != run_state::uncertain)
                 stopRun(now, upstream, name, record);
             record.job.clear();
@@ -265,6 +286,7 @@
     if (const auto waiting = known->origins.find(origin); waiting != known->origins.end()) {
         if (submissionNumber > 0 && waiting->second > submissionNumber)
             return; // the caller of the later order still waits
+        known->abandonedAt = m_impl->lastWantedAt(*known);
         known->origins.erase(waiting);
     }
     if (!known->origins.empty())
@@ -284,10 +306,10 @@
         cancel(now, id, origin);
 }
 
-void cell_dispatcher::onOriginHeard(time_point now, std::string_view origin)
+void cell_dispatcher::onOriginHeard(time_point heardAt, std::string_view origin)
 {
     if (const auto known = m_impl->originsHeardAt.find(origin); known != m_impl->originsHeardAt.end())
-        known->second = now;
+        known->second = std::max(known->second, heardAt);
 }
 
 void cell_dispatcher::endSilentOrigins(time_point now)
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -15,8 +15,10 @@
 namespace {
 
     constexpr std::uint32_t pollWaitMs = 300; // gives three renewals within the shortest lease of 1 s
-    constexpr std::uint32_t pollWaitOfLostRunsMs = 100; // the lease can be renewed again soon after they were stopped
-    constexpr duration maxLeaseOfLostRuns = milliseconds(320); // with the time in which a loss is noticed, it ends within 1.3 s
+    constexpr std::uint32_t shortPollWaitMs = 100; // gives two renewals within a short lease, and one soon after it need not be short
+    constexpr duration shortLease = milliseconds(600); // two waits of a poll
+    // A run that no job has claimed may have lost its callers up to 1 s ago, the time in which a silent owner or origin is noticed.
+    constexpr duration maxLeaseOfUnclaimedRuns = milliseconds(270);
     // Added to the time that a poll waits for a task to end. The longest leaves time for another poll within the shortest lease.
     constexpr int pollAnswerTimes = 2;
     constexpr duration minPollAnswerTime = milliseconds(200);
@@ -108,8 +110,10 @@
     }
     for (const auto& [name, start] : upstream.unansweredStarts) {
         const auto [found, isAdded] = upstream.runs.emplace(name, start.record);
-        if (isAdded && !before.contains(name))
-            found->second.job.clear(); // the task has been requeued since
+        if (!isAdded || before.contains(name))
+            continue;
+        found->second.job.clear(); // the task has been requeued since
+        found->second.keptUntil = now + settings.maxLease;
     }
     const auto isListed = [running](const run_id& name) { return std::any_of(running.begin(), running.end(), [&name](const running_task& task) { return task.run == name; }); };
     for (auto& [name, record] : upstream.runs) {
@@ -168,12 +172,32 @@
     }
 }
 
-// A lease holds for all runs of the upstream, also for those whose hosts may be lost. Should this owner be lost as well before it has
-// stopped them, they still end in time.
-duration cell_dispatcher::impl::leaseFor(time_point now, const upstream_record& upstream) const
+time_point cell_dispatcher::impl::keptUntil(const run_record& record) const
+{
+    const auto job = jobs.find(record.job);
+    return job == jobs.end() ? record.keptUntil : keptUntil(*job->second);
+}
+
+// A start that was never answered holds nothing back once a later list does not name it: it may begin only by a late call, which brings
+// its own lease.
+time_point cell_dispatcher::impl::leaseLimitOf(const upstream_record& upstream) const
+{
+    time_point limit = time_point::max();
+    for (const auto& [name, record] : upstream.runs) {
+        if (record.hasBegun || record.since >= upstream.listedAt)
+            limit = std::min(limit, keptUntil(record));
+    }
+    return limit;
+}
+
+// A lease holds for all runs of the upstream, so the run whose callers were seen first limits it. Whatever happens to this owner,
+// that run then ends before its callers are back.
+duration cell_dispatcher::impl::leaseFor(time_point now, upstream_record& upstream) const
 {
-    const auto since = settings.isEarlierOwnerLost ? upstream.unclaimedSince() : std::nullopt;
-    return since ? std::clamp<duration>(*since + maxLeaseOfLostRuns - now, duration::zero(), settings.maxLease) : settings.maxLease;
+    upstream.leaseLimit = leaseLimitOf(upstream);
+    if (upstream.leaseLimit == time_point::max())
+        return settings.maxLease;
+    return std::clamp(upstream_record::longestLeaseUntil(now, upstream.leaseLimit), duration::zero(), settings.maxLease);
 }
 
 void cell_dispatcher::impl::poll(time_point now, upstream_record& upstream)
@@ -188,12 +212,17 @@
     order.timeout = std::clamp(pollAnswerTimes * calls.answerTime(), minPollAnswerTime, maxPollAnswerTime);
     upstream.leaseEndBeforePoll = upstream.leaseEnd;
     // Without a renewal, runs that can't be stopped end with their lease, as do all runs before a silent upstream is removed.
-    if (upstream.hasWantedRuns() && now - upstream.heardAt < removalDelay - 2 * settings.maxLease)
-        order.expiresAtMs = upstream.extendLease(now, leaseFor(now, upstream));
+    const duration lease = leaseFor(now, upstream);
+    const bool isWithheld = lease == duration::zero() && upstream.hasWantedRuns();
+    if (isWithheld && !upstream.isRenewalWithheld)
+        note("renewal_withheld", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
+    upstream.isRenewalWithheld = isWithheld;
+    if (upstream.hasWantedRuns() && !isWithheld && now - upstream.heardAt < removalDelay - 2 * settings.maxLease)
+        order.expiresAtMs = upstream.extendLease(now, lease);
     if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection || upstream.reportedRestart ? 0 : pollWaitMs;
-    if (settings.isEarlierOwnerLost && upstream.unclaimedSince())
-        order.waitMs = std::min(order.waitMs, pollWaitOfLostRunsMs);
+    if (lease < shortLease)
+        order.waitMs = std::min(order.waitMs, shortPollWaitMs);
     order.timeout += milliseconds(order.waitMs);
     upstream.leaseEndOfPoll = upstream.leaseEnd;
     upstream.isPollPending = true;
@@ -252,6 +281,7 @@
         note("upstream_answers", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     upstream.needsNewConnection = false;
     recordAnswer(now, upstream, answer.call);
+    upstream.listedAt = upstream.pollSentAt;
     dismissLosses(upstream);
     for (const ended_task& end : answer.ended) {
         if (end.number <= upstream.cursor)
@@ -285,6 +315,7 @@
             record.state = run_state::running;
             record.since = now;
             record.confirmedAt = now;
+            record.keptUntil = now + maxLeaseOfUnclaimedRuns;
         } else if (record.state == run_state::starting || (record.state == run_state::uncertain && !record.isStopConfirmed)) {
             const bool isWanted = record.state == run_state::starting || (!record.job.empty() && countRuns(running.run.task) == 1);
             record.state = isWanted ? run_state::running : run_state::stopping;
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -13,6 +13,9 @@
     // Consecutive unanswered calls. Single calls are also lost with a connection or carried out late on healthy upstreams.
     constexpr int unansweredCallsToEject = 2;
 
+    // About as long as a poll waits. A shorter lease would lapse before it is renewed.
+    constexpr duration minLease = std::chrono::milliseconds(300);
+
     // Number of an upstream's own samples that weigh as much as the ratio of its service.
     constexpr double priorSamples = 3;
 
@@ -72,7 +75,8 @@
 
 bool isAvailable(const upstream_record& upstream, time_point now)
 {
-    return upstream.isAdopted && upstream.isCapacityKnown && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
+    const bool isRenewable = now + minLease <= upstream.leaseLimit;
+    return isRenewable && upstream.isAdopted && upstream.isCapacityKnown && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
 }
 
 double serviceRatio(const service_ratios& ratios, std::string_view service)
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -10,6 +10,12 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
+namespace {
+
+    constexpr duration transit = milliseconds(20); // how far the clock estimate may be behind
+
+} // namespace
+
 std::int64_t clock_estimate::now(time_point localNow) const
 {
     return clockMs + duration_cast<milliseconds>(localNow - at).count();
@@ -34,16 +40,6 @@
     });
 }
 
-std::optional<time_point> upstream_record::unclaimedSince() const
-{
-    std::optional<time_point> first;
-    for (const auto& [name, run] : runs) {
-        if (run.job.empty() && run.state == run_state::running)
-            first = std::min(first.value_or(run.since), run.since);
-    }
-    return first;
-}
-
 std::ptrdiff_t upstream_record::countRuns(std::string_view task) const
 {
     const auto first = runs.lower_bound({ std::string(task), 0 });
@@ -59,9 +55,13 @@
     return clock.now(now) + duration_cast<milliseconds>(lease).count();
 }
 
+duration upstream_record::longestLeaseUntil(time_point now, time_point end)
+{
+    return duration_cast<duration>((end - now - transit) / (1 + clockDrift));
+}
+
 void upstream_record::noteLease(time_point now, duration lease)
 {
-    constexpr duration transit = milliseconds(20); // how far the clock estimate may be behind
     const auto longest = duration_cast<duration>(lease * (1 + clockDrift)) + transit;
     leaseEnd = std::max(leaseEnd, now + longest);
 }
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -29,6 +29,7 @@
 struct run_record {
     run_state state = run_state::starting;
     std::string job; // empty: no job wants the run, or none has claimed it yet
+    time_point keptUntil; // valid while job is empty: no lease is extended beyond, since a caller may start the task elsewhere
     std::uint32_t step = 0;
     std::uint32_t index = 0;
     std::optional<resource_vector> need; // empty: the upstream listed the run, and no job has claimed it yet
@@ -84,9 +85,12 @@
     time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
     time_point leaseEndBeforePoll; // leaseEnd without and with the renewal by the latest poll
     time_point leaseEndOfPoll;
+    time_point listedAt; // when the latest poll was sent whose answer is known
+    time_point leaseLimit = time_point::max(); // no lease is extended beyond, for the sake of a run here whose callers may have left
     std::optional<time_point> unansweredRenewalAt; // latest renewal that got no answer, if nothing was answered since
     time_point lateRenewalEnd; // until then runs may be held by a renewal that is carried out late
 
+    bool isRenewalWithheld = false; // although runs are wanted: a run is still here whose caller may be back
     bool isPollPending = false;
     bool mustPollAgain = false; // at once if the pending poll fails: a report names a later start
     bool needsNewConnection = false; // the last poll was unanswered
@@ -108,14 +112,15 @@
     resource_vector freeCapacity() const;
     // True if a job wants a run that has not been told to stop. Runs that no job has claimed yet end with the earlier owner's lease.
     bool hasWantedRuns() const;
-    // When the first of the runs was listed that no job has claimed and that were not told to stop; empty if there are none.
-    std::optional<time_point> unclaimedSince() const;
     std::ptrdiff_t countRuns(std::string_view task) const;
 
     // Extends the known lease and returns its new end on the upstream's clock in ms; 0 if that clock is not known yet.
     // leaseEnd becomes the latest local time at which the lease can end.
     std::int64_t extendLease(time_point now, duration lease);
 
+    // The longest lease that is over at the given time even if the upstream's clock is slow.
+    static duration longestLeaseUntil(time_point now, time_point end);
+
     // The lease may last for this long from now.
     void noteLease(time_point now, duration lease);
 
