Calls that may still be carried out late are shut out by the token of the next one

Callers saw two runs of one task: a renewal or a start that had got no answer was carried out 2 to 12 s later, its lease counted from then, and the run was there when its caller's resubmission started. Nobody can take such a call back once its sender is lost.

Cause: all calls of an ownership carry one fencing token, so an upstream can't tell a late call from a present one until the next owner has adopted it.

Evidence: cell_losses_tests, calls that are carried out late.

Fix: a claim has 256 tokens, the time stamps of its first 256 ms. After a call without an answer the owner raises the token of its calls to that upstream; the next call that is carried out there shuts the late ones out, and they come no sooner than 2 s after they were sent, when the leases of a lost owner are over. A token is raised again only after an answer, and no faster than the clock, so that the next owner's is higher. A refusal of a call with a token that has been raised since does not end the ownership: the call was overtaken. An owner that has used up its tokens claims the cell anew. The number on the wire stays below 2^53. call_token_raised and call_tokens_used_up tell of it in the log.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -221,7 +221,7 @@
     job.setState(step, index, task_state::active);
     job.hasBegun = true;
     upstream.runs[name] = record;
-    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, leaseFor(now, upstream)), settings.token, now, settings.maxLease });
+    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, leaseFor(now, upstream)), nextToken(now, upstream), now, settings.maxLease });
     calls.onSent(now);
     repairs.onStart();
     if (!upstream.isPollPending)
@@ -237,10 +237,12 @@
 void cell_dispatcher::onStart(time_point now, const start_request& order, const call_answer& answer)
 {
     m_impl->calls.onEnded(now, order.sentAt, isAnswer(answer.outcome));
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, order.token, answer);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
+    if (answer.outcome == call_outcome::silent)
+        m_impl->noteUnanswered(upstream, order.token);
     const auto run = upstream.runs.find(order.run);
     if (run == upstream.runs.end())
         return; // the run has ended in the meantime
@@ -291,6 +293,7 @@
         m_impl->checkJobs(now);
     m_impl->failures.removeExpired(now);
     std::erase_if(m_impl->answeredJobs, [now](const auto& item) { return item.second.until <= now; });
+    std::erase_if(m_impl->removedUpstreams, [now](const auto& item) { return item.second.until <= now; });
     std::erase_if(m_impl->unclaimedDoneTasks, [now](const auto& item) { return item.second <= now; });
     m_impl->dispatch(now);
 }
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -1,6 +1,7 @@
 // Claims on cells, and the choice of the host that takes over a cell without an owner.
 #include "coordination/cells/cell_ownership.h"
 
+#include "coordination/cells/fencing_token.h"
 #include "coordination/cells/zone_cells.h"
 
 #include <xxhash.h>
@@ -11,10 +12,8 @@
 namespace jackdaw::cells {
 namespace {
 
-    // A fencing token is a time stamp in ms followed by a hash of the host's address. Newer tokens are higher. Tokens that two
-    // hosts make in the same millisecond differ, unless the hashes collide.
-    constexpr int hostHashBits = 10;
-    constexpr std::uint64_t hostHashMask = (1U << hostHashBits) - 1;
+    // Newer tokens are higher. Tokens that two hosts make in the same millisecond differ, unless the hashes collide.
+    constexpr std::uint64_t hostHashMask = (1U << tokenHashBits) - 1;
 
     constexpr std::size_t delegates = 3; // hosts of a zone that gossip to a host of another zone; two may be lost
 
@@ -277,10 +276,10 @@
 std::uint64_t cell_ownership::nextToken(std::int64_t unixMs) const
 {
     const std::uint64_t hostHash = XXH3_64bits(m_settings.host.data(), m_settings.host.size()) & hostHashMask;
-    std::uint64_t stamp = std::max(static_cast<std::uint64_t>(unixMs), (m_highestToken >> hostHashBits) + 1);
+    std::uint64_t stamp = std::max(static_cast<std::uint64_t>(unixMs), (m_highestToken >> tokenHashBits) + stampsPerClaim);
     for (const auto& [cell, token] : m_claims)
-        stamp = std::max(stamp, (token >> hostHashBits) + 1);
-    return (stamp << hostHashBits) | hostHash;
+        stamp = std::max(stamp, (token >> tokenHashBits) + stampsPerClaim);
+    return (stamp << tokenHashBits) | hostHash;
 }
 
 bool cell_ownership::isBackingOff(time_point now, std::string_view cell) const
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -43,6 +43,12 @@
     std::uint64_t lastLife = 0; // number of the upstreams' incarnations seen so far
     bool isTakeoverLogged = false;
 
+    struct removed_upstream {
+        std::uint32_t tokenRaises = 0;
+        time_point until;
+    };
+    std::map<std::string, removed_upstream, std::less<>> removedUpstreams; // they may be back in the same life
+
     // Answers of ended jobs, kept for resubmissions that arrive late.
     struct cached_answer {
         protocol::order_answer answer;
@@ -60,7 +66,7 @@
     void endUnansweredStarts(time_point now, upstream_record& upstream);
     std::map<run_id, run_record> removeRuns(upstream_record& upstream, std::string_view cause, const std::function<bool(const run_record& record)>& isGone);
     void requeueAllRuns(upstream_record& upstream, std::string_view cause);
-    void removeUpstream(const std::string& id, std::string_view cause);
+    void removeUpstream(time_point now, const std::string& id, std::string_view cause);
     void removeOthersAt(time_point now, const protocol::upstream_report& report);
     // The lease that the upstream may be given now. Zero: it must not be renewed.
     duration leaseFor(time_point now, upstream_record& upstream) const;
@@ -78,8 +84,12 @@
     void stopRun(time_point now, upstream_record& upstream, const run_id& name, run_record& record);
     void recordAnswer(time_point now, upstream_record& upstream, const call_answer& answer);
     // Returns the upstream that answered a call. Null if the answer ended this ownership, or is of an upstream or an incarnation that
-    // is no longer known.
-    upstream_record* findAnsweringUpstream(time_point now, const upstream_target& target, const call_answer& answer);
+    // is no longer known. token: of the call.
+    upstream_record* findAnsweringUpstream(time_point now, const upstream_target& target, std::uint64_t token, const call_answer& answer);
+    // The token of calls to the upstream, and that of the next one, raised if earlier calls may still be carried out.
+    std::uint64_t tokenOf(const std::string& upstream) const;
+    std::uint64_t nextToken(time_point now, upstream_record& upstream);
+    void noteUnanswered(upstream_record& upstream, std::uint64_t token) const;
 
     // Crashes.
     // Counts runs that were lost with an upstream that may have crashed.
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -1,6 +1,8 @@
 // Upstreams of a cell: adoption, polls, ended tasks, leases and health.
 #include "coordination/cells/internal/cell_dispatcher_impl.h"
 
+#include "coordination/cells/fencing_token.h"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -36,6 +38,7 @@
     // An upstream is removed this long after its last report or answer, when its unanswered starts have expired. Ended tasks without
     // a known job are remembered as long.
     constexpr duration removalDelay = std::chrono::seconds(13);
+    constexpr duration removedUpstreamRetention = std::chrono::seconds(60); // as long as hosts remember upstreams that don't report
     constexpr int failuresToEject = 2; // consecutive; with the usual failure rate of 0.2 % two in a row are rare
     constexpr duration minEjection = milliseconds(500); // a few run times of a short task
     constexpr duration maxEjection = std::chrono::seconds(4); // half of the usual duration of such faults
@@ -62,8 +65,11 @@
     const bool hasPrecedence = report.startedUnixMs < known.startedUnixMs || now - upstream.reportedAt < protocol::reportPrecedenceTime;
     if (!isNew && hasPrecedence && !protocol::isNewer(report, known))
         return;
-    if (isNew)
+    if (isNew) {
         upstream.life = ++lastLife;
+        if (const auto removed = removedUpstreams.find(report.id); removed != removedUpstreams.end())
+            upstream.tokenRaises = removed->second.tokenRaises;
+    }
     if (!isNew && report.startedUnixMs > known.startedUnixMs) {
         // Its runs are lost only if the upstream itself answers that it has restarted: the report may be another writer's.
         upstream.reportedRestart = report;
@@ -88,6 +94,7 @@
     if (record.hasBegun)
         return; // a list has named the run in the meantime
     ++upstream.consecutiveUnanswered;
+    upstream.mayHaveLateCalls = true;
     upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
     upstream.unansweredRenewalAt = record.since;
     if (record.state == run_state::starting)
@@ -148,12 +155,14 @@
         requeueRun(record);
 }
 
-void cell_dispatcher::impl::removeUpstream(const std::string& id, std::string_view cause)
+void cell_dispatcher::impl::removeUpstream(time_point now, const std::string& id, std::string_view cause)
 {
     const auto found = upstreams.find(id);
     if (found == upstreams.end())
         return;
     note("upstream_gone", id, formatField("cause", cause));
+    if (const std::uint32_t raises = found->second.tokenRaises; raises > 0)
+        removedUpstreams[id] = { raises, now + removedUpstreamRetention };
     requeueAllRuns(found->second, cause);
     upstreams.erase(found);
 }
@@ -168,7 +177,7 @@
     }
     for (const std::string& id : others) {
         onCrashed(now, upstreams.at(id), "another upstream answers at its address");
-        removeUpstream(id, "another upstream answers at its address");
+        removeUpstream(now, id, "another upstream answers at its address");
     }
 }
 
@@ -207,7 +216,7 @@
     poll_request order;
     order.target = upstream.target();
     order.ackCursor = upstream.cursor;
-    order.token = settings.token;
+    order.token = nextToken(now, upstream);
     order.onNewConnection = upstream.needsNewConnection;
     order.timeout = std::clamp(pollAnswerTimes * calls.answerTime(), minPollAnswerTime, maxPollAnswerTime);
     upstream.leaseEndBeforePoll = upstream.leaseEnd;
@@ -234,6 +243,7 @@
 {
     upstream.consecutiveUnanswered = 0;
     upstream.heardAt = now;
+    upstream.answeredAt = now;
     // An upstream that answers a later call may have put the earlier one off.
     if (const auto sentAt = std::exchange(upstream.unansweredRenewalAt, {}))
         upstream.lateRenewalEnd = std::max(upstream.lateRenewalEnd, *sentAt + lateCallLimit + 2 * settings.maxLease);
@@ -242,9 +252,43 @@
         upstream.clock = { answer.clockMs, now };
 }
 
-internal::upstream_record* cell_dispatcher::impl::findAnsweringUpstream(time_point now, const upstream_target& target, const call_answer& answer)
+std::uint64_t cell_dispatcher::impl::tokenOf(const std::string& upstream) const
+{
+    if (const auto known = upstreams.find(upstream); known != upstreams.end())
+        return raisedToken(settings.token, known->second.tokenRaises);
+    const auto removed = removedUpstreams.find(upstream);
+    return raisedToken(settings.token, removed == removedUpstreams.end() ? 0 : removed->second.tokenRaises);
+}
+
+// The token is raised again only after an answer: while nothing is answered, one raise shuts all earlier calls out.
+std::uint64_t cell_dispatcher::impl::nextToken(time_point now, upstream_record& upstream)
 {
-    if (answer.outcome == call_outcome::fenced) {
+    const bool isAnswered = !upstream.tokenRaisedAt || upstream.answeredAt > *upstream.tokenRaisedAt;
+    const auto ownedMs = std::chrono::duration_cast<milliseconds>(now - ownedSince).count();
+    if (upstream.mayHaveLateCalls && isAnswered && upstream.tokenRaises < ownedMs) {
+        if (upstream.tokenRaises + 1 == stampsPerClaim) {
+            note("call_tokens_used_up", upstream.lastReport.id, "token=" + std::to_string(settings.token));
+            isFenced = true; // another claim has new ones
+        } else {
+            ++upstream.tokenRaises;
+            upstream.tokenRaisedAt = now;
+            upstream.mayHaveLateCalls = false;
+            note("call_token_raised", upstream.lastReport.id, "raises=" + std::to_string(upstream.tokenRaises));
+        }
+    }
+    return raisedToken(settings.token, upstream.tokenRaises);
+}
+
+void cell_dispatcher::impl::noteUnanswered(upstream_record& upstream, std::uint64_t token) const
+{
+    if (token == raisedToken(settings.token, upstream.tokenRaises))
+        upstream.mayHaveLateCalls = true;
+}
+
+internal::upstream_record* cell_dispatcher::impl::findAnsweringUpstream(time_point now, const upstream_target& target, std::uint64_t token, const call_answer& answer)
+{
+    // A later call of this owner may have overtaken the one that was refused.
+    if (answer.outcome == call_outcome::fenced && token >= tokenOf(target.id)) {
         if (!isFenced)
             note("fenced", target.id, "token=" + std::to_string(settings.token));
         isFenced = true;
@@ -256,7 +300,7 @@
     if (answer.outcome != call_outcome::other_life)
         return &found->second;
     onCrashed(now, found->second, "another upstream or incarnation answers at its address");
-    removeUpstream(target.id, "another upstream or incarnation answers at its address");
+    removeUpstream(now, target.id, "another upstream or incarnation answers at its address");
     return nullptr;
 }
 
@@ -414,7 +458,7 @@
     record.nextStopAt = now + timeout;
     if (isRepair && !repairs.take(now))
         return;
-    actions.emplace_back(stop_request { upstream.target(), name, settings.token, isUncertain, now, timeout });
+    actions.emplace_back(stop_request { upstream.target(), name, nextToken(now, upstream), isUncertain, now, timeout });
     calls.onSent(now);
 }
 
@@ -507,7 +551,7 @@
     std::set<std::string> affected;
     for (const auto& [name, record] : std::exchange(found->second.runs, {}))
         affected.insert(record.job);
-    m_impl->removeUpstream(id, "it belongs to another cell");
+    m_impl->removeUpstream(now, id, "it belongs to another cell");
     for (const std::string& job : affected) {
         if (internal::cell_job* known = m_impl->findJob(job))
             m_impl->finish(now, *known, protocol::makeOrderAnswer(known->order, protocol::job_outcome::unfinished, "the cell was divided"));
@@ -524,14 +568,19 @@
 
 void cell_dispatcher::onPoll(time_point now, const poll_request& order, const poll_answer& answer)
 {
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer.call);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, order.token, answer.call);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
     upstream.isPollPending = false;
     if (answer.call.outcome == call_outcome::done) {
         m_impl->applyPollAnswer(now, upstream, order, answer);
+    } else if (answer.call.outcome == call_outcome::fenced) { // overtaken
+        m_impl->recordAnswer(now, upstream, answer.call);
+        upstream.nextPollAt = now;
     } else {
+        if (answer.call.outcome == call_outcome::silent)
+            m_impl->noteUnanswered(upstream, order.token);
         if (!upstream.needsNewConnection)
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
         if (answer.call.outcome == call_outcome::not_received)
@@ -543,7 +592,7 @@
         upstream.nextPollAt = std::exchange(upstream.mustPollAgain, false) ? now : now + retryInterval;
         if (now - upstream.heardAt > removalDelay) {
             m_impl->onCrashed(now, upstream, "no report or answer for too long");
-            return m_impl->removeUpstream(order.target.id, "no report or answer for too long");
+            return m_impl->removeUpstream(now, order.target.id, "no report or answer for too long");
         }
     }
     if (!upstream.isPollPending && now >= upstream.nextPollAt)
@@ -554,12 +603,18 @@
 void cell_dispatcher::onStop(time_point now, const stop_request& order, const call_answer& answer)
 {
     m_impl->calls.onEnded(now, order.sentAt, isAnswer(answer.outcome));
-    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, answer);
+    internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, order.token, answer);
     if (!answering)
         return;
     internal::upstream_record& upstream = *answering;
+    if (answer.outcome == call_outcome::silent)
+        m_impl->noteUnanswered(upstream, order.token);
     const auto run = upstream.runs.find(order.run);
-    if (run == upstream.runs.end() || answer.outcome != call_outcome::done)
+    if (run == upstream.runs.end())
+        return;
+    if (answer.outcome == call_outcome::fenced) // overtaken
+        run->second.nextStopAt = now;
+    if (answer.outcome != call_outcome::done)
         return;
     m_impl->recordAnswer(now, upstream, answer);
     run->second.isStopConfirmed = true;
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -77,11 +77,14 @@
     const run_time_ratio learned = ratio;
     auto unanswered = std::move(unansweredStarts);
     const time_point latestLeaseEnd = leaseEnd;
+    const std::uint32_t raises = tokenRaises;
     *this = upstream_record(report);
     life = newLife;
     ratio = learned;
     unansweredStarts = std::move(unanswered);
     leaseEnd = latestLeaseEnd;
+    tokenRaises = raises;
+    mayHaveLateCalls = true;
 }
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -90,6 +90,11 @@
     std::optional<time_point> unansweredRenewalAt; // latest renewal that got no answer, if nothing was answered since
     time_point lateRenewalEnd; // until then runs may be held by a renewal that is carried out late
 
+    std::uint32_t tokenRaises = 0; // of this owner's token for calls to the upstream
+    std::optional<time_point> tokenRaisedAt;
+    bool mayHaveLateCalls = false; // a call with the present token was not answered
+    time_point answeredAt; // last answer to any call
+
     bool isRenewalWithheld = false; // although runs are wanted: a run is still here whose caller may be back
     bool isPollPending = false;
     bool mustPollAgain = false; // at once if the pending poll fails: a report names a later start
@@ -127,7 +132,7 @@
     // The latest poll, which was to renew the lease, has not reached the upstream.
     void undoRenewal();
 
-    // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts and
+    // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts, the token of calls, and
     // the end of the lease, which also holds for runs that the new incarnation began before it was known.
     void restart(const protocol::upstream_report& report, std::uint64_t newLife);
 };
--- a/src/coordination/cells/tests/cell_losses_tests.cpp
+++ b/src/coordination/cells/tests/cell_losses_tests.cpp
@@ -28,7 +28,11 @@
 };
 
 constexpr call_faults everyCallOnTime { "every call on time", { false, false, false }, 0, false };
+constexpr call_faults lateRenewals { "late renewals", { false, false, true }, 0.5, true };
+constexpr call_faults lateStarts { "late starts", { true, false, false }, 0.5, true };
 constexpr call_faults lateStops { "late stops", { false, true, false }, 0.5, false };
+constexpr call_faults lateCalls { "late calls", {}, 0.5, false };
+constexpr call_faults lateCallsAndLeases { "late calls, leases from arrival", {}, 0.5, true };
 constexpr call_faults mostStopsLate { "most stops late", { false, true, false }, 0.9, false };
 
 // What is lost, in milliseconds from the moment at which the caller's connection breaks. Absent: not lost.
@@ -168,6 +172,12 @@
     checkLosses({ everyCallOnTime, lateStops, mostStopsLate });
 }
 
+// Guards against calls that nobody can take back once their sender is lost.
+TEST_CASE("a call that is carried out late keeps a run alive or starts one when its caller is back")
+{
+    checkLosses({ lateRenewals, lateStarts, lateCalls, lateCallsAndLeases });
+}
+
 TEST_CASE("a task is started for an origin that has been silent for almost as long as it takes to end its jobs")
 {
     cell_simulation sim(1);
