--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -29,10 +29,19 @@
     // Skips the run numbers that an owner before the previous one may have used.
     constexpr std::uint32_t supersededRunIncrement = 16;
 
+    // A longer lease could not be granted, since its end must come before callers that have just left are back.
+    constexpr duration longestSilenceBeforeStart = milliseconds(300);
+
+    cell_settings withLeaseInTime(cell_settings settings)
+    {
+        settings.maxLease = std::min(settings.maxLease, settings.resubmissionDelay - longestSilenceBeforeStart);
+        return settings;
+    }
+
 } // namespace
 
 cell_dispatcher::impl::impl(cell_settings wanted, cell_hooks wantedHooks, time_point now)
-    : settings(std::move(wanted))
+    : settings(withLeaseInTime(std::move(wanted)))
     , hooks(std::move(wantedHooks))
     , ownedSince(now)
 {
@@ -135,8 +144,9 @@
     dispatchHeld(now);
 }
 
-// Input that was read late may call for starts before the next check of deadlines. The lease that an upstream has already holds for
-// a new run as well, so an origin must have been heard lately.
+// Input that was read late may call for starts before the next check of deadlines.
+// The lease that an upstream has already holds for a new run as well, so that much time must be left before the job's callers could be
+// back: with a lease of 1 s, an origin must have been heard within 0.2 s.
 bool cell_dispatcher::impl::mayStart(time_point now, const cell_job& job) const
 {
     const bool isLeaseInTime = upstream_record::longestLeaseUntil(now, keptUntil(job)) >= settings.maxLease;
@@ -154,6 +164,10 @@
     }
     if (waiting.empty())
         return;
+    for (auto& [id, upstream] : upstreams) {
+        if (!internal::isLeaseLongEnough(upstream, now))
+            upstream.leaseLimit = leaseLimitOf(upstream); // runs may have ended since
+    }
     internal::available_upstreams available(upstreams, serviceRatios, now);
     std::erase_if(waiting, [&available](const cell_job* job) { return !canStartAny(*job, available); });
     const auto hasLaterRank = [](const cell_job* left, const cell_job* right) { return right->rank() < left->rank(); };
@@ -221,8 +235,9 @@
     task.lastUpstream = upstream.lastReport.id;
     job.setState(step, index, task_state::active);
     job.hasBegun = true;
+    record.token = nextToken(now, upstream);
     upstream.runs[name] = record;
-    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, leaseFor(now, upstream)), nextToken(now, upstream), now, settings.maxLease });
+    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, leaseFor(now, upstream)), record.token, now, settings.maxLease });
     calls.onSent(now);
     repairs.onStart();
     if (!upstream.isPollPending)
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -273,12 +273,14 @@
     });
 }
 
-std::uint64_t cell_ownership::nextToken(std::int64_t unixMs) const
+std::uint64_t cell_ownership::nextToken(std::string_view cell, std::int64_t unixMs) const
 {
     const std::uint64_t hostHash = XXH3_64bits(m_settings.host.data(), m_settings.host.size()) & hostHashMask;
-    std::uint64_t stamp = std::max(static_cast<std::uint64_t>(unixMs), (m_highestToken >> tokenHashBits) + stampsPerClaim);
-    for (const auto& [cell, token] : m_claims)
-        stamp = std::max(stamp, (token >> tokenHashBits) + stampsPerClaim);
+    std::uint64_t stamp = std::max(static_cast<std::uint64_t>(unixMs), (m_highestToken >> tokenHashBits) + 1);
+    for (const auto& [claimed, token] : m_claims)
+        stamp = std::max(stamp, (token >> tokenHashBits) + 1);
+    if (const auto last = m_lastOwners.find(cell); last != m_lastOwners.end())
+        stamp = std::max(stamp, (last->second.token >> tokenHashBits) + stampsPerClaim);
     return (stamp << tokenHashBits) | hostHash;
 }
 
@@ -390,7 +392,7 @@
         }
         if (!mayClaim(now, cell))
             continue;
-        const std::uint64_t token = nextToken(unixMs);
+        const std::uint64_t token = nextToken(cell, unixMs);
         m_claims[cell] = token;
         changes.push_back({ cell, token, isLastOwnerLost(now, cell) });
         recordOwner(cell, token, m_settings.host, m_settings.incarnation);
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -147,7 +147,7 @@
     bool mustRelease(time_point now, const std::string& cell) const;
     bool shouldRebalance(time_point now, const std::string& cell) const;
     bool mayClaim(time_point now, const std::string& cell);
-    std::uint64_t nextToken(std::int64_t unixMs) const;
+    std::uint64_t nextToken(std::string_view cell, std::int64_t unixMs) const;
     void recordOwner(const std::string& cell, std::uint64_t token, std::string_view host, std::uint64_t incarnation);
     bool isLastOwnerLost(time_point now, const std::string& cell) const;
 
--- a/src/coordination/cells/fencing_token.h
+++ b/src/coordination/cells/fencing_token.h
@@ -12,8 +12,8 @@
 // A token is a time stamp in ms followed by a hash of the owner's address.
 constexpr int tokenHashBits = 10;
 
-// Time stamps that belong to one claim: those of two claims are at least so far apart. An owner raises its token less often than it
-// owns the cell for milliseconds, so that hosts that did not hear of the claim still make higher tokens from their clocks.
+// Time stamps that belong to one claim: those of two claims of a cell are at least so far apart. An owner raises its token less often
+// than it owns the cell for milliseconds, so that hosts that did not hear of the claim still make higher tokens from their clocks.
 constexpr std::uint32_t stampsPerClaim = 256;
 
 // The token of a claim after it was raised this often, which must be below stampsPerClaim.
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -19,7 +19,8 @@
     constexpr std::uint32_t pollWaitMs = 300; // gives three renewals within the shortest lease of 1 s
     constexpr std::uint32_t shortPollWaitMs = 100; // gives two renewals within a short lease, and one soon after it need not be short
     constexpr duration shortLease = milliseconds(600); // two waits of a poll
-    // A run that no job has claimed may have lost its callers up to 1 s ago, the time in which a silent owner or origin is noticed.
+    // A run that no job has claimed may have lost its callers up to 1 s ago, the time in which a silent owner or origin is noticed. Both
+    // together stay below the 1.3 s after which callers are back.
     constexpr duration maxLeaseOfUnclaimedRuns = milliseconds(270);
     // Added to the time that a poll waits for a task to end. The longest leaves time for another poll within the shortest lease.
     constexpr int pollAnswerTimes = 2;
@@ -38,7 +39,8 @@
     // An upstream is removed this long after its last report or answer, when its unanswered starts have expired. Ended tasks without
     // a known job are remembered as long.
     constexpr duration removalDelay = std::chrono::seconds(13);
-    constexpr duration removedUpstreamRetention = std::chrono::seconds(60); // as long as hosts remember upstreams that don't report
+    // For an upstream that is back in the same life after a long cut. One that is back later refuses a call, and the cell is claimed anew.
+    constexpr duration removedUpstreamRetention = std::chrono::minutes(10);
     constexpr int failuresToEject = 2; // consecutive; with the usual failure rate of 0.2 % two in a row are rare
     constexpr duration minEjection = milliseconds(500); // a few run times of a short task
     constexpr duration maxEjection = std::chrono::seconds(4); // half of the usual duration of such faults
@@ -94,7 +96,7 @@
     if (record.hasBegun)
         return; // a list has named the run in the meantime
     ++upstream.consecutiveUnanswered;
-    upstream.mayHaveLateCalls = true;
+    noteUnanswered(upstream, record.token);
     upstream.unansweredStarts[name] = { record, record.since + lateCallLimit };
     upstream.unansweredRenewalAt = record.since;
     if (record.state == run_state::starting)
@@ -193,7 +195,7 @@
 {
     time_point limit = time_point::max();
     for (const auto& [name, record] : upstream.runs) {
-        if (record.hasBegun || record.since >= upstream.listedAt)
+        if (record.hasBegun || record.since >= upstream.listRequestedAt)
             limit = std::min(limit, keptUntil(record));
     }
     return limit;
@@ -265,16 +267,12 @@
 {
     const bool isAnswered = !upstream.tokenRaisedAt || upstream.answeredAt > *upstream.tokenRaisedAt;
     const auto ownedMs = std::chrono::duration_cast<milliseconds>(now - ownedSince).count();
-    if (upstream.mayHaveLateCalls && isAnswered && upstream.tokenRaises < ownedMs) {
-        if (upstream.tokenRaises + 1 == stampsPerClaim) {
-            note("call_tokens_used_up", upstream.lastReport.id, "token=" + std::to_string(settings.token));
-            isFenced = true; // another claim has new ones
-        } else {
-            ++upstream.tokenRaises;
-            upstream.tokenRaisedAt = now;
-            upstream.mayHaveLateCalls = false;
-            note("call_token_raised", upstream.lastReport.id, "raises=" + std::to_string(upstream.tokenRaises));
-        }
+    const bool isLeft = upstream.tokenRaises + 1 < stampsPerClaim;
+    if (upstream.mayHaveLateCalls && isAnswered && isLeft && upstream.tokenRaises < ownedMs) {
+        ++upstream.tokenRaises;
+        upstream.tokenRaisedAt = now;
+        upstream.mayHaveLateCalls = false;
+        note("call_token_raised", upstream.lastReport.id, "raises=" + std::to_string(upstream.tokenRaises));
     }
     return raisedToken(settings.token, upstream.tokenRaises);
 }
@@ -325,7 +323,7 @@
         note("upstream_answers", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     upstream.needsNewConnection = false;
     recordAnswer(now, upstream, answer.call);
-    upstream.listedAt = upstream.pollSentAt;
+    upstream.listRequestedAt = upstream.pollSentAt;
     dismissLosses(upstream);
     for (const ended_task& end : answer.ended) {
         if (end.number <= upstream.cursor)
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -75,8 +75,12 @@
 
 bool isAvailable(const upstream_record& upstream, time_point now)
 {
-    const bool isRenewable = now + minLease <= upstream.leaseLimit;
-    return isRenewable && upstream.isAdopted && upstream.isCapacityKnown && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
+    return upstream.isAdopted && upstream.isCapacityKnown && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
+}
+
+bool isLeaseLongEnough(const upstream_record& upstream, time_point now)
+{
+    return now + minLease <= upstream.leaseLimit;
 }
 
 double serviceRatio(const service_ratios& ratios, std::string_view service)
@@ -92,7 +96,7 @@
             continue;
         const std::string_view service = upstream.lastReport.service;
         service_group& group = m_groups[service];
-        const candidate known { &upstream, upstream.freeCapacity(), expectedRatio(upstream, serviceRatio(ratios, service), now) };
+        const candidate known { &upstream, isLeaseLongEnough(upstream, now) ? upstream.freeCapacity() : resource_vector(), expectedRatio(upstream, serviceRatio(ratios, service), now) };
         group.largestFreeCapacity.raiseTo(known.freeCapacity);
         group.candidates.push_back(known);
     }
--- a/src/coordination/cells/internal/placement.h
+++ b/src/coordination/cells/internal/placement.h
@@ -47,6 +47,9 @@
 // Whether the upstream may be sent starts now, whatever its free capacity.
 bool isAvailable(const upstream_record& upstream, time_point now);
 
+// Whether a run that starts now has its lease renewed before it ends.
+bool isLeaseLongEnough(const upstream_record& upstream, time_point now);
+
 // Expected run time / declared run time of a service's tasks, over all upstreams; 1 without samples. Stands in where an upstream
 // has few samples of its own.
 double serviceRatio(const service_ratios& ratios, std::string_view service);
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -28,6 +28,7 @@
 // A run that may use capacity of the upstream.
 struct run_record {
     run_state state = run_state::starting;
+    std::uint64_t token = 0; // of the start, if this owner sent it
     std::string job; // empty: no job wants the run, or none has claimed it yet
     time_point keptUntil; // valid while job is empty: no lease is extended beyond, since a caller may start the task elsewhere
     std::uint32_t step = 0;
@@ -85,7 +86,7 @@
     time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
     time_point leaseEndBeforePoll; // leaseEnd without and with the renewal by the latest poll
     time_point leaseEndOfPoll;
-    time_point listedAt; // when the latest poll was sent whose answer is known
+    time_point listRequestedAt; // when the latest poll was sent that has been answered
     time_point leaseLimit = time_point::max(); // no lease is extended beyond, for the sake of a run here whose callers may have left
     std::optional<time_point> unansweredRenewalAt; // latest renewal that got no answer, if nothing was answered since
     time_point lateRenewalEnd; // until then runs may be held by a renewal that is carried out late
