--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -97,9 +97,9 @@
 void cell_simulation::sendHeartbeats()
 {
     for (const auto& [name, origin] : m_origins) {
-        for (std::size_t i = 0; i < m_owners.size(); ++i) {
+        for (const sim_owner& owner : m_owners) {
             if (!origin.isLost)
-                m_owners[i].dispatcher->onOriginHeard(m_now, name);
+                owner.dispatcher->onOriginHeard(m_now, name);
         }
     }
     schedule(heartbeatInterval, [this] { sendHeartbeats(); });
