A job comes back from a later claim of its cell only after that one's leases

Cause: an owner that has not heard of a later claim gets a job back from it, when that claim is given up or its host is lost. It counts the job's runs as known, since it has adopted all upstreams. Adoption shuts out earlier tokens only: under the later one tasks may have been started after the list that it knows. Upstreams that the later owner did not reach still take its starts.

Change: the origin names to the next owner the highest token of the owners that it sent the job to. An owner with a lower one waits until every lease under it is over.

Result: cells_tests, "an owner starts a task beside its run under a later token on an upstream that it adopted before". Without the condition two of its four plays have a double run (the later owner killed, and released); with it none.

--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -138,6 +138,7 @@
     static duration fastestRun(const cell_job& job, const internal::available_upstreams& available);
     bool areEarlierRunsKnown(time_point now, const cell_job& job) const;
     bool mayRunInOtherCells(const cell_job& job) const;
+    bool mayRunUnderLaterToken(const cell_job& job) const;
     std::vector<protocol::upstream_report> upstreamsWithRunsOf(const cell_job& job) const;
     bool isTakeoverComplete(time_point now, time_point handedOverAt) const;
     // Whether no earlier owner of a job handed over at the given time can have a lease left.
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -82,7 +82,7 @@
     if (!job.hasBegun && order.handOverCount == 0 && !admit(now, job))
         return;
     if (!areEarlierRunsKnown(now, job))
-        note("earlier_runs_unknown", job.order.id, "hand_over=" + std::to_string(order.handOverCount) + " fewest_cells=" + std::to_string(order.fewestCells) + " in_other_cells=" + (mayRunInOtherCells(job) ? "yes" : "no"));
+        note("earlier_runs_unknown", job.order.id, "hand_over=" + std::to_string(order.handOverCount) + " fewest_cells=" + std::to_string(order.fewestCells) + " in_other_cells=" + (mayRunInOtherCells(job) ? "yes" : "no") + " under_later_token=" + (mayRunUnderLaterToken(job) ? "yes" : "no"));
     job.isAdmitted = true;
     dispatch(now);
 }
@@ -340,11 +340,21 @@
         return found != upstreams.end() && found->second.isAdopted;
     };
     const bool areNamed = job.order.areRunsKnown && std::all_of(job.order.runsOn.begin(), job.order.runsOn.end(), isAdopted);
-    if (job.order.handOverCount == 0 || areNamed)
+    if (job.order.handOverCount == 0)
+        return true;
+    if (mayRunUnderLaterToken(job))
+        return areEarlierLeasesOver(now, job.submittedAt);
+    if (areNamed)
         return true;
     return mayRunInOtherCells(job) ? areEarlierLeasesOver(now, job.submittedAt) : isTakeoverComplete(now, job.submittedAt);
 }
 
+// An adopted upstream refuses earlier tokens only: it may have taken orders under a later one since.
+bool cell_dispatcher::impl::mayRunUnderLaterToken(const cell_job& job) const
+{
+    return job.order.earlierToken > settings.token;
+}
+
 // The cell of an owner that divided the zone into fewer cells had upstreams that belong to other cells here.
 bool cell_dispatcher::impl::mayRunInOtherCells(const cell_job& job) const
 {
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -69,6 +69,7 @@
 void job_router::noteHandOver(pending_job& job)
 {
     ++job.order.handOverCount;
+    job.order.earlierToken = std::max(job.order.earlierToken, job.token);
     const bool isFirst = job.order.fewestCells == 0;
     job.order.fewestCells = isFirst ? job.zoneCellCount : std::min(job.order.fewestCells, job.zoneCellCount);
 }
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -519,6 +519,38 @@
     CHECK(starts(second) == std::vector<std::string> { "2.0.0.0 on known to the second" });
 }
 
+// An owner that has not heard of a later claim gets the job back when that one is given up.
+TEST_CASE("an owner starts a task beside its run under a later token on an upstream that it adopted before")
+{
+    for (const auto& [isReleased, home] : { std::pair(false, "u1"), std::pair(false, "u2"), std::pair(true, "u1"), std::pair(true, "u2") }) {
+        CAPTURE(isReleased);
+        CAPTURE(std::string(home));
+        cell_simulation sim(1);
+        openCell(sim, { "u1", "u2" });
+        const std::size_t later = sim.addOwner(false, home == std::string("u1") ? "u2" : "u1");
+        job_order job = sim.makeJob("1", 1, 14000, 900);
+        job.targetMs = 5000;
+        job.timeLeftMs = 8000;
+        sim.runFor(milliseconds(20));
+        sim.submit(later, job);
+        sim.runFor(milliseconds(20));
+        REQUIRE(sim.startsOn(home) == 1);
+        if (isReleased)
+            sim.owner(later).release(sim.now());
+        else
+            sim.killOwner(later);
+        job.handOverCount = 1;
+        job.earlierToken = sim.tokenOf(later);
+        job.areRunsKnown = isReleased;
+        if (isReleased)
+            job.runsOn = { sim.makeReport(home, 10) };
+        sim.submit(0, job);
+        sim.runFor(milliseconds(500));
+        CHECK(sim.runsOf("1.0.0.0") == 1);
+        CHECK(sim.doubleRuns() == 0);
+    }
+}
+
 // The host may be cut off from the control hosts when it takes the cell from an owner that still hears them.
 TEST_CASE("a job that was handed over starts while the list of upstreams is older than the handover")
 {
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -78,6 +78,7 @@
     std::size_t addOwner(bool isEarlierOwnerLost = false, const std::string& unreachable = {});
     // Adds the owner of one cell of a divided zone, to which only the given upstreams belong.
     std::size_t addCellOwner(const std::set<std::string>& upstreams, std::uint32_t zoneCellCount, bool isEarlierOwnerLost = false);
+    std::uint64_t tokenOf(std::size_t owner) const { return m_owners[owner].token; }
     cell_dispatcher& owner(std::size_t number) { return *m_owners[number].dispatcher; }
     void setOwnerCut(std::size_t number, bool isCut) { m_owners[number].isCut = isCut; }
     void cutFrom(std::size_t number, const std::string& upstream) { m_owners[number].unreachable.insert(upstream); }
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -69,6 +69,13 @@
     const auto again = f.sent();
     REQUIRE(again.size() == 1);
     CHECK(again[0].order.handOverCount == 1);
+    CHECK(again[0].order.earlierToken == 10);
+    f.owner->token = 9; // the later claim was given up
+    f.router.advance(f.now);
+    CHECK(f.sent().at(0).order.earlierToken == 11);
+    f.owner->token = 8;
+    f.router.advance(f.now);
+    CHECK(f.sent().at(0).order.earlierToken == 11);
 }
 
 TEST_CASE("a rejection after a handover is not reported as not run")
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -91,10 +91,11 @@
     // Fewest cells into which an owner that was sent the job divided its zone. Of a division into more, tasks may run in any cell.
     // 0: not known.
     std::uint32_t fewestCells = 0;
+    std::uint64_t earlierToken = 0; // highest fencing token of an ownership that was sent the job before; 0: not known
 
     friend bool operator==(const job_order&, const job_order&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks, failures, runsOn, areRunsKnown, fewestCells)
+    MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks, failures, runsOn, areRunsKnown, fewestCells, earlierToken)
 };
 
 // The order may have waited unread for up to this long: its caller may stop waiting earlier by as much. Its age stays as it is, since
