Upstreams that start again under another id count once when a zone is divided

Callers: jobs end as unfinished, or wait, as zones are divided again and again while upstreams crash and start again.

Cause: the number of a zone's cells follows from the ids that reported within 5 s.

Change: addresses are counted. Two upstreams never run at one address.

Result: cells_tests, "upstreams that start again under another id count twice" fails with ids counted, and passes.

--- a/src/coordination/cells/tests/upstream_directory_tests.cpp
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -65,6 +65,19 @@
     CHECK(directory.list(start).reports.front().id == "u3");
 }
 
+// Guards against zones that are divided into more cells than their upstreams need: the number of cells never falls.
+TEST_CASE("upstreams that start again under another id count twice")
+{
+    upstream_directory directory;
+    directory.onReport(start, makeReport("u1"));
+    directory.onReport(start, makeReport("u2"));
+    upstream_report reborn = makeReport("u1 reborn");
+    reborn.address = makeReport("u1").address;
+    directory.onReport(start + seconds(1), reborn);
+    CHECK(directory.countReporting(start + seconds(2), "a", seconds(5)) == 2);
+    CHECK(directory.countReporting(start + milliseconds(5500), "a", seconds(5)) == 1);
+}
+
 TEST_CASE("a zone's list counts as up to date by batches of reports, by another zone's list, or by that of one control host")
 {
     upstream_directory directory;
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace jackdaw::cells {
 namespace {
@@ -117,10 +118,12 @@
 
 std::size_t upstream_directory::countReporting(time_point now, std::string_view zone, duration maxAge) const
 {
-    return static_cast<std::size_t>(std::count_if(m_upstreams.begin(), m_upstreams.end(), [&](const auto& item) {
-        const known_upstream& known = item.second;
-        return known.report.zone == zone && !known.report.isLeaving && known.reportedAt >= now - maxAge;
-    }));
+    std::set<std::string_view> addresses;
+    for (const auto& [id, known] : m_upstreams) {
+        if (known.report.zone == zone && !known.report.isLeaving && known.reportedAt >= now - maxAge)
+            addresses.insert(known.report.address);
+    }
+    return addresses.size();
 }
 
 void upstream_directory::append(protocol::upstream_list& list, const known_upstream& known, time_point now)
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -59,7 +59,7 @@
     // a control host has not.
     time_point toldUntil(std::string_view zone) const;
 
-    // Upstreams of the zone, not leaving, whose reports arrived within maxAge.
+    // Upstreams of the zone, not leaving, whose reports arrived within maxAge. Of those at one address only one can still run.
     std::size_t countReporting(time_point now, std::string_view zone, duration maxAge) const;
 
     // The upstreams for other entry hosts: all, or those with the given ids.
