A job that was handed over is cancelled at every owner that may still run it

Callers: a job that is sent again runs beside its earlier runs.

Cause: the origin cancelled a job at its last owner only. An earlier one that gossip no longer names, but that lives and hears the origin, goes on renewing the job's runs until the next owner's calls fence it: up to 1.3 s and a lease, while callers are back 1.3 s after they left.

Change: the origin keeps the owners that were sent the job and have not answered, and cancels it at each of them, again until each has answered.

Result: cells_tests, "a job that was handed over is cancelled at its last owner only", fails if only the last one is told.

--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -109,11 +109,14 @@
 
 void job_router::sendCancel(time_point now, const pending_job& job)
 {
-    if (job.host.empty())
-        return;
-    const forward_cancel message { job.host, job.order.id, job.order.submissionNumber };
-    m_cancels[{ message.job, message.submissionNumber }] = { message, now, job.deadline + answerGracePeriod };
-    m_actions.emplace_back(message);
+    std::set<std::string> hosts = job.lostHosts;
+    if (!job.host.empty())
+        hosts.insert(job.host);
+    for (const std::string& host : hosts) {
+        const forward_cancel message { host, job.order.id, job.order.submissionNumber };
+        m_cancels[{ message.job, message.submissionNumber, host }] = { message, now, job.deadline + answerGracePeriod };
+        m_actions.emplace_back(message);
+    }
 }
 
 bool job_router::cancel(time_point now, std::string_view job)
@@ -147,8 +150,7 @@
 void job_router::onAnswer(time_point now, std::string_view host, const order_answer& answer)
 {
     // Whatever the owner answers to the submission, it no longer runs it.
-    if (const auto cancelled = m_cancels.find({ answer.id, answer.submissionNumber }); cancelled != m_cancels.end() && cancelled->second.message.host == host)
-        m_cancels.erase(cancelled);
+    m_cancels.erase({ answer.id, answer.submissionNumber, std::string(host) });
     const auto known = m_jobs.find(answer.id);
     if (known == m_jobs.end())
         return;
@@ -218,6 +220,7 @@
         if (!job.host.empty()) {
             noteHandOver(job);
             job.order.areRunsKnown = false; // the earlier owner was lost
+            job.lostHosts.insert(job.host);
         }
         forwardToOwner(now, job);
     }
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -16,7 +16,7 @@
 #include <set>
 #include <string>
 #include <string_view>
-#include <utility>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -85,6 +85,7 @@
         std::string host; // the owner that the job was forwarded to; empty: none
         std::uint64_t token = 0; // of the ownership that the job was forwarded to
         std::uint32_t zoneCellCount = 1; // of that ownership
+        std::set<std::string> lostHosts; // earlier owners that have not answered: they may still run the job
         std::uint32_t sendCount = 0; // how often the order was sent under that ownership
         time_point arrivedAt;
         time_point deadline;
@@ -98,7 +99,7 @@
         time_point sentAt;
         time_point until; // the owner ends the job by itself
     };
-    using cancel_key = std::pair<std::string, std::uint64_t>; // job and submission number
+    using cancel_key = std::tuple<std::string, std::uint64_t, std::string>; // job, submission number and host
 
     void sendCancel(time_point now, const pending_job& job);
     void forwardToOwner(time_point now, pending_job& job);
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -239,6 +239,37 @@
 }
 
 // The callers' connections end with the process, and callers send their jobs again.
+// An owner that gossip names no longer may still run the job and hear the job's host.
+TEST_CASE("a job that was handed over is cancelled at its last owner only")
+{
+    router_fixture f;
+    f.router.submit(f.now, f.makeOrder("1"), 1);
+    f.sent();
+    f.owner = cell_owner { "h2", 11, false };
+    f.router.advance(f.now);
+    const auto second = f.sent();
+    f.router.onAnswer(f.now, "h2", makeOrderAnswer(second.at(0).order, job_outcome::released, "")); // no longer runs it
+    f.owner = cell_owner { "h3", 12, false };
+    f.router.advance(f.now);
+    f.sent();
+    f.owner = std::nullopt;
+    f.router.onCallerGone(f.now, 1);
+    const auto cancelledAt = [&f] {
+        std::vector<std::string> hosts;
+        for (const router_action& action : f.router.takeActions()) {
+            if (const auto* cancel = std::get_if<forward_cancel>(&action))
+                hosts.push_back(cancel->host);
+        }
+        return hosts;
+    };
+    CHECK(cancelledAt() == std::vector<std::string> { "h1", "h3" });
+    order_answer answer = makeOrderAnswer(second.at(0).order, job_outcome::unfinished, "cancelled");
+    f.router.onAnswer(f.now, "h1", answer);
+    f.now += milliseconds(300);
+    f.router.advance(f.now);
+    CHECK(cancelledAt() == std::vector<std::string> { "h3" });
+}
+
 TEST_CASE("a host that leaves ends without cancelling its open jobs, and their tasks run on")
 {
     router_fixture f;
