A job that was handed over is not moved by the answer to an earlier submission

Cause: an owner answers a resubmission of a job that it has moved with the same move. It did so for jobs that another origin hands over from an earlier owner too: the other cell starts them at once and knows nothing of the earlier owner's runs.

Change: such a job stays, and waits for its earlier runs.

Result: cells_tests, "a job that an earlier owner may run is moved to a cell that does not know of its runs", fails without the condition and passes.

--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -87,8 +87,8 @@
     dispatch(now);
 }
 
-// A result answers every resubmission of a job. So does a move, since the other cell may still run the earlier submission. Any
-// other answer is only for the same order, if that is resent.
+// A result answers every resubmission of a job. So does a move, since the other cell may still run the earlier submission; but a job that
+// was handed over has runs here, of which the other cell does not know. Any other answer is only for the same order, if that is resent.
 const order_answer* cell_dispatcher::impl::findCachedAnswer(const protocol::job_order& order) const
 {
     const auto found = answeredJobs.find(order.id);
@@ -97,7 +97,7 @@
     const cached_answer& known = found->second;
     const bool isResult = known.answer.outcome == job_outcome::completed || known.answer.outcome == job_outcome::failed;
     const bool isSameOrder = known.answer.submissionNumber == order.submissionNumber && known.answer.handOverCount == order.handOverCount;
-    const bool isMove = known.answer.outcome == job_outcome::moved && order.mayMove;
+    const bool isMove = known.answer.outcome == job_outcome::moved && order.mayMove && order.handOverCount == 0;
     return isResult || isMove || isSameOrder ? &known.answer : nullptr;
 }
 
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -829,6 +829,28 @@
     CHECK(submit(3, "host-3", false).outcome != job_outcome::moved);
 }
 
+TEST_CASE("a job that an earlier owner may run is moved to a cell that does not know of its runs")
+{
+    cell_settings settings;
+    cell_hooks hooks;
+    hooks.findOtherCell = [](const job_order&) { return std::string("b"); };
+    cell_dispatcher dispatcher(settings, hooks, {});
+    const cell_simulation sim(1);
+    dispatcher.onUpstreamReport({}, { "u1", 1000, 1, "planning", "10.0.0.1:80", "a", { 16000, 65536, 0 }, {}, false });
+    job_order job = sim.makeJob("1", 2, 14000, 60);
+    std::vector<job_outcome> outcomes;
+    for (const std::uint32_t handOverCount : { 0, 1 }) { // the second for an origin that sent the job to an earlier owner
+        job.handOverCount = handOverCount;
+        dispatcher.submit({}, job, "host");
+        for (const cell_action& action : dispatcher.takeActions()) {
+            if (const auto* answer = std::get_if<owner_answer>(&action))
+                outcomes.push_back(answer->answer.outcome);
+        }
+    }
+    CHECK(outcomes == std::vector<job_outcome> { job_outcome::moved });
+    CHECK(dispatcher.counts().jobs == 1);
+}
+
 TEST_CASE("an upstream that reports a capacity beyond all bounds ends no owner while a job waits")
 {
     cell_simulation sim(1);
