--- a/src/coordination/cells/tests/divided_zone_tests.cpp
+++ b/src/coordination/cells/tests/divided_zone_tests.cpp
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -43,7 +44,7 @@
     cell_simulation sim(seed);
     for (const std::string& id : otherCell)
         sim.addUpstream(id, 32000);
-    const std::size_t first = sim.addCellOwner(otherCell, earlierCellCount);
+    const std::size_t first = sim.addCellOwner(otherCell, std::max(earlierCellCount, 1U));
     sim.runFor(milliseconds(100 + sim.random()() % 1000));
     job_order job = sim.makeJob("1", 6, 14000, 3000);
     job.targetMs = 6000;
@@ -76,7 +77,7 @@
 // Guards against an owner that counts the runs in its own cell for all that a job has in the zone.
 TEST_CASE("a task starts in one cell of a divided zone while its run in the other cell goes on")
 {
-    for (const std::uint32_t earlierCellCount : { cellCount - 1, cellCount + 1 }) {
+    for (const std::uint32_t earlierCellCount : { 0U, cellCount - 1, cellCount + 1 }) { // 0: not known
         for (const loss how : { loss::killed, loss::killed_beside_other_owner, loss::fenced }) {
             for (const milliseconds untilNextOwner : { milliseconds(50), milliseconds(150), milliseconds(300), milliseconds(900) }) {
                 for (std::uint64_t seed = 1; seed <= 10; ++seed) {
@@ -93,6 +94,59 @@
     }
 }
 
+// The first owner goes on until it is fenced by its next poll of an upstream of the next owner.
+TEST_CASE("a job waits too short a time while an earlier owner renews its runs in the other cell")
+{
+    for (int offset = 0; offset < 1000; offset += 50) {
+        CAPTURE(offset);
+        cell_simulation sim(1);
+        for (const std::string& id : otherCell)
+            sim.addUpstream(id, 32000);
+        const std::size_t first = sim.addOwner();
+        sim.runFor(milliseconds(100));
+        job_order job = sim.makeJob("1", 6, 14000, 6000);
+        job.targetMs = 6000;
+        job.timeLeftMs = 14000;
+        sim.submit(first, job);
+        for (const std::string& id : cellOfJob)
+            sim.addUpstream(id, 32000);
+        sim.runFor(milliseconds(100 + offset));
+        const std::size_t next = sim.addCellOwner(cellOfJob, cellCount);
+        job.handOverCount = 1;
+        job.earlierCellCount = 1;
+        sim.submit(next, job);
+        bool isReleased = false;
+        for (int step = 0; step < 400; ++step) {
+            sim.runFor(milliseconds(10));
+            if (!isReleased && sim.owner(first).isFenced()) {
+                sim.owner(first).release(sim.now());
+                isReleased = true;
+            }
+        }
+        CHECK(isReleased);
+        CHECK(sim.doubleRuns() == 0);
+        CHECK(sim.runsOf("1.0.0.0") == 2);
+    }
+}
+
+TEST_CASE("an owner that waits for runs in the other cell gives the job back as one whose runs are all known")
+{
+    cell_simulation sim(1);
+    sim.addUpstream("u1", 32000);
+    const std::size_t next = sim.addCellOwner({ "u1" }, cellCount);
+    sim.runFor(milliseconds(100));
+    job_order job = sim.makeJob("1", 1, 14000, 300);
+    job.handOverCount = 1;
+    job.earlierCellCount = 1;
+    sim.submit(next, job);
+    sim.runFor(milliseconds(100));
+    REQUIRE(sim.startsOn("u1") == 0);
+    sim.owner(next).release(sim.now());
+    const auto actions = sim.owner(next).takeActions();
+    REQUIRE(actions.size() == 1);
+    CHECK_FALSE(std::get<owner_answer>(actions[0]).answer.areRunsKnown);
+}
+
 // Guards against callers that wait for leases although all earlier owners of the job had the same cell.
 TEST_CASE("every job that is handed over in a divided zone waits for leases")
 {
