A crash of many upstreams at once doesn't count against the tasks that ran there

Callers: a job was answered as failed though none of its tasks had failed.

Cause: each crash of an upstream counts against all tasks that ran there. Power losses, and cuts behind which upstreams crash, take many at once; two such events under one task, and its job failed.

Change: the owner keeps when its upstreams fell silent. A crash counts only if fewer than two other upstreams fell silent within 0.3 s, the time that a poll waits. Upstreams that ran a task of the same job, or a suspect, don't excuse it: tasks of one job may crash theirs at the same time.

Ruled out: an answer other than failed.

--- a/src/coordination/cells/internal/cell_crashes.cpp
+++ b/src/coordination/cells/internal/cell_crashes.cpp
@@ -26,8 +26,18 @@
     }
 }
 
+void cell_dispatcher::impl::noteSilence(time_point now, const upstream_record& upstream)
+{
+    std::set<std::string, std::less<>> tasks;
+    for (const auto& [name, record] : upstream.runs)
+        tasks.insert(name.task);
+    failures.addSilence(now, upstream.lastReport.id, tasks);
+}
+
 void cell_dispatcher::impl::onCrashed(time_point now, upstream_record& upstream, std::string_view cause)
 {
+    if (!upstream.needsNewConnection)
+        noteSilence(now, upstream);
     const auto lost = upstream.runs;
     requeueAllRuns(upstream, cause);
     if (upstream.lastReport.isLeaving)
@@ -38,7 +48,12 @@
 
 void cell_dispatcher::impl::confirmLosses(time_point now, const upstream_record& upstream)
 {
-    for (const std::string& task : failures.confirm(now, upstream.lastReport.id)) {
+    const failure_history::confirmed_losses losses = failures.confirm(now, upstream.lastReport.id);
+    for (const std::string& task : losses.excused) {
+        note("task_crash_excused", task, "upstream=" + upstream.lastReport.id + " crashes=" + std::to_string(failures.crashes(task)));
+        updateHold(task);
+    }
+    for (const std::string& task : losses.counted) {
         note("task_crash_counted", task, "upstream=" + upstream.lastReport.id + " crashes=" + std::to_string(failures.crashes(task)));
         if (cell_job* job = findJobOfTask(task))
             applyFailureHistory(now, *job);
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -94,6 +94,7 @@
     // Crashes.
     // Counts runs that were lost with an upstream that may have crashed.
     void addLosses(time_point now, const upstream_record& upstream, const std::map<run_id, run_record>& lost);
+    void noteSilence(time_point now, const upstream_record& upstream); // it has just stopped answering, with its runs
     void onCrashed(time_point now, upstream_record& upstream, std::string_view cause); // and is gone for good
     void confirmLosses(time_point now, const upstream_record& upstream); // it has crashed
     void dismissLosses(const upstream_record& upstream); // it has not crashed
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -107,6 +107,8 @@
 // task starts again, unless the new one lists the run. running: the list of the new incarnation.
 void cell_dispatcher::impl::onRestart(time_point now, upstream_record& upstream, const upstream_report& report, std::span<const running_task> running)
 {
+    if (!upstream.needsNewConnection)
+        noteSilence(now, upstream);
     const auto before = std::exchange(upstream.runs, {});
     const bool wasLeaving = upstream.lastReport.isLeaving; // then it ended as announced, together with its tasks
     upstream.restart(report, ++lastLife);
@@ -562,8 +564,10 @@
     } else {
         if (answer.call.outcome == call_outcome::silent)
             m_impl->noteUnanswered(upstream, order.token);
-        if (!upstream.needsNewConnection)
+        if (!upstream.needsNewConnection) {
+            m_impl->noteSilence(now, upstream);
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
+        }
         if (answer.call.outcome == call_outcome::not_received)
             upstream.undoRenewal();
         else if (answer.call.outcome == call_outcome::silent && order.expiresAtMs > 0)
--- a/src/coordination/cells/internal/failure_history.cpp
+++ b/src/coordination/cells/internal/failure_history.cpp
@@ -9,6 +9,12 @@
 namespace {
 
     constexpr protocol::duration retention = std::chrono::minutes(2); // callers may resubmit a job for as long
+    constexpr protocol::duration silenceRetention = std::chrono::seconds(20); // crashes are confirmed earlier
+
+    std::string_view jobOf(std::string_view task)
+    {
+        return task.substr(0, task.find('.'));
+    }
 
 } // namespace
 
@@ -31,15 +37,46 @@
     history.until = now + retention;
 }
 
-std::set<std::string, std::less<>> failure_history::confirm(time_point now, std::string_view upstream)
+void failure_history::addSilence(time_point now, const std::string& upstream, const std::set<std::string, std::less<>>& tasks)
 {
-    auto tasks = dismiss(upstream);
+    silence& added = m_silences[upstream];
+    added = { now, {}, false };
     for (const std::string& task : tasks) {
+        added.jobs.emplace(jobOf(task));
+        added.hadSuspects = added.hadSuspects || isSuspect(task);
+    }
+}
+
+// Load pattern: power losses and cuts take many upstreams at once, while tasks that crash theirs do so one by one. Tasks of one
+// job may do so at the same time, and so may suspects.
+bool failure_history::hadOtherCause(std::string_view upstream, std::string_view task) const
+{
+    const auto found = m_silences.find(upstream);
+    if (found == m_silences.end())
+        return false;
+    const silence& own = found->second;
+    const auto isOther = [&](const auto& item) {
+        const auto& [name, other] = item;
+        const auto apart = std::max(own.since, other.since) - std::min(own.since, other.since);
+        return name != upstream && apart <= sameTime && !other.hadSuspects && !other.jobs.contains(jobOf(task));
+    };
+    return std::count_if(m_silences.begin(), m_silences.end(), isOther) >= static_cast<std::ptrdiff_t>(silentOthers);
+}
+
+failure_history::confirmed_losses failure_history::confirm(time_point now, std::string_view upstream)
+{
+    confirmed_losses losses;
+    for (const std::string& task : dismiss(upstream)) {
+        if (hadOtherCause(upstream, task)) {
+            losses.excused.insert(task);
+            continue;
+        }
         task_history& history = m_tasks[task];
         ++history.crashes;
         history.until = now + retention;
+        losses.counted.insert(task);
     }
-    return tasks;
+    return losses;
 }
 
 std::set<std::string, std::less<>> failure_history::dismiss(std::string_view upstream)
@@ -93,6 +130,7 @@
 {
     for (auto item = m_tasks.begin(); item != m_tasks.end();)
         item = item->second.until <= now ? erase(item) : std::next(item);
+    std::erase_if(m_silences, [now](const auto& item) { return item.second.since + silenceRetention <= now; });
 }
 
 failure_history::task_map::iterator failure_history::erase(task_map::iterator item)
--- a/src/coordination/cells/internal/failure_history.h
+++ b/src/coordination/cells/internal/failure_history.h
@@ -2,10 +2,14 @@
 //
 // An upstream that stops answering may have crashed or may be cut off; it is known to have crashed once a later incarnation is
 // heard, or nothing is heard from it for long. Until then its loss is unconfirmed.
+//
+// A crash counts against the tasks that ran there unless it had another cause: upstreams that none of them can have crashed fell
+// silent at the same time.
 #pragma once
 
 #include "protocol/time.h"
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -22,6 +26,11 @@
     // A task is given up once this many upstreams have crashed under it. Tasks beside it are expected to see one crash: from
     // then on they don't share an upstream with another suspect.
     static constexpr std::size_t crashesToGiveUp = 2;
+    // So many other upstreams fell silent at the same time as one that crashed: there was a common cause. A single one may have been
+    // crashed by another task.
+    static constexpr std::size_t silentOthers = 2;
+    // Upstreams with runs are polled without a pause, and each poll waits for as long: so far apart are losses noticed.
+    static constexpr protocol::duration sameTime = std::chrono::milliseconds(300);
 
     // isLatest: none of the runs that were lost with it was started later, so it is the likeliest cause.
     void addLoss(time_point now, const std::string& task, const std::string& upstream, bool isLatest);
@@ -29,8 +38,15 @@
     // Crashes that an earlier owner counted.
     void addCrashes(time_point now, const std::string& task, std::size_t crashes);
 
+    // The upstream no longer answers. tasks: those that ran there.
+    void addSilence(time_point now, const std::string& upstream, const std::set<std::string, std::less<>>& tasks);
+
+    struct confirmed_losses {
+        std::set<std::string, std::less<>> counted;
+        std::set<std::string, std::less<>> excused; // the crash had another cause
+    };
     // The upstream has crashed. Returns the tasks that were lost with it.
-    std::set<std::string, std::less<>> confirm(time_point now, std::string_view upstream);
+    confirmed_losses confirm(time_point now, std::string_view upstream);
     // The upstream has not crashed. Returns the tasks that were lost on it.
     std::set<std::string, std::less<>> dismiss(std::string_view upstream);
 
@@ -53,13 +69,20 @@
         std::size_t unconfirmedLatest = 0; // those of them with isLatest
         time_point until;
     };
+    struct silence {
+        time_point since;
+        std::set<std::string, std::less<>> jobs; // whose tasks ran there
+        bool hadSuspects = false;
+    };
     using task_map = std::map<std::string, task_history, std::less<>>;
 
     const task_history* find(std::string_view task) const;
     task_map::iterator erase(task_map::iterator item);
+    bool hadOtherCause(std::string_view upstream, std::string_view task) const;
 
     task_map m_tasks;
     std::map<std::string, std::map<std::string, bool, std::less<>>, std::less<>> m_lostOn; // unconfirmed: isLatest by upstream and task
+    std::map<std::string, silence, std::less<>> m_silences; // the last one of each upstream
 };
 
 } // namespace jackdaw::cells::internal
--- a/src/coordination/cells/tests/cell_crash_tests.cpp
+++ b/src/coordination/cells/tests/cell_crash_tests.cpp
@@ -31,6 +31,37 @@
     return job;
 }
 
+// The upstream that runs the task.
+std::string homeOf(cell_simulation& sim, int upstreams, const std::string& task)
+{
+    for (int i = 0; i < upstreams; ++i) {
+        const std::string id = "u" + std::to_string(i);
+        const auto& running = sim.upstream(id).running;
+        if (std::any_of(running.begin(), running.end(), [&task](const sim_task_run& run) { return run.run.task == task; }))
+            return id;
+    }
+    return {};
+}
+
+// Crashes the upstream and others, each time a tenth of a second after the one before.
+void crashWithOthers(cell_simulation& sim, int upstreams, const std::string& id, std::size_t others)
+{
+    std::vector<std::string> crashed { id };
+    for (int i = 0; i < upstreams && crashed.size() <= others; ++i) {
+        const std::string other = "u" + std::to_string(i);
+        if (other != id)
+            crashed.push_back(other);
+    }
+    for (const std::string& name : crashed) {
+        sim.crash(name);
+        sim.runFor(milliseconds(100));
+    }
+    for (const std::string& name : crashed) {
+        sim.runFor(milliseconds(100));
+        sim.restart(name);
+    }
+}
+
 job_outcome outcomeOf(const cell_simulation& sim, const std::string& id)
 {
     REQUIRE(sim.outcomes().contains(id));
@@ -158,6 +189,48 @@
     CHECK(sim.doubleRuns() == 0);
 }
 
+// Guards against jobs that are answered as failed after two power losses or cuts under one of their tasks.
+TEST_CASE("a job doesn't fail because many upstreams crashed at once, twice")
+{
+    constexpr int upstreams = 10;
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        openCell(sim, upstreams);
+        sim.submit(0, makeLongJob(sim, "long", 1, 3000));
+        for (int i = 0; i < 9; ++i)
+            sim.submit(0, makeLongJob(sim, "other" + std::to_string(i), 1, 2000 + static_cast<std::uint32_t>(sim.random()() % 2000)));
+        for (int crash = 0; crash < 2; ++crash) {
+            sim.runFor(milliseconds(500 + sim.random()() % 300));
+            const std::string home = homeOf(sim, upstreams, "long.0.0.0");
+            REQUIRE(!home.empty());
+            crashWithOthers(sim, upstreams, home, 4);
+        }
+        sim.runFor(seconds(15));
+        CHECK(sim.crashesUnder("long.0.0.0") == 2);
+        CHECK(outcomeOf(sim, "long") == job_outcome::completed);
+        for (int i = 0; i < 9; ++i)
+            CHECK(outcomeOf(sim, "other" + std::to_string(i)) == job_outcome::completed);
+        CHECK(sim.doubleRuns() == 0);
+    }
+}
+
+// Guards against tasks of one job that excuse each other, and then crash one upstream after the other.
+TEST_CASE("a job fails after two crashes under one of its tasks though all its tasks crash upstreams at the same time")
+{
+    cell_simulation sim(1);
+    openCell(sim, 12);
+    for (int i = 0; i < 6; ++i)
+        sim.addCrashingTask("1.0.0." + std::to_string(i));
+    job_order job = makeLongJob(sim, "1", 6, 60);
+    job.steps.front().need.millicores = 30000;
+    sim.submit(0, job);
+    sim.runFor(seconds(20));
+    CHECK(outcomeOf(sim, "1") == job_outcome::failed);
+    for (int i = 0; i < 6; ++i)
+        CHECK(sim.runsOf("1.0.0." + std::to_string(i)) <= 2);
+}
+
 TEST_CASE("a resubmitted job keeps the crashes that its tasks caused")
 {
     cell_simulation sim(1);
