A crash doesn't count against tasks whose lease may have expired before

Callers: a job was answered as failed though none of its tasks had failed.

Cause: while an owner's host stands still, nothing renews the leases, and the tasks end. If an upstream crashes then, the owner counts the crash against the tasks that it still holds for running there. Answers that it reads after the stall look fresh, though they are as old as the stall.

Change: when an upstream falls silent, the owner looks at the polls that renew its lease. If more than the longest lease lies between the last one that was answered and the last one that was sent, or between that and now, the tasks may have ended before, and the crash doesn't count. It goes by the times at which calls were sent, which no stall makes younger.

Ruled out: the time of the last answer, and the known end of the lease. Both move when old answers are read after the stall; the test fails with the first.

--- a/src/coordination/cells/internal/cell_crashes.cpp
+++ b/src/coordination/cells/internal/cell_crashes.cpp
@@ -28,9 +28,14 @@
 
 void cell_dispatcher::impl::noteSilence(time_point now, const upstream_record& upstream)
 {
-    std::set<std::string, std::less<>> tasks;
-    for (const auto& [name, record] : upstream.runs)
-        tasks.insert(name.task);
+    std::map<std::string, bool> tasks;
+    for (const auto& [name, record] : upstream.runs) {
+        // The polls that renew the lease: the last one that was answered, and the last one that was sent. If this host stood still
+        // between them, or since then, the lease may have expired meanwhile.
+        const time_point renewed = std::max(record.since, upstream.listRequestedAt);
+        const time_point sent = std::max(renewed, upstream.pollSentAt);
+        tasks[name.task] = std::max(sent - renewed, now - sent) > settings.maxLease;
+    }
     failures.addSilence(now, upstream.lastReport.id, tasks);
 }
 
--- a/src/coordination/cells/internal/failure_history.cpp
+++ b/src/coordination/cells/internal/failure_history.cpp
@@ -37,12 +37,14 @@
     history.until = now + retention;
 }
 
-void failure_history::addSilence(time_point now, const std::string& upstream, const std::set<std::string, std::less<>>& tasks)
+void failure_history::addSilence(time_point now, const std::string& upstream, const std::map<std::string, bool>& tasks)
 {
     silence& added = m_silences[upstream];
-    added = { now, {}, false };
-    for (const std::string& task : tasks) {
+    added = { now, {}, {}, false };
+    for (const auto& [task, mayHaveEnded] : tasks) {
         added.jobs.emplace(jobOf(task));
+        if (mayHaveEnded)
+            added.endedTasks.insert(task);
         added.hadSuspects = added.hadSuspects || isSuspect(task);
     }
 }
@@ -60,7 +62,7 @@
         const auto apart = std::max(own.since, other.since) - std::min(own.since, other.since);
         return name != upstream && apart <= sameTime && !other.hadSuspects && !other.jobs.contains(jobOf(task));
     };
-    return std::count_if(m_silences.begin(), m_silences.end(), isOther) >= static_cast<std::ptrdiff_t>(silentOthers);
+    return own.endedTasks.contains(task) || std::count_if(m_silences.begin(), m_silences.end(), isOther) >= static_cast<std::ptrdiff_t>(silentOthers);
 }
 
 failure_history::confirmed_losses failure_history::confirm(time_point now, std::string_view upstream)
--- a/src/coordination/cells/internal/failure_history.h
+++ b/src/coordination/cells/internal/failure_history.h
@@ -4,7 +4,7 @@
 // heard, or nothing is heard from it for long. Until then its loss is unconfirmed.
 //
 // A crash counts against the tasks that ran there unless it had another cause: upstreams that none of them can have crashed fell
-// silent at the same time.
+// silent at the same time, or the tasks may have ended before.
 #pragma once
 
 #include "protocol/time.h"
@@ -38,8 +38,8 @@
     // Crashes that an earlier owner counted.
     void addCrashes(time_point now, const std::string& task, std::size_t crashes);
 
-    // The upstream no longer answers. tasks: those that ran there.
-    void addSilence(time_point now, const std::string& upstream, const std::set<std::string, std::less<>>& tasks);
+    // The upstream no longer answers. tasks: those that ran there, and whether their lease may have expired before.
+    void addSilence(time_point now, const std::string& upstream, const std::map<std::string, bool>& tasks);
 
     struct confirmed_losses {
         std::set<std::string, std::less<>> counted;
@@ -72,6 +72,7 @@
     struct silence {
         time_point since;
         std::set<std::string, std::less<>> jobs; // whose tasks ran there
+        std::set<std::string, std::less<>> endedTasks; // their lease may have expired before
         bool hadSuspects = false;
     };
     using task_map = std::map<std::string, task_history, std::less<>>;
--- a/src/coordination/cells/tests/cell_crash_tests.cpp
+++ b/src/coordination/cells/tests/cell_crash_tests.cpp
@@ -215,6 +215,36 @@
     }
 }
 
+// Guards against crashes that count though the task's lease had expired before, since its owner stood still.
+TEST_CASE("a job doesn't fail because an upstream crashed while the owner's host stood still")
+{
+    constexpr int upstreams = 4;
+    cell_simulation sim(1);
+    openCell(sim, upstreams);
+    sim.submit(0, makeLongJob(sim, "1", 1, 3000));
+    sim.runFor(milliseconds(200));
+    const std::string first = homeOf(sim, upstreams, "1.0.0.0");
+    REQUIRE(!first.empty());
+    sim.crash(first);
+    sim.runFor(milliseconds(400));
+    sim.restart(first);
+    sim.runFor(milliseconds(500));
+    const std::string second = homeOf(sim, upstreams, "1.0.0.0");
+    REQUIRE(!second.empty());
+    sim.freezeOwner(0);
+    sim.runFor(milliseconds(1500));
+    REQUIRE(sim.upstream(second).running.empty()); // the lease has expired
+    sim.crash(second);
+    sim.runFor(milliseconds(500));
+    sim.restart(second);
+    sim.runFor(milliseconds(500));
+    sim.thawOwner(0);
+    sim.runFor(seconds(8));
+    CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+    CHECK(sim.runsOf("1.0.0.0") == 3);
+    CHECK(sim.doubleRuns() == 0);
+}
+
 // Guards against tasks of one job that excuse each other, and then crash one upstream after the other.
 TEST_CASE("a job fails after two crashes under one of its tasks though all its tasks crash upstreams at the same time")
 {
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -106,11 +106,30 @@
     m_owners[number].isKilled = true;
 }
 
+void cell_simulation::thawOwner(std::size_t number)
+{
+    m_owners[number].isFrozen = false;
+    for (const auto& [name, origin] : m_origins) {
+        if (!origin.isLost)
+            m_owners[number].dispatcher->onOriginHeard(m_now, name);
+    }
+    for (const auto& input : std::exchange(m_owners[number].unread, {}))
+        input();
+    m_owners[number].nextAdvance = m_now;
+}
+
+void cell_simulation::deliver(std::size_t owner, std::function<void()> input)
+{
+    if (m_owners[owner].isFrozen)
+        return m_owners[owner].unread.push_back(std::move(input));
+    input();
+}
+
 void cell_simulation::sendHeartbeats()
 {
     for (const auto& [name, origin] : m_origins) {
         for (const sim_owner& owner : m_owners) {
-            if (!origin.isLost)
+            if (!origin.isLost && !owner.isFrozen)
                 owner.dispatcher->onOriginHeard(m_now, name);
         }
     }
@@ -120,7 +139,7 @@
 void cell_simulation::endSilentOrigins()
 {
     for (std::size_t i = 0; i < m_owners.size(); ++i) {
-        if (m_owners[i].isKilled)
+        if (m_owners[i].isKilled || m_owners[i].isFrozen)
             continue;
         m_owners[i].dispatcher->endSilentOrigins(m_now);
         processActions(i);
@@ -168,8 +187,10 @@
     const auto& cell = m_owners[owner].cell;
     if (cell && !cell->contains(report.id))
         return;
-    m_owners[owner].dispatcher->onUpstreamReport(m_now, report);
-    processActions(owner);
+    deliver(owner, [this, owner, report] {
+        m_owners[owner].dispatcher->onUpstreamReport(m_now, report);
+        processActions(owner);
+    });
 }
 
 void cell_simulation::runFor(duration length)
@@ -192,7 +213,7 @@
         for (std::size_t i = 0; i < m_owners.size(); ++i) {
             if (m_owners[i].nextAdvance > m_now)
                 continue;
-            if (m_owners[i].isKilled) {
+            if (m_owners[i].isKilled || m_owners[i].isFrozen) {
                 m_owners[i].nextAdvance = time_point::max();
                 continue;
             }
@@ -252,8 +273,10 @@
     schedule(timeout, [this, owner, number, timeOut = std::move(timeOut)] {
         if (m_openCalls.erase(number) == 0)
             return;
-        timeOut();
-        processActions(owner);
+        deliver(owner, [this, owner, timeOut] {
+            timeOut();
+            processActions(owner);
+        });
     });
 }
 
@@ -293,8 +316,10 @@
     schedule(delay, [this, owner, number, onAnswer = std::move(onAnswer), answer] {
         if (m_openCalls.erase(number) == 0)
             return;
-        onAnswer(answer);
-        processActions(owner);
+        deliver(owner, [this, owner, onAnswer, answer] {
+            onAnswer(answer);
+            processActions(owner);
+        });
     });
 }
 
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -84,6 +84,9 @@
     void cutFrom(std::size_t number, const std::string& upstream) { m_owners[number].unreachable.insert(upstream); }
     // The owner's process ends.
     void killOwner(std::size_t number);
+    // The owner's host stands still until it is thawed. It then reads what has arrived meanwhile, in that order.
+    void freezeOwner(std::size_t number) { m_owners[number].isFrozen = true; }
+    void thawOwner(std::size_t number);
 
     // Every owner hears live origins every 150 ms, as soon as they have submitted a job.
     void setOriginLost(const std::string& origin, bool isLost = true) { m_origins[origin].isLost = isLost; }
@@ -133,6 +136,8 @@
         std::uint64_t token = 0;
         bool isCut = false; // from all upstreams
         bool isKilled = false;
+        bool isFrozen = false;
+        std::vector<std::function<void()>> unread; // input that has arrived while it is frozen
         std::set<std::string> unreachable; // upstreams that the owner is cut off from
         std::optional<std::set<std::string>> cell; // upstreams that belong to its cell; absent: all
         time_point linkFreeAt; // when all bytes in its link's queue are sent
@@ -160,6 +165,7 @@
     void sendHeartbeats();
     void endSilentOrigins();
     std::int64_t lateLeaseEnd(std::int64_t expiresAtMs, duration delay) const;
+    void deliver(std::size_t owner, std::function<void()> input);
     void processActions(std::size_t owner);
     void perform(std::size_t owner, const cell_action& action);
     // Sends a call over the owner's link. arrive runs when it has arrived; timeOut when it has not been answered in time.
