--- a/src/coordination/cells/tests/cell_crash_tests.cpp
+++ b/src/coordination/cells/tests/cell_crash_tests.cpp
@@ -35,7 +35,7 @@
 std::string homeOf(cell_simulation& sim, int upstreams, const std::string& task)
 {
     for (int i = 0; i < upstreams; ++i) {
-        const std::string id = "u" + std::to_string(i);
+        std::string id = "u" + std::to_string(i);
         const auto& running = sim.upstream(id).running;
         if (std::any_of(running.begin(), running.end(), [&task](const sim_task_run& run) { return run.run.task == task; }))
             return id;
