An open link that still writes its first frame isn't dialled anew

What callers saw: not established.

Cause: the mesh took a link for unopened until its first frame had been handed to the kernel in full. Until the patience had grown enough, nothing arrived, and a configuration waited in the queue behind.

Ruled out: the limit of silence, which the test sets to 4 s, above the time of the frame.

Why the fix works: only a link whose peer hasn't answered is unopened. An open one is watched by the silence limit, as before for later frames. Nothing changes for links that hang before their peer answers (test "a message to a host whose connections hang arrives once").

--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -193,7 +193,7 @@
         const time_point now = protocol::steadyNow();
         std::erase_if(inbound, [this](const auto& item) { return !listener.isConnected(item.second); });
         for (auto& [host, peer] : peers) {
-            const bool isUnopened = !peer.hasSent && peer.link->isSending() && now - peer.dialledAt >= peer.dialPatience;
+            const bool isUnopened = !peer.hasSent && !peer.link->isOpen() && peer.link->isSending() && now - peer.dialledAt >= peer.dialPatience;
             const bool isSilent = peer.ackedSequence < peer.lastSequence && now - peer.unackedSince >= settings.silenceLimit;
             if (isUnopened) {
                 dialUnopened(host, peer);
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -15,6 +15,7 @@
 #include <malloc.h>
 #include <netinet/in.h>
 
+#include <csignal>
 #include <filesystem>
 #include <fstream>
 #include <functional>
@@ -225,6 +226,31 @@
     CHECK(heard.back() == "after");
 }
 
+TEST_CASE("a link that is open and still writes its first frame is dialled anew, and the frame starts again")
+{
+    // The frame is longer than what the kernel buffers, and takes two seconds: several times the patience with a link that does not open.
+    constexpr std::size_t frameBytes = 16 * 1024 * 1024;
+    std::signal(SIGPIPE, SIG_IGN); // the relay writes to connections that the receiver has closed
+    mesh_fixture fixture;
+    const std::string address = freeAddress();
+    std::size_t heard = 0;
+    const auto receiver = fixture.start("b", 1, address, [&](const mesh_delivery& delivery) { heard = delivery.body.size(); });
+    tests::tcp_relay relay(fixture.loop, portOf(address));
+    relay.limitRate(frameBytes / 2);
+    mesh_settings settings;
+    settings.host = "a";
+    settings.incarnation = 1;
+    settings.listenAddress = freeAddress();
+    settings.maxQueuedBytes = frameBytes;
+    settings.silenceLimit = std::chrono::seconds(4); // looks at its links six times within it
+    mesh sender(fixture.loop, settings, [](const mesh_delivery&) {});
+    REQUIRE(sender.listen());
+    sender.setPeer("b", "127.0.0.1:" + std::to_string(relay.port()));
+    sender.send("b", std::string(frameBytes, 'x'));
+    fixture.runUntil([&] { return heard == frameBytes; });
+    CHECK(relay.connectionsTaken() == 1);
+}
+
 TEST_CASE("bytes that are no frame are refused, whatever they are")
 {
     std::mt19937 random(1);
--- a/src/transport/tests/tcp_relay.cpp
+++ b/src/transport/tests/tcp_relay.cpp
@@ -3,10 +3,12 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/listener.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <vector>
@@ -50,6 +52,8 @@
                 bufferevent_free(side);
         }
         evconnlistener_free(listener);
+        if (rateLimit)
+            ev_token_bucket_cfg_free(rateLimit);
     }
 
     impl(const impl&) = delete;
@@ -69,6 +73,8 @@
             bufferevent_setcb(side, &impl::onRead, nullptr, &impl::onEvent, link.get());
             bufferevent_enable(side, EV_READ | EV_WRITE);
         }
+        if (rateLimit)
+            bufferevent_set_rate_limit(link->sides[0], rateLimit);
         const sockaddr_in target = loopbackAddress(targetPort);
         bufferevent_socket_connect(link->sides[1], reinterpret_cast<const sockaddr*>(&target), sizeof(target));
         links.push_back(std::move(link));
@@ -102,6 +108,7 @@
     event_base* base;
     std::uint16_t targetPort;
     evconnlistener* listener;
+    ev_token_bucket_cfg* rateLimit = nullptr;
     std::vector<std::unique_ptr<relayed>> links;
 };
 
@@ -128,6 +135,21 @@
     return open;
 }
 
+std::size_t tcp_relay::connectionsTaken() const
+{
+    return m_impl->links.size();
+}
+
+void tcp_relay::limitRate(std::size_t bytesPerSecond)
+{
+    constexpr std::size_t ticksPerSecond = 20;
+    constexpr int receiveBytes = 16 * 1024;
+    constexpr timeval tick { 0, 1'000'000 / ticksPerSecond };
+    const std::size_t bytesPerTick = bytesPerSecond / ticksPerSecond;
+    m_impl->rateLimit = ev_token_bucket_cfg_new(bytesPerTick, bytesPerTick, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick);
+    setsockopt(evconnlistener_get_fd(m_impl->listener), SOL_SOCKET, SO_RCVBUF, &receiveBytes, sizeof(receiveBytes));
+}
+
 void tcp_relay::silencePresent()
 {
     for (const auto& link : m_impl->links)
--- a/src/transport/tests/tcp_relay.h
+++ b/src/transport/tests/tcp_relay.h
@@ -18,10 +18,14 @@
 
     std::uint16_t port() const;
     std::size_t connections() const;
+    std::size_t connectionsTaken() const; // since the start, with those that have ended
 
     // From now on the present connections carry nothing, in both directions, and are not closed.
     void silencePresent();
 
+    // New connections carry at most so many bytes a second towards the target, and the kernel buffers few of them.
+    void limitRate(std::size_t bytesPerSecond);
+
     // While cut, present connections carry nothing and new ones are not taken.
     void setCut(bool isCut);
 
