Log lines for a configuration that comes late: a loop that stood still, a push that wasn't sent

Entry hosts now write loop_stalled with the time, and control hosts configuration_not_sent if the queue of a link is full; that was silent before. Test: stall_watch_tests, "a loop that stood still says nothing of it, or says it again", 3 of 3 runs; the function is new, so there is no failing run before. configuration_not_sent has no test.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -256,6 +256,11 @@
     logEvent(log_level::info, "traffic", { { "interval_ms", std::to_string(std::chrono::duration_cast<milliseconds>(trafficLogInterval).count()) }, { "messages_and_bytes", traffic.takeSummary() } });
 }
 
+void cell_host::impl::logStall(duration length)
+{
+    logEvent(log_level::warning, "loop_stalled", { { "for_ms", std::to_string(std::chrono::duration_cast<milliseconds>(length).count()) } });
+}
+
 void cell_host::impl::scheduleTick()
 {
     const time_point now = steadyNow();
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -64,7 +64,7 @@
     std::set<std::string> entryPeers;
     std::set<std::string> controlPeers;
     std::set<std::string> silentHosts; // hosts whose loss was reported to the dispatchers
-    transport::stall_watch stalls { loop };
+    transport::stall_watch stalls { loop, [](duration length) { logStall(length); } };
     cells::spill_targets spillTargets;
     cells::zone_cells zoneCells;
     cells::caller_id lastCaller = 0;
@@ -149,6 +149,7 @@
     bool sendBytes(apps::peer_role peer, const std::string& host, std::string_view kind, std::string_view bytes);
     void countCall(std::string_view purpose, const cells::call_answer& answer);
     void logTraffic();
+    static void logStall(duration length);
 };
 
 } // namespace jackdaw::cell_host
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -123,15 +123,17 @@
         sendBytes(apps::peer_role::control, controlMeshName(host), protocol::kindOf(message), protocol::encodeCellMessage(message));
     }
 
-    void sendToEntry(const std::string& host, const cell_message& message)
+    bool sendToEntry(const std::string& host, const cell_message& message)
     {
-        sendBytes(apps::peer_role::entry, host, protocol::kindOf(message), protocol::encodeCellMessage(message));
+        return sendBytes(apps::peer_role::entry, host, protocol::kindOf(message), protocol::encodeCellMessage(message));
     }
 
-    void sendBytes(apps::peer_role peer, const std::string& host, std::string_view kind, std::string_view bytes)
+    bool sendBytes(apps::peer_role peer, const std::string& host, std::string_view kind, std::string_view bytes)
     {
-        if (links.send(host, bytes))
+        const bool isQueued = links.send(host, bytes);
+        if (isQueued)
             traffic.add(apps::traffic_direction::sent, peer, kind, bytes.size());
+        return isQueued;
     }
 
     void addControl(const std::string& host)
@@ -230,7 +232,9 @@
 
 void control_host::impl::pushConfiguration(const std::string& entry)
 {
-    sendToEntry(entry, protocol::configuration_push { node.rules().inForce().version, node.rules().text() });
+    const std::uint64_t version = node.rules().inForce().version;
+    if (!sendToEntry(entry, protocol::configuration_push { version, node.rules().text() }))
+        logEvent(log_level::warning, "configuration_not_sent", { { "host", entry }, { "version", std::to_string(version) }, { "reason", "the link's queue is full" } });
 }
 
 void control_host::impl::sendHeartbeats()
--- a/src/transport/stall_watch.cpp
+++ b/src/transport/stall_watch.cpp
@@ -20,8 +20,9 @@
 
 class stall_watch::impl {
 public:
-    explicit impl(event_loop& eventLoop)
+    impl(event_loop& eventLoop, stall_hook hook)
         : loop(eventLoop)
+        , onStall(std::move(hook))
         , timer(loop.every(beatInterval, [this] { beat(); }))
     {
     }
@@ -34,6 +35,8 @@
             return;
         stalledSince = before;
         drain(passesToDrain);
+        if (onStall)
+            onStall(now - before);
     }
 
     void drain(int passes)
@@ -49,14 +52,15 @@
     }
 
     event_loop& loop;
+    const stall_hook onStall;
     time_point lastBeat = protocol::steadyNow();
     std::optional<time_point> stalledSince; // while input of that time may be unread
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     std::unique_ptr<event_loop::timer> timer;
 };
 
-stall_watch::stall_watch(event_loop& loop)
-    : m_impl(std::make_unique<impl>(loop))
+stall_watch::stall_watch(event_loop& loop, stall_hook onStall)
+    : m_impl(std::make_unique<impl>(loop, std::move(onStall)))
 {
 }
 
--- a/src/transport/stall_watch.h
+++ b/src/transport/stall_watch.h
@@ -5,14 +5,17 @@
 #include "protocol/time.h"
 #include "transport/event_loop.h"
 
+#include <functional>
 #include <memory>
 
 namespace jackdaw::transport {
 
 class stall_watch {
 public:
-    // Starts with the loop's first pass. Belongs to the loop's thread, as all functions do.
-    explicit stall_watch(event_loop& loop);
+    using stall_hook = std::function<void(protocol::duration length)>;
+
+    // Starts with the loop's first pass. Belongs to the loop's thread, as all functions do. The hook runs once after each stall.
+    explicit stall_watch(event_loop& loop, stall_hook onStall = {});
     ~stall_watch();
     stall_watch(const stall_watch&) = delete;
     stall_watch& operator=(const stall_watch&) = delete;
--- a/src/transport/tests/stall_watch_tests.cpp
+++ b/src/transport/tests/stall_watch_tests.cpp
@@ -87,3 +87,15 @@
     CHECK(watched.delays[0] == duration::zero());
     CHECK(watched.delays[1] == duration::zero());
 }
+
+TEST_CASE("a loop that stood still says nothing of it, or says it again")
+{
+    event_loop loop;
+    std::vector<duration> stalls;
+    const stall_watch watch(loop, [&](duration length) { stalls.push_back(length); });
+    const auto stall = loop.after(milliseconds(300), [] { std::this_thread::sleep_for(stallTime); });
+    const auto end = loop.after(milliseconds(1500), [&] { loop.stop(); });
+    loop.run();
+    REQUIRE(stalls.size() == 1);
+    CHECK(stalls.front() >= stallTime);
+}
