A host that is behind asks one control host at a time for the configuration

Cause: an entry host tells all six control hosts its version every 500 ms (every 100 ms to learn of a zone's upstreams), and each of them that has a newer configuration answered with a copy, beside the leader's own copy and those that the host pulled from other entry hosts every 300 ms. With 305 KB a copy takes 130 ms on a link of 19 Mbit/s: the copies came faster than the link carries them, and the next version waited behind copies of the last.

On the 26 hosts with 19 Mbit/s received 5.2 to 8.6 MB of copies within 5 s, those with 62 Mbit/s 1.2 MB; from acknowledgement to in force the median was 0.34, 0.69, 1.14 and 1.26 s, the worst 2.06 s.

Ruled out: a stalled or overloaded loop (timers on time), a control host that lags (all six stored each version within 150 ms), faults of links.

Why the fix works: a directory request asks one control host, the next one in the next round; requests for news of a zone ask none. A host pulls from another one only if the leader's copy has had 300 ms to come, and not within 300 ms of asking somebody else. At most four copies a second are asked for: half of such a link. Requests of earlier releases, which don't say, are answered as before.

--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -8,6 +8,7 @@
 #include "apps/shared/zone_address.h"
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
+#include "coordination/cells/configuration_requests.h"
 #include "coordination/cells/spill_targets.h"
 #include "coordination/cells/upstream_directory.h"
 #include "coordination/cells/zone_cells.h"
@@ -69,7 +70,7 @@
     cells::zone_cells zoneCells;
     cells::caller_id lastCaller = 0;
     protocol::configuration_push configuration; // in force; its version never decreases
-    time_point lastPullAt;
+    cells::configuration_requests configurationRequests { settings.host };
     time_point ownershipCheckedAt;
     time_point newsRequestedAt;
     std::uint64_t gossipRounds = 0;
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -16,12 +16,6 @@
 using state::logEvent;
 using std::chrono::milliseconds;
 
-namespace {
-
-    constexpr duration pullInterval = milliseconds(300); // a configuration can take 100 ms to arrive over a slow link
-
-} // namespace
-
 void cell_host::impl::onDelivery(const transport::mesh_delivery& delivery)
 {
     auto decoded = protocol::decodeCellMessage(delivery.body);
@@ -82,10 +76,8 @@
     if (gossip.zoneCellCount > zoneCells.cellCount(gossip.zone))
         updateCellCount(gossip.zone, gossip.zoneCellCount);
     // Control hosts push new configurations; the pull from another entry host works while the link to them is broken.
-    if (gossip.configurationVersion > configuration.version && now - lastPullAt >= pullInterval) {
-        lastPullAt = now;
+    if (configurationRequests.isPullDue(now, configuration.version, gossip.configurationVersion))
         sendTo(gossip.host, protocol::configuration_pull { configuration.version });
-    }
     for (const protocol::cell_claim& claim : gossip.claims)
         spillTargets.update(claim);
     if (isRepetition)
@@ -215,10 +207,14 @@
 
 void cell_host::impl::sendDirectoryRequest(const std::string& newsZone)
 {
-    const cell_message request = protocol::directory_request { settings.host, incarnation, configuration.version, isLeaving, settings.zone, newsZone, steadyNow().time_since_epoch().count() };
+    const time_point now = steadyNow();
+    protocol::directory_request request { settings.host, incarnation, configuration.version, isLeaving, settings.zone, newsZone, now.time_since_epoch().count(), false };
+    const std::string askedHost = newsZone.empty() ? configurationRequests.nextControlHost(now, controlPeers) : std::string();
     const std::string bytes = protocol::encodeCellMessage(request);
+    request.wantsConfiguration = true;
+    const std::string askingBytes = protocol::encodeCellMessage(request);
     for (const std::string& host : controlPeers)
-        sendBytes(apps::peer_role::control, controlMeshName(host), protocol::kindOf(request), bytes);
+        sendBytes(apps::peer_role::control, controlMeshName(host), protocol::kindOf(request), host == askedHost ? askingBytes : bytes);
 }
 
 void cell_host::impl::sendGossip(const std::vector<std::string>& hosts)
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -187,7 +187,7 @@
         news.newsTime = request.newsTime;
         sendToEntry(request.host, news);
     }
-    if (request.configurationVersion < node.rules().inForce().version)
+    if (request.wantsConfiguration && request.configurationVersion < node.rules().inForce().version)
         pushConfiguration(request.host);
     logDistribution(steadyNow());
 }
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -196,10 +196,11 @@
     std::string zone {}; // empty: not known, then the host gets the reports of all zones
     std::string newsZone {}; // the host waits for an update that names every live upstream of this zone; empty: for none
     std::int64_t newsTime = 0; // on the host's clock, when it asked; the update repeats it
+    bool wantsConfiguration = true; // if the receiver has a newer one; hosts of earlier releases, which don't say, do
 
     friend bool operator==(const directory_request&, const directory_request&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, configurationVersion, isLeaving, zone, newsZone, newsTime)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, configurationVersion, isLeaving, zone, newsZone, newsTime, wantsConfiguration)
 };
 
 // Heartbeat between control hosts.
