--- a/src/apps/cell_host/tests/divided_zone_host_tests.cpp
+++ b/src/apps/cell_host/tests/divided_zone_host_tests.cpp
@@ -109,6 +109,7 @@
     int upstreamCount = fewUpstreams;
     const auto makeReports = [&upstreamCount] {
         std::vector<protocol::upstream_report> reports;
+        reports.reserve(static_cast<std::size_t>(upstreamCount));
         for (int i = 0; i < upstreamCount; ++i)
             reports.push_back({ "u" + std::to_string(i), 1000, static_cast<std::uint64_t>(upstreamCount), "planning", "10.0.0." + std::to_string(i + 1) + ":80", "a", { 16000, 65536, 0 }, {}, false });
         return reports;
