--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -501,12 +501,14 @@
 // An owner that has not heard of a later claim gets the job back when that one is given up.
 TEST_CASE("an owner starts a task beside its run under a later token on an upstream that it adopted before")
 {
-    for (const auto& [isReleased, home] : { std::pair(false, "u1"), std::pair(false, "u2"), std::pair(true, "u1"), std::pair(true, "u2") }) {
+    for (const auto& variant : { std::pair(false, "u1"), std::pair(false, "u2"), std::pair(true, "u1"), std::pair(true, "u2") }) {
+        const bool isReleased = variant.first;
+        const std::string home = variant.second;
         CAPTURE(isReleased);
-        CAPTURE(std::string(home));
+        CAPTURE(home);
         cell_simulation sim(1);
         openCell(sim, { "u1", "u2" });
-        const std::size_t later = sim.addOwner(false, home == std::string("u1") ? "u2" : "u1");
+        const std::size_t later = sim.addOwner(false, home == "u1" ? "u2" : "u1");
         job_order job = sim.makeJob("1", 1, 14000, 900);
         job.targetMs = 5000;
         job.timeLeftMs = 8000;
