--- a/src/coordination/cells/tests/divided_zone_tests.cpp
+++ b/src/coordination/cells/tests/divided_zone_tests.cpp
@@ -129,6 +129,7 @@
     }
 }
 
+// Guards against a next owner that trusts one that has not seen the runs itself.
 TEST_CASE("an owner that waits for runs in the other cell gives the job back as one whose runs are all known")
 {
     cell_simulation sim(1);
@@ -230,6 +231,7 @@
     CHECK(sim.overfills() == 0);
 }
 
+// Guards against a list of upstreams that looks whole after its other cell's part was left out.
 TEST_CASE("upstreams that a released job may run on are dropped with their cell, and the rest counts as all")
 {
     zone_cells cells;
