--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -117,7 +117,7 @@
 class Runner:
     """A runner of the platform's pages. It does what a start, a stop and a hold say, keeps the highest token, its leases and its ends."""
 
-    def __init__(self, system, zone, cpu=64000, rack="r1-1", clock_rate=1.0):
+    def __init__(self, system, zone, cpu=64000, rack="r1-1", clock_rate=1.0, is_reporting=True):
         self.system, self.record, self.zone, self.cpu = system, system.record, zone, cpu
         self.id = "i-" + uuid.uuid4().hex[:8]
         self.labels = ["a", rack]
@@ -166,7 +166,8 @@
         self.address = self.own_address
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
         threading.Thread(target=self.tick, daemon=True).start()
-        threading.Thread(target=self.beat, daemon=True).start()
+        if is_reporting:
+            threading.Thread(target=self.beat, daemon=True).start()
 
     def clock_ms(self):
         return 100000 + int((time.monotonic() - self.begin) * 1000 * self.clock_rate)
