Divide a zone into cells by the CPU of its hosts

A zone had one cell for each 64 upstreams, whatever CPU its hosts had; an owner of 120 millicores then needs 137 for half of a zone of 117 upstreams. The count now rises until each of the strongest hosts, one for each cell, needs at most half of its CPU. Lost hosts still count and nothing is raised before the directory was heard for 3 s, since a change of the division ends jobs. The sum of all hosts' CPU was ruled out: one host alone serves a cell.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -122,14 +122,17 @@
     return std::any_of(cells.begin(), cells.end(), [this](const std::string& cell) { return ownership.ownerOf(steadyNow(), cell).has_value(); });
 }
 
-// Recomputes the number of cells of a zone from the number that another host announced and from the upstreams that report
-// there. When the number rises, the zone's cells that this host owns are claimed anew, and upstreams move to their new cells.
+// Recomputes the number of cells of a zone from the number that another host announced, from the upstreams that report there
+// and, for this host's zone, from the processors of its hosts. When the number rises, the zone's cells that this host owns are
+// claimed anew, and upstreams move to their new cells.
 void cell_host::impl::updateCellCount(const std::string& zone, std::uint32_t announcedCells)
 {
     const std::uint32_t before = zoneCells.cellCount(zone);
     const std::size_t reporting = upstreams.countReporting(steadyNow(), zone, reportFreshness);
     zoneCells.onCellCount(zone, announcedCells);
     zoneCells.onUpstreamCount(zone, reporting);
+    if (zone == settings.zone)
+        zoneCells.onCellCount(zone, cells::cellsForHosts(reporting, ownership.zoneProcessors(steadyNow())));
     const std::uint32_t count = zoneCells.cellCount(zone);
     if (count == before)
         return;
@@ -218,6 +221,8 @@
 void cell_host::impl::sendPeriodicGossip()
 {
     const bool isFullRound = ++gossipRounds % roundsPerFullGossip == 0;
+    if (isFullRound)
+        updateCellCount(settings.zone, 1);
     std::vector<std::string> hosts;
     const std::set<std::string> owners = jobRouter.owners();
     std::copy_if(entryPeers.begin(), entryPeers.end(), std::back_inserter(hosts), [&](const std::string& host) { return owners.contains(host) || ownership.isGossipDue(steadyNow(), host, isFullRound); });
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -251,6 +251,18 @@
     return out;
 }
 
+std::vector<std::uint32_t> cell_ownership::zoneProcessors(time_point now) const
+{
+    if (!m_directoryKnownSince || now - *m_directoryKnownSince < m_settings.settlingTime)
+        return {};
+    std::vector<std::uint32_t> out { m_settings.processorMillicores };
+    for (const auto& [host, known] : m_hosts) {
+        if (known.gossip.zone == m_settings.zone)
+            out.push_back(known.gossip.processorMillicores);
+    }
+    return out;
+}
+
 bool cell_ownership::hasLiveHost(time_point now, std::string_view zone, bool isLeaving) const
 {
     return std::any_of(m_hosts.begin(), m_hosts.end(), [&](const auto& item) {
--- a/src/coordination/cells/cell_ownership.h
+++ b/src/coordination/cells/cell_ownership.h
@@ -32,6 +32,8 @@
     // Three gossip intervals, counted from the receipt of the list of entry hosts. A new host claims no cell before.
     duration initialClaimDelay = std::chrono::milliseconds(450);
     duration remoteTakeoverDelay = std::chrono::seconds(3); // before another zone takes over cells of a zone of silent hosts
+    // The directory is known for so long before this host judges by all hosts of the zone: several directory requests and gossip rounds.
+    duration settlingTime = std::chrono::seconds(3);
     duration rebalanceDelay = std::chrono::seconds(2); // a host without cells gets one of a host with several after this time
     // A zone counts as reachable for this long after a report of one of its upstreams. Each reports about every 1.5 s.
     duration maxReportAge = std::chrono::milliseconds(2500);
@@ -103,6 +105,10 @@
     // Other live hosts of the zone.
     std::vector<std::string> hostsOf(time_point now, std::string_view zone) const;
 
+    // Processor of each entry host of this zone that was ever heard, in millicores, so that the loss of a host changes nothing. Empty
+    // until the hosts of the zone can be expected to be known.
+    std::vector<std::uint32_t> zoneProcessors(time_point now) const;
+
     // Whether this host's gossip goes to the host in a round. Every round is for those that need it frequently; a full round, one
     // in several, is for the others as well.
     bool isGossipDue(time_point now, std::string_view host, bool isFullRound) const;
--- a/src/coordination/cells/tests/cell_ownership_tests.cpp
+++ b/src/coordination/cells/tests/cell_ownership_tests.cpp
@@ -514,3 +514,18 @@
     group.pass(milliseconds(1600));
     CHECK(group.ownersOf("a") == names { "a12" });
 }
+
+TEST_CASE("a zone is judged by all hosts that were ever heard, and not before they can be expected to be known")
+{
+    host_group group;
+    group.add("h1", "a", 90);
+    group.add("h2", "a", 300);
+    group.add("h3", "b", 500);
+    group.pass(milliseconds(2500));
+    CHECK(group.hosts["h1"].ownership->zoneProcessors(group.now).empty());
+    group.pass(seconds(1));
+    CHECK(group.hosts["h1"].ownership->zoneProcessors(group.now) == std::vector<std::uint32_t> { 90, 300 });
+    group.hosts["h2"].isRunning = false;
+    group.pass(seconds(10));
+    CHECK(group.hosts["h1"].ownership->zoneProcessors(group.now) == std::vector<std::uint32_t> { 90, 300 });
+}
--- a/src/coordination/cells/tests/zone_cells_tests.cpp
+++ b/src/coordination/cells/tests/zone_cells_tests.cpp
@@ -33,6 +33,23 @@
     CHECK(zoneOfCell("a") == "a");
 }
 
+TEST_CASE("weak hosts don't get larger cells than they can serve, and strong hosts keep theirs")
+{
+    const std::vector<std::uint32_t> weak(12, 120);
+    CHECK(cellsForHosts(117, weak) == 5);
+    CHECK(cellsForHosts(117, { 90, 90, 90, 300, 90, 90, 300, 90, 90 }) == 2);
+    CHECK(cellsForHosts(117, { 300, 90, 300, 90, 300, 90 }) == 2);
+    CHECK(cellsForHosts(16, { 190, 250, 620 }) == 1);
+}
+
+TEST_CASE("the count of cells is limited by the hosts and by the most cells of a zone")
+{
+    CHECK(cellsForHosts(117, {}) == 1);
+    CHECK(cellsForHosts(117, { 90, 90, 90 }) == 3);
+    CHECK(cellsForHosts(5000, std::vector<std::uint32_t>(40, 90)) == maxCellsPerZone);
+    CHECK(cellsForHosts(0, { 0, 0 }) == 1);
+}
+
 TEST_CASE("hosts with different counts converge on the larger one, which never decreases")
 {
     zone_cells first;
--- a/src/coordination/cells/zone_cells.cpp
+++ b/src/coordination/cells/zone_cells.cpp
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace jackdaw::cells {
 
@@ -18,6 +19,17 @@
     return cell.substr(0, cell.find(cellSeparator));
 }
 
+std::uint32_t cellsForHosts(std::size_t upstreams, std::vector<std::uint32_t> millicores)
+{
+    std::sort(millicores.begin(), millicores.end(), std::greater<>());
+    const auto most = static_cast<std::uint32_t>(std::min<std::size_t>(millicores.size(), maxCellsPerZone));
+    const double needed = static_cast<double>(upstreams) * millicoresOfFullCell / static_cast<double>(maxUpstreamsPerCell);
+    std::uint32_t count = 1;
+    while (count < most && needed / count > maxOwnerShare * millicores[count - 1])
+        ++count;
+    return count;
+}
+
 void zone_cells::onUpstreamCount(std::string_view zone, std::size_t count)
 {
     onCellCount(zone, static_cast<std::uint32_t>((count + maxUpstreamsPerCell - 1) / maxUpstreamsPerCell));
