--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -66,7 +66,9 @@
     dispatcherHooks.upstreamsHeardSince = [this] { return upstreams.heardSince(steadyNow()); };
     dispatcherHooks.upstreamsToldUntil = [this, zone = std::string(cells::zoneOfCell(cell))] { return upstreams.toldUntil(zone); };
     dispatcherHooks.findOtherCell = [this](const protocol::job_order& order) { return findOtherCell(order); };
+    dispatcherHooks.findEvacuationTarget = [this](const protocol::job_order& order) { return findEvacuationTarget(order); };
     auto dispatcher = std::make_shared<cells::cell_dispatcher>(cellSettings, std::move(dispatcherHooks), steadyNow());
+    dispatcher->setEvacuation(steadyNow(), evacuations.startsUntil(cells::zoneOfCell(cell)));
     forwardKnownReports(cell, *dispatcher);
     dispatchers[cell] = std::move(dispatcher);
 }
@@ -99,10 +101,28 @@
 {
     return spillTargets.reserve(order, [this](std::string_view cell) {
         const auto owner = ownership.ownerOf(steadyNow(), cell);
-        return !dispatchers.contains(cell) && owner && !owner->isSelf;
+        return !evacuations.isEvacuated(cells::zoneOfCell(cell)) && !dispatchers.contains(cell) && owner && !owner->isSelf;
     });
 }
 
+std::string cell_host::impl::findEvacuationTarget(const protocol::job_order& order)
+{
+    for (const auto& [cell, dispatcher] : dispatchers) {
+        if (!evacuations.isEvacuated(cells::zoneOfCell(cell)))
+            evacuationTargets.update(cell, dispatcher->rooms(steadyNow()));
+    }
+    return evacuationTargets.choose(order, [this](std::string_view cell) {
+        return !evacuations.isEvacuated(cells::zoneOfCell(cell)) && ownership.ownerOf(steadyNow(), cell).has_value();
+    });
+}
+
+std::optional<std::string> cell_host::impl::evacuationTargetOfNewJob(const protocol::job_order& order)
+{
+    if (!evacuations.isEvacuated(settings.zone))
+        return std::nullopt;
+    return findEvacuationTarget(order);
+}
+
 // Returns the cell that the job's id maps to, or, while that cell has no owner, the first cell of the zone that has one.
 std::string cell_host::impl::homeCellOf(std::string_view job) const
 {
@@ -360,6 +380,7 @@
     self.metrics.ownedCells.set(static_cast<double>(self.dispatchers.size()));
     self.metrics.upstreams.set(static_cast<double>(adopted));
     self.metrics.configurationVersion.set(static_cast<double>(self.configuration.version));
+    self.metrics.evacuatedZones.set(static_cast<double>(self.evacuations.evacuatedCount()));
     self.metrics.logLinesLeftOut.set(static_cast<double>(state::logLinesLeftOut()));
     self.processGauges.update(self.links);
     return self.allMetrics.toPrometheus();
--- a/src/apps/cell_host/cell_host_metrics.h
+++ b/src/apps/cell_host/cell_host_metrics.h
@@ -21,6 +21,7 @@
         , ownedCells(all.addGauge("jackdaw_owned_cells", "Cells that this host dispatches."))
         , upstreams(all.addGauge("jackdaw_adopted_upstreams", "Upstreams of owned cells that answer to this host."))
         , configurationVersion(all.addGauge("jackdaw_configuration_version", "Version in force; 0: none yet."))
+        , evacuatedZones(all.addGauge("jackdaw_evacuated_zones", "Zones whose evacuation is in force here."))
         , logLinesLeftOut(all.addGauge("jackdaw_log_lines_left_out", "Log lines that were not written since the start."))
     {
     }
@@ -57,6 +58,7 @@
     state::gauge& ownedCells;
     state::gauge& upstreams;
     state::gauge& configurationVersion;
+    state::gauge& evacuatedZones;
     state::gauge& logLinesLeftOut;
 };
 
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -9,6 +9,8 @@
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
 #include "coordination/cells/configuration_requests.h"
+#include "coordination/cells/evacuated_zones.h"
+#include "coordination/cells/evacuation_targets.h"
 #include "coordination/cells/spill_targets.h"
 #include "coordination/cells/upstream_directory.h"
 #include "coordination/cells/zone_cells.h"
@@ -40,7 +42,7 @@
         , links(
               loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); }, [this](std::string_view host) { onRefused(host); })
         , ownership(ownershipSettings())
-        , jobRouter([this](std::string_view job) { return homeCellOf(job); }, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); })
+        , jobRouter([this](std::string_view job) { return homeCellOf(job); }, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); }, [this](const protocol::job_order& order) { return evacuationTargetOfNewJob(order); })
     {
     }
 
@@ -68,6 +70,9 @@
     transport::stall_watch stalls { loop, [](duration length) { logStall(length); } };
     cells::spill_targets spillTargets;
     cells::zone_cells zoneCells;
+    cells::evacuated_zones evacuations;
+    cells::evacuation_targets evacuationTargets;
+    time_point evacuationLearnedAt; // when the last change was learned
     cells::caller_id lastCaller = 0;
     protocol::configuration_push configuration; // in force; its version never decreases
     cells::configuration_requests configurationRequests { settings.host };
@@ -115,6 +120,7 @@
     void shareUpstreams(std::string_view cell, const cells::cell_dispatcher& dispatcher);
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
     void onConfiguration(const protocol::configuration_push& push, std::string_view sender);
+    void onEvacuationState(const protocol::evacuation_state& state, std::string_view sender);
     void onJobOrder(protocol::job_order order, std::string_view origin);
     void onJobCancel(const protocol::job_cancel& cancel, std::string_view origin);
     // Takes the time that input may have waited during a stall off the time that the job's caller still waits.
@@ -134,6 +140,9 @@
     void endSilentOrigins();
     std::string findOtherCell(const protocol::job_order& order);
     std::string homeCellOf(std::string_view job) const;
+    // The cell of a zone that is not evacuated; empty: none has an owner.
+    std::string findEvacuationTarget(const protocol::job_order& order);
+    std::optional<std::string> evacuationTargetOfNewJob(const protocol::job_order& order);
     bool hasOwnerInZone() const;
     void updateCellCount(const std::string& zone, std::uint32_t announcedCells);
     void scheduleTick();
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -16,6 +16,13 @@
 using state::logEvent;
 using std::chrono::milliseconds;
 
+namespace {
+
+    // The leader sends a change to every entry host at once. Before this time, others most likely need not pass it on.
+    constexpr duration evacuationPassOnDelay = milliseconds(200);
+
+} // namespace
+
 void cell_host::impl::onDelivery(const transport::mesh_delivery& delivery)
 {
     auto decoded = protocol::decodeCellMessage(delivery.body);
@@ -40,6 +47,8 @@
         jobRouter.onAnswer(steadyNow(), delivery.sender, *answer);
     else if (const auto* list = std::get_if<protocol::upstream_list>(&message))
         onUpstreamList(*list);
+    else if (const auto* state = std::get_if<protocol::evacuation_state>(&message))
+        onEvacuationState(*state, delivery.sender);
     else if (const auto* pull = std::get_if<protocol::configuration_pull>(&message)) {
         if (pull->version < configuration.version)
             sendTo(std::string(delivery.sender), configuration);
@@ -78,8 +87,12 @@
     // Control hosts push new configurations; the pull from another entry host works while the link to them is broken.
     if (configurationRequests.isPullDue(now, configuration.version, gossip.configurationVersion))
         sendTo(gossip.host, protocol::configuration_pull { configuration.version });
-    for (const protocol::cell_claim& claim : gossip.claims)
+    if (gossip.evacuationNumber < evacuations.number() && now - evacuationLearnedAt >= evacuationPassOnDelay)
+        sendTo(gossip.host, evacuations.message(now));
+    for (const protocol::cell_claim& claim : gossip.claims) {
         spillTargets.update(claim);
+        evacuationTargets.update(claim.cell, claim.freeCapacity);
+    }
     if (isRepetition)
         return;
     applyOwnership();
@@ -173,6 +186,25 @@
     configuration = push;
 }
 
+void cell_host::impl::onEvacuationState(const protocol::evacuation_state& state, std::string_view sender)
+{
+    if (const auto checked = cells::checkEvacuationState(state); !checked)
+        return logEvent(log_level::warning, "damaged_message", { { "sender", std::string(sender) }, { "reason", checked.error().detail } });
+    const time_point now = steadyNow();
+    const std::uint64_t before = evacuations.number();
+    const std::vector<cells::evacuation_change> changes = evacuations.apply(now, now - stalls.maxInputDelay(), state);
+    if (evacuations.number() == before)
+        return;
+    evacuationLearnedAt = now;
+    for (const cells::evacuation_change& change : changes) {
+        logEvent(log_level::info, change.isEvacuated ? "evacuation_in_force" : "evacuation_withdrawn", { { "zone", change.zone }, { "number", std::to_string(state.number) }, { "sender", std::string(sender) } });
+        for (const auto& [cell, dispatcher] : dispatchers) {
+            if (cells::zoneOfCell(cell) == change.zone)
+                dispatcher->setEvacuation(now, evacuations.startsUntil(change.zone));
+        }
+    }
+}
+
 void cell_host::impl::onJobOrder(protocol::job_order order, std::string_view origin)
 {
     zoneCells.removeRunsInOtherCells(order);
@@ -208,7 +240,7 @@
 void cell_host::impl::sendDirectoryRequest(const std::string& newsZone)
 {
     const time_point now = steadyNow();
-    protocol::directory_request request { settings.host, incarnation, configuration.version, isLeaving, settings.zone, newsZone, now.time_since_epoch().count(), false };
+    protocol::directory_request request { settings.host, incarnation, configuration.version, isLeaving, settings.zone, newsZone, now.time_since_epoch().count(), false, evacuations.number() };
     const std::string askedHost = newsZone.empty() ? configurationRequests.nextControlHost(now, controlPeers) : std::string();
     const std::string bytes = protocol::encodeCellMessage(request);
     request.wantsConfiguration = true;
@@ -221,6 +253,7 @@
 {
     protocol::host_gossip gossip = ownership.gossip();
     gossip.configurationVersion = configuration.version;
+    gossip.evacuationNumber = evacuations.number();
     gossip.zoneCellCount = zoneCells.cellCount(settings.zone);
     for (protocol::cell_claim& claim : gossip.claims) {
         if (const auto dispatcher = dispatchers.find(claim.cell); dispatcher != dispatchers.end())
--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -148,6 +148,7 @@
 void control_node::impl::applyReady(const raft_ready& ready)
 {
     const std::uint64_t before = store.inForce().version;
+    const std::uint64_t evacuationBefore = store.evacuations().number();
     if (ready.snapshot) {
         restoreStore(ready.snapshot->data);
         snapshotIndex = ready.snapshot->index;
@@ -157,8 +158,11 @@
     }
     for (const raft_entry& entry : ready.committed)
         apply(entry);
-    if (served && store.inForce().version >= served->inForce().version)
+    if (served && store.inForce().version >= served->inForce().version && store.evacuations().number() >= served->evacuations().number())
         served.reset();
+    // A host that has no configuration starts no jobs, so it learns of evacuations first.
+    if (store.evacuations().number() > evacuationBefore && !served && hooks.onNewEvacuation)
+        hooks.onNewEvacuation();
     if (store.inForce().version > before && !served && hooks.onNewVersion)
         hooks.onNewVersion();
 }
--- a/src/apps/control/control_node.h
+++ b/src/apps/control/control_node.h
@@ -36,6 +36,7 @@
 struct control_node_hooks {
     std::function<void(const coordination::raft_message& message)> send;
     std::function<void()> onNewVersion; // another version of the rules is in force
+    std::function<void()> onNewEvacuation = {}; // an evacuation order was applied and changed a zone
 };
 
 struct control_node_status {
--- a/src/apps/control/tests/control_node_tests.cpp
+++ b/src/apps/control/tests/control_node_tests.cpp
@@ -37,7 +37,7 @@
         node.reset();
         auto storage = control_storage::open(m_settings.storage);
         REQUIRE(storage);
-        node.emplace(m_settings, std::move(storage.value()), control_node_hooks { [](const auto&) {}, {} }, m_now);
+        node.emplace(m_settings, std::move(storage.value()), control_node_hooks { [](const auto&) {}, {}, [this] { ++evacuationChanges; } }, m_now);
         becomeLeader();
     }
 
@@ -62,6 +62,16 @@
         return answer;
     }
 
+    std::optional<protocol::result<change_answer>> evacuate(const std::string& id, const std::string& zone, bool isEvacuated)
+    {
+        std::optional<protocol::result<change_answer>> answer;
+        coordination::rules_change order;
+        order.changeId = id;
+        order.evacuation = coordination::zone_order { zone, isEvacuated, 1000 };
+        node->change(m_now, order, [&](const auto& given) { answer = given; });
+        return answer;
+    }
+
     std::uint64_t folderBytes() const
     {
         std::uint64_t bytes = 0;
@@ -74,6 +84,7 @@
 
     std::optional<control_node> node;
     bool isDiskFull = false;
+    int evacuationChanges = 0; // that the node has announced
 
 private:
     state::file_hooks hooks()
@@ -115,6 +126,35 @@
     CHECK(lone.node->rules().inForce().version == 2);
 }
 
+TEST_CASE("an evacuation is acknowledged although it can't be stored, or is lost with a full disk, a restart or a compaction")
+{
+    lone_node lone;
+    REQUIRE(lone.change(0, "a")->value().outcome == change_outcome::accepted);
+    REQUIRE(lone.evacuate("1", "a", true)->value().outcome == change_outcome::accepted);
+    REQUIRE(lone.evacuate("2", "a", true)->value().outcome == change_outcome::accepted);
+    CHECK(lone.evacuationChanges == 1);
+    lone.isDiskFull = true;
+    CHECK(lone.evacuate("3", "b", true)->error().kind() == error_kind::storage_failed);
+    for (int i = 0; i < 10; ++i) {
+        lone.pass(std::chrono::seconds(1));
+        CHECK(lone.node->rules().evacuations().isEvacuated("a"));
+        CHECK_FALSE(lone.node->rules().evacuations().isEvacuated("b"));
+    }
+    lone.isDiskFull = false;
+    for (int i = 0; i < 10; ++i) {
+        lone.pass(std::chrono::seconds(1));
+        CHECK(lone.node->rules().evacuations().isEvacuated("a"));
+    }
+    lone.becomeLeader();
+    for (int i = 0; i < 120; ++i) // beyond the entries after which the log is compacted
+        REQUIRE(lone.evacuate("b/" + std::to_string(i), "b", i % 2 == 0)->value().outcome == change_outcome::accepted);
+    lone.open();
+    CHECK(lone.node->rules().evacuations().isEvacuated("a"));
+    CHECK_FALSE(lone.node->rules().evacuations().isEvacuated("b"));
+    CHECK(lone.node->rules().evacuations().number() == 121);
+    CHECK(lone.node->rules().inForce().changeId == "a");
+}
+
 TEST_CASE("a data folder whose creation was cut short by a full disk is created anew when there is space")
 {
     constexpr int writesOfCreation = 20; // more than there are
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -75,6 +75,7 @@
     state::gauge& votersGauge = allMetrics.addGauge("jackdaw_group_voters", "Voters of the control group.");
     state::gauge& versionGauge = allMetrics.addGauge("jackdaw_configuration_version", "Newest version applied here; 0: none yet.");
     state::gauge& entryHostsBehindGauge = allMetrics.addGauge("jackdaw_entry_hosts_behind", "Live entry hosts that reported an older version than the newest applied here.");
+    state::gauge& evacuatedZonesGauge = allMetrics.addGauge("jackdaw_evacuated_zones", "Zones whose evacuation is stored.");
     state::gauge& entryHostsGauge = allMetrics.addGauge("jackdaw_entry_hosts", "Entry hosts heard in the last seconds.");
     state::gauge& logLinesLeftOutGauge = allMetrics.addGauge("jackdaw_log_lines_left_out", "Log lines that were not written since the start.");
     apps::process_gauges processGauges { allMetrics };
@@ -82,6 +83,8 @@
     std::unique_ptr<transport::event_loop::timer> trafficTimer;
     control::group_log groupLog;
     std::uint64_t changeNumber = 0;
+    std::uint64_t evacuationNumber = node.rules().evacuations().number(); // of the last change that was logged
+    std::map<std::string, time_point> evacuationsAppliedAt; // by zone: when its last change was applied; not since before the start
     std::optional<time_point> appliedAt; // of the newest configuration, until all live entry hosts have reported it
 
     transport::mesh_settings meshSettings(std::uint64_t incarnation) const
@@ -109,7 +112,7 @@
 
     control::control_node_hooks nodeHooks()
     {
-        return { [this](const protocol::raft_message& message) { sendRaft(message); }, [this] { onConfigurationApplied(); } };
+        return { [this](const protocol::raft_message& message) { sendRaft(message); }, [this] { onConfigurationApplied(); }, [this] { onEvacuationApplied(); } };
     }
 
     void sendRaft(const protocol::raft_message& message)
@@ -148,6 +151,9 @@
     void onRaftMessage(const protocol::control_raft_message& message);
     void onConfigurationApplied();
     void pushConfiguration(const std::string& entry);
+    void onEvacuationApplied();
+    protocol::evacuation_state evacuationState() const;
+    void propose(coordination::rules_change change, std::function<void(const result<coordination::change_answer>& answer)> done);
     void logDistribution(time_point now);
     void sendHeartbeats();
     void sendBatch();
@@ -176,6 +182,9 @@
 void control_host::impl::onDirectoryRequest(const protocol::directory_request& request)
 {
     links.setPeer(request.host, apps::toText({ request.host, settings.entryMeshPort }));
+    // Before the directory, with which a host that has just started begins to claim cells.
+    if (request.evacuationNumber < node.rules().evacuations().number())
+        sendToEntry(request.host, evacuationState());
     if (directory.recordDirectoryRequest(steadyNow(), request)) {
         const protocol::directory_update update = directory.fullUpdate(steadyNow());
         logEvent(log_level::info, "entry_host_registered", { { "host", request.host }, { "version", std::to_string(request.configurationVersion) }, { "upstreams_told", std::to_string(update.reports.size()) } });
@@ -237,6 +246,41 @@
         logEvent(log_level::warning, "configuration_not_sent", { { "host", entry }, { "version", std::to_string(version) }, { "reason", "the link's queue is full" } });
 }
 
+void control_host::impl::onEvacuationApplied()
+{
+    for (const coordination::zone_evacuation& zone : node.rules().evacuations().zones()) {
+        if (zone.number <= evacuationNumber)
+            continue;
+        evacuationsAppliedAt[zone.zone] = steadyNow();
+        logEvent(log_level::info, zone.isEvacuated ? "evacuation_stored" : "evacuation_withdrawn", { { "zone", zone.zone }, { "number", std::to_string(zone.number) } });
+    }
+    evacuationNumber = node.rules().evacuations().number();
+    std::erase_if(evacuationsAppliedAt, [this](const auto& item) {
+        const auto& zones = node.rules().evacuations().zones();
+        return std::none_of(zones.begin(), zones.end(), [&](const coordination::zone_evacuation& zone) { return zone.zone == item.first; });
+    });
+    if (!node.isServingLeader())
+        return;
+    const protocol::evacuation_state state = evacuationState();
+    for (const std::string& entry : directory.liveEntryHosts(steadyNow()))
+        sendToEntry(entry, state);
+}
+
+// The age of an order is the longer one of two: by the wall clock, which the proposing leader's may be ahead of, and since it was applied
+// here, which is not known after a restart and too short on a host that applied it late.
+protocol::evacuation_state control_host::impl::evacuationState() const
+{
+    const coordination::zone_evacuations& known = node.rules().evacuations();
+    protocol::evacuation_state state { known.number(), {} };
+    for (const coordination::zone_evacuation& zone : known.zones()) {
+        std::int64_t ageMs = protocol::unixNow().count() - zone.orderedUnixMs;
+        if (const auto applied = evacuationsAppliedAt.find(zone.zone); applied != evacuationsAppliedAt.end())
+            ageMs = std::max<std::int64_t>(ageMs, std::chrono::duration_cast<std::chrono::milliseconds>(steadyNow() - applied->second).count());
+        state.rows.push_back({ zone.zone, zone.isEvacuated, static_cast<std::uint32_t>(std::clamp<std::int64_t>(ageMs, 0, UINT32_MAX)) });
+    }
+    return state;
+}
+
 void control_host::impl::sendHeartbeats()
 {
     const time_point now = steadyNow();
@@ -297,15 +341,20 @@
     if (newConfiguration.version > 0)
         logEvent(log_level::info, "change_received", { { "version", std::to_string(newConfiguration.version) }, { "serving", node.isServingLeader() ? "yes" : "no" } });
     coordination::rules_change change;
-    change.changeId = settings.host + '/' + std::to_string(++changeNumber);
-    change.operatorName = "operator";
     change.text = std::move(newConfiguration.text);
     change.explicitVersion = newConfiguration.version;
-    node.change(steadyNow(), change, [done = std::move(done)](const result<coordination::change_answer>& answer) {
+    propose(std::move(change), [done = std::move(done)](const result<coordination::change_answer>& answer) {
         if (answer)
             return done(boost::outcome_v2::success());
         done(answer.error());
     });
+}
+
+void control_host::impl::propose(coordination::rules_change change, std::function<void(const result<coordination::change_answer>& answer)> done)
+{
+    change.changeId = settings.host + '/' + std::to_string(++changeNumber);
+    change.operatorName = "operator";
+    node.change(steadyNow(), change, std::move(done));
     rescheduleNodeTimer();
 }
 
@@ -355,6 +404,25 @@
     m_impl->changeConfiguration(std::move(newConfiguration), std::move(done));
 }
 
+void control_host::orderEvacuation(std::string zone, bool isEvacuated, change_completion done)
+{
+    const std::vector<std::string>& known = m_impl->settings.zones;
+    if (!coordination::isZoneName(zone))
+        return done(makeError(error_kind::malformed_request, "not a zone's name"));
+    if (!known.empty() && std::find(known.begin(), known.end(), zone) == known.end())
+        return done(makeError(error_kind::malformed_request, "the settings of this deployment name no zone '" + zone + "'"));
+    logEvent(log_level::info, "evacuation_received", { { "zone", zone }, { "evacuated", isEvacuated ? "yes" : "no" }, { "serving", m_impl->node.isServingLeader() ? "yes" : "no" } });
+    coordination::rules_change change;
+    change.evacuation = coordination::zone_order { std::move(zone), isEvacuated, protocol::unixNow().count() };
+    m_impl->propose(std::move(change), [done = std::move(done)](const result<coordination::change_answer>& answer) {
+        if (!answer)
+            return done(answer.error());
+        if (answer.value().outcome == coordination::change_outcome::refused)
+            return done(makeError(error_kind::malformed_request, "too many zones are evacuated"));
+        done(boost::outcome_v2::success());
+    });
+}
+
 // Proposes a change with version 0, which leaves the configuration as it is. Once a majority has stored it, every change that
 // was accepted earlier has been applied here.
 void control_host::readConfiguration(read_completion done)
@@ -387,6 +455,7 @@
     self.isLeaderGauge.set(self.node.isServingLeader() ? 1 : 0);
     self.votersGauge.set(static_cast<double>(self.node.membership().voters.size()));
     self.versionGauge.set(static_cast<double>(self.node.rules().inForce().version));
+    self.evacuatedZonesGauge.set(static_cast<double>(self.node.rules().evacuations().evacuatedCount()));
     self.entryHostsGauge.set(static_cast<double>(self.directory.liveEntryHosts(steadyNow()).size()));
     self.entryHostsBehindGauge.set(static_cast<double>(self.directory.entryHostsBehind(steadyNow(), self.node.rules().inForce().version).size()));
     self.logLinesLeftOutGauge.set(static_cast<double>(state::logLinesLeftOut()));
--- a/src/apps/hub/control_host.h
+++ b/src/apps/hub/control_host.h
@@ -39,6 +39,10 @@
     // Succeeds once a majority has stored the change. The highest version takes effect.
     void replaceConfiguration(configuration newConfiguration, change_completion done);
 
+    // Orders the evacuation of a zone, or withdraws it. Succeeds once a majority has stored the order; a repeated order changes nothing.
+    // malformed_request for a zone that the settings don't name, or one too many. Orders of one zone take effect in the order of the log.
+    void orderEvacuation(std::string zone, bool isEvacuated, change_completion done);
+
     // Linearizable read: returns the newest configuration that a majority has stored.
     void readConfiguration(read_completion done);
 
--- a/src/apps/hub/control_host_settings.cpp
+++ b/src/apps/hub/control_host_settings.cpp
@@ -3,6 +3,9 @@
 
 #include "apps/shared/settings_keys.h"
 #include "apps/shared/zone_address.h"
+#include "coordination/zone_evacuations.h"
+
+#include <algorithm>
 
 namespace jackdaw::hub {
 namespace {
@@ -27,6 +30,9 @@
         settings.operatorEndpoint = apps::readEndpoint(reader, "operators");
         for (transport::endpoint& seed : apps::readList<transport::endpoint>(reader, "seeds", apps::parseEndpoint))
             settings.seeds.push_back(std::move(seed.host));
+        settings.zones = reader.stringsOr("zones", {});
+        if (!std::all_of(settings.zones.begin(), settings.zones.end(), coordination::isZoneName))
+            reader.fail("zones", "a zone's name consists of letters, digits, '.', '_' and '-'");
         if (auto finished = reader.finish(); !finished)
             return finished.error();
         return settings;
--- a/src/apps/hub/control_host_settings.h
+++ b/src/apps/hub/control_host_settings.h
@@ -24,6 +24,7 @@
     std::uint16_t metricsPort = 0; // 0: metrics are not served
     std::uint16_t meshPort = 0; // the same on every control host
     std::uint16_t entryMeshPort = 0; // the same on every entry host
+    std::vector<std::string> zones; // that can be evacuated; empty: every well-formed name
     state::log_level logLevel = state::log_level::info;
 };
 
--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -18,9 +18,18 @@
     bool isSameButForSequence(protocol::upstream_report report, const protocol::upstream_report& other)
     {
         report.sequence = other.sequence;
+        report.coldLeftMs = other.coldLeftMs; // decreases with each report
         return report == other;
     }
 
+    // The report with the time that it still says the upstream is cold.
+    protocol::upstream_report withColdTimeLeft(protocol::upstream_report report, duration age)
+    {
+        const auto ageMs = std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+        report.coldLeftMs -= static_cast<std::uint32_t>(std::clamp<std::int64_t>(ageMs, 0, report.coldLeftMs));
+        return report;
+    }
+
 } // namespace
 
 host_directory::host_directory(std::string self, std::vector<std::string> seeds)
@@ -137,7 +146,7 @@
     protocol::directory_update update = hostUpdate(now);
     for (const auto& [id, upstream] : m_upstreams) {
         if (now - upstream.receivedAt <= silenceLimit)
-            update.reports.push_back(upstream.report);
+            update.reports.push_back(withColdTimeLeft(upstream.report, now - upstream.receivedAt));
     }
     return update;
 }
@@ -147,7 +156,7 @@
     protocol::directory_update update;
     for (const auto& [id, upstream] : m_upstreams) {
         if (upstream.report.zone == zone && now - upstream.receivedAt <= silenceLimit)
-            update.reports.push_back(upstream.report);
+            update.reports.push_back(withColdTimeLeft(upstream.report, now - upstream.receivedAt));
     }
     return update;
 }
--- a/src/apps/hub/tests/control_host_settings_tests.cpp
+++ b/src/apps/hub/tests/control_host_settings_tests.cpp
@@ -41,6 +41,16 @@
     CHECK_FALSE(read(std::string(validSettings) + "tolerated_losses = -1\n"));
 }
 
+TEST_CASE("the zones of a deployment are read, and a name that can't be ordered is an error")
+{
+    CHECK(read(validSettings).value().zones.empty());
+    CHECK(read(std::string(validSettings) + "zones = [\"zone-a\", \"zone-b\"]\n").value().zones == std::vector<std::string> { "zone-a", "zone-b" });
+    for (const std::string name : { "", "a#1", "a/b", "a b" }) {
+        CAPTURE(name);
+        CHECK(read(std::string(validSettings) + "zones = [\"" + name + "\"]\n").error().detail.find("zones") != std::string::npos);
+    }
+}
+
 TEST_CASE("missing and unknown keys and invalid values are errors that name the key")
 {
     const std::string text = validSettings;
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -156,7 +156,7 @@
 bool cell_dispatcher::impl::mayStart(time_point now, const cell_job& job) const
 {
     const bool isLeaseInTime = upstream_record::longestLeaseUntil(now, keptUntil(job)) >= settings.maxLease;
-    return now < job.deadline && isLeaseInTime && areEarlierRunsKnown(now, job);
+    return now < job.deadline && isLeaseInTime && mayStartWhileEvacuated(now, job) && areEarlierRunsKnown(now, job);
 }
 
 // Load pattern: hundreds of waiting jobs, and a task that ends every millisecond. A heap orders only as many jobs as there is
@@ -351,8 +351,8 @@
     for (const auto& [id, upstream] : m_impl->upstreams) {
         protocol::service_free_capacity& room = byService[upstream.lastReport.service];
         room.service = upstream.lastReport.service;
-        const std::int64_t millicores = upstream.freeCapacity().millicores;
-        if (internal::isAvailable(upstream, now) && millicores > 0)
+        const std::int64_t millicores = internal::usableCapacity(upstream, now).millicores;
+        if (!m_impl->evacuationStartsUntil && internal::isAvailable(upstream, now) && millicores > 0)
             room.millicores.push_back(static_cast<std::uint32_t>(millicores));
     }
     for (const auto& [id, job] : m_impl->jobs) {
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -61,6 +61,8 @@
     std::function<time_point()> upstreamsToldUntil;
     // Returns another cell with free capacity for all tasks of the job now; empty if there is none.
     std::function<std::string(const protocol::job_order& job)> findOtherCell;
+    // Returns the cell of another zone for a job of an evacuated zone; empty if no zone takes it.
+    std::function<std::string(const protocol::job_order& job)> findEvacuationTarget = {};
 };
 
 struct cell_counts {
@@ -99,6 +101,10 @@
     void onStop(time_point now, const stop_request& order, const call_answer& answer);
     void onPoll(time_point now, const poll_request& order, const poll_answer& answer);
 
+    // The cell's zone is evacuated: nothing is started, except that jobs that have begun may start their remaining tasks until the given
+    // time. Jobs that have not begun move to other zones. Empty: the evacuation is over.
+    void setEvacuation(time_point now, std::optional<time_point> startsUntil);
+
     void advance(time_point now);
     time_point nextTimer(time_point now) const;
 
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -40,6 +40,7 @@
     internal::repair_budget repairs;
     std::vector<cell_action> actions;
     bool isFenced = false;
+    std::optional<time_point> evacuationStartsUntil; // set while the zone is evacuated: jobs that have begun may start tasks until then
     std::uint64_t lastLife = 0; // number of the upstreams' incarnations seen so far
     bool isTakeoverLogged = false;
 
@@ -124,6 +125,13 @@
     void checkJob(time_point now, cell_job& job, const internal::available_upstreams& available);
     cell_job* findJob(std::string_view id);
 
+    // Evacuation of the zone.
+    // Whether tasks of the job may have run in this zone, as far as is known.
+    static bool mayHaveBegun(const cell_job& job);
+    bool mayStartWhileEvacuated(time_point now, const cell_job& job) const;
+    // Moves, rejects or ends the job, unless it may stay until its runs have ended or are known. Returns whether it has been answered.
+    bool evacuate(time_point now, cell_job& job);
+
     // Placement.
     void dispatch(time_point now);
     void dispatchJob(time_point now, cell_job& job, internal::available_upstreams& available);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -79,8 +79,12 @@
         failures.addCrashes(now, known.task, known.crashes);
     if (!applyFailureHistory(now, job))
         return;
-    if (!job.hasBegun && order.handOverCount == 0 && !admit(now, job))
+    if (evacuationStartsUntil) {
+        if (evacuate(now, job))
+            return;
+    } else if (!job.hasBegun && order.handOverCount == 0 && !admit(now, job)) {
         return;
+    }
     if (!areEarlierRunsKnown(now, job))
         note("earlier_runs_unknown", job.order.id, "hand_over=" + std::to_string(order.handOverCount) + " cells=" + std::to_string(settings.zoneCellCount) + " earlier_cells=" + std::to_string(order.earlierCellCount) + " in_other_cells=" + (mayRunInOtherCells(job) ? "yes" : "no") + " under_later_token=" + (mayRunUnderLaterToken(job) ? "yes" : "no"));
     job.isAdmitted = true;
@@ -255,6 +259,8 @@
 {
     if (now >= job.deadline)
         return endOverdue(now, job);
+    if (evacuationStartsUntil && evacuate(now, job))
+        return;
     const bool cannotMeetObjective = !job.hasBegun && now + fastestRun(job, available) > job.objectiveEnd;
     if (!cannotMeetObjective)
         return;
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -83,6 +83,7 @@
         note("upstream_state", report.id, formatField("leaving", report.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
     upstream.lastReport = report;
     upstream.reportedAt = now;
+    upstream.coldUntil = now + milliseconds(report.coldLeftMs);
     upstream.largestCapacity.raiseTo(report.capacity);
     upstream.isCapacityKnown = true;
     upstream.heardAt = now;
@@ -405,7 +406,8 @@
     upstream.runs.erase(found);
     updateEjection(now, upstream, end.how);
     if (end.how == end_kind::done && record.expectedMs > 0) {
-        const double ratio = std::chrono::duration<double, std::milli>(now - record.since).count() / record.expectedMs;
+        // What a cold upstream takes longer is not part of its usual speed.
+        const double ratio = std::chrono::duration<double, std::milli>(now - record.since).count() / record.expectedMs / internal::coldRatio(upstream, record.since);
         upstream.ratio.add(ratio);
         serviceRatios[upstream.lastReport.service].add(ratio);
     }
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -19,6 +19,12 @@
     // Number of an upstream's own samples that weigh as much as the ratio of its service.
     constexpr double priorSamples = 3;
 
+    // Shares of a cold upstream's capacity after an evacuation: half at once, three quarters after one step, then all. Half of the smallest
+    // upstream, 16 cores, has room for a usual task of 8 cores.
+    constexpr duration releaseStep = std::chrono::seconds(1);
+    constexpr std::int64_t releaseShares = 4;
+    constexpr std::int64_t firstReleaseShares = 2;
+
     // The estimate is at least this share of a running task's age / declared run time.
     constexpr double overdueShare = 0.7;
 
@@ -45,7 +51,7 @@
             if (record.expectedMs > 0)
                 ratio = std::max(ratio, ageMs / record.expectedMs * overdueShare);
         }
-        return ratio;
+        return ratio * coldRatio(upstream, now);
     }
 
     double withRackPenalty(double ratio, const upstream_record& upstream, const protocol::job_step& step)
@@ -78,6 +84,22 @@
     return upstream.isAdopted && upstream.isCapacityKnown && !upstream.lastReport.isLeaving && upstream.consecutiveUnanswered < unansweredCallsToEject && now >= upstream.ejectedUntil;
 }
 
+double coldRatio(const upstream_record& upstream, time_point now)
+{
+    return now < upstream.coldUntil ? coldSlowness : 1;
+}
+
+resource_vector usableCapacity(const upstream_record& upstream, time_point now)
+{
+    resource_vector free = upstream.freeCapacity();
+    if (!upstream.releasedAt || now >= upstream.coldUntil)
+        return free;
+    const std::int64_t shares = firstReleaseShares + (now - *upstream.releasedAt) / releaseStep;
+    if (shares < releaseShares)
+        free.millicores -= upstream.lastReport.capacity.millicores * (releaseShares - shares) / releaseShares;
+    return free;
+}
+
 bool isLeaseLongEnough(const upstream_record& upstream, time_point now)
 {
     return now + minLease <= upstream.leaseLimit;
@@ -96,7 +118,7 @@
             continue;
         const std::string_view service = upstream.lastReport.service;
         service_group& group = m_groups[service];
-        const candidate known { &upstream, isLeaseLongEnough(upstream, now) ? upstream.freeCapacity() : resource_vector(), expectedRatio(upstream, serviceRatio(ratios, service), now) };
+        const candidate known { &upstream, isLeaseLongEnough(upstream, now) ? usableCapacity(upstream, now) : resource_vector(), expectedRatio(upstream, serviceRatio(ratios, service), now) };
         group.largestFreeCapacity.raiseTo(known.freeCapacity);
         group.candidates.push_back(known);
     }
--- a/src/coordination/cells/internal/placement.h
+++ b/src/coordination/cells/internal/placement.h
@@ -47,6 +47,16 @@
 // Whether the upstream may be sent starts now, whatever its free capacity.
 bool isAvailable(const upstream_record& upstream, time_point now);
 
+// Run time of a cold upstream / run time of the same upstream later.
+constexpr double coldSlowness = 1.5;
+
+// 1 for an upstream that is not cold.
+double coldRatio(const upstream_record& upstream, time_point now);
+
+// Free capacity for new starts. A cold upstream whose zone was evacuated gets its capacity back in steps: tasks that start on many
+// cold upstreams at once would all be late.
+resource_vector usableCapacity(const upstream_record& upstream, time_point now);
+
 // Whether a run that starts now has its lease renewed before it ends.
 bool isLeaseLongEnough(const upstream_record& upstream, time_point now);
 
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -109,6 +109,8 @@
     int consecutiveFailures = 0; // failed runs since the last run that ended as done
     int consecutiveRefusals = 0;
     int consecutiveUnanswered = 0; // unanswered calls since the last answer
+    time_point coldUntil; // slower than usual before, according to its latest report
+    std::optional<time_point> releasedAt; // when an evacuation of its zone ended under this owner
     time_point ejectedUntil; // no starts before, since it fails tasks or refuses starts
     duration ejectionDuration {};
 
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -16,13 +16,16 @@
     constexpr duration resendInterval = milliseconds(500); // the order or its answer may have been lost with a connection
     constexpr duration cancelResendInterval = milliseconds(200); // several before callers send the job again, 1.3 s later
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a failed owner is replaced within this time
+    // From a full cell to one whose zone is evacuated, and on; more happen only while hosts know of different orders.
+    constexpr std::uint32_t maxMoves = 4;
     constexpr std::uint32_t retryAfterDelayMs = 1000; // the smallest Retry-After, 1 s; the host reads requests at once again
 
 } // namespace
 
-job_router::job_router(cell_lookup homeCellOf, owner_lookup ownerOf)
+job_router::job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf)
     : m_homeCellOf(std::move(homeCellOf))
     , m_ownerOf(std::move(ownerOf))
+    , m_evacuationTargetOf(std::move(evacuationTargetOf))
 {
 }
 
@@ -39,11 +42,17 @@
         m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "the caller's deadline has passed", retryAfterDelayMs) });
         return;
     }
+    const std::optional<std::string> target = m_evacuationTargetOf ? m_evacuationTargetOf(order) : std::nullopt;
+    if (target && target->empty()) {
+        m_jobOfCaller.erase(caller);
+        m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "no zone takes jobs of the evacuated zone", retryAfterDelayMs) });
+        return;
+    }
     pending_job job;
     job.deadline = now + milliseconds(order.timeLeftMs);
     job.arrivedAt = now;
     job.callers = { caller };
-    job.cell = m_homeCellOf(order.id);
+    job.cell = target ? *target : m_homeCellOf(order.id);
     job.order = std::move(order);
     job.order.submissionNumber = ++m_lastSubmission;
     const std::string id = job.order.id;
@@ -160,9 +169,19 @@
     if (!isOfThisOrder && !isResult)
         return; // the answer is to an earlier order, not to the current one
     if (answer.outcome == job_outcome::moved) {
+        job.mayHaveRun = job.order.handOverCount > 0;
+        if (++job.moveCount > maxMoves) {
+            const job_outcome outcome = job.mayHaveRun ? job_outcome::unfinished : job_outcome::rejected;
+            return finish(std::string(known->first), protocol::makeOrderAnswer(job.order, outcome, "the job was moved too often", retryAfterDelayMs));
+        }
         job.cell = answer.cell;
         job.order.mayMove = false;
-        job.mayHaveRun = job.order.handOverCount > 0;
+        if (answer.areRunsKnown) {
+            // No run of an earlier owner is left, and the next owner is of another cell.
+            job.order.areRunsKnown = true;
+            job.order.runsOn.clear();
+            job.order.earlierToken = 0;
+        }
         return forwardToOwner(now, job);
     }
     if (answer.outcome == job_outcome::released) {
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -50,8 +50,12 @@
     using owner_lookup = std::function<std::optional<cell_owner>(std::string_view cell)>;
     using cell_lookup = std::function<std::string(std::string_view job)>;
 
+    // Empty: the host's zone is not evacuated. Otherwise the cell of another zone for a new job; an empty name if no zone takes it.
+    using evacuation_lookup = std::function<std::optional<std::string>(const protocol::job_order& job)>;
+
     // homeCellOf: returns the cell of this zone that a new job is forwarded to first.
-    job_router(cell_lookup homeCellOf, owner_lookup ownerOf);
+    // evacuationTargetOf: may be empty.
+    job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf = {});
 
     // A resubmission of a job in progress adds the caller to that job. A job without time left is rejected: its caller may have
     // given up and sent it again elsewhere.
@@ -86,6 +90,7 @@
         std::uint64_t token = 0; // of the ownership that the job was forwarded to
         std::uint32_t zoneCellCount = 1; // of that ownership
         std::set<std::string> lostHosts; // earlier owners that have not answered: they may still run the job
+        std::uint32_t moveCount = 0; // how often an owner moved the job to another cell
         std::uint32_t sendCount = 0; // how often the order was sent under that ownership
         time_point arrivedAt;
         time_point deadline;
@@ -110,6 +115,7 @@
 
     cell_lookup m_homeCellOf;
     owner_lookup m_ownerOf;
+    evacuation_lookup m_evacuationTargetOf;
     std::map<std::string, pending_job, std::less<>> m_jobs;
     std::map<caller_id, std::string> m_jobOfCaller;
     std::map<cancel_key, pending_cancel> m_cancels;
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -76,7 +76,9 @@
     settings.isEarlierOwnerLost = isEarlierOwnerLost;
     settings.zoneCellCount = zoneCellCount;
     owner.token = settings.token;
-    owner.dispatcher = std::make_unique<cell_dispatcher>(settings, cell_hooks {}, m_now);
+    cell_hooks hooks;
+    hooks.findEvacuationTarget = [this](const job_order&) { return m_evacuationTarget; };
+    owner.dispatcher = std::make_unique<cell_dispatcher>(settings, std::move(hooks), m_now);
     owner.nextAdvance = m_now;
     const std::size_t number = m_owners.size();
     m_owners.push_back(std::move(owner));
@@ -85,6 +87,12 @@
     return number;
 }
 
+void cell_simulation::setEvacuation(std::size_t number, std::optional<time_point> startsUntil)
+{
+    m_owners[number].dispatcher->setEvacuation(m_now, startsUntil);
+    processActions(number);
+}
+
 job_order cell_simulation::makeJob(const std::string& id, std::uint32_t tasks, std::int64_t millicores, std::uint32_t runMs, std::uint32_t priority) const
 {
     job_order job;
@@ -179,7 +187,7 @@
 protocol::upstream_report cell_simulation::makeReport(const std::string& id, std::uint64_t sequence) const
 {
     const sim_upstream& upstream = m_upstreams.at(id);
-    return { id, upstream.bornUnixMs, sequence, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving };
+    return { id, upstream.bornUnixMs, sequence, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving, upstream.coldLeftMs };
 }
 
 void cell_simulation::receiveReport(std::size_t owner, const protocol::upstream_report& report)
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -46,6 +46,7 @@
     std::uint64_t token = 0;
     bool isLeaving = false;
     bool areReportsLost = false;
+    std::uint32_t coldLeftMs = 0; // in its reports; does not change its run times
     std::vector<sim_task_run> running;
     std::vector<ended_task> ended;
     std::uint64_t ends = 0;
@@ -80,6 +81,9 @@
     std::size_t addCellOwner(const std::set<std::string>& upstreams, std::uint32_t zoneCellCount, bool isEarlierOwnerLost = false);
     std::uint64_t tokenOf(std::size_t owner) const { return m_owners[owner].token; }
     cell_dispatcher& owner(std::size_t number) { return *m_owners[number].dispatcher; }
+    // The zone's evacuation begins, or ends if startsUntil is empty.
+    void setEvacuation(std::size_t number, std::optional<time_point> startsUntil);
+    void setEvacuationTarget(const std::string& cell) { m_evacuationTarget = cell; } // empty: no zone takes jobs
     void setOwnerCut(std::size_t number, bool isCut) { m_owners[number].isCut = isCut; }
     void cutFrom(std::size_t number, const std::string& upstream) { m_owners[number].unreachable.insert(upstream); }
     // The owner's process ends.
@@ -218,6 +222,7 @@
     double m_delayedShare = 0.05;
     delayed_calls m_delayedCalls;
     bool m_lateLeasesBeginOnArrival = false;
+    std::string m_evacuationTarget;
     std::set<std::string> m_crashingTasks;
     std::map<std::string, std::size_t> m_crashesUnder;
     std::size_t m_crashes = 0;
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -377,3 +377,71 @@
     f.sent();
     CHECK(f.answers.at(0).answer.outcome == job_outcome::rejected);
 }
+
+TEST_CASE("a new job of an evacuated zone goes to its home cell, or waits although no zone takes it")
+{
+    std::optional<std::string> target;
+    job_router router([](std::string_view) { return "a"; }, [](std::string_view cell) { return cell_owner { "owner-of-" + std::string(cell), 10, false }; }, [&](const job_order&) { return target; });
+    job_order order;
+    order.steps = { { 2, { 1000, 0, 0 }, 100, {}, "", "", 0 } };
+    order.timeLeftMs = 1500;
+    const auto submit = [&](const char* id) {
+        order.id = id;
+        router.submit({}, order, 1);
+        return router.takeActions();
+    };
+    CHECK(std::get<forward_job>(submit("1").at(0)).host == "owner-of-a");
+    target = "b";
+    const auto sent = std::get<forward_job>(submit("2").at(0));
+    CHECK(sent.host == "owner-of-b");
+    CHECK(sent.order.cell == "b");
+    target = "";
+    const auto refused = std::get<answer_callers>(submit("3").at(0));
+    CHECK(refused.answer.outcome == job_outcome::rejected);
+    CHECK(refused.answer.retryAfterMs >= 1000);
+}
+
+TEST_CASE("owners that know of different orders move a job to and fro until its deadline")
+{
+    router_fixture f;
+    f.router.submit(f.now, f.makeOrder("1"), 1);
+    int moves = 0;
+    for (auto sent = f.sent(); !sent.empty(); sent = f.sent()) {
+        order_answer moved = makeOrderAnswer(sent[0].order, job_outcome::moved, "the zone is evacuated");
+        moved.cell = moves++ % 2 == 0 ? "b" : "a";
+        f.router.onAnswer(f.now, "h1", moved);
+        REQUIRE(moves < 100);
+    }
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0].answer.outcome == job_outcome::rejected);
+}
+
+TEST_CASE("a job that was handed over and then moved waits in the other zone for runs that its earlier owners no longer have")
+{
+    router_fixture f;
+    f.router.submit(f.now, f.makeOrder("1"), 1);
+    const auto first = f.sent();
+    order_answer released = makeOrderAnswer(first.at(0).order, job_outcome::released, "");
+    released.runsOn.resize(1);
+    f.router.onAnswer(f.now, "h1", released);
+    f.owner = cell_owner { "h2", 20, false };
+    f.router.advance(f.now);
+    const auto second = f.sent();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].order.earlierToken == 10);
+    order_answer moved = makeOrderAnswer(second[0].order, job_outcome::moved, "the zone is evacuated");
+    moved.cell = "b";
+    moved.areRunsKnown = true;
+    f.router.onAnswer(f.now, "h2", moved);
+    const auto third = f.sent();
+    REQUIRE(third.size() == 1);
+    CHECK(third[0].order.handOverCount == 1);
+    CHECK(third[0].order.areRunsKnown);
+    CHECK(third[0].order.runsOn.empty());
+    CHECK(third[0].order.earlierToken == 0);
+    // The caller must not be told that nothing has run: only the owners know.
+    f.router.onAnswer(f.now, "h2", makeOrderAnswer(third[0].order, job_outcome::rejected, ""));
+    CHECK(f.sent().empty());
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0].answer.outcome == job_outcome::unfinished);
+}
--- a/src/coordination/rules_store.cpp
+++ b/src/coordination/rules_store.cpp
@@ -37,8 +37,11 @@
         std::vector<packed_line> lines;
         bool hasExplicitVersion = false;
         std::uint64_t explicitVersion = 0; // valid if hasExplicitVersion
+        std::string evacuationZone; // empty: the entry changes the rules
+        bool isEvacuated = false;
+        std::int64_t orderedUnixMs = 0;
 
-        MSGPACK_DEFINE_ARRAY(format, changeId, expectedVersion, operatorName, text, lines, hasExplicitVersion, explicitVersion)
+        MSGPACK_DEFINE_ARRAY(format, changeId, expectedVersion, operatorName, text, lines, hasExplicitVersion, explicitVersion, evacuationZone, isEvacuated, orderedUnixMs)
     };
 
     struct packed_version {
@@ -65,14 +68,25 @@
         MSGPACK_DEFINE_ARRAY(changeId, fingerprint, outcome, inForce)
     };
 
+    struct packed_evacuation {
+        std::string zone;
+        bool isEvacuated = false;
+        std::uint64_t number = 0;
+        std::int64_t orderedUnixMs = 0;
+
+        MSGPACK_DEFINE_ARRAY(zone, isEvacuated, number, orderedUnixMs)
+    };
+
     struct packed_store {
         std::uint32_t format = 0;
         packed_version inForce;
         std::string text;
         std::vector<packed_trace> traces;
         std::vector<packed_answer> answers; // oldest first
+        std::uint64_t evacuationNumber = 0; // this and the next are absent in snapshots of earlier releases
+        std::vector<packed_evacuation> evacuations;
 
-        MSGPACK_DEFINE_ARRAY(format, inForce, text, traces, answers)
+        MSGPACK_DEFINE_ARRAY(format, inForce, text, traces, answers, evacuationNumber, evacuations)
     };
 
     packed_line toPacked(const state::rule_line& line)
@@ -105,7 +119,13 @@
 
 std::string encodeRulesChange(const rules_change& change)
 {
-    packed_change packed { formatVersion, change.changeId, change.expectedVersion, change.operatorName, change.text, {}, change.explicitVersion.has_value(), change.explicitVersion.value_or(0) };
+    packed_change packed { formatVersion, change.changeId, change.expectedVersion, change.operatorName, change.text, {}, change.explicitVersion.has_value(), change.explicitVersion.value_or(0), {}, false, 0 };
+    if (change.evacuation) {
+        packed.hasExplicitVersion = true;
+        packed.evacuationZone = change.evacuation->zone;
+        packed.isEvacuated = change.evacuation->isEvacuated;
+        packed.orderedUnixMs = change.evacuation->orderedUnixMs;
+    }
     for (const state::rule_line& line : change.lines)
         packed.lines.push_back(toPacked(line));
     return protocol::packMessage(packed);
@@ -119,9 +139,11 @@
     packed_change& from = packed.value();
     if (from.format == 0 || from.changeId.empty())
         return makeError(error_kind::corrupt_data, "rules change without format or change id");
-    rules_change change { std::move(from.changeId), from.expectedVersion, std::move(from.operatorName), std::move(from.text), {}, std::nullopt };
+    rules_change change { std::move(from.changeId), from.expectedVersion, std::move(from.operatorName), std::move(from.text), {}, std::nullopt, std::nullopt };
     if (from.hasExplicitVersion)
         change.explicitVersion = from.explicitVersion;
+    if (!from.evacuationZone.empty())
+        change.evacuation = zone_order { std::move(from.evacuationZone), from.isEvacuated, from.orderedUnixMs };
     for (packed_line& line : from.lines)
         change.lines.push_back(fromPacked(std::move(line)));
     return change;
@@ -136,6 +158,7 @@
 
     rules_version inForce; // its version never decreases
     std::string text;
+    zone_evacuations evacuations;
     std::vector<rule_trace> traces; // in the order of the text
     std::map<std::string, std::size_t, std::less<>> traceByName; // index into traces
 
@@ -193,6 +216,10 @@
 
 change_answer rules_store::apply(const rules_change& change)
 {
+    if (change.evacuation) {
+        const bool isRefused = m_impl->evacuations.apply(*change.evacuation) == zone_order_outcome::refused;
+        return { isRefused ? change_outcome::refused : change_outcome::accepted, m_impl->inForce };
+    }
     if (change.explicitVersion) {
         if (*change.explicitVersion > m_impl->inForce.version)
             m_impl->replaceRules(change);
@@ -223,6 +250,11 @@
     return m_impl->text;
 }
 
+const zone_evacuations& rules_store::evacuations() const
+{
+    return m_impl->evacuations;
+}
+
 result<rule_trace> rules_store::trace(std::string_view name) const
 {
     const auto found = m_impl->traceByName.find(name);
@@ -238,7 +270,9 @@
 
 std::string rules_store::snapshot() const
 {
-    packed_store packed { formatVersion, toPacked(m_impl->inForce), m_impl->text, {}, {} };
+    packed_store packed { formatVersion, toPacked(m_impl->inForce), m_impl->text, {}, {}, m_impl->evacuations.number(), {} };
+    for (const zone_evacuation& zone : m_impl->evacuations.zones())
+        packed.evacuations.push_back({ zone.zone, zone.isEvacuated, zone.number, zone.orderedUnixMs });
     for (const rule_trace& trace : m_impl->traces)
         packed.traces.push_back({ toPacked(trace.rule), toPacked(trace.introducedIn) });
     for (const std::string& changeId : m_impl->answerOrder) {
@@ -259,6 +293,13 @@
     rules_store store;
     store.m_impl->inForce = fromPacked(std::move(from.inForce));
     store.m_impl->text = std::move(from.text);
+    std::vector<zone_evacuation> zones;
+    for (packed_evacuation& zone : from.evacuations)
+        zones.push_back({ std::move(zone.zone), zone.isEvacuated, zone.number, zone.orderedUnixMs });
+    auto evacuations = zone_evacuations::restore(from.evacuationNumber, std::move(zones));
+    if (!evacuations)
+        return evacuations.error();
+    store.m_impl->evacuations = std::move(evacuations.value());
     std::vector<rule_trace> traces;
     for (packed_trace& trace : from.traces)
         traces.push_back({ fromPacked(std::move(trace.rule)), fromPacked(std::move(trace.introducedIn)) });
--- a/src/coordination/rules_store.h
+++ b/src/coordination/rules_store.h
@@ -3,10 +3,13 @@
 // A change either compares and sets the version, or carries an explicit version: then the highest one takes effect, and a
 // change with a lower or equal version is accepted without effect. A store is written in only one of the two modes.
 //
+// The evacuation orders of zones are kept beside the rules: an entry of the log is either a change of the rules or such an order.
+//
 // Every replica applies the same changes in the same order and reaches the same state: nothing here depends on a clock, on
 // random numbers, or on how a release parses the rules file (the change contains the parsed lines).
 #pragma once
 
+#include "coordination/zone_evacuations.h"
 #include "protocol/result.h"
 #include "state/rules_document.h"
 
@@ -31,6 +34,9 @@
     // If set, the highest version takes effect and expectedVersion is ignored.
     std::optional<std::uint64_t> explicitVersion = std::nullopt;
 
+    // If set, the entry changes no rules. It carries the explicit version 0 as well, so that earlier releases apply it without effect.
+    std::optional<zone_order> evacuation = std::nullopt;
+
     friend bool operator==(const rules_change&, const rules_change&) = default;
 };
 
@@ -49,7 +55,8 @@
 enum class change_outcome : std::uint8_t {
     accepted, // the change took effect, or carried an explicit version
     conflict, // the version in force was not the expected one
-    reused_id // the change id was used by another change
+    reused_id, // the change id was used by another change
+    refused // an evacuation order of too many zones
 };
 
 struct change_answer {
@@ -84,6 +91,7 @@
 
     const rules_version& inForce() const; // version 0 before the first change
     const std::string& text() const;
+    const zone_evacuations& evacuations() const;
 
     // unknown_resource if no such rule is in force.
     protocol::result<rule_trace> trace(std::string_view name) const;
--- a/src/protocol/cell_messages.cpp
+++ b/src/protocol/cell_messages.cpp
@@ -40,7 +40,7 @@
 
 std::string_view kindOf(const cell_message& message)
 {
-    constexpr std::array<std::string_view, std::variant_size_v<cell_message>> names { "gossip", "directory_request", "control_heartbeat", "directory_update", "configuration", "raft", "job", "job_answer", "job_cancel", "configuration_pull", "upstream_list" };
+    constexpr std::array<std::string_view, std::variant_size_v<cell_message>> names { "gossip", "directory_request", "control_heartbeat", "directory_update", "configuration", "raft", "job", "job_answer", "job_cancel", "configuration_pull", "upstream_list", "evacuation_state" };
     return names[message.index()];
 }
 
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -27,10 +27,11 @@
     resource_vector capacity;
     std::vector<std::string> labels; // include the kind and the rack of the upstream
     bool isLeaving = false;
+    std::uint32_t coldLeftMs = 0; // for so long after the report the upstream is slower than usual
 
     friend bool operator==(const upstream_report&, const upstream_report&) = default;
 
-    MSGPACK_DEFINE_ARRAY(id, startedUnixMs, sequence, service, address, zone, capacity, labels, isLeaving)
+    MSGPACK_DEFINE_ARRAY(id, startedUnixMs, sequence, service, address, zone, capacity, labels, isLeaving, coldLeftMs)
 };
 
 // Whether the first of two reports of an upstream is newer: from a later start, or from the same start with a higher
@@ -181,10 +182,11 @@
     std::uint64_t configurationVersion = 0; // of the active configuration
     std::vector<cell_claim> claims;
     std::uint32_t zoneCellCount = 1; // number of cells into which the sender divides the upstreams of its zone
+    std::uint64_t evacuationNumber = 0; // of the last change of evacuated zones that the sender knows of
 
     friend bool operator==(const host_gossip&, const host_gossip&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, configurationVersion, claims, zoneCellCount)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, configurationVersion, claims, zoneCellCount, evacuationNumber)
 };
 
 // An entry host asks a control host for the directory and reports the version of its active configuration.
@@ -197,10 +199,11 @@
     std::string newsZone {}; // the host waits for an update that names every live upstream of this zone; empty: for none
     std::int64_t newsTime = 0; // on the host's clock, when it asked; the update repeats it
     bool wantsConfiguration = true; // if the receiver has a newer one; hosts of earlier releases, which don't say, do
+    std::uint64_t evacuationNumber = 0; // of the last change of evacuated zones that the host knows of
 
     friend bool operator==(const directory_request&, const directory_request&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, configurationVersion, isLeaving, zone, newsZone, newsTime, wantsConfiguration)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, configurationVersion, isLeaving, zone, newsZone, newsTime, wantsConfiguration, evacuationNumber)
 };
 
 // Heartbeat between control hosts.
@@ -266,8 +269,29 @@
     MSGPACK_DEFINE_ARRAY(reports, agesMs)
 };
 
+// The last change of one zone's evacuation.
+struct evacuation_row {
+    std::string zone;
+    bool isEvacuated = false;
+    std::uint32_t storedMsAgo = 0; // age of the change when the message was sent; 2^32 - 1 or more: that
+
+    friend bool operator==(const evacuation_row&, const evacuation_row&) = default;
+
+    MSGPACK_DEFINE_ARRAY(zone, isEvacuated, storedMsAgo)
+};
+
+// The evacuated zones, for an entry host that knows of an earlier change only. A zone that is not named is not evacuated.
+struct evacuation_state {
+    std::uint64_t number = 0; // of the last change
+    std::vector<evacuation_row> rows;
+
+    friend bool operator==(const evacuation_state&, const evacuation_state&) = default;
+
+    MSGPACK_DEFINE_ARRAY(number, rows)
+};
+
 // The position of a type in this list is its kind on the wire: new types are appended at the end.
-using cell_message = std::variant<host_gossip, directory_request, control_heartbeat, directory_update, configuration_push, control_raft_message, job_order, order_answer, job_cancel, configuration_pull, upstream_list>;
+using cell_message = std::variant<host_gossip, directory_request, control_heartbeat, directory_update, configuration_push, control_raft_message, job_order, order_answer, job_cancel, configuration_pull, upstream_list, evacuation_state>;
 
 // Names for logs and metrics.
 std::string_view kindOf(const cell_message& message);
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -60,8 +60,24 @@
     CHECK(std::get<host_gossip>(decoded.value()).claims[0].zoneCellCount == 1);
 }
 
+TEST_CASE("evacuations are unchanged after encoding and decoding, and an earlier release's messages name none")
+{
+    const evacuation_state state { 3, { { "zone-a", true, 700 }, { "zone-b", false, 4294967295 } } };
+    CHECK(std::get<evacuation_state>(decodeCellMessage(encodeCellMessage(state)).value()) == state);
+    host_gossip gossip { "10.0.0.1", 7, "zone-a", 250, false, 3, {}, 1, 5 };
+    CHECK(std::get<host_gossip>(decodeCellMessage(encodeCellMessage(gossip)).value()).evacuationNumber == 5);
+    directory_request request { "10.0.0.1", 7, 3, false, "zone-a", {}, 0, true, 6 };
+    CHECK(std::get<directory_request>(decodeCellMessage(encodeCellMessage(request)).value()) == request);
+    msgpack::sbuffer earlier;
+    msgpack::pack(earlier, std::tuple(cell_message(request).index(), std::tuple(request.host, request.incarnation, request.configurationVersion)));
+    CHECK(std::get<directory_request>(decodeCellMessage({ earlier.data(), earlier.size() }).value()).evacuationNumber == 0);
+}
+
 TEST_CASE("truncated messages and unknown kinds are rejected")
 {
+    const std::string state = encodeCellMessage(evacuation_state { 3, { { "zone-a", true, 700 } } });
+    for (std::size_t length = 0; length < state.size(); ++length)
+        CHECK_FALSE(decodeCellMessage(std::string_view(state).substr(0, length)));
     const std::string bytes = encodeCellMessage(job_cancel { "5c0e7a21d94b36f8", 0 });
     for (std::size_t length = 0; length < bytes.size(); ++length)
         CHECK_FALSE(decodeCellMessage(std::string_view(bytes).substr(0, length)));
