Lease ends: a poll that found no connection no longer undoes the renewal by a start

Cause: undoRenewal() restored the lease end from before a poll unless the end had changed since. While a run whose caller has left limits the lease, a poll and a later start end it at the same time, so the start's renewal was discarded with the poll's, and tasks were started elsewhere while the upstream still held its lease. lease_bound now computes the latest end from all calls: the renewal by the pending poll is kept apart, and it alone is dropped, if that poll's connection could not be opened.

Ruled out: a late answer of an earlier poll (one poll is pending at a time) and a restart (it keeps the latest end). A start whose connection could not be opened still counts; that only delays a restart elsewhere.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -222,7 +222,6 @@
     order.token = nextToken(now, upstream);
     order.onNewConnection = upstream.needsNewConnection;
     order.timeout = std::clamp(pollAnswerTimes * calls.answerTime(), minPollAnswerTime, maxPollAnswerTime);
-    upstream.leaseEndBeforePoll = upstream.leaseEnd;
     // Without a renewal, runs that can't be stopped end with their lease, as do all runs before a silent upstream is removed.
     const duration lease = leaseFor(now, upstream);
     const bool isWithheld = lease == duration::zero() && upstream.hasWantedRuns();
@@ -230,13 +229,12 @@
         note("renewal_withheld", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     upstream.isRenewalWithheld = isWithheld;
     if (upstream.hasWantedRuns() && !isWithheld && now - upstream.heardAt < removalDelay - 2 * settings.maxLease)
-        order.expiresAtMs = upstream.extendLease(now, lease);
+        order.expiresAtMs = upstream.extendLeaseByPoll(now, lease);
     if (!upstream.runs.empty())
         order.waitMs = upstream.needsNewConnection || upstream.reportedRestart ? 0 : pollWaitMs;
     if (lease < shortLease)
         order.waitMs = std::min(order.waitMs, shortPollWaitMs);
     order.timeout += milliseconds(order.waitMs);
-    upstream.leaseEndOfPoll = upstream.leaseEnd;
     upstream.isPollPending = true;
     upstream.pollSentAt = now;
     actions.emplace_back(std::move(order));
@@ -519,7 +517,7 @@
 
 void cell_dispatcher::impl::checkUpstream(time_point now, upstream_record& upstream)
 {
-    if (upstream.needsNewConnection && now >= std::max(upstream.leaseEnd, upstream.lateRenewalEnd))
+    if (upstream.needsNewConnection && now >= std::max(upstream.lease.end(), upstream.lateRenewalEnd))
         endLapsedRuns(now, upstream);
     endUnansweredStarts(now, upstream);
     removeStoppedRuns(now, upstream);
@@ -556,6 +554,7 @@
         return;
     internal::upstream_record& upstream = *answering;
     upstream.isPollPending = false;
+    upstream.lease.onPollOver(answer.call.outcome == call_outcome::not_received);
     if (answer.call.outcome == call_outcome::done) {
         m_impl->applyPollAnswer(now, upstream, order, answer);
     } else if (answer.call.outcome == call_outcome::fenced) { // overtaken
@@ -568,9 +567,7 @@
             m_impl->noteSilence(now, upstream);
             m_impl->note("upstream_silent", order.target.id, formatField("outcome", toText(answer.call.outcome)) + " heard_ms_ago=" + std::to_string(std::chrono::duration_cast<milliseconds>(now - upstream.heardAt).count()) + " runs=" + std::to_string(upstream.runs.size()));
         }
-        if (answer.call.outcome == call_outcome::not_received)
-            upstream.undoRenewal();
-        else if (answer.call.outcome == call_outcome::silent && order.expiresAtMs > 0)
+        if (answer.call.outcome == call_outcome::silent && order.expiresAtMs > 0)
             upstream.unansweredRenewalAt = upstream.pollSentAt;
         upstream.needsNewConnection = true;
         ++upstream.consecutiveUnanswered;
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -14,6 +14,12 @@
 
     constexpr duration transit = milliseconds(20); // how far the clock estimate may be behind
 
+    // The latest local end of a lease of this length, also if the upstream's clock is slow.
+    time_point latestEnd(time_point now, duration length)
+    {
+        return now + duration_cast<duration>(length * (1 + upstream_record::clockDrift)) + transit;
+    }
+
 } // namespace
 
 std::int64_t clock_estimate::now(time_point localNow) const
@@ -47,42 +53,50 @@
     return std::distance(first, last);
 }
 
-std::int64_t upstream_record::extendLease(time_point now, duration lease)
+void lease_bound::onPollOver(bool isNotReceived)
+{
+    if (!isNotReceived)
+        extend(m_endByPoll);
+    m_endByPoll = {};
+}
+
+std::int64_t upstream_record::extendLease(time_point now, duration length)
 {
     if (!clock.isKnown())
         return 0;
-    noteLease(now, lease);
-    return clock.now(now) + duration_cast<milliseconds>(lease).count();
+    noteLease(now, length);
+    return clock.now(now) + duration_cast<milliseconds>(length).count();
 }
 
-duration upstream_record::longestLeaseUntil(time_point now, time_point end)
+std::int64_t upstream_record::extendLeaseByPoll(time_point now, duration length)
 {
-    return duration_cast<duration>((end - now - transit) / (1 + clockDrift));
+    if (!clock.isKnown())
+        return 0;
+    lease.extendByPoll(latestEnd(now, length));
+    return clock.now(now) + duration_cast<milliseconds>(length).count();
 }
 
-void upstream_record::noteLease(time_point now, duration lease)
+duration upstream_record::longestLeaseUntil(time_point now, time_point end)
 {
-    const auto longest = duration_cast<duration>(lease * (1 + clockDrift)) + transit;
-    leaseEnd = std::max(leaseEnd, now + longest);
+    return duration_cast<duration>((end - now - transit) / (1 + clockDrift));
 }
 
-void upstream_record::undoRenewal()
+void upstream_record::noteLease(time_point now, duration length)
 {
-    if (leaseEnd == leaseEndOfPoll) // else a later start extended it
-        leaseEnd = leaseEndBeforePoll;
+    lease.extend(latestEnd(now, length));
 }
 
 void upstream_record::restart(const protocol::upstream_report& report, std::uint64_t newLife)
 {
     const run_time_ratio learned = ratio;
     auto unanswered = std::move(unansweredStarts);
-    const time_point latestLeaseEnd = leaseEnd;
+    const time_point latestLeaseEnd = lease.end();
     const std::uint32_t raises = tokenRaises;
     *this = upstream_record(report);
     life = newLife;
     ratio = learned;
     unansweredStarts = std::move(unanswered);
-    leaseEnd = latestLeaseEnd;
+    lease.extend(latestLeaseEnd);
     tokenRaises = raises;
     mayHaveLateCalls = true;
 }
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -6,6 +6,7 @@
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -62,6 +63,20 @@
     std::int64_t now(time_point localNow) const;
 };
 
+// The latest local time at which an upstream's lease can end, computed from all calls that were to renew it. A call is left out only
+// if its connection could not be opened: any other may have been carried out. Polls are sent one at a time.
+class lease_bound {
+public:
+    time_point end() const { return std::max(m_end, m_endByPoll); }
+    void extend(time_point end) { m_end = std::max(m_end, end); }
+    void extendByPoll(time_point end) { m_endByPoll = end; } // until onPollOver() the poll may still prove not to have been received
+    void onPollOver(bool isNotReceived);
+
+private:
+    time_point m_end; // without the pending poll
+    time_point m_endByPoll;
+};
+
 class upstream_record {
 public:
     // The platform's bound on clock drift. A lease lasts longer by this share if the upstream's clock is slow.
@@ -83,9 +98,7 @@
     std::map<run_id, unanswered_start> unansweredStarts;
     std::uint64_t cursor = 0; // number of the last processed ended task
     clock_estimate clock;
-    time_point leaseEnd; // on the local clock; no run survives it unless the lease is renewed
-    time_point leaseEndBeforePoll; // leaseEnd without and with the renewal by the latest poll
-    time_point leaseEndOfPoll;
+    lease_bound lease; // no run survives its end unless the lease is renewed
     time_point listRequestedAt; // when the latest poll was sent that has been answered
     time_point leaseLimit = time_point::max(); // no lease is extended beyond, for the sake of a run here whose callers may have left
     std::optional<time_point> unansweredRenewalAt; // latest renewal that got no answer, if nothing was answered since
@@ -121,17 +134,14 @@
     std::ptrdiff_t countRuns(std::string_view task) const;
 
     // Extends the known lease and returns its new end on the upstream's clock in ms; 0 if that clock is not known yet.
-    // leaseEnd becomes the latest local time at which the lease can end.
-    std::int64_t extendLease(time_point now, duration lease);
+    std::int64_t extendLease(time_point now, duration length);
+    std::int64_t extendLeaseByPoll(time_point now, duration length);
 
     // The longest lease that is over at the given time even if the upstream's clock is slow.
     static duration longestLeaseUntil(time_point now, time_point end);
 
     // The lease may last for this long from now.
-    void noteLease(time_point now, duration lease);
-
-    // The latest poll, which was to renew the lease, has not reached the upstream.
-    void undoRenewal();
+    void noteLease(time_point now, duration length);
 
     // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts, the token of calls, and
     // the end of the lease, which also holds for runs that the new incarnation began before it was known.
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -179,7 +179,7 @@
 protocol::upstream_report cell_simulation::makeReport(const std::string& id, std::uint64_t sequence) const
 {
     const sim_upstream& upstream = m_upstreams.at(id);
-    return { id, upstream.bornUnixMs, sequence, serviceName, id, cellName, upstream.capacity, {}, upstream.isLeaving };
+    return { id, upstream.bornUnixMs, sequence, serviceName, id, cellName, upstream.capacity, upstream.labels, upstream.isLeaving };
 }
 
 void cell_simulation::receiveReport(std::size_t owner, const protocol::upstream_report& report)
@@ -300,7 +300,7 @@
 
 void cell_simulation::answerCall(std::size_t owner, call_number number, sim_upstream& upstream, std::function<void(const call_answer&)> onAnswer, call_outcome outcome, bool isPoll)
 {
-    const bool isUnreachable = upstream.fault == upstream_fault::unreachable;
+    const bool isUnreachable = upstream.fault == upstream_fault::unreachable || upstream.fault == upstream_fault::cut_one_way;
     const bool isSilent = isCutOff(owner, upstream) || upstream.fault == upstream_fault::silent || upstream.fault == upstream_fault::answers_lost || (isUnreachable && outcome != call_outcome::not_received);
     const bool isLost = isSilent || outcome == call_outcome::silent;
     if (isLost && !isPoll)
@@ -345,6 +345,8 @@
         return call_outcome::not_received;
     if (upstream.fault == upstream_fault::unreachable)
         return isNewConnection ? call_outcome::not_received : call_outcome::silent;
+    if (upstream.fault == upstream_fault::cut_one_way && isNewConnection)
+        return call_outcome::not_received;
     const bool isLost = upstream.fault == upstream_fault::silent || isCutOff(owner, upstream) || isDelayed(upstream, later);
     return isLost ? std::optional(call_outcome::silent) : std::nullopt;
 }
--- a/src/coordination/cells/tests/cell_simulation.h
+++ b/src/coordination/cells/tests/cell_simulation.h
@@ -25,6 +25,7 @@
     failing, // ends every run as failed, after a millisecond
     hung_tasks, // runs never end
     delayed_calls, // a share of the calls is unanswered and carried out seconds later, also by the next life of the upstream
+    cut_one_way, // calls on open connections are carried out, their answers are lost, and no connection can be opened
     unreachable, // no connection to it can be opened, calls on open connections are lost, and no reports arrive
     crashed // all runs are gone, and connections are refused
 };
@@ -46,6 +47,7 @@
     std::uint64_t token = 0;
     bool isLeaving = false;
     bool areReportsLost = false;
+    std::vector<std::string> labels;
     std::vector<sim_task_run> running;
     std::vector<ended_task> ended;
     std::uint64_t ends = 0;
