Evacuation targets are updated without new allocations

Every gossip of an owner rebuilt the map of the cell's services, also in deployments without evacuations, and cost processor time on owners. Skipping the update until a first order was ruled out: the host would know no other cell when the order arrives. Entries are now assigned in place. An upstream that restarts keeps the end of its zone's evacuation, so a cold one still gets work in steps.

--- a/src/coordination/cells/evacuation_targets.cpp
+++ b/src/coordination/cells/evacuation_targets.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <utility>
 
 namespace jackdaw::cells {
@@ -42,14 +43,17 @@
 
 void evacuation_targets::update(std::string_view cell, const std::vector<protocol::service_free_capacity>& freeCapacity)
 {
-    auto& services = m_cells[std::string(cell)];
-    services.clear();
-    for (const protocol::service_free_capacity& known : freeCapacity) {
-        std::uint64_t sum = 0;
-        for (const std::uint32_t millicores : known.millicores)
-            sum += millicores;
-        services[known.service] = { sum, 0 };
-    }
+    auto found = m_cells.find(cell);
+    if (found == m_cells.end())
+        found = m_cells.try_emplace(std::string(cell)).first;
+    auto& services = found->second;
+    for (const protocol::service_free_capacity& known : freeCapacity)
+        services[known.service] = { std::accumulate(known.millicores.begin(), known.millicores.end(), std::uint64_t { 0 }), 0 };
+    if (services.size() == freeCapacity.size())
+        return; // the usual case: gossip names the same services each time
+    std::erase_if(services, [&](const auto& item) {
+        return std::none_of(freeCapacity.begin(), freeCapacity.end(), [&](const protocol::service_free_capacity& known) { return known.service == item.first; });
+    });
 }
 
 double evacuation_targets::weightOf(const cell_capacity& capacity)
--- a/src/coordination/cells/internal/upstream_record.cpp
+++ b/src/coordination/cells/internal/upstream_record.cpp
@@ -78,12 +78,14 @@
     auto unanswered = std::move(unansweredStarts);
     const time_point latestLeaseEnd = leaseEnd;
     const std::uint32_t raises = tokenRaises;
+    const auto released = releasedAt;
     *this = upstream_record(report);
     life = newLife;
     ratio = learned;
     unansweredStarts = std::move(unanswered);
     leaseEnd = latestLeaseEnd;
     tokenRaises = raises;
+    releasedAt = released;
     mayHaveLateCalls = true;
 }
 
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -135,8 +135,8 @@
     // The latest poll, which was to renew the lease, has not reached the upstream.
     void undoRenewal();
 
-    // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts, the token of calls, and
-    // the end of the lease, which also holds for runs that the new incarnation began before it was known.
+    // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts, the token of calls, the
+    // end of an evacuation, and the end of the lease, which also holds for runs that the new incarnation began before it was known.
     void restart(const protocol::upstream_report& report, std::uint64_t newLife);
 };
 
--- a/src/coordination/cells/tests/evacuation_targets_tests.cpp
+++ b/src/coordination/cells/tests/evacuation_targets_tests.cpp
@@ -89,6 +89,9 @@
     CHECK(targets.choose(makeJob(1), any) == "b"); // its owner may know of more, and refuses accurately
     targets.update("c", makeCapacity(1));
     CHECK(chooseMany(targets, 50)["c"] == 50);
+    targets.update("c", makeCapacity(1, "other")); // its last upstream of the service has gone
+    targets.update("b", makeCapacity(1));
+    CHECK(chooseMany(targets, 50)["b"] == 50);
     CHECK(targets.choose(makeJob(1), [](std::string_view) { return false; }).empty());
 }
 
