Test evacuations under faults and a change of the owner

The tests so far took one fault at a time. A seeded simulation now plays callers of an evacuated zone beside a second zone: jobs move, end unfinished and are sent again after 1.3 s, while the owner is lost and another one takes over, or an upstream's answers are lost.

--- a/src/coordination/cells/tests/cell_evacuation_tests.cpp
+++ b/src/coordination/cells/tests/cell_evacuation_tests.cpp
@@ -3,6 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+#include <set>
+#include <string>
+
 using namespace jackdaw::cells;
 using namespace jackdaw::cells::tests;
 using jackdaw::protocol::job_order;
@@ -234,3 +238,104 @@
         }
     }
 }
+
+namespace {
+
+// Plays the callers and origins of jobs of an evacuated zone: a moved job goes to the other zone's owner, and an unfinished one is sent
+// there again 1.3 s later, as callers do.
+struct evacuated_callers {
+    cell_simulation& sim;
+    std::size_t otherOwner = 0;
+    std::map<std::string, job_order> jobs; // still with the evacuated zone
+    std::map<std::string, time_point> resendAt;
+
+    void advance()
+    {
+        for (auto job = jobs.begin(); job != jobs.end();) {
+            const auto known = sim.outcomes().find(job->first);
+            if (known == sim.outcomes().end()) {
+                ++job;
+                continue;
+            }
+            const auto& answer = known->second.answer;
+            job_order order = job->second;
+            if (answer.outcome == job_outcome::moved) {
+                order.areRunsKnown = answer.areRunsKnown;
+                sim.submit(otherOwner, order);
+                job = jobs.erase(job);
+            } else if (answer.outcome == job_outcome::completed) {
+                job = jobs.erase(job);
+            } else {
+                const auto due = resendAt.try_emplace(job->first, sim.now() + milliseconds(1300)).first;
+                if (sim.now() < due->second) {
+                    ++job;
+                    continue;
+                }
+                order.handOverCount = 0;
+                sim.submit(otherOwner, order);
+                job = jobs.erase(job);
+            }
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("a task runs in two zones at once, or starts in the evacuated one after the time for it, under faults and a change of the owner")
+{
+    for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+        CAPTURE(seed);
+        cell_simulation sim(seed);
+        const auto below = [&](std::uint64_t bound) { return sim.random()() % bound; };
+        const std::set<std::string> here { "a0", "a1", "a2" };
+        const std::set<std::string> there { "b0", "b1", "b2" };
+        for (const std::string& id : here)
+            sim.addUpstream(id, 32000);
+        for (const std::string& id : there)
+            sim.addUpstream(id, 32000);
+        std::size_t owner = sim.addCellOwner(here, 1);
+        evacuated_callers callers { sim, sim.addCellOwner(there, 1), {}, {} };
+        sim.setEvacuationTarget("b");
+        sim.runFor(milliseconds(100));
+        if (below(2) == 0)
+            sim.upstream("a0").fault = upstream_fault::answers_lost;
+        for (int i = 0; i < 6; ++i) {
+            const job_order job = makePatientJob(sim, std::to_string(i), static_cast<std::uint32_t>(1 + below(4)), static_cast<std::uint32_t>(50 + below(1200)));
+            callers.jobs[job.id] = job;
+            sim.submit(owner, job);
+            sim.runFor(milliseconds(below(200)));
+        }
+        const time_point startsUntil = sim.now() + startTime;
+        sim.setEvacuation(owner, startsUntil);
+        const bool isOwnerLost = below(2) == 0;
+        const time_point lostAt = sim.now() + milliseconds(below(900));
+        const time_point takenOverAt = lostAt + milliseconds(1000);
+        bool isKilled = false;
+        bool isTakenOver = false;
+        std::size_t startsHere = 0;
+        const auto countStartsHere = [&] { return sim.startsOn("a0") + sim.startsOn("a1") + sim.startsOn("a2"); };
+        for (int step = 0; step < 600; ++step) {
+            sim.runFor(milliseconds(10));
+            if (sim.now() <= startsUntil + milliseconds(20)) // starts on their way
+                startsHere = countStartsHere();
+            if (isOwnerLost && !isKilled && sim.now() >= lostAt) {
+                isKilled = true;
+                sim.killOwner(owner);
+            }
+            if (isKilled && !isTakenOver && sim.now() >= takenOverAt) {
+                isTakenOver = true;
+                owner = sim.addCellOwner(here, 1, true);
+                sim.setEvacuation(owner, startsUntil);
+                for (auto& [id, job] : callers.jobs) {
+                    if (sim.outcomes().contains(id))
+                        continue;
+                    job.handOverCount = 1;
+                    sim.submit(owner, job);
+                }
+            }
+            callers.advance();
+        }
+        CHECK(sim.doubleRuns() == 0);
+        CHECK(countStartsHere() == startsHere);
+    }
+}
