The evacuation simulation also takes over before the earlier owner's leases are over

With a takeover 1 s after the loss the earlier leases were over, and the simulation did not notice when jobs moved before earlier runs were known (found by trial on a changed copy). The takeover now comes 0.1 to 1.1 s after the loss.

--- a/src/coordination/cells/tests/cell_evacuation_tests.cpp
+++ b/src/coordination/cells/tests/cell_evacuation_tests.cpp
@@ -309,7 +309,7 @@
         sim.setEvacuation(owner, startsUntil);
         const bool isOwnerLost = below(2) == 0;
         const time_point lostAt = sim.now() + milliseconds(below(900));
-        const time_point takenOverAt = lostAt + milliseconds(1000);
+        const time_point takenOverAt = lostAt + milliseconds(100 + below(1000));
         bool isKilled = false;
         bool isTakenOver = false;
         std::size_t startsHere = 0;
