--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -147,8 +147,8 @@
     // The lease may last for this long from now.
     void noteLease(time_point now, duration length);
 
-    // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts, the token of calls, and
-    // the end of the lease, which also holds for runs that the new incarnation began before it was known.
+    // The upstream has a new incarnation: resets everything but the measured speed, the unanswered starts, the token of calls, the
+    // end of an evacuation, and the end of the lease, which also holds for runs that the new incarnation began before it was known.
     void restart(const protocol::upstream_report& report, std::uint64_t newLife);
 };
 
