Jobs that can only end late run on capacity that nothing waits for

Cause: admission refused every job that could not meet its objective, also with idle upstreams, although a job that ends within three times its objective keeps a fifth of its value. Such a job is now admitted if all its tasks fit at once, no other job waits, and the delay is not the owner's own.

Ruled out: admission of late jobs by an owner that is short of CPU, since each task would delay the jobs that can be in time. A job whose start has become late while it waited is kept under the same condition, so that admission and the later check agree.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -139,9 +139,14 @@
 }
 
 duration cell_dispatcher::impl::fastestRun(const cell_job& job, const internal::available_upstreams& available)
+{
+    return fastestRun(job, available, job.declaredCriticalPath());
+}
+
+duration cell_dispatcher::impl::fastestRun(const cell_job& job, const internal::available_upstreams& available, duration declared)
 {
     const double fastest = available.fastestRatio(job.order.service, job.order.steps.front());
-    return duration_cast<duration>(job.declaredCriticalPath() * (fastest == 0 ? 1 : fastest));
+    return duration_cast<duration>(declared * (fastest == 0 ? 1 : fastest));
 }
 
 void cell_dispatcher::impl::dispatch(time_point now)
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -135,9 +135,12 @@
     void start(time_point now, cell_job& job, std::size_t step, std::size_t index, upstream_record& upstream);
     bool mayStart(time_point now, const cell_job& job) const;
     bool canEverRun(const cell_job& job) const;
+    // Whether a job that can only end late may take capacity that nothing else waits for.
+    bool mayRunLate(time_point now, const cell_job& job, const internal::available_upstreams& available) const;
     bool fitsNow(const cell_job& job, const internal::available_upstreams& available) const;
     duration estimateWait(time_point now, const cell_job& job) const;
     static duration fastestRun(const cell_job& job, const internal::available_upstreams& available);
+    static duration fastestRun(const cell_job& job, const internal::available_upstreams& available, duration declared);
     bool areEarlierRunsKnown(time_point now, const cell_job& job) const;
     bool mayRunInOtherCells(const cell_job& job) const;
     bool mayRunUnderLaterToken(const cell_job& job) const;
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -2,6 +2,7 @@
 #include "coordination/cells/internal/cell_dispatcher_impl.h"
 
 #include "coordination/cells/internal/cell_admission.h"
+#include "coordination/cells/internal/late_jobs.h"
 
 #include <algorithm>
 #include <set>
@@ -129,11 +130,22 @@
     const duration wait = estimateWait(now, job);
     if (now + wait + link + run <= job.objectiveEnd)
         return true;
+    if (mayRunLate(now, job, available)) {
+        job.isLate = true;
+        return true;
+    }
     note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " link_ms=" + toMs(link) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
     finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait + link, job.order.id)));
     return false;
 }
 
+bool cell_dispatcher::impl::mayRunLate(time_point now, const cell_job& job, const internal::available_upstreams& available) const
+{
+    const duration ownDelay = calls.expectedWait(now) + overhead.expected(now);
+    const bool isAnyWaiting = std::any_of(jobs.begin(), jobs.end(), [&job](const auto& item) { return item.second.get() != &job && item.second->waitingTasks() > 0; });
+    return !isAnyWaiting && internal::isWorthRunningLate(now, job, ownDelay + fastestRun(job, available), ownDelay) && fitsNow(job, available);
+}
+
 // Attaches runs of the job's tasks that an earlier owner or an earlier submission of the job started, and marks tasks that have
 // ended in the meantime as done. A run that an earlier submission was stopping keeps its task from starting until it is gone.
 void cell_dispatcher::impl::claimRuns(time_point now, cell_job& job)
@@ -255,8 +267,9 @@
 {
     if (now >= job.deadline)
         return endOverdue(now, job);
-    const bool cannotMeetObjective = !job.hasBegun && now + fastestRun(job, available) + overhead.expected(now) > job.objectiveEnd;
-    if (!cannotMeetObjective)
+    const duration path = job.hasBegun ? internal::unstartedCriticalPath(job) : job.declaredCriticalPath();
+    job.isLate = now + fastestRun(job, available, path) + overhead.expected(now) > job.objectiveEnd;
+    if (job.hasBegun || !job.isLate || mayRunLate(now, job, available))
         return;
     const duration wait = estimateWait(now, job);
     note("job_given_up", job.order.id, "wait_ms=" + toMs(wait) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
