Full cells spread their jobs over all cells with free capacity

Cause: every owner sent a job that did not fit to the cell with the most free capacity of the last gossip, whatever its age. All full owners hear the same gossip, so their jobs met in one cell while others stayed idle, and a cell whose owner was lost kept its last known capacity.

Now cells of the own zone come first, the others are drawn in proportion to their free capacity, by a hash of the job, and gossip older than 1 s counts as no news. Ruled out for now: speed and distance in the choice, since gossip carries neither.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -97,7 +97,7 @@
 
 std::string cell_host::impl::findOtherCell(const protocol::job_order& order)
 {
-    return spillTargets.reserve(order, [this](std::string_view cell) {
+    return spillTargets.reserve(steadyNow(), settings.zone, order, [this](std::string_view cell) {
         const auto owner = ownership.ownerOf(steadyNow(), cell);
         return !dispatchers.contains(cell) && owner && !owner->isSelf;
     });
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -79,7 +79,7 @@
     if (configurationRequests.isPullDue(now, configuration.version, gossip.configurationVersion))
         sendTo(gossip.host, protocol::configuration_pull { configuration.version });
     for (const protocol::cell_claim& claim : gossip.claims)
-        spillTargets.update(claim);
+        spillTargets.update(now, claim);
     if (isRepetition)
         return;
     applyOwnership();
