--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -90,7 +90,7 @@
     if (gossip.evacuationNumber < evacuations.number() && now - evacuationLearnedAt >= evacuationPassOnDelay)
         sendTo(gossip.host, evacuations.message(now));
     for (const protocol::cell_claim& claim : gossip.claims) {
-        spillTargets.update(claim);
+        spillTargets.update(now, claim);
         evacuationTargets.update(claim.cell, claim.freeCapacity);
     }
     if (isRepetition)
--- a/src/coordination/cells/owner_delays.cpp
+++ b/src/coordination/cells/owner_delays.cpp
@@ -44,7 +44,7 @@
     return delay * objectiveShare > objective;
 }
 
-std::string findLessDelayedCell(const protocol::job_order& job, duration homeDelay, spill_targets& targets, const std::function<std::optional<cell_delay>(std::string_view cell)>& delayOfCell)
+std::string findLessDelayedCell(time_point now, const protocol::job_order& job, duration homeDelay, spill_targets& targets, const std::function<std::optional<cell_delay>(std::string_view cell)>& delayOfCell)
 {
     if (job.steps.size() != 1 || !isDelayHigh(homeDelay, objectiveOf(job)))
         return {};
@@ -52,8 +52,8 @@
         const std::optional<cell_delay> known = delayOfCell(cell);
         return known && known->isOwnZone == isOwnZone && known->ownerDelay * delayRatio <= homeDelay;
     };
-    std::string cell = targets.reserve(job, [&](std::string_view name) { return mayTake(name, true); });
-    return cell.empty() ? targets.reserve(job, [&](std::string_view name) { return mayTake(name, false); }) : cell;
+    std::string cell = targets.reserve(now, {}, job, [&](std::string_view name) { return mayTake(name, true); });
+    return cell.empty() ? targets.reserve(now, {}, job, [&](std::string_view name) { return mayTake(name, false); }) : cell;
 }
 
 } // namespace jackdaw::cells
--- a/src/coordination/cells/owner_delays.h
+++ b/src/coordination/cells/owner_delays.h
@@ -47,6 +47,6 @@
 // Returns the cell for a job that has not been sent yet, and deducts the job from that cell's free capacity. Empty if the job
 // stays in its home cell: the delay of that cell's owner is not high, or no cell with free capacity has an owner with at most
 // half of this delay. Cells of the own zone are preferred. delayOfCell: empty for cells that may not take the job.
-std::string findLessDelayedCell(const protocol::job_order& job, duration homeDelay, spill_targets& targets, const std::function<std::optional<cell_delay>(std::string_view cell)>& delayOfCell);
+std::string findLessDelayedCell(time_point now, const protocol::job_order& job, duration homeDelay, spill_targets& targets, const std::function<std::optional<cell_delay>(std::string_view cell)>& delayOfCell);
 
 } // namespace jackdaw::cells
--- a/src/coordination/cells/tests/owner_delays_tests.cpp
+++ b/src/coordination/cells/tests/owner_delays_tests.cpp
@@ -38,13 +38,13 @@
         protocol::cell_claim claim;
         claim.cell = cell;
         claim.freeCapacity = { { "s1", { freeMillicores } } };
-        targets.update(claim);
+        targets.update(start, claim);
         delays[cell] = { delay, isOwnZone };
     }
 
     std::string find(milliseconds homeDelay)
     {
-        return findLessDelayedCell(makeJob(), homeDelay, targets, [this](std::string_view cell) -> std::optional<cell_delay> {
+        return findLessDelayedCell(start, makeJob(), homeDelay, targets, [this](std::string_view cell) -> std::optional<cell_delay> {
             const auto found = delays.find(cell);
             return found == delays.end() ? std::nullopt : std::optional(found->second);
         });
@@ -90,7 +90,7 @@
     cells.add("a#2", milliseconds(0), true);
     protocol::job_order job = makeJob();
     job.steps.push_back(job.steps.front());
-    CHECK(findLessDelayedCell(job, milliseconds(100), cells.targets, [](std::string_view) { return std::optional(cell_delay { {}, true }); }).empty());
+    CHECK(findLessDelayedCell(start, job, milliseconds(100), cells.targets, [](std::string_view) { return std::optional(cell_delay { {}, true }); }).empty());
 }
 
 TEST_CASE("an old or implausible delay does not send jobs elsewhere")
