Upstream reports: those of another sender under an upstream's id are told apart and hold nothing back

Cause: a report with a higher sequence was taken over whole.

report_history, used by control hosts, entry hosts and dispatchers, compares reports of one process lifetime: one with another address, service, zone or labels, or with a sequence that does not continue, is not taken unless a second one continues it. A changed capacity is withdrawn by the next report without it. "draining" stays for the lifetime and is taken from a late report too. A dispatcher ignores an address other than the one that answered under the id, and a 421 counts only from there; a restart still needs the upstream's own answer, now from the address that the report names.

Ruled out: stricter checks of the heartbeat's fields alone, since a well-formed report of another sender does the same. What remains: a report with a later start time hides earlier ones from directories for 10 s; a foreign "draining" in sequence is believed.

--- a/src/apps/hub/host_directory.cpp
+++ b/src/apps/hub/host_directory.cpp
@@ -94,12 +94,14 @@
 
 bool host_directory::recordUpstreamReport(time_point now, const protocol::upstream_report& report)
 {
-    const auto [found, isNew] = m_upstreams.try_emplace(report.id);
+    const auto [found, isNew] = m_upstreams.try_emplace(report.id, upstream_record { { report, now }, now, false, true, {} });
     upstream_record& known = found->second;
-    if (!isNew && !protocol::isNewer(report, known.report))
+    const protocol::upstream_report before = known.reports.latest();
+    if (!isNew && !known.reports.accept(now, report))
         return false;
-    const bool isNews = isNew || (known.isNews && !known.isSent) || !isSameButForSequence(report, known.report);
-    known = { report, now, false, isNews, known.sentToAllAt };
+    known.isNews = isNew || (known.isNews && !known.isSent) || !isSameButForSequence(known.reports.latest(), before);
+    known.receivedAt = now;
+    known.isSent = false;
     return true;
 }
 
@@ -108,9 +110,7 @@
     const auto found = m_upstreams.find(id);
     if (found == m_upstreams.end())
         return;
-    // A higher sequence makes this report newer than the last one; otherwise its receivers would ignore it.
-    ++found->second.report.sequence;
-    found->second.report.isLeaving = true;
+    found->second.reports.markLeaving();
     found->second.isSent = false;
     found->second.isNews = true;
 }
@@ -137,7 +137,7 @@
     protocol::directory_update update = hostUpdate(now);
     for (const auto& [id, upstream] : m_upstreams) {
         if (now - upstream.receivedAt <= silenceLimit)
-            update.reports.push_back(upstream.report);
+            update.reports.push_back(upstream.reports.latest());
     }
     return update;
 }
@@ -146,8 +146,8 @@
 {
     protocol::directory_update update;
     for (const auto& [id, upstream] : m_upstreams) {
-        if (upstream.report.zone == zone && now - upstream.receivedAt <= silenceLimit)
-            update.reports.push_back(upstream.report);
+        if (upstream.reports.latest().zone == zone && now - upstream.receivedAt <= silenceLimit)
+            update.reports.push_back(upstream.reports.latest());
     }
     return update;
 }
@@ -172,16 +172,16 @@
         m_lastHostListAt = now;
     }
     for (auto& [id, upstream] : m_upstreams) {
-        const bool isRepeated = upstream.report.isLeaving && now - upstream.receivedAt <= leavingRepeatTime;
+        const bool isRepeated = upstream.reports.latest().isLeaving && now - upstream.receivedAt <= leavingRepeatTime;
         if (upstream.isSent && !isRepeated)
             continue;
-        time_point& lastOfZone = m_lastToAllAt[upstream.report.zone];
+        time_point& lastOfZone = m_lastToAllAt[upstream.reports.latest().zone];
         const bool isForAll = upstream.isNews || isRepeated || now - upstream.sentToAllAt >= refreshInterval || now - lastOfZone >= zoneSignInterval;
         if (isForAll) {
             upstream.sentToAllAt = now;
             lastOfZone = now;
         }
-        batch.update.reports.push_back(upstream.report);
+        batch.update.reports.push_back(upstream.reports.latest());
         batch.isForAllZones.push_back(isForAll);
         upstream.isSent = true;
         upstream.isNews = false;
--- a/src/apps/hub/host_directory.h
+++ b/src/apps/hub/host_directory.h
@@ -7,6 +7,7 @@
 
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
+#include "protocol/upstream_reports.h"
 
 #include <cstdint>
 #include <map>
@@ -47,7 +48,7 @@
     // silence limit, and the members of the group. The members are known from the disk, also while all others are down.
     std::vector<std::string> heartbeatReceivers(time_point now, std::span<const std::string> groupHosts) const;
 
-    // False when the report is not newer than the stored one; it is then ignored.
+    // False when the report is late, or not the upstream's own; it is then ignored.
     bool recordUpstreamReport(time_point now, const protocol::upstream_report& report);
 
     // The upstream has ended: marks it as leaving, so that the next batch announces it.
@@ -90,7 +91,7 @@
     };
 
     struct upstream_record {
-        protocol::upstream_report report;
+        protocol::report_history reports;
         time_point receivedAt;
         bool isSent = false; // was part of a batch
         bool isNews = true; // says more than that the upstream still runs
--- a/src/apps/hub/tests/host_directory_tests.cpp
+++ b/src/apps/hub/tests/host_directory_tests.cpp
@@ -194,3 +194,21 @@
     }
     CHECK(lists == 3);
 }
+
+TEST_CASE("an upstream that drains is announced after another sender's report under its id with a higher sequence")
+{
+    for (const std::uint64_t ahead : { 3, 1000 }) {
+        CAPTURE(ahead);
+        time_point now(seconds(10));
+        host_directory directory("c1", {});
+        directory.recordUpstreamReport(now, makeReport("u1", 5));
+        directory.recordUpstreamReport(now, makeReport("u1", 5 + ahead));
+        directory.takeBatch(now);
+        now += seconds(1);
+        CHECK(directory.recordUpstreamReport(now, makeReport("u1", 6, true)));
+        CHECK(directory.takeBatch(now).update.reports.at(0).isLeaving);
+        directory.recordUpstreamReport(now, makeReport("u1", 6 + ahead));
+        const auto batch = directory.takeBatch(now);
+        CHECK(std::all_of(batch.update.reports.begin(), batch.update.reports.end(), [](const upstream_report& report) { return report.isLeaving; }));
+    }
+}
--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -63,9 +63,10 @@
     const auto [found, isNew] = upstreams.try_emplace(report.id, report);
     upstream_record& upstream = found->second;
     const upstream_report& known = upstream.lastReport;
-    const bool hasPrecedence = report.startedUnixMs < known.startedUnixMs || now - upstream.reportedAt < protocol::reportPrecedenceTime;
-    if (!isNew && hasPrecedence && !protocol::isNewer(report, known))
-        return;
+    const bool isFirstOfLife = isNew || !upstream.isCapacityKnown;
+    const bool isElsewhere = report.startedUnixMs == known.startedUnixMs && !upstream.answeringAddress.empty() && report.address != upstream.answeringAddress;
+    if (report.startedUnixMs < known.startedUnixMs || isElsewhere)
+        return; // late, or another sender's: no process changes its address
     if (isNew) {
         upstream.life = ++lastLife;
         if (const auto removed = removedUpstreams.find(report.id); removed != removedUpstreams.end())
@@ -79,11 +80,15 @@
             poll(now, upstream);
         return;
     }
-    if (isNew || known.isLeaving != report.isLeaving)
-        note("upstream_state", report.id, formatField("leaving", report.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
-    upstream.lastReport = report;
-    upstream.reportedAt = now;
-    upstream.largestCapacity.raiseTo(report.capacity);
+    const bool wasLeaving = known.isLeaving;
+    if (isFirstOfLife)
+        upstream.reports = { report, now };
+    else if (!upstream.reports.accept(now, report))
+        return;
+    upstream.lastReport = upstream.reports.latest();
+    if (isNew || wasLeaving != known.isLeaving)
+        note("upstream_state", report.id, formatField("leaving", known.isLeaving ? "yes" : "no") + " sequence=" + std::to_string(report.sequence));
+    upstream.largestCapacity.raiseTo(known.capacity);
     upstream.isCapacityKnown = true;
     upstream.heardAt = now;
     if (!upstream.isAdopted && !upstream.isPollPending && now >= upstream.nextPollAt)
@@ -294,8 +299,9 @@
     const auto found = upstreams.find(target.id);
     if (found == upstreams.end() || found->second.life != target.life)
         return nullptr;
-    if (answer.outcome != call_outcome::other_life)
-        return &found->second;
+    const std::string& answering = found->second.answeringAddress;
+    if (answer.outcome != call_outcome::other_life || (!answering.empty() && answering != target.address))
+        return &found->second; // a refusal from where it has never answered proves nothing about it
     onCrashed(now, found->second, "another upstream or incarnation answers at its address");
     removeUpstream(now, target.id, "another upstream or incarnation answers at its address");
     return nullptr;
@@ -308,12 +314,13 @@
         upstream_report report = upstream.lastReport;
         report.startedUnixMs = answer.bornUnixMs;
         report.sequence = 0;
-        const bool isReported = reportedRestart && reportedRestart->startedUnixMs == answer.bornUnixMs;
+        const bool isReported = reportedRestart && reportedRestart->startedUnixMs == answer.bornUnixMs && reportedRestart->address == order.target.address;
         if (isReported)
             report = *reportedRestart;
         onRestart(now, upstream, report, answer.running);
         upstream.isCapacityKnown = isReported;
-        upstream.reportedAt = now;
+        upstream.reports = { upstream.lastReport, now };
+        upstream.answeringAddress = order.target.address;
         upstream.heardAt = now;
         upstream.nextPollAt = now;
         return;
@@ -321,6 +328,7 @@
     if (upstream.needsNewConnection)
         note("upstream_answers", upstream.lastReport.id, "runs=" + std::to_string(upstream.runs.size()));
     upstream.needsNewConnection = false;
+    upstream.answeringAddress = order.target.address;
     recordAnswer(now, upstream, answer.call);
     upstream.listRequestedAt = upstream.pollSentAt;
     dismissLosses(upstream);
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -5,6 +5,7 @@
 #include "coordination/cells/upstream_calls.h"
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
+#include "protocol/upstream_reports.h"
 
 #include <algorithm>
 #include <cstddef>
@@ -83,12 +84,15 @@
     static constexpr double clockDrift = 0.02;
 
     explicit upstream_record(protocol::upstream_report report)
-        : lastReport(std::move(report))
+        : lastReport(report)
+        , reports(std::move(report), {})
         , largestCapacity(lastReport.capacity)
     {
     }
 
     protocol::upstream_report lastReport;
+    protocol::report_history reports; // of this incarnation
+    std::string answeringAddress; // where an answer came from under its id; empty: none yet, the address is only reported
     std::optional<protocol::upstream_report> reportedRestart; // names a later start, which no answer has confirmed yet
     resource_vector largestCapacity; // maximum of each resource over all reports of this incarnation
     bool isCapacityKnown = true; // false: the capacity is that of an earlier incarnation
@@ -115,7 +119,6 @@
     bool needsNewConnection = false; // the last poll was unanswered
     time_point pollSentAt;
     time_point nextPollAt; // valid while no poll is pending
-    time_point reportedAt; // when lastReport was received
     time_point heardAt; // last report or answer
 
     run_time_ratio ratio;
--- a/src/coordination/cells/tests/upstream_directory_tests.cpp
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -153,3 +153,15 @@
     directory.expire(start + seconds(80));
     CHECK(directory.heardSince(start + seconds(80)) == start);
 }
+
+TEST_CASE("a report of another sender does not hide an upstream's own reports from an entry host")
+{
+    upstream_directory directory;
+    directory.onReport(start, makeReport("u1", 5));
+    CHECK_FALSE(directory.onReport(start, makeReport("u1", 1005)).isAccepted);
+    CHECK(directory.onPeerList(start, { { makeReport("u1", 1005) }, { 0 } }).empty());
+    jackdaw::protocol::upstream_report leaving = makeReport("u1", 6);
+    leaving.isLeaving = true;
+    CHECK(directory.onReport(start + seconds(1), leaving).isAccepted);
+    CHECK(directory.list(start, std::vector<std::string> { "u1" }).reports.front().isLeaving);
+}
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -16,11 +16,12 @@
 
 upstream_directory::change upstream_directory::onReport(time_point now, const protocol::upstream_report& report)
 {
-    const auto [found, isNew] = m_upstreams.try_emplace(report.id);
+    const auto [found, isNew] = m_upstreams.try_emplace(report.id, known_upstream { { report, now }, time_point::min(), {} });
     known_upstream& known = found->second;
-    if (!isNew && protocol::isNewer(known.report, report) && now - known.receivedAt < protocol::reportPrecedenceTime)
+    if (!isNew && report != known.reports.latest() && !known.reports.accept(now, report))
         return {};
-    known = { report, now, now, now };
+    known.reportedAt = now;
+    known.knownAt = now;
     return { true, isNew };
 }
 
@@ -44,14 +45,12 @@
 
 bool upstream_directory::merge(time_point now, const protocol::upstream_report& report, time_point heardAt)
 {
-    const auto [found, isNew] = m_upstreams.try_emplace(report.id);
+    const auto [found, isNew] = m_upstreams.try_emplace(report.id, known_upstream { { report, now }, time_point::min(), {} });
     known_upstream& known = found->second;
     known.knownAt = std::max(known.knownAt, heardAt);
-    if (!isNew && !protocol::isNewer(report, known.report))
-        return false;
-    known.report = report;
-    known.receivedAt = now;
-    return true;
+    const protocol::upstream_report& latest = known.reports.latest();
+    const bool isEndOfLife = report.startedUnixMs == latest.startedUnixMs && report.isLeaving && !latest.isLeaving;
+    return isNew || ((isEndOfLife || protocol::isNewer(report, latest)) && known.reports.accept(now, report));
 }
 
 void upstream_directory::onControlUpdate(time_point now, std::string_view sender, std::span<const std::string> controlHosts)
@@ -120,15 +119,15 @@
 {
     std::set<std::string_view> addresses;
     for (const auto& [id, known] : m_upstreams) {
-        if (known.report.zone == zone && !known.report.isLeaving && known.reportedAt >= now - maxAge)
-            addresses.insert(known.report.address);
+        if (known.reports.latest().zone == zone && !known.reports.latest().isLeaving && known.reportedAt >= now - maxAge)
+            addresses.insert(known.reports.latest().address);
     }
     return addresses.size();
 }
 
 void upstream_directory::append(protocol::upstream_list& list, const known_upstream& known, time_point now)
 {
-    list.reports.push_back(known.report);
+    list.reports.push_back(known.reports.latest());
     list.agesMs.push_back(static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now - known.knownAt).count()));
 }
 
@@ -144,7 +143,7 @@
 {
     protocol::upstream_list out;
     for (const auto& [id, known] : m_upstreams) {
-        if (known.report.zone == zone)
+        if (known.reports.latest().zone == zone)
             append(out, known, now);
     }
     return out;
@@ -163,7 +162,7 @@
 void upstream_directory::forEach(const std::function<void(const protocol::upstream_report& report)>& visit) const
 {
     for (const auto& [id, known] : m_upstreams)
-        visit(known.report);
+        visit(known.reports.latest());
 }
 
 void upstream_directory::expire(time_point now)
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -5,6 +5,7 @@
 
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
+#include "protocol/upstream_reports.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -75,8 +76,7 @@
 
 private:
     struct known_upstream {
-        protocol::upstream_report report;
-        time_point receivedAt;
+        protocol::report_history reports;
         time_point reportedAt = time_point::min(); // last report that a control host relayed
         time_point knownAt; // when any host last heard of it, as far as known
     };
