JSON bodies: exactly one document is read, without zero bytes or repeated members

Cause: the JSON library takes a zero byte for the end of the text, so a configuration followed by a zero byte and half of another one was acknowledged and in force. Of two members of one name the library keeps the last. Both are refused now; trailing data already was.

Decoders that parseJsonObject() serves: configurations, heartbeats, callers' jobs and upstreams' responses (platform/json_fields), json_reader (jobs and rules of the other programs), upstream_answer. Those that called the library themselves use parseJsonOrDiscard() with the same checks: upstream_instance, control_server, service_probe, comparison, service_counts, burn_history (file), ctl commands and control_connection, group_probe. Not changed: settings and rules files are TOML, whose reader refuses zero bytes; messages between hosts are msgpack and ignore later fields by design; records on disk already refuse trailing bytes.

--- a/src/apps/burn/burn_history.cpp
+++ b/src/apps/burn/burn_history.cpp
@@ -1,6 +1,8 @@
 // Readings of hosts and their differences.
 #include "apps/burn/burn_history.h"
 
+#include "protocol/json_document.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -123,7 +125,7 @@
 protocol::result<host_reading> parseLine(std::string_view line, std::string_view objectivesKey)
 {
     const auto malformed = [] { return protocol::makeError(protocol::error_kind::malformed_request, "a line of the history can't be read"); };
-    const auto json = nlohmann::json::parse(line, nullptr, false);
+    const auto json = protocol::parseJsonOrDiscard(line);
     const auto holds = [&json](const char* name, nlohmann::json::value_t type) { return json.contains(name) && json[name].type() == type; };
     using type = nlohmann::json::value_t;
     if (!json.is_object() || !holds("time", type::number_unsigned) || !holds("host", type::string) || !holds("objectives", type::string) || !holds("counts", type::array))
--- a/src/apps/control/group_probe.cpp
+++ b/src/apps/control/group_probe.cpp
@@ -1,6 +1,7 @@
 // GET /v1/members of each other host, one after the other.
 #include "apps/control/group_probe.h"
 
+#include "protocol/json_document.h"
 #include "transport/event_loop.h"
 #include "transport/http_client.h"
 
@@ -13,7 +14,7 @@
 
     bool hasVoters(const transport::http_result& outcome)
     {
-        const auto body = nlohmann::json::parse(outcome.response.body, nullptr, false);
+        const auto body = protocol::parseJsonOrDiscard(outcome.response.body);
         return outcome.outcome == transport::request_outcome::answered && body.is_object() && body.contains("voters") && !body["voters"].empty();
     }
 
--- a/src/apps/ctl/commands.cpp
+++ b/src/apps/ctl/commands.cpp
@@ -2,6 +2,7 @@
 #include "apps/ctl/commands.h"
 
 #include "apps/shared/command_line.h"
+#include "protocol/json_document.h"
 #include "state/rules_file.h"
 
 #include <nlohmann/json.hpp>
@@ -35,7 +36,7 @@
 
     json parsed(const http_response& response)
     {
-        json body = json::parse(response.body, nullptr, false);
+        json body = protocol::parseJsonOrDiscard(response.body);
         return body.is_object() ? body : json::object();
     }
 
--- a/src/apps/ctl/control_connection.cpp
+++ b/src/apps/ctl/control_connection.cpp
@@ -2,6 +2,7 @@
 #include "apps/ctl/control_connection.h"
 
 #include "apps/shared/zone_address.h"
+#include "protocol/json_document.h"
 #include "transport/event_loop.h"
 
 #include <nlohmann/json.hpp>
@@ -31,7 +32,7 @@
     // Where the answer says that the leader is; std::nullopt when it does not know.
     std::optional<endpoint> leaderIn(const std::string& body)
     {
-        const json answer = json::parse(body, nullptr, false);
+        const json answer = protocol::parseJsonOrDiscard(body);
         if (!answer.is_object() || !answer.contains("leader") || !answer["leader"].is_object())
             return std::nullopt;
         auto address = apps::parseEndpoint(answer["leader"].value("address", ""));
--- a/src/apps/load/comparison.cpp
+++ b/src/apps/load/comparison.cpp
@@ -1,6 +1,8 @@
 // Comparison of result files.
 #include "apps/load/comparison.h"
 
+#include "protocol/json_document.h"
+
 #include <nlohmann/json.hpp>
 
 #include <iomanip>
@@ -24,7 +26,7 @@
 
     protocol::result<figure_map> readFigures(std::string_view text)
     {
-        const auto json = nlohmann::json::parse(text, nullptr, false);
+        const auto json = protocol::parseJsonOrDiscard(text);
         if (!json.is_object())
             return protocol::makeError(protocol::error_kind::malformed_request, "a result file is not a JSON object");
         figure_map out;
--- a/src/apps/load/service_counts.cpp
+++ b/src/apps/load/service_counts.cpp
@@ -2,6 +2,7 @@
 #include "apps/load/service_counts.h"
 
 #include "apps/shared/metrics_page.h"
+#include "protocol/json_document.h"
 
 #include <nlohmann/json.hpp>
 
@@ -79,7 +80,7 @@
 
 protocol::result<upstream_counts> parseUpstreamCounts(std::string_view text)
 {
-    const auto json = nlohmann::json::parse(text, nullptr, false);
+    const auto json = protocol::parseJsonOrDiscard(text);
     const auto count = [&json](const char* name) -> std::uint64_t {
         const auto found = json.find(name);
         return found != json.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
--- a/src/apps/load/service_probe.cpp
+++ b/src/apps/load/service_probe.cpp
@@ -2,6 +2,7 @@
 #include "apps/load/service_probe.h"
 
 #include "protocol/job_codec.h"
+#include "protocol/json_document.h"
 
 #include <nlohmann/json.hpp>
 
@@ -162,7 +163,7 @@
         const auto answer = fetch(target, std::move(call));
         if (!answer)
             return answer.error();
-        const auto json = nlohmann::json::parse(answer.value(), nullptr, false);
+        const auto json = protocol::parseJsonOrDiscard(answer.value());
         if (!json.is_object() || !json.contains("started"))
             return makeError(error_kind::malformed_request, describe(target) + " gives no list of submissions");
         sum += json["started"].size();
--- a/src/apps/upstream/control_server.cpp
+++ b/src/apps/upstream/control_server.cpp
@@ -1,6 +1,7 @@
 // HTTP interface of the control port.
 #include "apps/upstream/control_server.h"
 
+#include "protocol/json_document.h"
 #include "state/log.h"
 
 #include <nlohmann/json.hpp>
@@ -88,7 +89,7 @@
 
     http_response started(const std::string& body)
     {
-        const auto json = nlohmann::json::parse(body, nullptr, false);
+        const auto json = protocol::parseJsonOrDiscard(body);
         if (!json.is_object() || !json.contains("submissions") || !json["submissions"].is_array())
             return error(400, "'submissions' must be an array");
         nlohmann::json found = nlohmann::json::array();
@@ -104,7 +105,7 @@
 
     http_response putFault(const std::string& body)
     {
-        const auto json = nlohmann::json::parse(body, nullptr, false);
+        const auto json = protocol::parseJsonOrDiscard(body);
         if (!json.is_object() || !json.contains("instance") || !json["instance"].is_string() || !json.contains("mode") || !json["mode"].is_string())
             return error(400, "'instance' and 'mode' must be strings");
         const auto mode = parseFaultMode(json["mode"].get<std::string>());
--- a/src/apps/upstream/upstream_instance.cpp
+++ b/src/apps/upstream/upstream_instance.cpp
@@ -3,6 +3,7 @@
 
 #include "apps/upstream/task_ledger.h"
 #include "protocol/job.h"
+#include "protocol/json_document.h"
 #include "state/log.h"
 #include "transport/http_server.h"
 
@@ -36,7 +37,7 @@
 
     std::optional<task_work> parseWork(const std::string& payload)
     {
-        const auto json = nlohmann::json::parse(payload, nullptr, false);
+        const auto json = protocol::parseJsonOrDiscard(payload);
         if (!json.is_object() || !json.contains("work_ms") || !json["work_ms"].is_number())
             return std::nullopt;
         const double milliseconds = json["work_ms"].get<double>();
--- a/src/protocol/json_document.cpp
+++ b/src/protocol/json_document.cpp
@@ -1,20 +1,45 @@
-// Parsing with a limit on the nesting depth.
+// Parsing of exactly one document, with a limit on the nesting depth.
 #include "protocol/json_document.h"
 
+#include <set>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace jackdaw::protocol {
 namespace {
 
     constexpr int maxDepth = 32; // as for messages between hosts; no message has more than five levels
 
-    // Called while parsing, since each level of the document takes some 70 bytes of memory for two bytes of text.
-    bool checkDepth(int depth, nlohmann::json::parse_event_t, const nlohmann::json&)
+    // Checks the document while it is parsed: each level takes some 70 bytes of memory for two bytes of text, and of two members of one
+    // name the library keeps only the last.
+    class document_check {
+    public:
+        bool operator()(int depth, nlohmann::json::parse_event_t event, const nlohmann::json& parsed)
+        {
+            using event_kind = nlohmann::json::parse_event_t;
+            if (depth > maxDepth)
+                throw std::length_error("the body is nested deeper than " + std::to_string(maxDepth) + " levels");
+            if (event == event_kind::object_start)
+                m_openObjects.emplace_back();
+            else if (event == event_kind::object_end)
+                m_openObjects.pop_back();
+            else if (event == event_kind::key && !m_openObjects.back().insert(parsed.get_ref<const std::string&>()).second)
+                throw std::invalid_argument("the body names a member twice");
+            return true;
+        }
+
+    private:
+        std::vector<std::set<std::string>> m_openObjects; // the members of each
+    };
+
+    nlohmann::json parseChecked(std::string_view text)
     {
-        if (depth > maxDepth)
-            throw std::length_error("the body is nested deeper than " + std::to_string(maxDepth) + " levels");
-        return true;
+        // The library takes a zero byte for the end of the text, and the rest would be left unread.
+        if (text.find('\0') != std::string_view::npos)
+            throw std::invalid_argument("the body contains a zero byte");
+        document_check check;
+        return nlohmann::json::parse(text, [&check](int depth, nlohmann::json::parse_event_t event, const nlohmann::json& parsed) { return check(depth, event, parsed); });
     }
 
 } // namespace
@@ -22,7 +47,7 @@
 result<nlohmann::json> parseJsonObject(std::string_view text)
 {
     try {
-        auto document = nlohmann::json::parse(text, &checkDepth);
+        auto document = parseChecked(text);
         if (!document.is_object())
             return makeError(error_kind::malformed_request, "the body is not a JSON object");
         return document;
@@ -35,4 +60,13 @@
     }
 }
 
+nlohmann::json parseJsonOrDiscard(std::string_view text)
+{
+    try {
+        return parseChecked(text);
+    } catch (const std::exception&) {
+        return { nlohmann::json::value_t::discarded };
+    }
+}
+
 } // namespace jackdaw::protocol
--- a/src/protocol/json_document.h
+++ b/src/protocol/json_document.h
@@ -9,7 +9,11 @@
 
 namespace jackdaw::protocol {
 
-// Fails with malformed_request when the text is not a JSON object, or is nested more deeply than any message.
+// Fails with malformed_request when the text is not exactly one JSON object, has a zero byte or names a member twice, or is nested more
+// deeply than any message.
 result<nlohmann::json> parseJsonObject(std::string_view text);
 
+// The same checks for a value of any kind; returns a discarded value when one fails.
+nlohmann::json parseJsonOrDiscard(std::string_view text);
+
 } // namespace jackdaw::protocol
