Bound what connections of clients and other hosts hold

Cause: libevhtp stores whatever arrives, half a kilobyte for a chunk of one byte, and answers pipelined requests although nobody reads the responses; links waited for 32 MB of anybody. A gate on each connection now follows the framing of requests and refuses what is over a limit before the parser stores it (400, 408, 413, 414, 431), passes on one request at a time, and stops reading behind an open one. All HTTP servers of a process share a budget of memory and connections from the new settings memory_mb and max_descriptors; when it is used up, connections that hold most and have no complete request are closed. Links have bounds on unfinished messages, connections and parts of a frame. Ruled out: libevhtp's own body limit, which counts over all requests of a connection; moving libevent's buffers as they are, which kept kilobytes for a byte (36 MB for 200 slow connections).

Evidence: outside_limits_tests, each case by itself: 21 of 21 pass (17 failed before), peaks of the entry host 7,588 to 59,380 KB and of the control host 7,436 to 50,280 KB. That run was before the last change to small reads; after it two cases were run again, both pass: slow connections 9,120 KB, large chunks 55,228 KB. transport_tests: 31 of 31 cases pass before that change. Cost per task was not measured.

--- a/src/apps/cell_host/cell_host_settings.cpp
+++ b/src/apps/cell_host/cell_host_settings.cpp
@@ -40,6 +40,7 @@
         settings.stopTime = toDuration(reader.numberOr("task_stop_ms", 50, 1, 60000));
         settings.gracePeriod = toDuration(reader.numberOr("grace_s", 6, 0.1, 600) * millisecondsPerSecond);
         settings.logLevel = apps::readLogLevel(reader, "log_level");
+        settings.limits = apps::readMachineLimits(reader);
         if (auto finished = reader.finish(); !finished)
             return finished.error();
         return settings;
--- a/src/apps/cell_host/cell_host_settings.h
+++ b/src/apps/cell_host/cell_host_settings.h
@@ -2,6 +2,7 @@
 // docs/OPERATIONS.md.
 #pragma once
 
+#include "apps/shared/machine_limits.h"
 #include "protocol/result.h"
 #include "protocol/time.h"
 #include "state/log.h"
@@ -30,6 +31,7 @@
     protocol::duration stopTime {}; // within which an upstream ends a stopped task
     protocol::duration gracePeriod {}; // from SIGTERM until the process is killed
     state::log_level logLevel = state::log_level::info;
+    apps::machine_limits limits;
 };
 
 protocol::result<cell_host_settings> readCellHostSettings(const std::string& path);
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -90,6 +90,9 @@
         out.host = controlMeshName(settings.host);
         out.incarnation = incarnation;
         out.listenAddress = apps::toText({ settings.host, settings.meshPort });
+        out.maxMessageBytes = 2 * out.maxQueuedBytes; // the lengths of a frame's parts take no more than the parts
+        out.maxReceivedBytes = settings.limits.linkBytes();
+        out.maxConnections = settings.limits.linkConnections();
         out.silenceLimit = linkSilenceLimit;
         return out;
     }
--- a/src/apps/hub/control_host_settings.cpp
+++ b/src/apps/hub/control_host_settings.cpp
@@ -24,6 +24,7 @@
         settings.meshPort = static_cast<std::uint16_t>(reader.requiredInteger("control_mesh_port", 1, 65535));
         settings.entryMeshPort = static_cast<std::uint16_t>(reader.requiredInteger("entry_mesh_port", 1, 65535));
         settings.logLevel = apps::readLogLevel(reader, "log_level");
+        settings.limits = apps::readMachineLimits(reader);
         settings.operatorEndpoint = apps::readEndpoint(reader, "operators");
         for (transport::endpoint& seed : apps::readList<transport::endpoint>(reader, "seeds", apps::parseEndpoint))
             settings.seeds.push_back(std::move(seed.host));
--- a/src/apps/hub/control_host_settings.h
+++ b/src/apps/hub/control_host_settings.h
@@ -2,6 +2,7 @@
 // docs/OPERATIONS.md.
 #pragma once
 
+#include "apps/shared/machine_limits.h"
 #include "protocol/result.h"
 #include "state/log.h"
 #include "transport/http_client.h"
@@ -25,6 +26,7 @@
     std::uint16_t meshPort = 0; // the same on every control host
     std::uint16_t entryMeshPort = 0; // the same on every entry host
     state::log_level logLevel = state::log_level::info;
+    apps::machine_limits limits;
 };
 
 protocol::result<control_host_settings> readControlHostSettings(const std::string& path);
--- /dev/null
+++ b/src/apps/shared/machine_limits.cpp
@@ -0,0 +1,58 @@
+// Shares of a machine.
+#include "apps/shared/machine_limits.h"
+
+#include <sys/resource.h>
+
+#include <algorithm>
+
+namespace jackdaw::apps {
+namespace {
+
+    constexpr std::size_t mebibyte = 1024 * 1024;
+    constexpr std::size_t callerShare = 4; // a quarter of the memory; the process itself takes some 10 MB and its jobs the rest
+    constexpr std::size_t linkShare = 8;
+    constexpr std::size_t minLinkBytes = 9 * mebibyte; // one message of the largest size
+    constexpr std::size_t callerDescriptorShare = 2; // the other half is for links, upstreams and files
+    constexpr std::size_t linkDescriptorShare = 4;
+
+    std::size_t grantedDescriptors(std::size_t wanted)
+    {
+        rlimit granted {};
+        if (getrlimit(RLIMIT_NOFILE, &granted) != 0)
+            return wanted;
+        return std::min<std::size_t>(wanted, granted.rlim_cur);
+    }
+
+} // namespace
+
+std::size_t machine_limits::callerBytes() const
+{
+    return memoryMb * mebibyte / callerShare;
+}
+
+std::size_t machine_limits::callerConnections() const
+{
+    return grantedDescriptors(maxDescriptors) / callerDescriptorShare;
+}
+
+std::size_t machine_limits::linkBytes() const
+{
+    return std::max(memoryMb * mebibyte / linkShare, minLinkBytes);
+}
+
+std::size_t machine_limits::linkConnections() const
+{
+    return grantedDescriptors(maxDescriptors) / linkDescriptorShare;
+}
+
+machine_limits readMachineLimits(state::settings_reader& reader)
+{
+    constexpr std::int64_t minMemoryMb = 64;
+    constexpr std::int64_t minDescriptors = 64;
+    machine_limits out;
+    out.memoryMb = static_cast<std::size_t>(reader.integerOr("memory_mb", static_cast<std::int64_t>(out.memoryMb), minMemoryMb, 1 << 20));
+    out.maxDescriptors = static_cast<std::size_t>(reader.integerOr("max_descriptors", static_cast<std::int64_t>(out.maxDescriptors), minDescriptors, 1 << 20));
+    return out;
+}
+
+} // namespace jackdaw::apps
--- a/src/protocol/msgpack_codec.h
+++ b/src/protocol/msgpack_codec.h
@@ -6,6 +6,9 @@
 
 #include <msgpack.hpp>
 
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
 #include <exception>
 #include <string>
 #include <string_view>
@@ -19,6 +22,7 @@
     std::size_t maxDepth; // nesting depth of arrays and maps
     bool rejectsTrailingBytes;
     std::string_view errorPrefix;
+    std::size_t maxElements = SIZE_MAX; // of one array or map
 };
 
 // For messages of a peer or client: bytes after the message are ignored.
@@ -42,8 +46,9 @@
 {
     try {
         // Each element takes at least one byte, so a count above the number of bytes is invalid and must not be allocated.
-        const std::size_t maxCount = bytes.size();
-        const msgpack::unpack_limit limit(maxCount, maxCount, maxCount, maxCount, maxCount, options.maxDepth);
+        const std::size_t maxBytes = bytes.size();
+        const std::size_t maxCount = std::min(maxBytes, options.maxElements);
+        const msgpack::unpack_limit limit(maxCount, maxCount, maxBytes, maxBytes, maxBytes, options.maxDepth);
         const auto referencesBytes = [](auto, auto, auto) { return true; };
         std::size_t offset = 0;
         const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size(), offset, referencesBytes, nullptr, limit);
--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,7 +1,7 @@
 // HTTP server by libevhtp. A request that is not answered at once is paused and resumed with its reply.
 #include "transport/http_server.h"
 
-#include "transport/internal/request_line_gate.h"
+#include "transport/internal/request_gate.h"
 
 #include <evhtp/evhtp.h>
 
@@ -15,6 +15,8 @@
 #include <cerrno>
 #include <map>
 #include <memory>
+#include <utility>
+#include <vector>
 
 namespace jackdaw::transport {
 namespace {
@@ -24,6 +26,7 @@
     using protocol::result;
 
     constexpr int listenBacklog = 1024;
+    constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this
 
     // The library takes hooks of all types as one function type.
     template <typename Function>
@@ -54,7 +57,7 @@
         return 0;
     }
 
-    http_request readRequest(evhtp_request_t* request)
+    http_request readRequest(evhtp_request_t* request, internal::request_gate* gate)
     {
         http_request out;
         out.method = toMethod(evhtp_request_get_method(request));
@@ -62,9 +65,8 @@
             out.path = request->uri->path->full;
         if (request->uri && request->uri->query_raw)
             out.query = reinterpret_cast<const char*>(request->uri->query_raw);
-        const std::size_t length = evbuffer_get_length(request->buffer_in);
-        out.body.resize(length);
-        evbuffer_copyout(request->buffer_in, out.body.data(), length);
+        if (gate)
+            out.body = gate->takeBody();
         evhtp_headers_for_each(request->headers_in, &collectHeader, &out.headers);
         return out;
     }
@@ -89,11 +91,11 @@
     // The library's hooks keep a reference as long as the library's request lives.
     class responder final : public http_responder {
     public:
-        responder(evhtp_request_t* request, event_loop& loop, std::size_t& openRequests, timeval readTimeout)
+        responder(evhtp_request_t* request, internal::request_gate* gate, event_loop& loop, std::size_t& openRequests)
             : m_request(request)
+            , m_gate(gate)
             , m_loop(loop)
             , m_openRequests(openRequests)
-            , m_readTimeout(readTimeout)
         {
             ++m_openRequests;
         }
@@ -109,12 +111,13 @@
             m_goneHook = nullptr;
             if (!m_isPaused) {
                 sendResponse(m_request, response);
+                noteReply(response);
                 return;
             }
             evhtp_request_t* request = m_request;
             evhtp_connection_unset_hook(evhtp_request_get_connection(request), evhtp_hook_on_event);
-            bufferevent_set_timeouts(evhtp_request_get_bev(request), &m_readTimeout, nullptr);
             sendResponse(request, response);
+            noteReply(response);
             evhtp_request_resume(request);
         }
 
@@ -134,14 +137,12 @@
 
         bool hasReplied() const { return m_hasReplied; }
 
-        // Reading stays on while the request is paused, without a timeout, so that a closed connection is noticed.
+        // Reading stays on while the request is paused, so that a closed connection is noticed.
         void pause()
         {
             m_isPaused = true;
             evhtp_request_pause(m_request);
-            bufferevent* buffer = evhtp_request_get_bev(m_request);
-            bufferevent_set_timeouts(buffer, nullptr, nullptr);
-            bufferevent_enable(buffer, EV_READ);
+            bufferevent_enable(evhtp_request_get_bev(m_request), EV_READ);
         }
 
         void onConnectionEvent(short events)
@@ -170,6 +171,13 @@
         }
 
     private:
+        // While the library's request lives, its connection and gate do.
+        void noteReply(const http_response& response)
+        {
+            if (m_gate)
+                m_gate->onReplied(response.closesConnection || (m_request->flags & EVHTP_REQ_FLAG_KEEPALIVE) == 0);
+        }
+
         void callGoneHook()
         {
             if (m_hasReplied || !m_goneHook)
@@ -180,9 +188,9 @@
         }
 
         evhtp_request_t* m_request; // null once the library freed it
+        internal::request_gate* m_gate;
         event_loop& m_loop;
         std::size_t& m_openRequests;
-        timeval m_readTimeout;
         bool m_isPaused = false;
         bool m_hasReplied = false;
         std::function<void()> m_goneHook;
@@ -209,15 +217,15 @@
 
 class http_server::impl {
 public:
-    impl(event_loop& eventLoop, http_server_limits serverLimits, handler requestHandler)
+    impl(event_loop& eventLoop, http_server_limits serverLimits, handler requestHandler, memory_budget* shared)
         : loop(eventLoop)
-        , limits(serverLimits)
+        , ownBudget(shared ? nullptr : std::make_unique<memory_budget>(serverLimits.maxMemoryBytes, serverLimits.maxConnections))
+        , budget(shared ? *shared : *ownBudget)
         , onRequest(std::move(requestHandler))
         , server(evhtp_new(eventLoop.base(), nullptr))
-        , readTimeout { std::chrono::duration_cast<std::chrono::seconds>(limits.readTimeout).count(), 0 }
+        , sweep(loop.every(sweepInterval, [this] { checkTimes(); }))
     {
-        evhtp_set_timeouts(server, &readTimeout, nullptr);
-        evhtp_set_max_body_size(server, limits.maxBodyBytes);
+        setLimits(serverLimits);
         evhtp_set_gencb(server, &impl::onLibraryRequest, this);
         evhtp_set_pre_accept_cb(server, &impl::onAccept, this);
         evhtp_set_post_accept_cb(server, &impl::onAccepted, this);
@@ -242,57 +250,98 @@
         isListening = false;
     }
 
+    void setLimits(const http_server_limits& limits)
+    {
+        gateLimits = { { limits.maxHeaderBytes, limits.maxBodyBytes }, limits.headerTimeout, limits.idleTimeout, limits.bodyTimeout };
+    }
+
     static evhtp_res onAccept(evhtp_connection_t*, void* self)
     {
-        const impl& server = *static_cast<impl*>(self);
-        return server.connections.size() < server.limits.maxConnections ? EVHTP_RES_OK : EVHTP_RES_ERROR;
+        return static_cast<impl*>(self)->budget.admit() ? EVHTP_RES_OK : EVHTP_RES_ERROR;
     }
 
     static evhtp_res onAccepted(evhtp_connection_t* connection, void* self)
     {
         impl& server = *static_cast<impl*>(self);
-        server.connections[connection] = std::make_unique<internal::request_line_gate>(evhtp_connection_get_bev(connection), server.limits.maxHeaderBytes);
+        internal::request_gate::hooks hooks;
+        hooks.onRefused = [&server](int status) { server.countRefusal(status); };
+        hooks.onOverBudget = [&server] { server.postEnforcement(); };
+        hooks.close = [connection] { evhtp_connection_free(connection); };
+        server.connections[connection] = std::make_unique<internal::request_gate>(evhtp_connection_get_bev(connection), server.gateLimits, server.budget, std::move(hooks));
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, toHook(&impl::onConnectionClosed), self);
-        evhtp_connection_set_hook(connection, evhtp_hook_on_headers, toHook(&impl::onHeaders), self);
+        evhtp_connection_set_hook(connection, evhtp_hook_on_read, toHook(&impl::onBody), self);
         return EVHTP_RES_OK;
     }
 
+    void countRefusal(int status)
+    {
+        if (status == 413)
+            ++refusals.bodies;
+        else if (status == 414 || status == 431)
+            ++refusals.headers;
+        else if (status == 408)
+            ++refusals.timeouts;
+        else
+            ++refusals.malformed;
+    }
+
+    // Connections are closed outside of their callbacks.
+    void postEnforcement()
+    {
+        if (std::exchange(isEnforcementPosted, true))
+            return;
+        loop.post([this, alive = std::weak_ptr<bool>(aliveToken)] {
+            if (alive.expired())
+                return;
+            isEnforcementPosted = false;
+            budget.enforce();
+        });
+    }
+
+    void checkTimes()
+    {
+        std::vector<evhtp_connection_t*> present;
+        present.reserve(connections.size());
+        for (const auto& [connection, gate] : connections)
+            present.push_back(connection);
+        const protocol::time_point now = protocol::steadyNow();
+        for (evhtp_connection_t* connection : present) {
+            if (const auto found = connections.find(connection); found != connections.end())
+                found->second->checkTime(now);
+        }
+    }
+
     static evhtp_res onConnectionClosed(evhtp_connection_t* connection, void* self)
     {
         static_cast<impl*>(self)->connections.erase(connection);
         return EVHTP_RES_OK;
     }
 
-    internal::request_line_gate* gateOf(evhtp_request_t* request)
+    internal::request_gate* gateOf(evhtp_request_t* request)
     {
         const auto found = connections.find(evhtp_request_get_connection(request));
         return found == connections.end() ? nullptr : found->second.get();
     }
 
-    static evhtp_res onHeaders(evhtp_request_t* request, evhtp_headers_t* headers, void* self)
+    static evhtp_res onBody(evhtp_request_t* request, evbuffer* data, void* self)
     {
-        if (internal::request_line_gate* gate = static_cast<impl*>(self)->gateOf(request))
-            gate->onHeadRead();
-        std::size_t bytes = 0;
-        const evhtp_header_t* header = nullptr;
-        TAILQ_FOREACH(header, headers, next)
-        {
-            bytes += header->klen + header->vlen;
-        }
-        return bytes <= static_cast<impl*>(self)->limits.maxHeaderBytes ? EVHTP_RES_OK : EVHTP_RES_BADREQ;
+        if (internal::request_gate* gate = static_cast<impl*>(self)->gateOf(request))
+            gate->addBody(data);
+        return EVHTP_RES_OK;
     }
 
     static void onLibraryRequest(evhtp_request_t* request, void* self) { static_cast<impl*>(self)->handle(request); }
 
     void handle(evhtp_request_t* request)
     {
-        auto held = std::make_shared<responder>(request, loop, openRequests, readTimeout);
+        internal::request_gate* gate = gateOf(request);
+        auto held = std::make_shared<responder>(request, gate, loop, openRequests);
         // Owned by the library's request, released by onRequestFinished.
         auto* reference = new responder_reference(held);
         evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(&onRequestFinished), reference);
-        if (internal::request_line_gate* gate = gateOf(request))
-            gate->onRequestEnded();
-        onRequest(readRequest(request), held);
+        if (gate)
+            gate->onRequestRead();
+        onRequest(readRequest(request, gate), held);
         if (held->hasReplied())
             return;
         evhtp_connection_set_hook(evhtp_request_get_connection(request), evhtp_hook_on_event, toHook(&onConnectionEvent), reference);
@@ -300,18 +349,23 @@
     }
 
     event_loop& loop;
-    http_server_limits limits;
+    std::unique_ptr<memory_budget> ownBudget; // null if the budget is shared
+    memory_budget& budget;
+    internal::gate_limits gateLimits;
     handler onRequest;
     evhtp_t* server;
-    timeval readTimeout;
-    std::map<evhtp_connection_t*, std::unique_ptr<internal::request_line_gate>> connections;
+    std::unique_ptr<event_loop::timer> sweep;
+    std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
+    std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
+    http_server_refusals refusals;
     std::size_t openRequests = 0;
+    bool isEnforcementPosted = false;
     bool isListening = false;
     std::uint16_t port = 0;
 };
 
-http_server::http_server(event_loop& loop, http_server_limits limits, handler onRequest)
-    : m_impl(std::make_unique<impl>(loop, limits, std::move(onRequest)))
+http_server::http_server(event_loop& loop, http_server_limits limits, handler onRequest, memory_budget* shared)
+    : m_impl(std::make_unique<impl>(loop, limits, std::move(onRequest), shared))
 {
 }
 
@@ -344,6 +398,16 @@
     return m_impl->openRequests;
 }
 
+void http_server::setLimits(const http_server_limits& limits)
+{
+    m_impl->setLimits(limits);
+}
+
+http_server_refusals http_server::refusals() const
+{
+    return m_impl->refusals;
+}
+
 std::size_t http_server::openConnections() const
 {
     return m_impl->connections.size();
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -5,6 +5,7 @@
 #include "protocol/time.h"
 #include "transport/event_loop.h"
 #include "transport/http_message.h"
+#include "transport/memory_budget.h"
 
 #include <cstdint>
 #include <functional>
@@ -29,18 +30,30 @@
 };
 
 struct http_server_limits {
-    std::size_t maxBodyBytes = 16 * 1024 * 1024;
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxConnections = 4096;
-    protocol::duration readTimeout = std::chrono::seconds(30); // for a request's arrival, against slow callers
+    std::size_t maxBodyBytes = 16 * 1024 * 1024; // 413
+    std::size_t maxHeaderBytes = 32 * 1024; // request line and header section; 431 or 414
+    std::size_t maxConnections = 4096; // of a server with a budget of its own
+    protocol::duration headerTimeout = std::chrono::seconds(10); // from a request's first byte to the end of its header section; 408
+    protocol::duration idleTimeout = std::chrono::seconds(30); // without a request, or with a response that the caller does not read
+    protocol::duration bodyTimeout = std::chrono::seconds(30); // for a body, and a second for each 64 KiB of it; 408
+    std::size_t maxMemoryBytes = 256 * 1024 * 1024; // of all connections of a server with a budget of its own
+};
+
+// What a server has refused or closed because of a limit.
+struct http_server_refusals {
+    std::uint64_t headers = 0; // 414 and 431
+    std::uint64_t bodies = 0; // 413
+    std::uint64_t timeouts = 0; // 408
+    std::uint64_t malformed = 0; // 400 and 501
 };
 
 class http_server {
 public:
     using handler = std::function<void(http_request request, std::shared_ptr<http_responder> responder)>;
 
-    // All requests of all paths go to the handler, on the loop's thread.
-    http_server(event_loop& loop, http_server_limits limits, handler onRequest);
+    // All requests of all paths go to the handler, on the loop's thread. Servers may share a budget, which must outlive them; without one,
+    // the server has its own.
+    http_server(event_loop& loop, http_server_limits limits, handler onRequest, memory_budget* shared = nullptr);
     ~http_server();
 
     // Port 0 takes any free port; port() tells which.
@@ -53,6 +66,10 @@
     std::size_t openRequests() const;
     std::size_t openConnections() const;
 
+    // Replaces the limits for what arrives from now on, without those of a budget.
+    void setLimits(const http_server_limits& limits);
+    http_server_refusals refusals() const;
+
 private:
     class impl;
     std::unique_ptr<impl> m_impl;
--- a/src/transport/internal/mesh_frame.cpp
+++ b/src/transport/internal/mesh_frame.cpp
@@ -12,7 +12,9 @@
 
 protocol::result<mesh_frame> decodeFrame(std::string_view bytes)
 {
-    return protocol::unpackMessage<mesh_frame>(bytes);
+    protocol::unpack_options options = protocol::messageOptions;
+    options.maxElements = 4 * maxFrameBodies; // earlier releases put more into a frame
+    return protocol::unpackMessage<mesh_frame>(bytes, options);
 }
 
 } // namespace jackdaw::transport::internal
--- a/src/transport/internal/mesh_frame.h
+++ b/src/transport/internal/mesh_frame.h
@@ -5,6 +5,7 @@
 
 #include <msgpack.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -12,6 +13,9 @@
 
 namespace jackdaw::transport::internal {
 
+// Of one frame: a receiver takes up to 64 bytes for the shortest body, which has one byte on the wire.
+constexpr std::ptrdiff_t maxFrameBodies = 16384;
+
 struct mesh_frame {
     std::uint32_t version = 1;
     std::string sender;
--- a/src/transport/internal/mesh_listener.cpp
+++ b/src/transport/internal/mesh_listener.cpp
@@ -13,10 +13,12 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <map>
 #include <span>
+#include <utility>
 
 namespace jackdaw::transport::internal {
 namespace {
@@ -44,11 +46,13 @@
         connection_id id = 0;
         bufferevent* stream = nullptr;
         bool isOpen = false; // the peer's header has arrived
+        bool hasDelivered = false; // a whole message
+        std::size_t held = 0; // bytes of an unfinished message, as counted in receivedBytes
     };
 
-    impl(event_loop& eventLoop, std::size_t bound, bytes_hook hook)
+    impl(event_loop& eventLoop, const listener_limits& bounds, bytes_hook hook)
         : loop(eventLoop)
-        , maxMessageBytes(bound)
+        , limits(bounds)
         , onBytes(std::move(hook))
     {
     }
@@ -66,6 +70,11 @@
 
     void accept(evutil_socket_t descriptor)
     {
+        if (connections.size() >= limits.maxConnections && !closeOldestStranger()) {
+            ++closedForLimit;
+            evutil_closesocket(descriptor);
+            return;
+        }
         keepAlive(descriptor);
         bufferevent* stream = bufferevent_socket_new(loop.base(), descriptor, BEV_OPT_CLOSE_ON_FREE);
         if (!stream) {
@@ -73,7 +82,7 @@
             return;
         }
         connection& link = connections[++lastConnection];
-        link = { this, lastConnection, stream, false };
+        link = { this, lastConnection, stream };
         bufferevent_setcb(stream, &impl::onReadable, nullptr, &impl::onEvent, &link);
         bufferevent_write(stream, pullHeader.data(), pullHeader.size());
         bufferevent_enable(stream, EV_READ | EV_WRITE);
@@ -84,10 +93,39 @@
         const auto found = connections.find(id);
         if (found == connections.end())
             return;
+        receivedBytes -= found->second.held;
         bufferevent_free(found->second.stream);
         connections.erase(found);
     }
 
+    bool closeOldestStranger()
+    {
+        const auto found = std::find_if(connections.begin(), connections.end(), [](const auto& item) { return !item.second.hasDelivered; });
+        if (found == connections.end())
+            return false;
+        ++closedForLimit;
+        close(found->first);
+        return true;
+    }
+
+    // Connections that have delivered a message come last.
+    void closeLargest()
+    {
+        const auto rank = [](const auto& item) { return std::pair(!item.second.hasDelivered && item.second.held > 0, item.second.held); };
+        const auto found = std::max_element(connections.begin(), connections.end(), [rank](const auto& left, const auto& right) { return rank(left) < rank(right); });
+        ++closedForLimit;
+        close(found->first);
+    }
+
+    void count(connection& link)
+    {
+        const std::size_t held = evbuffer_get_length(bufferevent_get_input(link.stream));
+        receivedBytes = receivedBytes - link.held + held;
+        link.held = held;
+        while (receivedBytes > limits.maxReceivedBytes)
+            closeLargest();
+    }
+
     // Returns false if the connection does not speak the links' protocol.
     static bool readHeader(connection& link)
     {
@@ -110,17 +148,19 @@
             message_length prefix {};
             evbuffer_copyout(input, prefix.data(), prefix.size());
             const std::uint64_t length = decodeMessageLength(prefix);
-            if (length > maxMessageBytes)
+            if (length > limits.maxMessageBytes)
                 return close(id);
             if (evbuffer_get_length(input) < messageLengthBytes + length)
-                return;
+                break;
             evbuffer_drain(input, messageLengthBytes);
             std::string message(length, '\0');
             evbuffer_remove(input, message.data(), message.size());
             onBytes(id, message);
             if (!connections.contains(id))
                 return; // the hook has closed it
+            link.hasDelivered = true;
         }
+        count(link);
     }
 
     static void onReadable(bufferevent*, void* argument)
@@ -141,15 +181,17 @@
     }
 
     event_loop& loop;
-    const std::size_t maxMessageBytes;
+    const listener_limits limits;
     bytes_hook onBytes;
     evconnlistener* listener = nullptr;
     std::map<connection_id, connection> connections;
     connection_id lastConnection = 0;
+    std::size_t receivedBytes = 0;
+    std::uint64_t closedForLimit = 0;
 };
 
-mesh_listener::mesh_listener(event_loop& loop, std::size_t maxMessageBytes, bytes_hook onBytes)
-    : m_impl(std::make_unique<impl>(loop, maxMessageBytes, std::move(onBytes)))
+mesh_listener::mesh_listener(event_loop& loop, const listener_limits& limits, bytes_hook onBytes)
+    : m_impl(std::make_unique<impl>(loop, limits, std::move(onBytes)))
 {
 }
 
@@ -178,6 +220,11 @@
     return m_impl->connections.contains(connection);
 }
 
+std::uint64_t mesh_listener::closedConnections() const
+{
+    return m_impl->closedForLimit;
+}
+
 std::size_t mesh_listener::connections() const
 {
     return m_impl->connections.size();
--- a/src/transport/internal/mesh_listener.h
+++ b/src/transport/internal/mesh_listener.h
@@ -13,6 +13,12 @@
 
 namespace jackdaw::transport::internal {
 
+struct listener_limits {
+    std::size_t maxMessageBytes = 0;
+    std::size_t maxReceivedBytes = 0; // of all unfinished messages together; beyond it, connections that hold most are closed
+    std::size_t maxConnections = 0; // beyond it, the oldest one that has not delivered a message is closed
+};
+
 class mesh_listener {
 public:
     using connection_id = std::uint64_t; // never used twice
@@ -22,7 +28,7 @@
 
     // The hook runs on the loop's thread, for each connection in the order of arrival. A connection with a longer message, or
     // one that does not speak the links' protocol, is closed.
-    mesh_listener(event_loop& loop, std::size_t maxMessageBytes, bytes_hook onBytes);
+    mesh_listener(event_loop& loop, const listener_limits& limits, bytes_hook onBytes);
     ~mesh_listener();
 
     // The address is "ip:port".
@@ -33,6 +39,7 @@
 
     bool isConnected(connection_id connection) const;
     std::size_t connections() const;
+    std::uint64_t closedConnections() const; // because of a limit
 
 private:
     class impl;
--- /dev/null
+++ b/src/transport/internal/message_scanner.cpp
@@ -0,0 +1,219 @@
+// Framing of HTTP/1.1 requests: RFC 9112, sections 2 to 7.
+#include "transport/internal/message_scanner.h"
+
+#include <algorithm>
+#include <cctype>
+#include <charconv>
+
+namespace jackdaw::transport::internal {
+namespace {
+
+    constexpr std::size_t maxEmptyLineBytes = 8; // RFC 9112 asks for one empty line before a request to be ignored
+    constexpr std::size_t maxHeaderLines = 100; // the parser takes some 150 bytes for a header, however short
+    constexpr std::size_t maxRequestLineBytes = 8000; // as RFC 9112 recommends
+    constexpr std::size_t maxHeaderLineBytes = 8000; // the parser's buffer for a line has 8192 bytes
+    constexpr std::size_t maxSizeLineBytes = 64; // of a chunk, with its extensions
+    constexpr std::size_t maxSizeDigits = 8;
+
+    constexpr int malformed = 400;
+    constexpr int bodyTooLarge = 413;
+    constexpr int lineTooLong = 414;
+    constexpr int headTooLarge = 431;
+    constexpr int unknownEncoding = 501;
+
+    bool equalsIgnoringCase(std::string_view left, std::string_view right)
+    {
+        return std::equal(left.begin(), left.end(), right.begin(), right.end(), [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); });
+    }
+
+    std::string_view trimmed(std::string_view text)
+    {
+        constexpr std::string_view blanks = " \t";
+        const std::size_t begin = text.find_first_not_of(blanks);
+        return begin == std::string_view::npos ? std::string_view() : text.substr(begin, text.find_last_not_of(blanks) - begin + 1);
+    }
+
+    bool isRequestLine(std::string_view line)
+    {
+        const std::size_t first = line.find(' ');
+        const std::size_t last = line.rfind(' ');
+        return first != std::string_view::npos && first > 0 && last > first + 1 && line.substr(last + 1).starts_with("HTTP/1.");
+    }
+
+    // -1 for a byte that is none.
+    int hexDigit(char byte)
+    {
+        constexpr std::string_view digits = "0123456789abcdef";
+        const std::size_t found = digits.find(static_cast<char>(std::tolower(static_cast<unsigned char>(byte))));
+        return found == std::string_view::npos ? -1 : static_cast<int>(found);
+    }
+
+} // namespace
+
+void message_scanner::refuse(int status)
+{
+    m_part = part::refused;
+    m_refusal = status;
+    m_head = {};
+}
+
+std::size_t message_scanner::scan(std::string_view bytes, const message_limits& limits)
+{
+    switch (m_part) {
+    case part::head:
+        return scanHead(bytes, limits);
+    case part::body:
+        if (m_isChunked)
+            return scanChunks(bytes, limits);
+        break;
+    default:
+        return 0;
+    }
+    const std::size_t length = std::min<std::uint64_t>(bytes.size(), m_left);
+    m_left -= length;
+    if (m_left == 0)
+        m_part = part::end;
+    return length;
+}
+
+std::size_t message_scanner::scanHead(std::string_view bytes, const message_limits& limits)
+{
+    for (std::size_t i = 0; i < bytes.size(); ++i) {
+        const char byte = bytes[i];
+        if (m_head.empty() && (byte == '\r' || byte == '\n')) {
+            if (++m_emptyLineBytes > maxEmptyLineBytes) {
+                refuse(malformed);
+                return i + 1;
+            }
+            continue;
+        }
+        if (m_head.size() >= limits.maxHeaderBytes) {
+            refuse(m_head.find('\n') == std::string::npos ? lineTooLong : headTooLarge);
+            return i + 1;
+        }
+        const bool isAfterReturn = !m_head.empty() && m_head.back() == '\r';
+        m_head += byte;
+        if (byte == '\0' || isAfterReturn != (byte == '\n')) {
+            refuse(malformed);
+            return i + 1;
+        }
+        if (byte == '\n' && m_head.ends_with("\r\n\r\n")) {
+            finishHead(limits);
+            return i + 1;
+        }
+    }
+    return bytes.size();
+}
+
+void message_scanner::finishHead(const message_limits& limits)
+{
+    std::string_view rest = m_head;
+    const std::string_view requestLine = rest.substr(0, rest.find("\r\n"));
+    if (requestLine.size() > maxRequestLineBytes)
+        return refuse(lineTooLong);
+    if (!isRequestLine(requestLine))
+        return refuse(malformed);
+    rest.remove_prefix(requestLine.size() + 2);
+    std::size_t lines = 0;
+    while (!rest.starts_with("\r\n")) {
+        const std::string_view line = rest.substr(0, rest.find("\r\n"));
+        if (++lines > maxHeaderLines || line.size() > maxHeaderLineBytes)
+            return refuse(headTooLarge);
+        if (!readHeaderLine(line, limits))
+            return;
+        rest.remove_prefix(line.size() + 2);
+    }
+    m_head = {};
+    m_part = m_isChunked || m_left > 0 ? part::body : part::end;
+}
+
+// False if it has refused the request.
+bool message_scanner::readHeaderLine(std::string_view line, const message_limits& limits)
+{
+    const std::size_t colon = line.find(':');
+    const std::string_view name = line.substr(0, colon);
+    if (colon == std::string_view::npos || name.empty() || name.find_first_of(" \t") != std::string_view::npos) {
+        refuse(malformed);
+        return false;
+    }
+    const std::string_view value = trimmed(line.substr(colon + 1));
+    int status = 0;
+    if (equalsIgnoringCase(name, "Content-Length")) {
+        const auto parsed = std::from_chars(value.data(), value.data() + value.size(), m_left);
+        if (m_hasLength || m_isChunked || value.empty() || parsed.ptr != value.data() + value.size())
+            status = malformed;
+        else if (parsed.ec != std::errc() || m_left > limits.maxBodyBytes)
+            status = bodyTooLarge;
+        m_hasLength = true;
+    } else if (equalsIgnoringCase(name, "Transfer-Encoding")) {
+        if (m_hasLength || m_isChunked)
+            status = malformed;
+        else if (!equalsIgnoringCase(value, "chunked"))
+            status = unknownEncoding;
+        m_isChunked = true;
+    }
+    if (status != 0)
+        refuse(status);
+    return status == 0;
+}
+
+std::size_t message_scanner::scanChunks(std::string_view bytes, const message_limits& limits)
+{
+    std::size_t at = 0;
+    while (at < bytes.size() && m_part == part::body) {
+        if (m_chunkPart != chunk_part::data) {
+            if (!readChunkByte(bytes[at], limits))
+                refuse(m_bodyBytes > limits.maxBodyBytes ? bodyTooLarge : malformed);
+            ++at;
+            continue;
+        }
+        const std::size_t length = std::min<std::uint64_t>(bytes.size() - at, m_left);
+        at += length;
+        m_left -= length;
+        if (m_left == 0)
+            m_chunkPart = chunk_part::data_end_first;
+    }
+    return at;
+}
+
+// Reads a byte of the framing. False if it is not valid or the chunk leads over the limit.
+bool message_scanner::readChunkByte(char byte, const message_limits& limits)
+{
+    switch (m_chunkPart) {
+    case chunk_part::size:
+        if (const int digit = hexDigit(byte); digit >= 0) {
+            m_left = m_left * 16 + static_cast<std::uint64_t>(digit);
+            return ++m_sizeLineBytes <= maxSizeDigits;
+        }
+        if (m_sizeLineBytes == 0)
+            return false;
+        m_chunkPart = byte == '\r' ? chunk_part::size_end : chunk_part::extension;
+        return byte == '\r' || byte == ';';
+    case chunk_part::extension:
+        if (byte == '\r')
+            m_chunkPart = chunk_part::size_end;
+        return byte != '\n' && ++m_sizeLineBytes <= maxSizeLineBytes;
+    case chunk_part::size_end:
+        m_bodyBytes += m_left;
+        m_sizeLineBytes = 0;
+        m_chunkPart = m_left > 0 ? chunk_part::data : chunk_part::last_first;
+        return byte == '\n' && m_bodyBytes <= limits.maxBodyBytes;
+    case chunk_part::data_end_first:
+        m_chunkPart = chunk_part::data_end_second;
+        return byte == '\r';
+    case chunk_part::data_end_second:
+        m_chunkPart = chunk_part::size;
+        return byte == '\n';
+    case chunk_part::last_first:
+        m_chunkPart = chunk_part::last_second;
+        return byte == '\r';
+    case chunk_part::last_second:
+        m_part = part::end;
+        return byte == '\n';
+    case chunk_part::data:
+        break;
+    }
+    return false;
+}
+
+} // namespace jackdaw::transport::internal
--- /dev/null
+++ b/src/transport/internal/request_gate.cpp
@@ -0,0 +1,284 @@
+// Callbacks between libevent and libevhtp. Any call of libevhtp may close the connection and destroy the gate.
+#include "transport/internal/request_gate.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace jackdaw::transport::internal {
+namespace {
+
+    constexpr std::size_t connectionBytes = 16 * 1024; // of a connection without a request: buffers of libevhtp (8 KiB) and libevent
+    constexpr std::size_t openRequestBytes = 20 * 1024; // of libevhtp's lists for 100 headers, the most that are passed on
+    constexpr std::size_t maxAheadBytes = 16 * 1024; // held back while a request is open: as much as libevent reads at once
+    constexpr std::size_t maxCopiedBytes = 4096; // the size of libevent's read buffers
+    constexpr std::size_t minBodyBytesPerSecond = 64 * 1024; // the slowest link of a host carries 2 MB/s
+    constexpr protocol::duration lingerTime = std::chrono::seconds(1); // for a refusal to be read
+
+    std::string refusalText(int status)
+    {
+        std::string_view reason = "Bad Request";
+        if (status == 408)
+            reason = "Request Timeout";
+        else if (status == 413)
+            reason = "Content Too Large";
+        else if (status == 414)
+            reason = "URI Too Long";
+        else if (status == 431)
+            reason = "Request Header Fields Too Large";
+        else if (status == 501)
+            reason = "Not Implemented";
+        return "HTTP/1.1 " + std::to_string(status) + ' ' + std::string(reason) + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+    }
+
+} // namespace
+
+request_gate::request_gate(bufferevent* stream, const gate_limits& limits, memory_budget& budget, hooks gateHooks)
+    : m_stream(stream)
+    , m_limits(limits)
+    , m_budget(budget)
+    , m_hooks(std::move(gateHooks))
+    , m_held(evbuffer_new())
+    , m_phaseSince(protocol::steadyNow())
+{
+    m_budget.add(*this);
+    updateAccount();
+    bufferevent_getcb(stream, &m_readable, &m_written, &m_event, &m_argument);
+    bufferevent_setcb(stream, &request_gate::onReadable, &request_gate::onWritten, &request_gate::onEvent, this);
+}
+
+request_gate::~request_gate()
+{
+    *m_isAlive = false;
+    m_budget.change(m_counted, 0);
+    m_budget.remove(*this);
+    evbuffer_free(m_held);
+}
+
+void request_gate::enter(phase next)
+{
+    m_phase = next;
+    m_phaseSince = protocol::steadyNow();
+}
+
+void request_gate::addBody(evbuffer* data)
+{
+    const std::size_t before = m_body.size();
+    const std::size_t length = evbuffer_get_length(data);
+    m_body.resize(before + length);
+    evbuffer_remove(data, m_body.data() + before, length);
+    m_bodyBytesRead += length;
+}
+
+void request_gate::onRequestRead()
+{
+    enter(phase::handled);
+}
+
+void request_gate::onReplied(bool closesConnection)
+{
+    m_closesConnection = closesConnection;
+    enter(phase::answering);
+    updateAccount();
+}
+
+void request_gate::receive()
+{
+    evbuffer* input = bufferevent_get_input(m_stream);
+    if (m_phase == phase::refused) {
+        evbuffer_drain(input, evbuffer_get_length(input));
+        return;
+    }
+    // libevent reads a single byte into a buffer of kilobytes, so little is copied.
+    const std::size_t length = evbuffer_get_length(input);
+    if (length < maxCopiedBytes) {
+        evbuffer_add(m_held, evbuffer_pullup(input, -1), length);
+        evbuffer_drain(input, length);
+    } else {
+        evbuffer_add_buffer(m_held, input);
+    }
+    advance();
+}
+
+// Passes on what belongs to the present request. Ends early if the connection has been closed meanwhile.
+void request_gate::advance()
+{
+    if (m_isAdvancing)
+        return;
+    const std::shared_ptr<bool> isAlive = m_isAlive;
+    m_isAdvancing = true;
+    while (m_phase < phase::handled && evbuffer_get_length(m_held) > m_scanned && m_scanner.at() != message_scanner::part::refused) {
+        if (!scanSome())
+            break;
+    }
+    if (!*isAlive)
+        return;
+    m_isAdvancing = false;
+    if (m_scanner.at() == message_scanner::part::refused && m_phase != phase::refused)
+        refuse(m_scanner.refusalStatus());
+    updateAccount();
+    limitReading();
+}
+
+// Scans the next bytes that lie together. False if the connection has been closed.
+bool request_gate::scanSome()
+{
+    if (m_phase == phase::idle)
+        enter(phase::head);
+    evbuffer_ptr from {};
+    evbuffer_ptr_set(m_held, &from, m_scanned, EVBUFFER_PTR_SET);
+    evbuffer_iovec span {};
+    if (evbuffer_peek(m_held, -1, &from, &span, 1) < 1)
+        return true;
+    const bool isHead = m_scanner.at() == message_scanner::part::head;
+    const std::size_t length = m_scanner.scan({ static_cast<const char*>(span.iov_base), span.iov_len }, m_limits.message);
+    if (m_scanner.at() == message_scanner::part::refused)
+        return true;
+    m_scanned += length;
+    if (m_scanner.at() == message_scanner::part::head) {
+        if (!m_scanner.hasBegun()) { // empty lines
+            evbuffer_drain(m_held, m_scanned);
+            m_scanned = 0;
+        }
+        return true;
+    }
+    if (isHead) {
+        m_headBytes = m_scanned;
+        m_bodyBytesRead = 0;
+        enter(phase::body);
+    }
+    return passOn(std::exchange(m_scanned, 0));
+}
+
+bool request_gate::passOn(std::size_t bytes)
+{
+    evbuffer* released = evbuffer_new();
+    evbuffer_remove_buffer(m_held, released, bytes);
+    evbuffer_prepend_buffer(bufferevent_get_input(m_stream), released);
+    evbuffer_free(released);
+    const std::shared_ptr<bool> isAlive = m_isAlive;
+    if (m_readable)
+        m_readable(m_stream, m_argument);
+    return *isAlive;
+}
+
+void request_gate::refuse(int status)
+{
+    enter(phase::refused);
+    evbuffer_drain(m_held, evbuffer_get_length(m_held));
+    m_scanned = 0;
+    m_body = {};
+    const std::string text = refusalText(status);
+    bufferevent_write(m_stream, text.data(), text.size());
+    bufferevent_enable(m_stream, EV_READ | EV_WRITE);
+    m_hooks.onRefused(status);
+}
+
+std::size_t request_gate::heldBytes() const
+{
+    const std::size_t buffered = evbuffer_get_length(m_held) + evbuffer_get_length(bufferevent_get_output(m_stream));
+    return connectionBytes + buffered + m_body.capacity() + (m_headBytes > 0 ? openRequestBytes + 2 * m_headBytes : 0);
+}
+
+int request_gate::evictionRank() const
+{
+    switch (m_phase) {
+    case phase::handled:
+        return 0;
+    case phase::answering:
+        return 1;
+    default:
+        return 2;
+    }
+}
+
+void request_gate::updateAccount()
+{
+    const std::size_t held = heldBytes();
+    m_budget.change(std::exchange(m_counted, held), held);
+    if (m_budget.isExceeded())
+        m_hooks.onOverBudget();
+}
+
+// The end of a caller's connection is noticed while its request is open only as long as the caller sends no more than an ordinary one.
+void request_gate::limitReading()
+{
+    const bool mustStop = m_phase >= phase::handled && m_phase != phase::refused && evbuffer_get_length(m_held) > maxAheadBytes;
+    if (mustStop)
+        bufferevent_disable(m_stream, EV_READ);
+    else if (m_isReadingOff)
+        bufferevent_enable(m_stream, EV_READ);
+    m_isReadingOff = mustStop;
+}
+
+void request_gate::onSent()
+{
+    if (m_phase == phase::refused) {
+        shutdown(bufferevent_getfd(m_stream), SHUT_WR);
+        return;
+    }
+    if (m_phase != phase::answering)
+        return;
+    if (m_closesConnection)
+        return m_hooks.close();
+    m_scanner.reset();
+    m_headBytes = 0;
+    enter(phase::idle);
+    bufferevent_enable(m_stream, EV_READ);
+    advance();
+}
+
+void request_gate::checkTime(protocol::time_point now)
+{
+    const protocol::duration since = now - m_phaseSince;
+    switch (m_phase) {
+    case phase::idle:
+    case phase::answering:
+        if (since >= m_limits.idleTimeout)
+            m_hooks.close();
+        return;
+    case phase::head:
+        if (since >= m_limits.headerTimeout)
+            refuse(408);
+        return;
+    case phase::body:
+        if (since >= m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
+            refuse(408);
+        return;
+    case phase::handled:
+        return;
+    case phase::refused:
+        if (since >= lingerTime)
+            m_hooks.close();
+        return;
+    }
+}
+
+void request_gate::onReadable(bufferevent*, void* self)
+{
+    static_cast<request_gate*>(self)->receive();
+}
+
+void request_gate::onWritten(bufferevent* stream, void* self)
+{
+    auto& gate = *static_cast<request_gate*>(self);
+    const std::shared_ptr<bool> isAlive = gate.m_isAlive;
+    if (gate.m_written)
+        gate.m_written(stream, gate.m_argument);
+    if (*isAlive && evbuffer_get_length(bufferevent_get_output(stream)) == 0)
+        gate.onSent();
+}
+
+void request_gate::onEvent(bufferevent* stream, short events, void* self)
+{
+    const auto& gate = *static_cast<request_gate*>(self);
+    if (gate.m_event)
+        gate.m_event(stream, events, gate.m_argument);
+}
+
+} // namespace jackdaw::transport::internal
--- /dev/null
+++ b/src/transport/internal/request_gate.h
@@ -0,0 +1,106 @@
+// Stands between a server's connection and libevhtp: passes on one request at a time, within the limits, and holds back the rest.
+// Header sections are passed on complete, since libevhtp drops the rest of a path whose parts arrive one after the other.
+#pragma once
+
+#include "protocol/time.h"
+#include "transport/internal/message_scanner.h"
+#include "transport/memory_budget.h"
+
+#include <event2/bufferevent.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+struct evbuffer;
+
+namespace jackdaw::transport::internal {
+
+struct gate_limits {
+    message_limits message;
+    protocol::duration headerTimeout {}; // from the first byte of a request to the end of its header section
+    protocol::duration idleTimeout {}; // without a request, or without progress of a response
+    protocol::duration bodyTimeout {}; // from the end of the header section; a minimum rate extends it for large bodies
+};
+
+// Takes the place of the callbacks of a connection. Must outlive the connection's use.
+class request_gate final : public memory_budget::holder {
+public:
+    struct hooks {
+        std::function<void(int status)> onRefused; // the request was refused with this HTTP status; 0: closed without a response
+        std::function<void()> onOverBudget;
+        std::function<void()> close; // closes the connection and destroys the gate
+    };
+
+    request_gate(bufferevent* stream, const gate_limits& limits, memory_budget& budget, hooks gateHooks);
+    ~request_gate() override;
+    request_gate(const request_gate&) = delete;
+    request_gate& operator=(const request_gate&) = delete;
+
+    // Collects a part of the body. libevhtp itself takes half a kilobyte for each chunk.
+    void addBody(evbuffer* data);
+    std::string takeBody() { return std::move(m_body); }
+
+    // The handler has been given the request.
+    void onRequestRead();
+
+    // The response of the request that was read last has been queued.
+    void onReplied(bool closesConnection);
+
+    // Ends the connection if its time is over.
+    void checkTime(protocol::time_point now);
+
+    std::size_t heldBytes() const override;
+    int evictionRank() const override;
+    protocol::time_point idleSince() const override { return m_phaseSince; }
+    void evict() override { m_hooks.close(); }
+
+private:
+    enum class phase {
+        idle,
+        head,
+        body,
+        handled, // read in full, not answered
+        answering, // the response is not sent yet
+        refused // the refusal is not sent or not read yet
+    };
+
+    void enter(phase next);
+    void receive();
+    void advance();
+    bool passOn(std::size_t bytes);
+    bool scanSome();
+    void refuse(int status);
+    void updateAccount();
+    void limitReading();
+    void onSent();
+
+    static void onReadable(bufferevent* stream, void* self);
+    static void onWritten(bufferevent* stream, void* self);
+    static void onEvent(bufferevent* stream, short events, void* self);
+
+    bufferevent* m_stream;
+    const gate_limits& m_limits;
+    memory_budget& m_budget;
+    hooks m_hooks;
+    message_scanner m_scanner;
+    evbuffer* m_held; // received, not passed on
+    std::size_t m_scanned = 0; // bytes at the front of m_held that are part of an incomplete head
+    std::string m_body;
+    std::size_t m_headBytes = 0; // of the present request
+    std::size_t m_counted = 0; // as accounted for in the budget
+    phase m_phase = phase::idle;
+    protocol::time_point m_phaseSince;
+    std::size_t m_bodyBytesRead = 0;
+    bool m_isReadingOff = false;
+    bool m_isAdvancing = false;
+    bool m_closesConnection = false;
+    std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
+    bufferevent_data_cb m_readable = nullptr;
+    bufferevent_data_cb m_written = nullptr;
+    bufferevent_event_cb m_event = nullptr;
+    void* m_argument = nullptr;
+};
+
+} // namespace jackdaw::transport::internal
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -15,6 +15,7 @@
     using protocol::time_point;
     using connection_id = internal::mesh_listener::connection_id;
 
+    constexpr std::size_t maxHostNameBytes = 255; // as for names in DNS
     constexpr int ticksPerSilenceLimit = 6;
     constexpr int ackShare = 3; // an acknowledgement waits a third of the silence limit for a frame that carries it
 
@@ -49,7 +50,7 @@
         , settings(std::move(meshSettings))
         , onDelivery(std::move(hook))
         , onRefused(std::move(refusalHook))
-        , listener(loop, settings.maxMessageBytes, [this](connection_id connection, std::string_view bytes) { receive(connection, bytes); })
+        , listener(loop, { settings.maxMessageBytes, settings.maxReceivedBytes, settings.maxConnections }, [this](connection_id connection, std::string_view bytes) { receive(connection, bytes); })
         , ticker(loop.every(settings.silenceLimit / ticksPerSilenceLimit, [this] { tick(); }))
     {
     }
@@ -124,6 +125,21 @@
             sendFrame(found->second);
     }
 
+    static void takeBodies(peer& peer, internal::mesh_frame& frame)
+    {
+        if (peer.queue.size() <= internal::maxFrameBodies) {
+            frame.bodies.swap(peer.queue);
+            peer.queuedBytes = 0;
+            return;
+        }
+        const auto end = peer.queue.begin() + internal::maxFrameBodies;
+        for (auto body = peer.queue.begin(); body != end; ++body) {
+            peer.queuedBytes -= body->size();
+            frame.bodies.push_back(std::move(*body));
+        }
+        peer.queue.erase(peer.queue.begin(), end);
+    }
+
     void sendFrame(peer& peer)
     {
         internal::mesh_frame frame;
@@ -131,8 +147,7 @@
         frame.senderIncarnation = settings.incarnation;
         frame.ackIncarnation = peer.heardIncarnation;
         frame.ackSequence = peer.heardSequence;
-        frame.bodies.swap(peer.queue);
-        peer.queuedBytes = 0;
+        takeBodies(peer, frame);
         peer.owesAck = false;
         if (!frame.bodies.empty()) {
             if (peer.ackedSequence == peer.lastSequence)
@@ -149,7 +164,7 @@
     void receive(connection_id connection, std::string_view bytes)
     {
         const auto frame = internal::decodeFrame(bytes);
-        if (!frame)
+        if (!frame || frame.value().sender.size() > maxHostNameBytes)
             return;
         replaceConnection(frame.value().sender, connection);
         note(frame.value());
@@ -267,6 +282,11 @@
     return m_impl->listener.connections();
 }
 
+std::uint64_t mesh::closedConnections() const
+{
+    return m_impl->listener.closedConnections();
+}
+
 std::uint64_t mesh::droppedMessages() const
 {
     return m_impl->dropped;
--- a/src/transport/mesh.h
+++ b/src/transport/mesh.h
@@ -20,7 +20,9 @@
     std::uint64_t incarnation = 0; // random for each start
     std::string listenAddress; // "ip:port"
     std::size_t maxQueuedBytes = 4 * 1024 * 1024; // for each peer; what is over it is dropped
-    std::size_t maxMessageBytes = 32 * 1024 * 1024;
+    std::size_t maxMessageBytes = 32 * 1024 * 1024; // of a received message: a sender's queue goes out as one
+    std::size_t maxReceivedBytes = 64 * 1024 * 1024; // of all unfinished messages together
+    std::size_t maxConnections = 4096; // accepted ones
     protocol::duration silenceLimit = std::chrono::milliseconds(1500); // nothing heard for so long: dial anew
 };
 
@@ -56,6 +58,7 @@
     std::uint64_t droppedMessages() const;
     std::size_t openLinks() const; // sending connections on which the peer has answered
     std::size_t acceptedConnections() const;
+    std::uint64_t closedConnections() const; // accepted ones that were closed because of a limit
 
 private:
     class impl;
