--- a/src/apps/hub/control_host_settings.h
+++ b/src/apps/hub/control_host_settings.h
@@ -2,6 +2,7 @@
 // docs/OPERATIONS.md.
 #pragma once
 
+#include "apps/shared/machine_limits.h"
 #include "protocol/result.h"
 #include "state/log.h"
 #include "transport/http_client.h"
@@ -26,6 +27,7 @@
     std::uint16_t entryMeshPort = 0; // the same on every entry host
     std::vector<std::string> zones; // that can be evacuated; empty: every well-formed name
     state::log_level logLevel = state::log_level::info;
+    apps::machine_limits limits;
 };
 
 protocol::result<control_host_settings> readControlHostSettings(const std::string& path);
