Groups of jobs that starve go first within their priority

Cause: admission looks at each job's objective alone. Under lasting overload small jobs fill every gap, and wide jobs, or those of one origin, are refused nearly always.

--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -5,6 +5,7 @@
 #include "coordination/cells/internal/call_watch.h"
 #include "coordination/cells/internal/cell_job.h"
 #include "coordination/cells/internal/failure_history.h"
+#include "coordination/cells/internal/group_shares.h"
 #include "coordination/cells/internal/placement.h"
 #include "coordination/cells/internal/repair_budget.h"
 #include "coordination/cells/internal/upstream_record.h"
@@ -36,6 +37,7 @@
     std::map<std::string, time_point, std::less<>> originsHeardAt; // of origins with open jobs
     internal::service_ratios serviceRatios;
     internal::run_overhead overhead;
+    internal::group_shares shares;
     internal::failure_history failures;
     internal::call_watch calls; // starts and stops, which are answered at once
     internal::repair_budget repairs;
@@ -109,6 +111,7 @@
     void submit(time_point now, const protocol::job_order& order, std::string_view origin);
     const protocol::order_answer* findCachedAnswer(const protocol::job_order& order) const;
     bool admit(time_point now, cell_job& job);
+    void reject(time_point now, cell_job& job, std::string_view reason, duration wait);
     void claimRuns(time_point now, cell_job& job);
     std::ptrdiff_t countRuns(std::string_view task) const; // of a task, on all upstreams
     void requeue(cell_job& job, std::size_t step, std::size_t index);
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -1,7 +1,7 @@
 // A job in a cell: the states of its tasks, and the order in which jobs are scheduled.
 //
-// Load pattern: demand above capacity for seconds. Jobs are ordered by the operators' priority first, and jobs that can no longer
-// meet their objective go behind the others of their priority. Next come jobs with started tasks, since abandoned work would be lost; then the job whose objective ends first.
+// Load pattern: demand above capacity for seconds. Jobs are ordered by the operators' priority first, then come jobs of groups that
+// starve (group_shares.h), and jobs that can no longer meet their objective go behind the others of their priority. Next come jobs with started tasks, since abandoned work would be lost; then the job whose objective ends first.
 #pragma once
 
 #include "coordination/cells/upstream_calls.h"
@@ -54,6 +54,8 @@
     time_point deadline; // when the caller stops waiting
     time_point abandonedAt; // valid once no origin waits: when the last one was known to wait
     bool hasBegun = false; // a start was sent, or an earlier owner's run was found
+    std::vector<std::string> groups; // whose shares of accepted jobs are compared; empty if it was not admitted here
+    bool isOfStarvingGroup = false; // when it was submitted
     bool isLate = false; // it can no longer meet its objective
     bool isAdmitted = false; // may be scheduled; set by admission, or at once for jobs that may already have run
 
@@ -72,8 +74,9 @@
     void markDone(std::string_view task);
     void setState(std::size_t step, std::size_t index, task_state state);
 
-    // Jobs with a lower key are scheduled first: by priority, then those that can be in time. The key holds a reference into the job.
-    auto rank() const { return std::tuple(order.priority, isLate, !hasBegun, objectiveEnd, std::string_view(order.id)); }
+    // Jobs with a lower key are scheduled first: by priority, then those of starving groups, then
+    // those that can be in time. The key holds a reference into the job.
+    auto rank() const { return std::tuple(order.priority, !isOfStarvingGroup, isLate, !hasBegun, objectiveEnd, std::string_view(order.id)); }
 };
 
 // Parses step and index from the name of one of the job's tasks. Returns false if the job has no such task.
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -114,6 +114,9 @@
         finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::failed, "a task fits no upstream of the service"));
         return false;
     }
+    job.groups = shares.groupsOf(now, job, job.origins.begin()->first);
+    job.isOfStarvingGroup = shares.isStarving(now, job.groups);
+    shares.onAccepted(now, job.groups); // or given up below
     const internal::available_upstreams available(upstreams, serviceRatios, calls.expectedWait(now), now);
     const duration run = fastestRun(job, available);
     const duration link = calls.expectedWait(now) + overhead.expected(now);
@@ -135,10 +138,16 @@
         return true;
     }
     note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " link_ms=" + toMs(link) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
-    finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::rejected, "too much work is waiting", internal::retryAfterMs(wait + link, job.order.id)));
+    reject(now, job, "too much work is waiting", wait + link);
     return false;
 }
 
+void cell_dispatcher::impl::reject(time_point now, cell_job& job, std::string_view reason, duration wait)
+{
+    shares.onGivenUp(now, job.groups);
+    finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::rejected, reason, internal::retryAfterMs(wait, job.order.id)));
+}
+
 bool cell_dispatcher::impl::mayRunLate(time_point now, const cell_job& job, const internal::available_upstreams& available) const
 {
     const duration ownDelay = calls.expectedWait(now) + overhead.expected(now);
@@ -273,7 +282,7 @@
         return;
     const duration wait = estimateWait(now, job);
     note("job_given_up", job.order.id, "wait_ms=" + toMs(wait) + " until_objective_ms=" + toMs(job.objectiveEnd - now));
-    finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::rejected, "other work went first", internal::retryAfterMs(wait, job.order.id)));
+    reject(now, job, "other work went first", wait);
 }
 
 void cell_dispatcher::impl::answerCancel(std::string_view job, std::string_view origin, std::uint64_t submissionNumber)
--- a/src/coordination/cells/tests/cell_load_tests.cpp
+++ b/src/coordination/cells/tests/cell_load_tests.cpp
@@ -81,3 +81,39 @@
     CHECK(before >= 0.87);
     CHECK(after >= before - 0.05);
 }
+
+// Load: small jobs of one origin at twice the capacity, and a few jobs of eight tasks of another, for 10 s. Bound: half of the share of all
+// jobs, the least that does not count as starving.
+TEST_CASE("wide jobs are refused nearly always while small ones fill the gaps")
+{
+    using std::chrono::milliseconds;
+    int asked = 0;
+    int wideAsked = 0;
+    double completed = 0;
+    double wideCompleted = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+        cell_simulation sim(seed);
+        for (int i = 0; i < 8; ++i)
+            sim.addUpstream("u" + std::to_string(i), 16000);
+        sim.addOwner();
+        sim.runFor(milliseconds(100));
+        std::exponential_distribution<double> pause(336); // 16 tasks of 100 ms at once: capacity for 160/s
+        int number = 0;
+        const auto end = sim.now() + std::chrono::seconds(10);
+        for (; sim.now() < end; ++number) {
+            sim.runFor(std::chrono::duration_cast<jackdaw::protocol::duration>(std::chrono::duration<double>(pause(sim.random()))));
+            const bool isWide = number % 33 == 0;
+            sim.submit(0, sim.makeJob(std::to_string(number), isWide ? 8 : 1, 8000, 100), 0, isWide ? "b" : "a");
+        }
+        sim.runFor(std::chrono::seconds(2));
+        CHECK(sim.doubleRuns() == 0);
+        for (int i = 0; i < number; ++i) {
+            const bool isDone = sim.outcomes().at(std::to_string(i)).answer.outcome == jackdaw::protocol::job_outcome::completed;
+            completed += isDone ? 1 : 0;
+            wideCompleted += isDone && i % 33 == 0 ? 1 : 0;
+            wideAsked += i % 33 == 0 ? 1 : 0;
+        }
+        asked += number;
+    }
+    CHECK(wideCompleted / wideAsked >= completed / asked / 2);
+}
