Cancellations: a job is found at whatever host of the zone has it

Cause: a DELETE was looked up only among the jobs of the host that it reached. A retry goes to any host, was answered 410, and the job ran on. cancel_search now asks the other live hosts of the zone, each as origin and as owner, every 200 ms until one has cancelled the job (200), all have answered that they don't know it (410), or the caller's deadline is over (504, which promises nothing). A host that falls silent meanwhile counts as answered: owners end the jobs of silent origins.

Decisions: the question is a job_cancel whose number has the highest bit set, so no message changes; the hosts of the zone are asked, since a job that was moved is still known to its origin there. Ruled out: asking the owner alone, which doesn't know a moved job.

Evidence: cancel_search_tests cover searches and an owner told by another host.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -190,6 +190,8 @@
         dispatcher->advance(now);
     requestUpstreamNews();
     jobRouter.advance(now);
+    if (cancelSearch.size() > 0)
+        cancelSearch.advance(now, otherHostsOfZone());
     const bool hasOwner = hasOwnerInZone();
     if (hasOwner != zoneHasOwner)
         logEvent(hasOwner ? log_level::info : log_level::warning, hasOwner ? "cell_has_owner" : "cell_without_owner", { { "zone", settings.zone } });
@@ -264,7 +266,7 @@
 void cell_host::impl::scheduleTick()
 {
     const time_point now = steadyNow();
-    time_point next = now + (jobRouter.size() > 0 ? busyTick : idleTick);
+    time_point next = now + (jobRouter.size() > 0 || cancelSearch.size() > 0 ? busyTick : idleTick);
     for (const auto& [cell, dispatcher] : dispatchers)
         next = std::min(next, dispatcher->nextTimer(now));
     tickTimer = loop.after(next - now, [this] {
@@ -313,11 +315,16 @@
     m_impl->performActions();
 }
 
-bool cell_host::cancel(std::string_view job)
+void cell_host::cancel(std::string_view job, protocol::duration patience, cells::cancel_search::completion done)
 {
-    const bool isKnown = m_impl->jobRouter.cancel(steadyNow(), job);
-    m_impl->performActions();
-    return isKnown;
+    impl& self = *m_impl;
+    const time_point now = steadyNow();
+    if (self.cancelHere(job)) {
+        self.performActions();
+        return done(cells::cancel_outcome::cancelled);
+    }
+    self.cancelSearch.begin(now, job, self.otherHostsOfZone(), now + patience, std::move(done));
+    self.performActions();
 }
 
 bool cell_host::isReady() const
--- a/src/apps/cell_host/cell_host.h
+++ b/src/apps/cell_host/cell_host.h
@@ -4,6 +4,7 @@
 
 #include "apps/cell_host/cell_host_settings.h"
 #include "apps/cell_host/upstream_driver.h"
+#include "coordination/cells/cancel_search.h"
 #include "coordination/cells/job_router.h"
 #include "protocol/cell_messages.h"
 #include "protocol/result.h"
@@ -38,8 +39,8 @@
     // The caller no longer waits: its completion will not run.
     void removeCaller(cells::caller_id caller);
 
-    // False when no caller of this host waits for the job.
-    bool cancel(std::string_view job);
+    // Cancels the job at whatever host of the zone it is known. The completion runs once, at the latest after the time that the caller waits.
+    void cancel(std::string_view job, protocol::duration patience, cells::cancel_search::completion done);
 
     // A configuration is in force, a cell of the zone has an owner, and the host is not leaving.
     bool isReady() const;
--- a/src/apps/cell_host/internal/cell_host_actions.cpp
+++ b/src/apps/cell_host/internal/cell_host_actions.cpp
@@ -34,6 +34,8 @@
 
 bool cell_host::impl::performRouterActions()
 {
+    for (const cells::cancel_search::question& question : cancelSearch.takeQuestions())
+        sendTo(question.host, protocol::job_cancel { question.job, question.number });
     const std::vector<cells::router_action> actions = jobRouter.takeActions();
     for (const cells::router_action& action : actions)
         perform(action);
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -6,6 +6,7 @@
 #include "apps/shared/process_gauges.h"
 #include "apps/shared/traffic_account.h"
 #include "apps/shared/zone_address.h"
+#include "coordination/cells/cancel_search.h"
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
 #include "coordination/cells/configuration_requests.h"
@@ -51,6 +52,7 @@
     transport::mesh links;
     cells::cell_ownership ownership;
     cells::job_router jobRouter;
+    cells::cancel_search cancelSearch;
     std::map<std::string, std::shared_ptr<cells::cell_dispatcher>, std::less<>> dispatchers; // by cell
     cells::upstream_directory upstreams;
     struct waiting_caller {
@@ -116,7 +118,10 @@
     void forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const;
     void onConfiguration(const protocol::configuration_push& push, std::string_view sender);
     void onJobOrder(protocol::job_order order, std::string_view origin);
+    void onOrderAnswer(const protocol::order_answer& answer, std::string_view host);
     void onJobCancel(const protocol::job_cancel& cancel, std::string_view origin);
+    bool cancelHere(std::string_view job); // for its caller; false if neither a caller nor an owner here has the job
+    std::vector<std::string> otherHostsOfZone() const; // live ones
     // Takes the time that input may have waited during a stall off the time that the job's caller still waits.
     void applyInputDelay(protocol::job_order& order) const;
 
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -37,7 +37,7 @@
     else if (const auto* order = std::get_if<protocol::job_order>(&message))
         onJobOrder(*order, delivery.sender);
     else if (const auto* answer = std::get_if<protocol::order_answer>(&message))
-        jobRouter.onAnswer(steadyNow(), delivery.sender, *answer);
+        onOrderAnswer(*answer, delivery.sender);
     else if (const auto* list = std::get_if<protocol::upstream_list>(&message))
         onUpstreamList(*list);
     else if (const auto* pull = std::get_if<protocol::configuration_pull>(&message)) {
@@ -184,8 +184,38 @@
     answerOrigins({ { std::string(origin) }, protocol::makeOrderAnswer(order, protocol::job_outcome::not_owned, "this host does not own the cell") });
 }
 
+void cell_host::impl::onOrderAnswer(const protocol::order_answer& answer, std::string_view host)
+{
+    if (cells::cancel_search::isSearch(answer.submissionNumber))
+        cancelSearch.onAnswer(host, answer.submissionNumber, answer.outcome == protocol::job_outcome::unfinished);
+    else
+        jobRouter.onAnswer(steadyNow(), host, answer);
+}
+
+bool cell_host::impl::cancelHere(std::string_view job)
+{
+    bool isKnown = jobRouter.cancel(steadyNow(), job);
+    for (const auto& [cell, dispatcher] : dispatchers)
+        isKnown = dispatcher->cancelForCaller(steadyNow(), job) || isKnown;
+    return isKnown;
+}
+
+std::vector<std::string> cell_host::impl::otherHostsOfZone() const
+{
+    std::vector<std::string> hosts = ownership.hostsOf(steadyNow(), settings.zone);
+    std::erase(hosts, settings.host);
+    return hosts;
+}
+
 void cell_host::impl::onJobCancel(const protocol::job_cancel& cancel, std::string_view origin)
 {
+    if (cells::cancel_search::isSearch(cancel.submissionNumber)) {
+        const bool isKnown = cancelHere(cancel.id);
+        protocol::job_order order;
+        order.id = cancel.id;
+        order.submissionNumber = cancel.submissionNumber;
+        return answerOrigins({ { std::string(origin) }, protocol::makeOrderAnswer(order, isKnown ? protocol::job_outcome::unfinished : protocol::job_outcome::not_owned, isKnown ? "cancelled" : "the job is not known") });
+    }
     for (const auto& [cell, dispatcher] : dispatchers)
         dispatcher->cancel(steadyNow(), cancel.id, origin, cancel.submissionNumber);
     if (!dispatchers.empty() || cancel.submissionNumber == 0)
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -84,6 +84,8 @@
     // The job is cancelled once every origin that waits for it has cancelled. submissionNumber: the origin's number of the order;
     // a later order of the origin stays. 0: the latest, without an answer to the origin.
     void cancel(time_point now, std::string_view job, std::string_view origin, std::uint64_t submissionNumber = 0);
+    // A caller has cancelled the job at a host that may not be an origin of it. Returns false if the job is not known.
+    bool cancelForCaller(time_point now, std::string_view job);
 
     // The origin's process has ended, or nothing was heard from it for too long. Its jobs are cancelled and their tasks stopped,
     // except for jobs that another origin waits for.
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -297,6 +297,16 @@
     m_impl->dispatch(now);
 }
 
+bool cell_dispatcher::cancelForCaller(time_point now, std::string_view job)
+{
+    internal::cell_job* known = m_impl->findJob(job);
+    if (!known)
+        return false;
+    m_impl->finish(now, *known, protocol::makeOrderAnswer(known->order, job_outcome::unfinished, "cancelled"));
+    m_impl->dispatch(now);
+    return true;
+}
+
 void cell_dispatcher::onOriginLost(time_point now, std::string_view origin)
 {
     std::vector<std::string> affected;
