--- a/src/state/internal/journal_segment.cpp
+++ b/src/state/internal/journal_segment.cpp
@@ -39,6 +39,22 @@
         return std::all_of(bytes.begin(), bytes.end(), [](char c) { return c == 0; });
     }
 
+    constexpr std::size_t sectorBytes = 512; // the smallest unit that a disk writes
+    constexpr std::size_t minHoleBytes = 32; // more than a damaged byte between zeros that the data may have
+
+    // Whether a sector of the record was not written before a power loss and reads as zeros, though later ones were written.
+    // offset: of the record in its file.
+    bool hasUnwrittenSector(std::string_view record, std::size_t offset)
+    {
+        for (std::size_t begin = 0; begin < record.size();) {
+            const std::size_t length = std::min(sectorBytes - (offset + begin) % sectorBytes, record.size() - begin);
+            if (length >= minHoleBytes && isAllZero(record.substr(begin, length)))
+                return true;
+            begin += length;
+        }
+        return false;
+    }
+
     protocol::error corruptAt(const std::string& path, std::size_t offset, std::string_view reason)
     {
         return makeError(error_kind::corrupt_data, path + ": offset " + std::to_string(offset) + ": " + std::string(reason));
@@ -119,7 +135,11 @@
         if (rest.size() < recordBytes)
             break;
         const std::string_view data = rest.substr(frameBytes, length);
-        if (readField(rest, frameBytes + length, checksumBytes) != checksumOf(data, index))
+        const bool isDamaged = readField(rest, frameBytes + length, checksumBytes) != checksumOf(data, index);
+        const bool isLast = isAllZero(rest.substr(recordBytes));
+        if (isDamaged && isLast && hasUnwrittenSector(rest.substr(frameBytes, length + checksumBytes), offset + frameBytes))
+            break;
+        if (isDamaged)
             return corruptAt(path, offset, "wrong checksum of record " + std::to_string(index));
         scan.segment.offsets.push_back(offset);
         onRecord({ index, data });
--- a/src/state/tests/journal_tests.cpp
+++ b/src/state/tests/journal_tests.cpp
@@ -114,6 +114,52 @@
     CHECK(opened.value().lastIndex() == recordCount - 1);
 }
 
+TEST_CASE("a journal opens without its last record if a power loss left out a sector in the middle of it")
+{
+    const temporary_folder folder;
+    const std::string path = makeJournal(folder.path("journal"), 1 << 16);
+    const std::size_t start = bytesOf(path).size();
+    {
+        auto opened = journal::open({ folder.path("journal"), 1 << 16, {} });
+        const std::string data(3000, 'x');
+        const std::array records { journal_record { recordCount + 1, data } };
+        REQUIRE(opened.value().append(records));
+    }
+    const std::string whole = bytesOf(path);
+    constexpr std::size_t sector = 512;
+    for (std::size_t hole = sector; hole < whole.size(); hole += sector) {
+        CAPTURE(hole);
+        std::string torn = whole;
+        const std::size_t length = std::min(sector, whole.size() - hole);
+        torn.replace(hole, length, length, '\0');
+        setBytes(path, torn);
+        auto opened = journal::open({ folder.path("journal"), 1 << 16, {} });
+        REQUIRE(opened);
+        CHECK(opened.value().lastIndex() == recordCount);
+        CHECK(bytesOf(path).size() == start);
+    }
+    std::string damaged = whole;
+    damaged[start + 100] = 'y';
+    setBytes(path, damaged);
+    CHECK_FALSE(journal::open({ folder.path("journal"), 1 << 16, {} }));
+}
+
+TEST_CASE("a record with an unwritten sector is damage if another one follows it")
+{
+    const temporary_folder folder;
+    const std::string path = makeJournal(folder.path("journal"), 1 << 16);
+    auto opened = journal::open({ folder.path("journal"), 1 << 16, {} });
+    for (std::uint64_t index = recordCount + 1; index <= recordCount + 2; ++index) {
+        const std::string data(1500, 'x');
+        const std::array records { journal_record { index, data } };
+        REQUIRE(opened.value().append(records));
+    }
+    std::string damaged = bytesOf(path);
+    damaged.replace(512, 512, 512, '\0');
+    setBytes(path, damaged);
+    CHECK_FALSE(journal::open({ folder.path("journal"), 1 << 16, {} }));
+}
+
 TEST_CASE("a journal with any byte changed does not open and names the place")
 {
     const temporary_folder folder;
