Cells: a job whose label only another cell's upstreams have goes there instead of failing

Cause: admission answered "failed" when no upstream of the owner's own cell fits a task, though other cells may have one with the required label or enough capacity. The owner now asks the directory of all zones: the job moves to a cell that has an upstream for each step, spread by the job's id, or is rejected as not run with a retry delay if it has moved already. "failed" remains if no known upstream fits.

Ruled out: the free capacity of gossip, which names no labels. What remains: the target is chosen without regard to its load or owner.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -66,6 +66,11 @@
     dispatcherHooks.upstreamsHeardSince = [this] { return upstreams.heardSince(steadyNow()); };
     dispatcherHooks.upstreamsToldUntil = [this, zone = std::string(cells::zoneOfCell(cell))] { return upstreams.toldUntil(zone); };
     dispatcherHooks.findOtherCell = [this](const protocol::job_order& order) { return findOtherCell(order); };
+    dispatcherHooks.findCapableCells = [this, cell](const protocol::job_order& order) {
+        std::vector<std::string> capable = upstreams.cellsThatFit(order, [this](const protocol::upstream_report& report) { return zoneCells.cellOf(report.zone, report.id); });
+        std::erase(capable, cell);
+        return capable;
+    };
     auto dispatcher = std::make_shared<cells::cell_dispatcher>(cellSettings, std::move(dispatcherHooks), steadyNow());
     forwardKnownReports(cell, *dispatcher);
     dispatchers[cell] = std::move(dispatcher);
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -61,6 +61,8 @@
     std::function<time_point()> upstreamsToldUntil;
     // Returns another cell with free capacity for all tasks of the job now; empty if there is none.
     std::function<std::string(const protocol::job_order& job)> findOtherCell;
+    // Returns other cells whose known upstreams can run every task of the job, whatever runs there now. Empty: none is known.
+    std::function<std::vector<std::string>(const protocol::job_order& job)> findCapableCells;
 };
 
 struct cell_counts {
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -108,6 +108,7 @@
     void submit(time_point now, const protocol::job_order& order, std::string_view origin);
     const protocol::order_answer* findCachedAnswer(const protocol::job_order& order) const;
     bool admit(time_point now, cell_job& job);
+    protocol::order_answer answerUnfitting(const protocol::job_order& order) const;
     void claimRuns(time_point now, cell_job& job);
     std::ptrdiff_t countRuns(std::string_view task) const; // of a task, on all upstreams
     void requeue(cell_job& job, std::size_t step, std::size_t index);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -4,6 +4,7 @@
 #include "coordination/cells/internal/cell_admission.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace jackdaw::cells {
@@ -101,6 +102,20 @@
     return isResult || isMove || isSameOrder ? &known.answer : nullptr;
 }
 
+// Upstreams that only another cell has may fit, by their labels for example.
+order_answer cell_dispatcher::impl::answerUnfitting(const protocol::job_order& order) const
+{
+    constexpr std::string_view reason = "a task fits no upstream of the service";
+    const std::vector<std::string> cells = hooks.findCapableCells ? hooks.findCapableCells(order) : std::vector<std::string>();
+    if (cells.empty())
+        return protocol::makeOrderAnswer(order, job_outcome::failed, reason);
+    if (!order.mayMove)
+        return protocol::makeOrderAnswer(order, job_outcome::rejected, reason, retryWithoutUpstreamsMs);
+    order_answer moved = protocol::makeOrderAnswer(order, job_outcome::moved, reason);
+    moved.cell = cells[std::hash<std::string> {}(order.id) % cells.size()]; // spreads such jobs
+    return moved;
+}
+
 // Returns false if the job was rejected, moved or failed, and has been answered.
 bool cell_dispatcher::impl::admit(time_point now, cell_job& job)
 {
@@ -110,7 +125,7 @@
         return false;
     }
     if (!canEverRun(job)) {
-        finish(now, job, protocol::makeOrderAnswer(job.order, job_outcome::failed, "a task fits no upstream of the service"));
+        finish(now, job, answerUnfitting(job.order));
         return false;
     }
     const internal::available_upstreams available(upstreams, serviceRatios, now);
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -959,3 +959,26 @@
         checkSafe(sim);
     }
 }
+
+TEST_CASE("a job whose label only upstreams of another cell have goes there, and is never answered as failed")
+{
+    std::vector<std::string> capable { "b" };
+    cell_hooks hooks;
+    hooks.findCapableCells = [&capable](const job_order&) { return capable; };
+    cell_dispatcher dispatcher({}, hooks, {});
+    const cell_simulation sim(1);
+    dispatcher.onUpstreamReport({}, { "u1", 1000, 1, "planning", "10.0.0.1:80", "a", { 16000, 65536, 0 }, { "here" }, false });
+    dispatcher.takeActions();
+    const auto submit = [&](const std::string& id, bool mayMove) {
+        job_order job = sim.makeJob(id, 1, 14000, 60);
+        job.steps.front().requiredLabel = "there";
+        job.mayMove = mayMove;
+        dispatcher.submit({}, job, "host");
+        return std::get<owner_answer>(dispatcher.takeActions().front()).answer;
+    };
+    CHECK(submit("1", true).outcome == job_outcome::moved);
+    CHECK(submit("2", true).cell == "b");
+    CHECK(submit("3", false).outcome == job_outcome::rejected); // it was moved here for another reason
+    capable.clear();
+    CHECK(submit("4", true).outcome == job_outcome::failed);
+}
--- a/src/coordination/cells/tests/upstream_directory_tests.cpp
+++ b/src/coordination/cells/tests/upstream_directory_tests.cpp
@@ -165,3 +165,24 @@
     CHECK(directory.onReport(start + seconds(1), leaving).isAccepted);
     CHECK(directory.list(start, std::vector<std::string> { "u1" }).reports.front().isLeaving);
 }
+
+TEST_CASE("the cells that can run a job have an upstream for each of its steps")
+{
+    upstream_directory directory;
+    for (const char* zone : { "a", "b", "c" }) {
+        jackdaw::protocol::upstream_report report = makeReport(std::string("u") + zone);
+        report.zone = zone;
+        report.labels = { zone };
+        report.capacity.millicores = zone == std::string("c") ? 1000 : 32000;
+        directory.onReport(start, report);
+    }
+    jackdaw::protocol::job_order job;
+    job.service = "planning";
+    job.steps = { { 1, { 8000, 64, 0 }, 60, {}, "", "", 0 }, { 1, { 8000, 64, 0 }, 60, { 0 }, "b", "", 0 } };
+    const auto cellOf = [](const jackdaw::protocol::upstream_report& report) { return report.zone; };
+    CHECK(directory.cellsThatFit(job, cellOf) == std::vector<std::string> { "b" });
+    job.steps[1].requiredLabel = "c";
+    CHECK(directory.cellsThatFit(job, cellOf).empty());
+    job.steps[1].requiredLabel = "";
+    CHECK(directory.cellsThatFit(job, cellOf).size() == 2);
+}
--- a/src/coordination/cells/upstream_directory.cpp
+++ b/src/coordination/cells/upstream_directory.cpp
@@ -165,6 +165,28 @@
         visit(known.reports.latest());
 }
 
+std::vector<std::string> upstream_directory::cellsThatFit(const protocol::job_order& job, const std::function<std::string(const protocol::upstream_report& report)>& cellOf) const
+{
+    std::map<std::string, std::vector<bool>> fitting; // steps that fit, by cell
+    for (const auto& [id, known] : m_upstreams) {
+        const protocol::upstream_report& report = known.reports.latest();
+        if (report.isLeaving || report.service != job.service)
+            continue;
+        std::vector<bool>& steps = fitting.try_emplace(cellOf(report), job.steps.size()).first->second;
+        for (std::size_t i = 0; i < job.steps.size(); ++i) {
+            const protocol::job_step& step = job.steps[i];
+            const bool isLabelled = step.requiredLabel.empty() || std::find(report.labels.begin(), report.labels.end(), step.requiredLabel) != report.labels.end();
+            steps[i] = steps[i] || (isLabelled && step.need.fitsIn(report.capacity));
+        }
+    }
+    std::vector<std::string> cells;
+    for (const auto& [cell, steps] : fitting) {
+        if (std::find(steps.begin(), steps.end(), false) == steps.end())
+            cells.push_back(cell);
+    }
+    return cells;
+}
+
 void upstream_directory::expire(time_point now)
 {
     std::erase_if(m_upstreams, [now](const auto& item) { return now - item.second.knownAt > retention; });
--- a/src/coordination/cells/upstream_directory.h
+++ b/src/coordination/cells/upstream_directory.h
@@ -71,6 +71,9 @@
 
     void forEach(const std::function<void(const protocol::upstream_report& report)>& visit) const;
 
+    // The cells that have an upstream for each step of the job, of its service, with the required label and enough capacity.
+    std::vector<std::string> cellsThatFit(const protocol::job_order& job, const std::function<std::string(const protocol::upstream_report& report)>& cellOf) const;
+
     // Removes upstreams and control hosts that nothing was heard of for too long.
     void expire(time_point now);
 
