Programs: SIGHUP before the handlers are set no longer ends the process

Cause: the programs set their SIGHUP handler after the settings are read and the storage is open; until then the default action ended them. runProgram() ignores the signal first; the event loop's handler replaces that later.

What remains: the time before main().

Evidence: the new case of command_line_tests raises SIGHUP while the settings are read.

--- a/src/apps/shared/command_line.h
+++ b/src/apps/shared/command_line.h
@@ -6,6 +6,7 @@
 #include <boost/program_options/options_description.hpp>
 #include <boost/program_options/variables_map.hpp>
 
+#include <csignal>
 #include <optional>
 #include <span>
 #include <string>
@@ -50,6 +51,7 @@
 template <typename Read, typename Serve>
 int runProgram(const program_info& program, int argc, char** argv, Read read, Serve serve)
 {
+    std::signal(SIGHUP, SIG_IGN); // until serve() sets its handler: by default a reload in the first milliseconds ends the process
     const command_line line = readCommandLine(program, { argv, static_cast<std::size_t>(argc) }, {});
     if (line.exitCode)
         return *line.exitCode;
--- a/src/apps/shared/tests/command_line_tests.cpp
+++ b/src/apps/shared/tests/command_line_tests.cpp
@@ -3,6 +3,12 @@
 
 #include <doctest/doctest.h>
 
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
+
 #include <vector>
 
 using namespace jackdaw::apps;
@@ -33,3 +39,23 @@
     CHECK(read({ "--help" }).exitCode == exitDone);
     CHECK(read({ "--version" }).exitCode == exitDone);
 }
+
+TEST_CASE("SIGHUP before a program has set its handlers does not end it")
+{
+    const pid_t child = fork();
+    REQUIRE(child >= 0);
+    if (child == 0) {
+        std::array<char, 8> name { "program" };
+        std::array<char*, 2> arguments { name.data(), nullptr };
+        const program_info program { "program", "is a test", false };
+        const auto read = [](const std::string&) {
+            std::raise(SIGHUP); // as a service manager that reloads a process at once
+            return jackdaw::protocol::result<int>(0);
+        };
+        _exit(runProgram(program, 1, arguments.data(), read, [](int, const std::string&) { return exitDone; }));
+    }
+    int status = 0;
+    REQUIRE(waitpid(child, &status, 0) == child);
+    CHECK(WIFEXITED(status));
+    CHECK(WEXITSTATUS(status) == exitDone);
+}
