--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -67,6 +67,11 @@
     dispatcherHooks.upstreamsToldUntil = [this, zone = std::string(cells::zoneOfCell(cell))] { return upstreams.toldUntil(zone); };
     dispatcherHooks.findOtherCell = [this](const protocol::job_order& order) { return findOtherCell(order); };
     dispatcherHooks.findEvacuationTarget = [this](const protocol::job_order& order) { return findEvacuationTarget(order); };
+    dispatcherHooks.findCapableCells = [this, cell](const protocol::job_order& order) {
+        std::vector<std::string> capable = upstreams.cellsThatFit(order, [this](const protocol::upstream_report& report) { return zoneCells.cellOf(report.zone, report.id); });
+        std::erase_if(capable, [&](const std::string& other) { return other == cell || evacuations.isEvacuated(cells::zoneOfCell(other)); });
+        return capable;
+    };
     auto dispatcher = std::make_shared<cells::cell_dispatcher>(cellSettings, std::move(dispatcherHooks), steadyNow());
     dispatcher->setEvacuation(steadyNow(), evacuations.startsUntil(cells::zoneOfCell(cell)));
     forwardKnownReports(cell, *dispatcher);
@@ -213,6 +218,8 @@
         dispatcher->advance(now);
     requestUpstreamNews();
     jobRouter.advance(now);
+    if (cancelSearch.size() > 0)
+        cancelSearch.advance(now, otherHostsOfZone());
     const bool hasOwner = hasOwnerInZone();
     if (hasOwner != zoneHasOwner)
         logEvent(hasOwner ? log_level::info : log_level::warning, hasOwner ? "cell_has_owner" : "cell_without_owner", { { "zone", settings.zone } });
@@ -289,7 +296,7 @@
 void cell_host::impl::scheduleTick()
 {
     const time_point now = steadyNow();
-    time_point next = now + (jobRouter.size() > 0 ? busyTick : idleTick);
+    time_point next = now + (jobRouter.size() > 0 || cancelSearch.size() > 0 ? busyTick : idleTick);
     for (const auto& [cell, dispatcher] : dispatchers)
         next = std::min(next, dispatcher->nextTimer(now));
     tickTimer = loop.after(next - now, [this] {
@@ -338,11 +345,16 @@
     m_impl->performActions();
 }
 
-bool cell_host::cancel(std::string_view job)
+void cell_host::cancel(std::string_view job, protocol::duration patience, cells::cancel_search::completion done)
 {
-    const bool isKnown = m_impl->jobRouter.cancel(steadyNow(), job);
-    m_impl->performActions();
-    return isKnown;
+    impl& self = *m_impl;
+    const time_point now = steadyNow();
+    if (self.cancelHere(job)) {
+        self.performActions();
+        return done(cells::cancel_outcome::cancelled);
+    }
+    self.cancelSearch.begin(now, job, self.otherHostsOfZone(), now + patience, std::move(done));
+    self.performActions();
 }
 
 bool cell_host::isReady() const
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -63,6 +63,8 @@
     std::function<std::string(const protocol::job_order& job)> findOtherCell;
     // Returns the cell of another zone for a job of an evacuated zone; empty if no zone takes it.
     std::function<std::string(const protocol::job_order& job)> findEvacuationTarget = {};
+    // Returns other cells whose known upstreams can run every task of the job, whatever runs there now. Empty: none is known.
+    std::function<std::vector<std::string>(const protocol::job_order& job)> findCapableCells = {};
 };
 
 struct cell_counts {
@@ -86,6 +88,8 @@
     // The job is cancelled once every origin that waits for it has cancelled. submissionNumber: the origin's number of the order;
     // a later order of the origin stays. 0: the latest, without an answer to the origin.
     void cancel(time_point now, std::string_view job, std::string_view origin, std::uint64_t submissionNumber = 0);
+    // A caller has cancelled the job at a host that may not be an origin of it. Returns false if the job is not known.
+    bool cancelForCaller(time_point now, std::string_view job);
 
     // The origin's process has ended, or nothing was heard from it for too long. Its jobs are cancelled and their tasks stopped,
     // except for jobs that another origin waits for.
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -115,6 +115,7 @@
     const protocol::order_answer* findCachedAnswer(const protocol::job_order& order) const;
     bool admit(time_point now, cell_job& job);
     void reject(time_point now, cell_job& job, std::string_view reason, duration wait);
+    protocol::order_answer answerUnfitting(const protocol::job_order& order) const;
     void claimRuns(time_point now, cell_job& job);
     std::ptrdiff_t countRuns(std::string_view task) const; // of a task, on all upstreams
     void requeue(cell_job& job, std::size_t step, std::size_t index);
