Refuse jobs of very many tasks before they are expanded

Cause: the decoder bounded the steps of a job and the tasks of a step, but not their product, and an owner made a record for each task before it looked at the job: 600 steps of 10,000 tasks in 36 KB took 260 MB, at this owner and then at the next one. An owner counts the tasks of an order first and refuses a job over a quarter of its bound, or one that would take all its jobs over the bound, which is a sixteenth of memory_mb at 256 bytes a task: rejected (429, not run), or unfinished if the job was handed over, since an earlier owner may have begun it. Ruled out: records only for begun tasks, which needs the placement code rewritten.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -59,6 +59,8 @@
     cellSettings.maxLease = settings.maxLease;
     cellSettings.stopTime = settings.stopTime;
     cellSettings.reportInterval = settings.reportInterval;
+    cellSettings.maxTasks = settings.limits.tasks();
+    cellSettings.maxTasksOfJob = settings.limits.tasksOfJob();
     cells::cell_hooks dispatcherHooks;
     dispatcherHooks.onDecision = [cell](const cells::cell_decision& decision) {
         logEvent(log_level::info, decision.event, { { "subject", decision.subject }, { "cell", cell }, { "inputs", decision.inputs } });
--- a/src/apps/shared/machine_limits.cpp
+++ b/src/apps/shared/machine_limits.cpp
@@ -14,6 +14,9 @@
     constexpr std::size_t minLinkBytes = 9 * mebibyte; // one message of the largest size
     constexpr std::size_t callerDescriptorShare = 2; // the other half is for links, upstreams and files
     constexpr std::size_t linkDescriptorShare = 4;
+    constexpr std::size_t taskShare = 16;
+    constexpr std::size_t taskBytes = 256; // a record of 72 bytes, names, and those of a run
+    constexpr std::size_t jobShare = 4; // of the tasks: a job in the extreme leaves room for others
 
     std::size_t grantedDescriptors(std::size_t wanted)
     {
@@ -45,6 +48,16 @@
     return grantedDescriptors(maxDescriptors) / linkDescriptorShare;
 }
 
+std::size_t machine_limits::tasks() const
+{
+    return memoryMb * mebibyte / taskShare / taskBytes;
+}
+
+std::size_t machine_limits::tasksOfJob() const
+{
+    return tasks() / jobShare;
+}
+
 machine_limits readMachineLimits(state::settings_reader& reader)
 {
     constexpr std::int64_t minMemoryMb = 64;
--- a/src/apps/shared/machine_limits.h
+++ b/src/apps/shared/machine_limits.h
@@ -20,6 +20,10 @@
     // What unfinished messages on links from other hosts may hold together, and the largest number of such links.
     std::size_t linkBytes() const;
     std::size_t linkConnections() const;
+
+    // The largest numbers of tasks of all jobs of a cell together, and of one job.
+    std::size_t tasks() const;
+    std::size_t tasksOfJob() const;
 };
 
 // Keys memory_mb and max_descriptors.
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -36,6 +36,8 @@
     // lost send their jobs again, 1.3 s later.
     duration originSilenceLimit = std::chrono::milliseconds(1000);
     duration resubmissionDelay = std::chrono::milliseconds(1300); // after which callers that left send their jobs again, to any host
+    std::size_t maxTasks = 100'000; // of all jobs of the cell; what is over it is refused before it is expanded
+    std::size_t maxTasksOfJob = 25'000;
 };
 
 // An answer to send to each entry host in origins.
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -33,6 +33,7 @@
     time_point firstAdoptedAt = time_point::max(); // until then nothing has fenced earlier owners
     internal::upstream_map upstreams;
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
+    std::uint64_t tasksOfJobs = 0; // of all steps of these jobs
     std::map<std::string, time_point, std::less<>> originsHeardAt; // of origins with open jobs
     internal::service_ratios serviceRatios;
     internal::failure_history failures;
@@ -108,6 +109,8 @@
     void submit(time_point now, const protocol::job_order& order, std::string_view origin);
     const protocol::order_answer* findCachedAnswer(const protocol::job_order& order) const;
     bool admit(time_point now, cell_job& job);
+    // Answers the order and returns true if its tasks would take the owner over its bounds.
+    bool refusesSize(const protocol::job_order& order, std::string_view origin);
     void claimRuns(time_point now, cell_job& job);
     std::ptrdiff_t countRuns(std::string_view task) const; // of a task, on all upstreams
     void requeue(cell_job& job, std::size_t step, std::size_t index);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -22,10 +22,19 @@
     // Between a caller's leaving and the owner: its connection's end is noticed, and the link from the origin carries the news.
     constexpr duration messageMargin = milliseconds(50);
     constexpr std::uint32_t retryWithoutUpstreamsMs = 1000; // upstreams report every 1 to 2 s
+    constexpr std::uint32_t retryTooLargeMs = 30000; // long, because another try has the same result
     // Run numbers per handover: more than the starts that one owner is expected to need for a task, so that the next owner's numbers
     // are higher. If they are not, the upstream refuses the start as superseded, and the run number is raised.
     constexpr std::uint32_t runsPerHandOver = 16;
 
+    std::uint64_t countTasks(const protocol::job_order& order)
+    {
+        std::uint64_t sum = 0;
+        for (const protocol::job_step& step : order.steps)
+            sum += step.count;
+        return sum;
+    }
+
     std::string toMs(duration value)
     {
         return std::to_string(duration_cast<milliseconds>(value).count());
@@ -60,6 +69,8 @@
         actions.emplace_back(owner_answer { { std::string(origin) }, std::move(copy) });
         return;
     }
+    if (refusesSize(order, origin))
+        return;
     for (const upstream_report& report : order.runsOn)
         onReport(now, report);
     auto owned = std::make_unique<cell_job>(order, now);
@@ -70,6 +81,7 @@
             task.lastRun = order.handOverCount * runsPerHandOver;
     }
     jobs.emplace(order.id, std::move(owned));
+    tasksOfJobs += countTasks(order);
     claimRuns(now, job);
     if (job.isDone())
         return finishIfDone(now, job);
@@ -87,6 +99,20 @@
     dispatch(now);
 }
 
+// An order that was handed over may have runs under an earlier owner, so nothing is promised about it.
+bool cell_dispatcher::impl::refusesSize(const protocol::job_order& order, std::string_view origin)
+{
+    const std::uint64_t tasks = countTasks(order);
+    const bool isTooLarge = tasks > settings.maxTasksOfJob;
+    if (!isTooLarge && tasksOfJobs + tasks <= settings.maxTasks)
+        return false;
+    note("job_too_large", order.id, "tasks=" + std::to_string(tasks) + " tasks_of_other_jobs=" + std::to_string(tasksOfJobs));
+    const job_outcome outcome = order.handOverCount == 0 ? job_outcome::rejected : job_outcome::unfinished;
+    const std::string_view reason = isTooLarge ? "the job has too many tasks" : "the jobs in hand have too many tasks";
+    actions.emplace_back(owner_answer { { std::string(origin) }, protocol::makeOrderAnswer(order, outcome, reason, isTooLarge ? retryTooLargeMs : retryWithoutUpstreamsMs) });
+    return true;
+}
+
 // A result answers every resubmission of a job. So does a move, since the other cell may still run the earlier submission; but a job that
 // was handed over has runs here, of which the other cell does not know. Any other answer is only for the same order, if that is resent.
 const order_answer* cell_dispatcher::impl::findCachedAnswer(const protocol::job_order& order) const
@@ -231,6 +257,7 @@
     answeredJobs[job.order.id] = { answer, now + answerRetention };
     note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " runs_left=" + std::to_string(left));
     actions.emplace_back(owner_answer { job.originNames(), std::move(answer) });
+    tasksOfJobs -= countTasks(job.order);
     jobs.erase(jobs.find(job.order.id));
 }
 
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -959,3 +959,26 @@
         checkSafe(sim);
     }
 }
+
+TEST_CASE("jobs of very many tasks are expanded until their owner has no memory left")
+{
+    cell_simulation sim(1);
+    openCell(sim, { "u1" });
+    job_order large = sim.makeJob("large", 1, 14000, 60);
+    large.steps.assign(600, large.steps.front());
+    for (auto& step : large.steps)
+        step.count = 10000;
+    sim.submit(0, large);
+    CHECK(outcomeOf(sim, "large") == job_outcome::rejected);
+    CHECK(sim.outcomes().at("large").answer.retryAfterMs >= 1000);
+    job_order handedOver = large;
+    handedOver.id = "handed over";
+    handedOver.handOverCount = 1;
+    sim.submit(0, handedOver);
+    CHECK(outcomeOf(sim, "handed over") == job_outcome::unfinished);
+    sim.submit(0, sim.makeJob("ordinary", 2, 14000, 60));
+    sim.runFor(seconds(1));
+    CHECK(outcomeOf(sim, "ordinary") == job_outcome::completed);
+    CHECK(sim.runsOf("large.0.0.0") == 0);
+    checkSafe(sim);
+}
