Log what the limits of a server refuse

Cause: a refused request or an evicted connection left no trace. A server now logs requests_refused at most every 5 s, with its port and the counts since its start, and a test sends one request over each limit and reads the status: 400, 408, 413, 414, 431, and two pipelined requests that are answered. Ruled out: a line for each refusal, which a client could use to fill the log. Evidence: the 9 cases of transport_tests on requests, callers and malformed text pass; the other 23 were not run again after this change.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -1,6 +1,7 @@
 // HTTP server by libevhtp. A request that is not answered at once is paused and resumed with its reply.
 #include "transport/http_server.h"
 
+#include "state/log.h"
 #include "transport/internal/request_gate.h"
 
 #include <evhtp/evhtp.h>
@@ -26,6 +27,7 @@
     using protocol::result;
 
     constexpr int listenBacklog = 1024;
+    constexpr protocol::duration logInterval = std::chrono::seconds(5); // between two log lines on what limits have refused
     constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this
 
     // The library takes hooks of all types as one function type.
@@ -309,6 +311,19 @@
             if (const auto found = connections.find(connection); found != connections.end())
                 found->second->checkTime(now);
         }
+        logRefusals(now);
+    }
+
+    void logRefusals(protocol::time_point now)
+    {
+        const std::uint64_t sum = refusals.headers + refusals.bodies + refusals.timeouts + refusals.malformed + budget.evictions() + budget.refusedConnections();
+        if (sum == loggedRefusals || now - loggedAt < logInterval)
+            return;
+        loggedRefusals = sum;
+        loggedAt = now;
+        state::logEvent(state::log_level::warning, "requests_refused",
+            { { "port", std::to_string(port) }, { "headers", std::to_string(refusals.headers) }, { "bodies", std::to_string(refusals.bodies) }, { "timeouts", std::to_string(refusals.timeouts) },
+                { "malformed", std::to_string(refusals.malformed) }, { "evicted", std::to_string(budget.evictions()) }, { "connections_refused", std::to_string(budget.refusedConnections()) } });
     }
 
     static evhtp_res onConnectionClosed(evhtp_connection_t* connection, void* self)
@@ -358,6 +373,8 @@
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     http_server_refusals refusals;
+    std::uint64_t loggedRefusals = 0; // sum of all counts in the last log line
+    protocol::time_point loggedAt;
     std::size_t openRequests = 0;
     bool isEnforcementPosted = false;
     bool isListening = false;
--- a/src/transport/tests/http_tests.cpp
+++ b/src/transport/tests/http_tests.cpp
@@ -324,3 +324,41 @@
     for (const int descriptor : descriptors)
         close(descriptor);
 }
+
+TEST_CASE("a request over a limit is dropped without a response")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxHeaderBytes = 500;
+    limits.maxBodyBytes = 100;
+    limits.headerTimeout = std::chrono::milliseconds(100);
+    fixture.serve([](const http_request&, const std::shared_ptr<http_responder>& responder) { responder->reply({}); }, limits);
+    const std::vector<std::pair<std::string, std::string>> cases = {
+        { "GET /" + std::string(600, 'x'), "414" },
+        { "GET / HTTP/1.1\r\nX: " + std::string(600, 'x'), "431" },
+        { "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n", "413" },
+        { "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n", "413" },
+        { "GET / HTTP/1.1\r\nHost", "408" },
+        { "GET / HTTP/1.1\r\nHost : x\r\n\r\n", "400" },
+        { "GET / HTTP/1.1\r\nHost: x\r\n\r\nGET / HTTP/1.1\r\nHost: x\r\n\r\n", "200" },
+    };
+    std::vector<int> descriptors;
+    for (const auto& [text, status] : cases) {
+        descriptors.push_back(fixture.connectRaw());
+        REQUIRE(write(descriptors.back(), text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    }
+    const auto end = fixture.loop.after(std::chrono::seconds(3), [&] { fixture.finish(); });
+    fixture.run();
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        std::string answer(1000, '\0');
+        answer.resize(static_cast<std::size_t>(std::max<ssize_t>(recv(descriptors[i], answer.data(), answer.size(), MSG_DONTWAIT), 0)));
+        CAPTURE(cases[i].first);
+        CHECK(answer.substr(0, 12) == "HTTP/1.1 " + cases[i].second);
+        if (cases[i].second == "200")
+            CHECK(answer.find("HTTP/1.1 200", 1) != std::string::npos); // the second of two pipelined requests
+        close(descriptors[i]);
+    }
+    CHECK(fixture.server->openConnections() <= 1);
+    CHECK(fixture.server->refusals().headers == 2);
+    CHECK(fixture.server->refusals().bodies == 2);
+}
