Announce an owner's delay and send new jobs to less delayed owners

An origin host did not know that an owner's CPU was used up. Each host now averages the lag of its tick over 0.5 s, announces it in gossip as ownerDelayMs (appended; 0 from earlier releases) and, for a new job of one step, compares the home cell's owner with others as decided in owner_delays. Implausible delays and CPU values are ignored. Jobs in progress never move. A separate measure of calls' wait was ruled out: responses wait for the same thread as timers. The effect under load was not measured.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -116,6 +116,29 @@
     return preferred;
 }
 
+duration cell_host::impl::delayOf(const cells::cell_owner& owner) const
+{
+    return owner.isSelf ? milliseconds(loopDelay.averageMs()) : ownerDelays.delayOf(steadyNow(), owner.host);
+}
+
+std::string cell_host::impl::findLessDelayedCell(const protocol::job_order& order)
+{
+    const std::string home = homeCellOf(order.id);
+    const auto homeOwner = ownership.ownerOf(steadyNow(), home);
+    if (!homeOwner)
+        return {};
+    const duration homeDelay = delayOf(*homeOwner);
+    const std::string cell = cells::findLessDelayedCell(order, homeDelay, spillTargets, [&](std::string_view other) -> std::optional<cells::cell_delay> {
+        const auto owner = ownership.ownerOf(steadyNow(), other);
+        if (!owner || owner->host == homeOwner->host)
+            return std::nullopt;
+        return cells::cell_delay { delayOf(*owner), cells::zoneOfCell(other) == settings.zone };
+    });
+    if (!cell.empty())
+        logEvent(log_level::info, "job_avoids_delayed_owner", { { "subject", order.id }, { "cell", cell }, { "home_cell", home }, { "owner", homeOwner->host }, { "owner_delay_ms", std::to_string(std::chrono::duration_cast<milliseconds>(homeDelay).count()) } });
+    return cell;
+}
+
 bool cell_host::impl::hasOwnerInZone() const
 {
     const std::vector<std::string> cells = zoneCells.cellsOf(settings.zone);
@@ -272,7 +295,8 @@
     time_point next = now + (jobRouter.size() > 0 ? busyTick : idleTick);
     for (const auto& [cell, dispatcher] : dispatchers)
         next = std::min(next, dispatcher->nextTimer(now));
-    tickTimer = loop.after(next - now, [this] {
+    tickTimer = loop.after(next - now, [this, next] {
+        loopDelay.onTimer(steadyNow(), next);
         advance();
         scheduleTick();
     });
@@ -306,7 +330,8 @@
     const cells::caller_id caller = ++m_impl->lastCaller;
     m_impl->completions.emplace(caller, impl::waiting_caller { std::move(done), steadyNow() });
     m_impl->applyInputDelay(order);
-    m_impl->jobRouter.submit(steadyNow(), std::move(order), caller);
+    std::string cell = m_impl->findLessDelayedCell(order);
+    m_impl->jobRouter.submit(steadyNow(), std::move(order), caller, std::move(cell));
     m_impl->performActions();
     return caller;
 }
@@ -363,6 +388,8 @@
     self.metrics.openJobs.set(static_cast<double>(self.jobRouter.size()));
     self.metrics.waitingTasks.set(static_cast<double>(waiting));
     self.metrics.ownedCells.set(static_cast<double>(self.dispatchers.size()));
+    self.metrics.ownerDelay.set(static_cast<double>(self.loopDelay.averageMs()) / 1000);
+    self.metrics.zoneCells.set(static_cast<double>(self.zoneCells.cellCount(self.settings.zone)));
     self.metrics.upstreams.set(static_cast<double>(adopted));
     self.metrics.configurationVersion.set(static_cast<double>(self.configuration.version));
     self.metrics.logLinesLeftOut.set(static_cast<double>(state::logLinesLeftOut()));
--- a/src/apps/cell_host/cell_host_metrics.h
+++ b/src/apps/cell_host/cell_host_metrics.h
@@ -19,6 +19,8 @@
         , openJobs(all.addGauge("jackdaw_open_jobs", "Jobs of this host's callers that wait for their answer."))
         , waitingTasks(all.addGauge("jackdaw_waiting_tasks", "Tasks of owned cells that wait for room."))
         , ownedCells(all.addGauge("jackdaw_owned_cells", "Cells that this host dispatches."))
+        , ownerDelay(all.addGauge("jackdaw_owner_delay_seconds", "How long an event waits for this host's CPU, averaged over about 0.5 s."))
+        , zoneCells(all.addGauge("jackdaw_zone_cells", "Cells into which the upstreams of this host's zone are divided."))
         , upstreams(all.addGauge("jackdaw_adopted_upstreams", "Upstreams of owned cells that answer to this host."))
         , configurationVersion(all.addGauge("jackdaw_configuration_version", "Version in force; 0: none yet."))
         , logLinesLeftOut(all.addGauge("jackdaw_log_lines_left_out", "Log lines that were not written since the start."))
@@ -55,6 +57,8 @@
     state::gauge& openJobs;
     state::gauge& waitingTasks;
     state::gauge& ownedCells;
+    state::gauge& ownerDelay;
+    state::gauge& zoneCells;
     state::gauge& upstreams;
     state::gauge& configurationVersion;
     state::gauge& logLinesLeftOut;
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -9,6 +9,7 @@
 #include "coordination/cells/cell_dispatcher.h"
 #include "coordination/cells/cell_ownership.h"
 #include "coordination/cells/configuration_requests.h"
+#include "coordination/cells/owner_delays.h"
 #include "coordination/cells/spill_targets.h"
 #include "coordination/cells/upstream_directory.h"
 #include "coordination/cells/zone_cells.h"
@@ -67,6 +68,9 @@
     std::set<std::string> silentHosts; // hosts whose loss was reported to the dispatchers
     transport::stall_watch stalls { loop, [](duration length) { logStall(length); } };
     cells::spill_targets spillTargets;
+    cells::loop_delay loopDelay;
+    cells::owner_delays ownerDelays;
+    std::set<std::string> implausibleHosts; // each is logged once; a subset of the entry peers
     cells::zone_cells zoneCells;
     cells::caller_id lastCaller = 0;
     protocol::configuration_push configuration; // in force; its version never decreases
@@ -134,6 +138,9 @@
     void endSilentOrigins();
     std::string findOtherCell(const protocol::job_order& order);
     std::string homeCellOf(std::string_view job) const;
+    // Returns the cell for a new job whose home cell's owner is overloaded; empty: the home cell.
+    std::string findLessDelayedCell(const protocol::job_order& order);
+    duration delayOf(const cells::cell_owner& owner) const;
     bool hasOwnerInZone() const;
     void updateCellCount(const std::string& zone, std::uint32_t announcedCells);
     void scheduleTick();
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -78,6 +78,8 @@
     // Control hosts push new configurations; the pull from another entry host works while the link to them is broken.
     if (configurationRequests.isPullDue(now, configuration.version, gossip.configurationVersion))
         sendTo(gossip.host, protocol::configuration_pull { configuration.version });
+    if (!ownerDelays.onGossip(now, gossip.host, gossip.ownerDelayMs) && implausibleHosts.insert(gossip.host).second)
+        logEvent(log_level::warning, "gossip_implausible", { { "host", gossip.host }, { "owner_delay_ms", std::to_string(gossip.ownerDelayMs) } });
     for (const protocol::cell_claim& claim : gossip.claims)
         spillTargets.update(claim);
     if (isRepetition)
@@ -222,6 +224,7 @@
     protocol::host_gossip gossip = ownership.gossip();
     gossip.configurationVersion = configuration.version;
     gossip.zoneCellCount = zoneCells.cellCount(settings.zone);
+    gossip.ownerDelayMs = loopDelay.averageMs();
     for (protocol::cell_claim& claim : gossip.claims) {
         if (const auto dispatcher = dispatchers.find(claim.cell); dispatcher != dispatchers.end())
             claim.freeCapacity = dispatcher->second->rooms(steadyNow());
--- a/src/coordination/cells/cell_ownership.cpp
+++ b/src/coordination/cells/cell_ownership.cpp
@@ -15,6 +15,8 @@
     // Newer tokens are higher. Tokens that two hosts make in the same millisecond differ, unless the hashes collide.
     constexpr std::uint64_t hostHashMask = (1U << tokenHashBits) - 1;
 
+    constexpr std::uint32_t maxPlausibleMillicores = 1'000'000; // no machine has 1,000 cores
+
     constexpr std::size_t delegates = 3; // hosts of a zone that gossip to a host of another zone; two may be lost
 
     constexpr std::size_t listSenders = 3; // two may be lost or just starting themselves
@@ -257,8 +259,9 @@
         return {};
     std::vector<std::uint32_t> out { m_settings.processorMillicores };
     for (const auto& [host, known] : m_hosts) {
-        if (known.gossip.zone == m_settings.zone)
-            out.push_back(known.gossip.processorMillicores);
+        const std::uint32_t millicores = known.gossip.processorMillicores;
+        if (known.gossip.zone == m_settings.zone && millicores > 0 && millicores <= maxPlausibleMillicores)
+            out.push_back(millicores);
     }
     return out;
 }
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -26,7 +26,7 @@
 {
 }
 
-void job_router::submit(time_point now, protocol::job_order order, caller_id caller)
+void job_router::submit(time_point now, protocol::job_order order, caller_id caller, std::string preferredCell)
 {
     m_jobOfCaller[caller] = order.id;
     const auto known = m_jobs.find(order.id);
@@ -43,7 +43,7 @@
     job.deadline = now + milliseconds(order.timeLeftMs);
     job.arrivedAt = now;
     job.callers = { caller };
-    job.cell = m_homeCellOf(order.id);
+    job.cell = preferredCell.empty() ? m_homeCellOf(order.id) : std::move(preferredCell);
     job.order = std::move(order);
     job.order.submissionNumber = ++m_lastSubmission;
     const std::string id = job.order.id;
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -55,7 +55,8 @@
 
     // A resubmission of a job in progress adds the caller to that job. A job without time left is rejected: its caller may have
     // given up and sent it again elsewhere.
-    void submit(time_point now, protocol::job_order order, caller_id caller);
+    // preferredCell: the cell that a new job is forwarded to first; empty: its home cell.
+    void submit(time_point now, protocol::job_order order, caller_id caller, std::string preferredCell = {});
 
     // The caller's connection is lost or the caller has stopped waiting. Cancels the job if no other caller waits for it.
     void onCallerGone(time_point now, caller_id caller);
--- a/src/coordination/cells/owner_delays.cpp
+++ b/src/coordination/cells/owner_delays.cpp
@@ -1,7 +1,9 @@
 // Age and plausibility of owners' delays, and the comparison between cells.
 #include "coordination/cells/owner_delays.h"
 
+#include <algorithm>
 #include <chrono>
+#include <cmath>
 
 namespace jackdaw::cells {
 namespace {
@@ -13,6 +15,8 @@
     constexpr int objectiveShare = 5; // a delay over a fifth of the objective is high
     constexpr int delayRatio = 2; // a move is worth its cost only to an owner with at most half of the delay
 
+    constexpr double averagingSeconds = 0.5; // half of the age at which a delay counts as none
+
     // Only jobs of one step are sent to other cells.
     duration objectiveOf(const protocol::job_order& job)
     {
@@ -22,6 +26,19 @@
 
 } // namespace
 
+void loop_delay::onTimer(time_point now, time_point due)
+{
+    const double sampleMs = std::max(std::chrono::duration<double, std::milli>(now - due).count(), 0.0);
+    const double sinceLast = std::chrono::duration<double>(now - m_lastAt).count();
+    m_averageMs += (sampleMs - m_averageMs) * (1 - std::exp(-sinceLast / averagingSeconds));
+    m_lastAt = now;
+}
+
+std::uint32_t loop_delay::averageMs() const
+{
+    return static_cast<std::uint32_t>(m_averageMs);
+}
+
 bool owner_delays::onGossip(time_point now, std::string_view host, std::uint32_t delayMs)
 {
     const duration delay = milliseconds(delayMs);
--- a/src/coordination/cells/owner_delays.h
+++ b/src/coordination/cells/owner_delays.h
@@ -20,6 +20,18 @@
 using protocol::duration;
 using protocol::time_point;
 
+// Moving average of the delay of this host's event loop.
+class loop_delay {
+public:
+    // A timer that was due at the given time has run now.
+    void onTimer(time_point now, time_point due);
+    std::uint32_t averageMs() const;
+
+private:
+    double m_averageMs = 0;
+    time_point m_lastAt;
+};
+
 class owner_delays {
 public:
     // Returns false and changes nothing if the delay is not plausible, that is, over a minute.
--- a/src/coordination/cells/tests/cell_ownership_tests.cpp
+++ b/src/coordination/cells/tests/cell_ownership_tests.cpp
@@ -521,6 +521,8 @@
     group.add("h1", "a", 90);
     group.add("h2", "a", 300);
     group.add("h3", "b", 500);
+    group.add("h4", "a", 0);
+    group.add("h5", "a", 1'000'001);
     group.pass(milliseconds(2500));
     CHECK(group.hosts["h1"].ownership->zoneProcessors(group.now).empty());
     group.pass(seconds(1));
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -58,6 +58,19 @@
     CHECK(f.router.size() == 0);
 }
 
+TEST_CASE("a job that avoids its home cell is a first submission there, and a repeated one doesn't move it")
+{
+    router_fixture f;
+    f.router.submit(f.now, f.makeOrder("1"), 1, "b");
+    f.router.submit(f.now, f.makeOrder("1"), 2);
+    f.router.submit(f.now, f.makeOrder("2"), 3);
+    const auto sent = f.sent();
+    REQUIRE(sent.size() == 2);
+    CHECK(sent[0].order.cell == "b");
+    CHECK(sent[0].order.handOverCount == 0);
+    CHECK(sent[1].order.cell == "a");
+}
+
 TEST_CASE("a job is handed over when the same host owns the cell under another token")
 {
     router_fixture f;
--- a/src/coordination/cells/tests/owner_delays_tests.cpp
+++ b/src/coordination/cells/tests/owner_delays_tests.cpp
@@ -93,6 +93,27 @@
     CHECK(findLessDelayedCell(job, milliseconds(100), cells.targets, [](std::string_view) { return std::optional(cell_delay { {}, true }); }).empty());
 }
 
+TEST_CASE("a lasting delay is announced within a second, a single late timer hardly, and neither stays")
+{
+    loop_delay delay;
+    time_point now = start;
+    const auto pass = [&](milliseconds time, milliseconds late) {
+        for (const time_point end = now + time; now < end; now += milliseconds(20))
+            delay.onTimer(now, now - late);
+    };
+    pass(milliseconds(1000), milliseconds(0));
+    CHECK(delay.averageMs() == 0);
+    pass(milliseconds(20), milliseconds(100));
+    CHECK(delay.averageMs() < 10);
+    pass(milliseconds(1000), milliseconds(100));
+    CHECK(delay.averageMs() > 80);
+    CHECK(delay.averageMs() <= 100);
+    pass(milliseconds(2500), milliseconds(0));
+    CHECK(delay.averageMs() == 0);
+    delay.onTimer(now, now + milliseconds(5));
+    CHECK(delay.averageMs() == 0);
+}
+
 TEST_CASE("an old or implausible delay does not send jobs elsewhere")
 {
     owner_delays delays;
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -181,10 +181,11 @@
     std::uint64_t configurationVersion = 0; // of the active configuration
     std::vector<cell_claim> claims;
     std::uint32_t zoneCellCount = 1; // number of cells into which the sender divides the upstreams of its zone
+    std::uint32_t ownerDelayMs = 0; // how long an event waits for the sender's CPU; 0 as well: not known
 
     friend bool operator==(const host_gossip&, const host_gossip&) = default;
 
-    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, configurationVersion, claims, zoneCellCount)
+    MSGPACK_DEFINE_ARRAY(host, incarnation, zone, processorMillicores, isLeaving, configurationVersion, claims, zoneCellCount, ownerDelayMs)
 };
 
 // An entry host asks a control host for the directory and reports the version of its active configuration.
--- a/src/protocol/tests/cell_messages_tests.cpp
+++ b/src/protocol/tests/cell_messages_tests.cpp
@@ -30,7 +30,7 @@
     const auto answerBack = decodeCellMessage(encodeCellMessage(answer));
     REQUIRE(answerBack);
     CHECK(std::get<order_answer>(answerBack.value()) == answer);
-    const host_gossip gossip { "10.0.0.1", 7, "zone-a", 250, true, 3, { { "zone-a", 99, { { "planning", { 4000, 2000 } } }, 2 } } };
+    const host_gossip gossip { "10.0.0.1", 7, "zone-a", 250, true, 3, { { "zone-a", 99, { { "planning", { 4000, 2000 } } }, 2 } }, 5, 80 };
     const auto gossipBack = decodeCellMessage(encodeCellMessage(gossip));
     REQUIRE(gossipBack);
     CHECK(std::get<host_gossip>(gossipBack.value()) == gossip);
