Return the less delayed cell by move

A constant local variable kept the returned name from being moved, which scripts/lint reports as an error. Disabling the check was ruled out.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -128,7 +128,7 @@
     if (!homeOwner)
         return {};
     const duration homeDelay = delayOf(*homeOwner);
-    const std::string cell = cells::findLessDelayedCell(order, homeDelay, spillTargets, [&](std::string_view other) -> std::optional<cells::cell_delay> {
+    std::string cell = cells::findLessDelayedCell(order, homeDelay, spillTargets, [&](std::string_view other) -> std::optional<cells::cell_delay> {
         const auto owner = ownership.ownerOf(steadyNow(), other);
         if (!owner || owner->host == homeOwner->host)
             return std::nullopt;
