--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -12,6 +12,7 @@
 #include "coordination/cells/configuration_requests.h"
 #include "coordination/cells/evacuated_zones.h"
 #include "coordination/cells/evacuation_targets.h"
+#include "coordination/cells/owner_delays.h"
 #include "coordination/cells/spill_targets.h"
 #include "coordination/cells/upstream_directory.h"
 #include "coordination/cells/zone_cells.h"
@@ -71,6 +72,9 @@
     std::set<std::string> silentHosts; // hosts whose loss was reported to the dispatchers
     transport::stall_watch stalls { loop, [](duration length) { logStall(length); } };
     cells::spill_targets spillTargets;
+    cells::loop_delay loopDelay;
+    cells::owner_delays ownerDelays;
+    std::set<std::string> implausibleHosts; // each is logged once; a subset of the entry peers
     cells::zone_cells zoneCells;
     cells::evacuated_zones evacuations;
     cells::evacuation_targets evacuationTargets;
@@ -151,6 +155,9 @@
     // The cell of a zone that is not evacuated; empty: none has an owner.
     std::string findEvacuationTarget(const protocol::job_order& order);
     std::optional<std::string> evacuationTargetOfNewJob(const protocol::job_order& order);
+    // Returns the cell for a new job whose home cell's owner is overloaded; empty: the home cell.
+    std::string findLessDelayedCell(const protocol::job_order& order);
+    duration delayOf(const cells::cell_owner& owner) const;
     bool hasOwnerInZone() const;
     void updateCellCount(const std::string& zone, std::uint32_t announcedCells);
     void scheduleTick();
