--- a/src/coordination/cells/tests/call_token_tests.cpp
+++ b/src/coordination/cells/tests/call_token_tests.cpp
@@ -238,7 +238,7 @@
         host->onDirectoryKnown(start);
         host->onZoneReport(start, "a");
     }
-    const auto claim = [unixMs](cell_ownership& host, time_point now) {
+    const auto claim = [](cell_ownership& host, time_point now) {
         std::uint64_t token = 0;
         for (const ownership_change& change : host.advance(now, unixMs)) // its clock stands still
             token = std::max(token, change.token);
--- a/src/transport/tests/message_scanner_tests.cpp
+++ b/src/transport/tests/message_scanner_tests.cpp
@@ -81,7 +81,7 @@
     checkRefusal("POST /x HTTP/1.1\r\nContent-Length : 1\r\n\r\n", 400);
     checkRefusal("POST /x HTTP/1.1\r\nA: b\r\n folded\r\n\r\n", 400);
     checkRefusal("POST /x HTTP/1.1\nHost: x\r\n\r\n", 400);
-    checkRefusal(std::string_view("POST /x HTTP/1.1\r\nA: \0\r\n\r\n", 27), 400);
+    checkRefusal(std::string_view("POST /x HTTP/1.1\r\nA: \0\r\n\r\n", 26), 400);
     checkRefusal("POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nTrailer: x\r\n\r\n", 400);
     checkRefusal("nonsense\r\n\r\n", 400);
 }
