Head comments of three files: lines of ordinary length

Read-through of the change as a newcomer: three comments written during the merges ran over 170 columns and were hard to read beside the code. Only their line breaks change.

--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -1,7 +1,8 @@
 // A job in a cell: the states of its tasks, and the order in which jobs are scheduled.
 //
 // Load pattern: demand above capacity for seconds. Jobs are ordered by the operators' priority first, then come jobs of groups that
-// starve (group_shares.h), and jobs that can no longer meet their objective go behind the others of their priority. Next come jobs with started tasks, since abandoned work would be lost; then the job whose objective ends first.
+// starve (group_shares.h), and jobs that can no longer meet their objective go behind the others of their priority. Next come jobs with
+// started tasks, since abandoned work would be lost; then the job whose objective ends first.
 #pragma once
 
 #include "coordination/cells/upstream_calls.h"
--- a/src/coordination/cells/internal/run_time_sample.h
+++ b/src/coordination/cells/internal/run_time_sample.h
@@ -31,7 +31,8 @@
 };
 
 // Run time of an ended run in ms: the local time less ownDelay while that is short, else the estimate, both clamped to the bounds that
-// the upstream's clock gives. Without known clocks, the local time less ownDelay. Empty if the bounds contain the estimate and are so wide that they say nothing of it.
+// the upstream's clock gives. Without known clocks, the local time less ownDelay. Empty if the bounds contain the estimate and are so
+// wide that they say nothing of it.
 // endClockMs: of the response that listed the end, 0 if not known. ownDelay: expected between a call and reading its response.
 std::optional<double> sampleRunTime(time_point now, const run_record& run, std::int64_t endClockMs, double estimateMs, duration ownDelay);
 
--- a/src/coordination/cells/spill_targets.h
+++ b/src/coordination/cells/spill_targets.h
@@ -27,8 +27,9 @@
     void update(time_point now, const protocol::cell_claim& claim);
 
     // Returns a cell that fits all tasks of the job now, among those that mayTake allows, and deducts the tasks from its capacity. Cells
-    // of the given zone come first; among the others, a cell with twice the free capacity is drawn twice as often. Empty if there is none, for jobs without processor demand, and for jobs with
-    // several steps: these stay in their cell, since their later steps need free capacity too.
+    // of the given zone come first; among the others, a cell with twice the free capacity is drawn twice as often. Empty if there is
+    // none, for jobs without processor demand, and for jobs with several steps: these stay in their cell, since their later steps need
+    // free capacity too.
     std::string reserve(time_point now, std::string_view zone, const protocol::job_order& job, const cell_predicate& mayTake);
 
 private:
