Hosts of routes and requests are compared without regard to case

Callers saw 404 when they spelled a route's host in capitals, and the operator got 200 for a configuration with two routes of the same host, one of them in capitals, and the same prefix.

Cause: hosts were compared byte by byte, in the check of routes and in the look-up of a request's queue. Both use toComparableHost() now; the configuration itself is stored and read back as it was sent. Paths are compared as before. Ruled out: the port in a request's Host, which was ignored already.

--- a/src/coordination/cells/queue_table.cpp
+++ b/src/coordination/cells/queue_table.cpp
@@ -5,12 +5,21 @@
 
 namespace jackdaw::cells {
 
+std::string toComparableHost(std::string_view host)
+{
+    // Without the locale, on which tolower() depends.
+    const auto toLower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+    std::string out(host);
+    std::transform(out.begin(), out.end(), out.begin(), toLower);
+    return out;
+}
+
 queue_table::queue_table(std::uint64_t version, std::vector<job_queue> queues)
     : m_version(version)
     , m_size(queues.size())
 {
     for (job_queue& queue : queues) {
-        std::vector<job_queue>& sameHost = m_byHost[queue.host];
+        std::vector<job_queue>& sameHost = m_byHost[toComparableHost(queue.host)];
         sameHost.push_back(std::move(queue));
     }
     for (auto& [host, sameHost] : m_byHost) {
@@ -22,7 +31,7 @@
 
 const job_queue* queue_table::find(std::string_view host, std::string_view path) const
 {
-    const auto sameHost = m_byHost.find(host.substr(0, host.find(':')));
+    const auto sameHost = m_byHost.find(toComparableHost(host.substr(0, host.find(':'))));
     if (sameHost == m_byHost.end())
         return nullptr;
     const auto found = std::find_if(sameHost->second.begin(), sameHost->second.end(), [path](const job_queue& queue) {
--- a/src/coordination/cells/queue_table.h
+++ b/src/coordination/cells/queue_table.h
@@ -11,7 +11,7 @@
 
 struct job_queue {
     std::string name;
-    std::string host; // of the request, without a port
+    std::string host; // of the request, without a port; upper and lower case are the same
     std::string pathPrefix;
     std::string service;
     std::uint32_t priority = 0; // 0 is the most urgent
@@ -21,6 +21,9 @@
     std::uint32_t timeoutMs = 0; // deadline for requests that name none
 };
 
+// The form in which hosts are compared: RFC 9110, 4.2.3 makes them case-insensitive.
+std::string toComparableHost(std::string_view host);
+
 class queue_table {
 public:
     queue_table() = default;
@@ -36,7 +39,7 @@
 private:
     std::uint64_t m_version = 0; // 0: no configuration yet
     std::size_t m_size = 0;
-    std::map<std::string, std::vector<job_queue>, std::less<>> m_byHost; // longest prefix first
+    std::map<std::string, std::vector<job_queue>> m_byHost; // by comparable host; longest prefix first
 };
 
 } // namespace jackdaw::cells
--- a/src/coordination/cells/tests/queue_table_tests.cpp
+++ b/src/coordination/cells/tests/queue_table_tests.cpp
@@ -19,3 +19,15 @@
     CHECK_FALSE(table.find("x.example", "/other/1"));
     CHECK(table.version() == 3);
 }
+
+// Guards against 404 for a queue that is there: clients may write a host in any case.
+TEST_CASE("a host in capitals, in the configuration or in the request, selects no queue")
+{
+    const queue_table table(1, { { "r", "Jobs.Example", "/jobs/", "s", 0, 1, 1, 0, 100 } });
+    for (const std::string host : { "jobs.example", "JOBS.EXAMPLE", "Jobs.Example", "jobs.EXAMPLE:8080" }) {
+        CAPTURE(host);
+        CHECK(table.find(host, "/jobs/1"));
+    }
+    CHECK_FALSE(table.find("jobs.example", "/Jobs/1")); // paths are compared as they are
+    CHECK_FALSE(table.find("jobs-example", "/jobs/1"));
+}
