Starts over a bound wait as tasks, and a job's starts share its spec

Cause: all tasks that fit on an upstream were started at once, thousands if they are small. Each start held two copies of the spec while it waited for one of 16 connections and for an answer: in the order kept for the answer, and in the body of the call. Polls waited behind them in the same queue. Now the starts of a job share its spec, a call's request is made when a connection is free for it, and an upstream is sent 32 starts before it has answered one. Sites in force run a few tasks on an upstream at a time, far below the bound. Ruled out: a bound by the sum over upstreams, which one silent upstream would use up for all.

--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -252,13 +252,23 @@
     job.hasBegun = true;
     record.token = nextToken(now, upstream);
     upstream.runs[name] = record;
-    actions.emplace_back(start_request { upstream.target(), name, job.order.spec, upstream.extendLease(now, leaseFor(now, upstream)), record.token, now, settings.maxLease });
+    upstream.isAtStartBound = ++upstream.startsUnderWay >= internal::maxStartsUnderWay;
+    actions.emplace_back(start_request { upstream.target(), name, job.spec, upstream.extendLease(now, leaseFor(now, upstream)), record.token, now, settings.maxLease });
     calls.onSent(now);
     repairs.onStart();
     if (!upstream.isPollPending)
         poll(now, upstream);
 }
 
+bool cell_dispatcher::impl::endStart(upstream_record& upstream)
+{
+    --upstream.startsUnderWay;
+    if (!upstream.isAtStartBound || upstream.startsUnderWay > internal::maxStartsUnderWay / 2)
+        return false;
+    upstream.isAtStartBound = false;
+    return true;
+}
+
 cell_dispatcher::cell_dispatcher(cell_settings settings, cell_hooks hooks, time_point now)
     : m_impl(std::make_unique<impl>(std::move(settings), std::move(hooks), now))
 {
@@ -271,15 +281,22 @@
     internal::upstream_record* const answering = m_impl->findAnsweringUpstream(now, order.target, order.token, answer);
     if (!answering)
         return;
-    internal::upstream_record& upstream = *answering;
+    const bool mayStartMore = m_impl->endStart(*answering);
+    m_impl->applyStartAnswer(now, *answering, order, answer);
+    if (mayStartMore)
+        m_impl->dispatch(now);
+}
+
+void cell_dispatcher::impl::applyStartAnswer(time_point now, upstream_record& upstream, const start_request& order, const call_answer& answer)
+{
     if (answer.outcome == call_outcome::silent)
-        m_impl->noteUnanswered(upstream, order.token);
+        noteUnanswered(upstream, order.token);
     const auto run = upstream.runs.find(order.run);
     if (run == upstream.runs.end())
         return; // the run has ended in the meantime
-    internal::run_record& record = run->second;
+    run_record& record = run->second;
     if (answer.outcome == call_outcome::done) {
-        m_impl->recordAnswer(now, upstream, answer);
+        recordAnswer(now, upstream, answer);
         upstream.consecutiveRefusals = 0;
         record.hasBegun = true;
         record.startClockMs = answer.clockMs;
@@ -290,14 +307,14 @@
         }
         return;
     }
-    m_impl->note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::string(toText(answer.outcome)));
+    note("start_refused", order.run.task, "upstream=" + order.target.id + " run=" + std::to_string(order.run.run) + " outcome=" + std::string(toText(answer.outcome)));
     if (answer.outcome == call_outcome::silent) {
         if (record.state == run_state::starting || record.state == run_state::stopping)
-            m_impl->onUnansweredStart(now, upstream, order.run, record);
+            onUnansweredStart(now, upstream, order.run, record);
         return;
     }
     // The start was refused without effect, so the run does not exist.
-    const internal::run_record refused = record;
+    const run_record refused = record;
     upstream.runs.erase(run);
     upstream.unansweredStarts.erase(order.run);
     if (answer.outcome == call_outcome::unhealthy || answer.outcome == call_outcome::not_received || answer.outcome == call_outcome::no_room) {
@@ -305,15 +322,15 @@
         upstream.ejectedUntil = now + refusalEjection * (1 << (upstream.consecutiveRefusals - 1));
     }
     if (answer.clockMs > 0)
-        m_impl->recordAnswer(now, upstream, answer);
-    if (internal::cell_job* job = m_impl->findJob(refused.job)) {
+        recordAnswer(now, upstream, answer);
+    if (cell_job* job = findJob(refused.job)) {
         if (answer.outcome == call_outcome::invalid)
-            return m_impl->finish(now, *job, protocol::makeOrderAnswer(job->order, protocol::job_outcome::unfinished, "the upstream can't read the start"));
+            return finish(now, *job, protocol::makeOrderAnswer(job->order, protocol::job_outcome::unfinished, "the upstream can't read the start"));
         if (answer.outcome == call_outcome::superseded)
             job->steps[refused.step].tasks[refused.index].lastRun += supersededRunIncrement;
     }
-    m_impl->requeueRun(refused);
-    m_impl->dispatch(now);
+    requeueRun(refused);
+    dispatch(now);
 }
 
 void cell_dispatcher::advance(time_point now)
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -67,6 +67,9 @@
 
     // Upstreams.
     void onReport(time_point now, const protocol::upstream_report& report);
+    // A start has ended, answered or not. Returns whether tasks may have waited for that.
+    static bool endStart(upstream_record& upstream);
+    void applyStartAnswer(time_point now, upstream_record& upstream, const start_request& order, const call_answer& answer);
     void onUnansweredStart(time_point now, upstream_record& upstream, const run_id& name, run_record& record);
     void onRestart(time_point now, upstream_record& upstream, const protocol::upstream_report& report, std::span<const running_task> running);
     void endLapsedRuns(time_point now, upstream_record& upstream);
--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 namespace jackdaw::cells::internal {
 
@@ -10,6 +11,7 @@
 
 cell_job::cell_job(const job_order& wanted, time_point now)
     : order(wanted)
+    , spec(std::make_shared<const std::string>(std::exchange(order.spec, {})))
     , submittedAt(now)
 {
     for (const protocol::job_step& step : order.steps) {
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -47,7 +48,8 @@
 public:
     cell_job(const job_order& wanted, time_point now);
 
-    job_order order;
+    job_order order; // without the spec
+    const std::shared_ptr<const std::string> spec;
     std::map<std::string, std::uint64_t, std::less<>> origins; // with the number of each one's latest order
     std::vector<cell_step> steps;
     time_point submittedAt;
--- a/src/coordination/cells/internal/placement.cpp
+++ b/src/coordination/cells/internal/placement.cpp
@@ -149,12 +149,21 @@
         const double overdue = overdueRatio(upstream, ownDelay, now);
         const double expected = std::max(expectedRatio(upstream, ofService, now), overdue);
         const double latest = std::max(withPrior(upstream, upstream.ratio.latest(), ofService) * coldRatio(upstream, now), overdue);
-        const candidate known { &upstream, isLeaseLongEnough(upstream, now) ? usableCapacity(upstream, now) : resource_vector(), expected, latest };
-        group.largestFreeCapacity.raiseTo(known.freeCapacity);
+        const std::size_t startsLeft = maxStartsUnderWay - std::min(maxStartsUnderWay, upstream.startsUnderWay);
+        const candidate known { &upstream, isLeaseLongEnough(upstream, now) ? usableCapacity(upstream, now) : resource_vector(), startsLeft, expected, latest };
+        group.noteFree(known);
         group.candidates.push_back(known);
     }
 }
 
+void available_upstreams::service_group::noteFree(const candidate& known)
+{
+    if (known.startsLeft == 0)
+        return;
+    mayStartAny = true;
+    largestFreeCapacity.raiseTo(known.freeCapacity);
+}
+
 const available_upstreams::service_group* available_upstreams::find(std::string_view service) const
 {
     const auto found = m_groups.find(service);
@@ -172,7 +181,7 @@
     std::tuple<bool, bool, std::int64_t, std::int64_t> bestCost;
     for (const candidate& known : group->candidates) {
         upstream_record& upstream = *known.upstream;
-        if (!step.need.fitsIn(known.freeCapacity) || !canRun(upstream, demand))
+        if (known.startsLeft == 0 || !step.need.fitsIn(known.freeCapacity) || !canRun(upstream, demand))
             continue;
         if (step.maxPerUpstream > 0 && tasksOfStep(upstream, demand) >= step.maxPerUpstream)
             continue;
@@ -198,17 +207,20 @@
 {
     service_group& group = m_groups.at(upstream.lastReport.service);
     group.largestFreeCapacity = {};
+    group.mayStartAny = false;
     for (candidate& known : group.candidates) {
-        if (known.upstream == &upstream)
+        if (known.upstream == &upstream) {
             known.freeCapacity -= need;
-        group.largestFreeCapacity.raiseTo(known.freeCapacity);
+            --known.startsLeft;
+        }
+        group.noteFree(known);
     }
 }
 
 bool available_upstreams::hasCapacityFor(std::string_view service, const resource_vector& need) const
 {
     const service_group* group = find(service);
-    return group && need.fitsIn(group->largestFreeCapacity);
+    return group && group->mayStartAny && need.fitsIn(group->largestFreeCapacity);
 }
 
 bool available_upstreams::fitsAll(const task_demand& demand, std::uint32_t count) const
--- a/src/coordination/cells/internal/placement.h
+++ b/src/coordination/cells/internal/placement.h
@@ -6,6 +6,8 @@
 // its objective while a faster upstream could still meet it: it waits, and a task with more time left uses the slow upstream.
 // A task that may have crashed an upstream is kept apart from others like it, so that a second crash shows which task causes
 // them, and from all others as far as possible, so that they aren't lost with it.
+// A job may have hundreds of small tasks that all fit on one upstream. Starts over the bound of calls under way wait as tasks, which take
+// little memory, and not as calls; nor do polls and stops wait behind them.
 // Free capacity and speeds are computed once for all tasks placed in one pass, so that the cost hardly grows with the queue.
 #pragma once
 
@@ -45,6 +47,9 @@
 // The same for the largest capacity that it has reported, which it may have again.
 bool mayEverRun(const upstream_record& upstream, const task_demand& demand);
 
+// Starts that one upstream is sent before it has answered any: twice as many as a host has connections to it.
+constexpr std::size_t maxStartsUnderWay = 32;
+
 // Whether the upstream may be sent starts now, whatever its free capacity.
 bool isAvailable(const upstream_record& upstream, time_point now);
 
@@ -82,10 +87,10 @@
     // Returns the upstream for one task; null if none fits, or if waiting for a faster one is better.
     upstream_record* choose(const task_demand& demand) const;
 
-    // Deducts a started task from the upstream's free capacity.
+    // Deducts a started task from the upstream's free capacity, and from the starts that it may be sent.
     void reserve(const upstream_record& upstream, const resource_vector& need);
 
-    // False if no upstream has free capacity for such a task, whatever its speed and labels. True is no guarantee: each resource
+    // False if no upstream that may be sent a start has free capacity for such a task, whatever its speed and labels. True is no guarantee: each resource
     // is compared with its maximum over all upstreams.
     bool hasCapacityFor(std::string_view service, const resource_vector& need) const;
 
@@ -99,12 +104,16 @@
     struct candidate {
         upstream_record* upstream = nullptr;
         resource_vector freeCapacity;
+        std::size_t startsLeft = 0;
         double ratio = 1; // run time / declared run time in the data's rack; for feasibility, as in admission
         double latestRatio = 1; // the same over the last tasks, whatever their age; for the order of upstreams
     };
     struct service_group {
         std::vector<candidate> candidates; // by the upstream's id
-        resource_vector largestFreeCapacity; // maximum of each resource over all candidates
+        resource_vector largestFreeCapacity; // maximum of each resource over the candidates that may be sent a start
+        bool mayStartAny = false; // one of the candidates may be sent a start
+
+        void noteFree(const candidate& known);
     };
 
     const service_group* find(std::string_view service) const;
--- a/src/coordination/cells/internal/upstream_record.h
+++ b/src/coordination/cells/internal/upstream_record.h
@@ -102,6 +102,8 @@
     std::uint64_t life = 0; // unique for each incarnation of each upstream
     std::map<run_id, run_record> runs;
     std::map<run_id, unanswered_start> unansweredStarts;
+    std::size_t startsUnderWay = 0; // calls to this incarnation that have not ended
+    bool isAtStartBound = false; // startsUnderWay has reached its bound, and has not fallen to half of it since
     std::uint64_t cursor = 0; // number of the last processed ended task
     clock_estimate clock;
     lease_bound lease; // no run survives its end unless the lease is renewed
--- a/src/coordination/cells/tests/cell_simulation.cpp
+++ b/src/coordination/cells/tests/cell_simulation.cpp
@@ -289,7 +289,7 @@
             m_owners[owner].busyUntil = std::max(m_owners[owner].busyUntil, m_now) + m_ownerCost / 3;
         const auto timeOut = [this, owner, order = *start] { m_owners[owner].dispatcher->onStart(m_now, order, {}); };
         send(
-            owner, callBytes + start->spec.size(), start->timeout, [this, owner, order = *start](call_number number) { arriveStart(owner, order, number); }, timeOut);
+            owner, callBytes + start->spec->size(), start->timeout, [this, owner, order = *start](call_number number) { arriveStart(owner, order, number); }, timeOut);
     } else if (const auto* stop = std::get_if<stop_request>(&action)) {
         ++m_stops;
         m_newConnections += stop->onNewConnection ? 1 : 0;
--- a/src/coordination/cells/upstream_calls.h
+++ b/src/coordination/cells/upstream_calls.h
@@ -4,6 +4,7 @@
 #include "protocol/time.h"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -30,7 +31,7 @@
 struct start_request {
     upstream_target target;
     run_id run;
-    std::string spec;
+    std::shared_ptr<const std::string> spec; // one copy for all starts of a job; not null
     std::int64_t expiresAtMs = 0; // on the upstream's steady clock; end of the lease for all tasks that run there
     std::uint64_t token = 0;
     protocol::time_point sentAt;
--- a/src/transport/http_client.cpp
+++ b/src/transport/http_client.cpp
@@ -85,7 +85,7 @@
     }
 
     struct pending_call {
-        http_call request;
+        http_client::request_maker makeRequest;
         http_client::completion done;
     };
 
@@ -133,12 +133,18 @@
             start(*open(target, false), request, std::move(done));
             return;
         }
+        callWhenFree(
+            target, [request = std::move(request)]() mutable { return std::move(request); }, std::move(done));
+    }
+
+    void callWhenFree(const endpoint& target, request_maker makeRequest, completion done)
+    {
         pool& pool = pools[target];
         if (pool.busy >= maxConnections) {
-            pool.waiting.push_back({ std::move(request), std::move(done) });
+            pool.waiting.push_back({ std::move(makeRequest), std::move(done) });
             return;
         }
-        startPooled(target, pool, request, std::move(done));
+        startPooled(target, pool, makeRequest(), std::move(done));
     }
 
     void startPooled(const endpoint& target, pool& pool, const http_call& request, completion done)
@@ -231,7 +237,7 @@
             return;
         pending_call next = std::move(pool.waiting.front());
         pool.waiting.pop_front();
-        startPooled(target, pool, next.request, std::move(next.done));
+        startPooled(target, pool, next.makeRequest(), std::move(next.done));
     }
 
     void destroy(connection& link)
@@ -271,6 +277,11 @@
     m_impl->call(target, std::move(request), std::move(done));
 }
 
+void http_client::callWhenFree(const endpoint& target, request_maker make, completion done)
+{
+    m_impl->callWhenFree(target, std::move(make), std::move(done));
+}
+
 void http_client::forget(const endpoint& target)
 {
     m_impl->forget(target);
--- a/src/transport/http_client.h
+++ b/src/transport/http_client.h
@@ -49,6 +49,7 @@
 class http_client {
 public:
     using completion = std::function<void(http_result result)>;
+    using request_maker = std::function<http_call()>;
 
     // maxConnections bounds the pool of each endpoint; calls over the bound wait in order.
     http_client(event_loop& loop, std::size_t maxConnections);
@@ -57,6 +58,9 @@
     // The completion runs on the loop's thread, once, and never before call() has returned.
     void call(const endpoint& target, http_call request, completion done);
 
+    // The same on a pooled connection; the request is made when one is free, so that a call that waits takes no memory for it.
+    void callWhenFree(const endpoint& target, request_maker make, completion done);
+
     // Closes the pooled connections of an endpoint that are not in use.
     void forget(const endpoint& target);
 
--- a/src/transport/tests/http_tests.cpp
+++ b/src/transport/tests/http_tests.cpp
@@ -362,3 +362,39 @@
     CHECK(fixture.server->refusals().headers == 2);
     CHECK(fixture.server->refusals().bodies == 2);
 }
+
+// Guards against calls that hold their requests in memory while they wait for a connection.
+TEST_CASE("the request of a call is made before a connection is free for it")
+{
+    http_fixture f;
+    std::vector<std::shared_ptr<http_responder>> held;
+    std::size_t made = 0;
+    std::size_t ended = 0;
+    f.serve([&](const http_request& request, const std::shared_ptr<http_responder>& responder) {
+        CHECK(request.body.size() <= 5);
+        held.push_back(responder);
+        if (held.size() < 2)
+            return;
+        CHECK(made <= ended + 2);
+        for (const auto& waiting : std::exchange(held, {}))
+            waiting->reply({});
+    });
+    for (int i = 0; i < 6; ++i) {
+        const auto make = [&made, i] {
+            ++made;
+            http_call call;
+            call.method = http_method::post;
+            call.path = "/";
+            call.body = "body" + std::to_string(i);
+            return call;
+        };
+        f.client.callWhenFree(f.target(), make, [&](const http_result& result) {
+            CHECK(result.outcome == request_outcome::answered);
+            if (++ended == 6)
+                f.finish();
+        });
+    }
+    CHECK(made == 2);
+    f.run();
+    CHECK(made == 6);
+}
