Owners and callers' hosts count what jobs take of their memory as long as it lives

Jobs that are small by their tasks could still take a host over its memory: waiting jobs with long lists of earlier steps (half a megabyte each on the owner and on the host of their callers), and jobs that ended at their deadlines while upstreams were slow.

Cause: only tasks of open jobs were counted, for each cell of a host by itself. Orders were not counted anywhere; runs and unanswered starts of ended jobs made room for new ones. Now an owner counts the tasks of open jobs, runs of ended jobs, unanswered starts and the bytes of orders over all its cells, and job_router counts the orders that it keeps. What is over a share of memory_mb is refused at once, as not run, or as unfinished if it was handed over. A task counts as 1 KiB (a record, its run, an unanswered start, a call that waits), before as 256 bytes; the share is an eighth, before a sixteenth.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -61,12 +61,14 @@
     cellSettings.reportInterval = settings.reportInterval;
     cellSettings.maxTasks = settings.limits.tasks();
     cellSettings.maxTasksOfJob = settings.limits.tasksOfJob();
+    cellSettings.maxOrderBytes = settings.limits.ownedBytes();
     cells::cell_hooks dispatcherHooks;
     dispatcherHooks.onDecision = [cell](const cells::cell_decision& decision) {
         logEvent(log_level::info, decision.event, { { "subject", decision.subject }, { "cell", cell }, { "inputs", decision.inputs } });
     };
     dispatcherHooks.upstreamsHeardSince = [this] { return upstreams.heardSince(steadyNow()); };
     dispatcherHooks.upstreamsToldUntil = [this, zone = std::string(cells::zoneOfCell(cell))] { return upstreams.toldUntil(zone); };
+    dispatcherHooks.workInOtherCells = [this, cell] { return workInOtherCells(cell); };
     dispatcherHooks.findOtherCell = [this](const protocol::job_order& order) { return findOtherCell(order); };
     dispatcherHooks.findEvacuationTarget = [this](const protocol::job_order& order) { return findEvacuationTarget(order); };
     dispatcherHooks.findCapableCells = [this, cell](const protocol::job_order& order) {
@@ -80,6 +82,19 @@
     dispatchers[cell] = std::move(dispatcher);
 }
 
+cells::work_in_hand cell_host::impl::workInOtherCells(std::string_view cell) const
+{
+    cells::work_in_hand sum;
+    for (const auto& [other, dispatcher] : dispatchers) {
+        if (other == cell)
+            continue;
+        const cells::work_in_hand held = dispatcher->workInHand();
+        sum.tasks += held.tasks;
+        sum.orderBytes += held.orderBytes;
+    }
+    return sum;
+}
+
 void cell_host::impl::forwardKnownReports(std::string_view cell, cells::cell_dispatcher& dispatcher) const
 {
     upstreams.forEach([&](const protocol::upstream_report& report) {
--- a/src/apps/cell_host/internal/cell_host_impl.h
+++ b/src/apps/cell_host/internal/cell_host_impl.h
@@ -44,7 +44,7 @@
         , links(
               loop, meshSettings(), [this](const transport::mesh_delivery& delivery) { onDelivery(delivery); }, [this](std::string_view host) { onRefused(host); })
         , ownership(ownershipSettings())
-        , jobRouter([this](std::string_view job) { return homeCellOf(job); }, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); }, [this](const protocol::job_order& order) { return evacuationTargetOfNewJob(order); })
+        , jobRouter([this](std::string_view job) { return homeCellOf(job); }, [this](std::string_view cell) { return ownership.ownerOf(protocol::steadyNow(), cell); }, [this](const protocol::job_order& order) { return evacuationTargetOfNewJob(order); }, settings.limits.forwardedBytes())
     {
     }
 
@@ -148,6 +148,7 @@
     void applyOwnership();
     void takeCell(const cells::ownership_change& taken);
     void dropCell(const std::string& cell);
+    cells::work_in_hand workInOtherCells(std::string_view cell) const;
     void handleSilentHosts();
     void endSilentOrigins();
     std::string findOtherCell(const protocol::job_order& order);
--- a/src/apps/shared/machine_limits.cpp
+++ b/src/apps/shared/machine_limits.cpp
@@ -14,8 +14,10 @@
     constexpr std::size_t minLinkBytes = 9 * mebibyte; // one message of the largest size
     constexpr std::size_t callerDescriptorShare = 2; // the other half is for links, upstreams and files
     constexpr std::size_t linkDescriptorShare = 4;
-    constexpr std::size_t taskShare = 16;
-    constexpr std::size_t taskBytes = 256; // a record of 72 bytes, names, and those of a run
+    constexpr std::size_t taskShare = 8;
+    constexpr std::size_t taskBytes = 1024; // the records of a task, its run and an unanswered start, their names, and a call that waits
+    constexpr std::size_t ownedShare = 16;
+    constexpr std::size_t forwardedShare = 16;
     constexpr std::size_t jobShare = 4; // of the tasks: a job in the extreme leaves room for others
 
     std::size_t grantedDescriptors(std::size_t wanted)
@@ -58,6 +60,16 @@
     return tasks() / jobShare;
 }
 
+std::size_t machine_limits::ownedBytes() const
+{
+    return memoryMb * mebibyte / ownedShare;
+}
+
+std::size_t machine_limits::forwardedBytes() const
+{
+    return memoryMb * mebibyte / forwardedShare;
+}
+
 machine_limits readMachineLimits(state::settings_reader& reader)
 {
     constexpr std::int64_t minMemoryMb = 64;
--- a/src/apps/shared/machine_limits.h
+++ b/src/apps/shared/machine_limits.h
@@ -21,9 +21,14 @@
     std::size_t linkBytes() const;
     std::size_t linkConnections() const;
 
-    // The largest numbers of tasks of all jobs of a cell together, and of one job.
+    // For an owner, in all its cells together: the largest numbers of tasks of all jobs and of one job, and what the orders of the jobs may
+    // hold beside their tasks.
     std::size_t tasks() const;
     std::size_t tasksOfJob() const;
+    std::size_t ownedBytes() const;
+
+    // What the jobs of this host's callers may hold until they are answered.
+    std::size_t forwardedBytes() const;
 };
 
 // Keys memory_mb and max_descriptors.
--- a/src/coordination/cells/cell_dispatcher.cpp
+++ b/src/coordination/cells/cell_dispatcher.cpp
@@ -401,6 +401,11 @@
     return out;
 }
 
+work_in_hand cell_dispatcher::workInHand() const
+{
+    return m_impl->workInHand();
+}
+
 cell_counts cell_dispatcher::counts() const
 {
     cell_counts out;
--- a/src/coordination/cells/cell_dispatcher.h
+++ b/src/coordination/cells/cell_dispatcher.h
@@ -36,8 +36,16 @@
     // lost send their jobs again, 1.3 s later.
     duration originSilenceLimit = std::chrono::milliseconds(1000);
     duration resubmissionDelay = std::chrono::milliseconds(1300); // after which callers that left send their jobs again, to any host
-    std::size_t maxTasks = 100'000; // of all jobs of the cell; what is over it is refused before it is expanded
+    // Bounds on the work in the hands of this owner, in all its cells together. A job that would exceed one is refused before it is expanded.
+    std::size_t maxTasks = 100'000;
     std::size_t maxTasksOfJob = 25'000;
+    std::size_t maxOrderBytes = 64 * 1024 * 1024;
+};
+
+// Work that takes an owner's memory.
+struct work_in_hand {
+    std::uint64_t tasks = 0; // of open jobs, and runs of ended jobs that upstreams may still have
+    std::uint64_t orderBytes = 0; // of open jobs
 };
 
 // An answer to send to each entry host in origins.
@@ -65,6 +73,8 @@
     std::function<std::string(const protocol::job_order& job)> findOtherCell;
     // Returns the cell of another zone for a job of an evacuated zone; empty if no zone takes it.
     std::function<std::string(const protocol::job_order& job)> findEvacuationTarget = {};
+    // Work in this owner's other cells. Empty: it has none.
+    std::function<work_in_hand()> workInOtherCells = {};
     // Returns other cells whose known upstreams can run every task of the job, whatever runs there now. Empty: none is known.
     std::function<std::vector<std::string>(const protocol::job_order& job)> findCapableCells = {};
 };
@@ -127,6 +137,7 @@
     std::vector<cell_action> takeActions();
     std::vector<protocol::service_free_capacity> rooms(time_point now) const;
     cell_counts counts() const;
+    work_in_hand workInHand() const;
 
 private:
     class impl;
--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -35,6 +35,7 @@
     internal::upstream_map upstreams;
     std::map<std::string, std::unique_ptr<cell_job>, std::less<>> jobs;
     std::uint64_t tasksOfJobs = 0; // of all steps of these jobs
+    std::uint64_t bytesOfOrders = 0; // of these jobs
     std::map<std::string, time_point, std::less<>> originsHeardAt; // of origins with open jobs
     internal::service_ratios serviceRatios;
     internal::run_overhead overhead;
@@ -122,6 +123,7 @@
     protocol::order_answer answerUnfitting(const protocol::job_order& order) const;
     // Answers the order and returns true if its tasks would take the owner over its bounds.
     bool refusesSize(const protocol::job_order& order, std::string_view origin);
+    work_in_hand workInHand() const;
     void claimRuns(time_point now, cell_job& job);
     std::ptrdiff_t countRuns(std::string_view task) const; // of a task, on all upstreams
     void requeue(cell_job& job, std::size_t step, std::size_t index);
--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -66,6 +66,14 @@
     return sum;
 }
 
+std::uint64_t cell_job::activeTasks() const
+{
+    std::uint64_t sum = 0;
+    for (const cell_step& step : steps)
+        sum += step.tasks.size() - step.waiting - step.held - step.done;
+    return sum;
+}
+
 duration cell_job::declaredCriticalPath() const
 {
     std::vector<std::uint64_t> ends; // of each step, in milliseconds from the first start
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -52,6 +52,7 @@
     const std::shared_ptr<const std::string> spec;
     std::map<std::string, std::uint64_t, std::less<>> origins; // with the number of each one's latest order
     std::vector<cell_step> steps;
+    std::size_t bytes = 0; // that it takes beside its tasks
     time_point submittedAt;
     time_point objectiveEnd;
     time_point deadline; // when the caller stops waiting
@@ -66,6 +67,7 @@
     bool isReady(std::size_t step) const;
     bool isDone() const;
     std::uint32_t waitingTasks() const;
+    std::uint64_t activeTasks() const;
 
     // Declared run time of the longest chain of dependent steps.
     duration declaredCriticalPath() const;
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -18,14 +18,16 @@
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a failed owner is replaced within this time
     // From a full cell to one whose zone is evacuated, and on; more happen only while hosts know of different orders.
     constexpr std::uint32_t maxMoves = 4;
+    constexpr std::size_t jobBytes = 1024; // beside the order: names of its callers, cell and hosts
     constexpr std::uint32_t retryAfterDelayMs = 1000; // the smallest Retry-After, 1 s; the host reads requests at once again
 
 } // namespace
 
-job_router::job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf)
+job_router::job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf, std::size_t maxBytes)
     : m_homeCellOf(std::move(homeCellOf))
     , m_ownerOf(std::move(ownerOf))
     , m_evacuationTargetOf(std::move(evacuationTargetOf))
+    , m_maxBytes(maxBytes)
 {
 }
 
@@ -42,6 +44,11 @@
         m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "the caller's deadline has passed", retryAfterDelayMs) });
         return;
     }
+    if (m_bytes + jobBytes + protocol::memoryOf(order) > m_maxBytes) {
+        m_jobOfCaller.erase(caller);
+        m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "the jobs in progress on this host are too large", retryAfterDelayMs) });
+        return;
+    }
     const std::optional<std::string> target = m_evacuationTargetOf ? m_evacuationTargetOf(order) : std::nullopt;
     if (target && target->empty()) {
         m_jobOfCaller.erase(caller);
@@ -59,7 +66,16 @@
     job.order = std::move(order);
     job.order.submissionNumber = ++m_lastSubmission;
     const std::string id = job.order.id;
-    forwardToOwner(now, m_jobs.emplace(id, std::move(job)).first->second);
+    pending_job& added = m_jobs.emplace(id, std::move(job)).first->second;
+    updateBytes(added);
+    forwardToOwner(now, added);
+}
+
+void job_router::updateBytes(pending_job& job)
+{
+    m_bytes -= job.bytes;
+    job.bytes = jobBytes + protocol::memoryOf(job.order);
+    m_bytes += job.bytes;
 }
 
 void job_router::forwardToOwner(time_point now, pending_job& job)
@@ -156,6 +172,7 @@
     for (const caller_id caller : known->second.callers)
         m_jobOfCaller.erase(caller);
     m_actions.emplace_back(answer_callers { std::move(known->second.callers), std::move(answer) });
+    m_bytes -= known->second.bytes;
     m_jobs.erase(known);
 }
 
@@ -184,6 +201,7 @@
             job.order.areRunsKnown = true;
             job.order.runsOn.clear();
             job.order.earlierToken = 0;
+            updateBytes(job);
         }
         return forwardToOwner(now, job);
     }
@@ -195,6 +213,7 @@
         job.order.failures = answer.failures; // include those that this owner was told of
         job.order.runsOn = answer.runsOn;
         job.order.areRunsKnown = answer.areRunsKnown;
+        updateBytes(job);
         noteHandOver(job);
         job.host.clear(); // advance() forwards it as soon as there is another owner
         return;
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -9,6 +9,7 @@
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -53,12 +54,15 @@
     // Empty: the host's zone is not evacuated. Otherwise the cell of another zone for a new job; an empty name if no zone takes it.
     using evacuation_lookup = std::function<std::optional<std::string>(const protocol::job_order& job)>;
 
+    static constexpr std::size_t unlimited = SIZE_MAX;
+
     // homeCellOf: returns the cell of this zone that a new job is forwarded to first.
     // evacuationTargetOf: may be empty.
-    job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf = {});
+    // maxBytes: what the jobs in progress may take together. Each is kept until it is answered, to be forwarded again if its owner is lost.
+    job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf = {}, std::size_t maxBytes = unlimited);
 
     // A resubmission of a job in progress adds the caller to that job. A job without time left is rejected: its caller may have
-    // given up and sent it again elsewhere.
+    // given up and sent it again elsewhere. So is one that would take more than maxBytes together with the others.
     // preferredCell: the cell that a new job is forwarded to first; empty: its home cell.
     void submit(time_point now, protocol::job_order order, caller_id caller, std::string preferredCell = {});
 
@@ -85,6 +89,7 @@
 private:
     struct pending_job {
         protocol::job_order order;
+        std::size_t bytes = 0; // that the order takes
         std::vector<caller_id> callers;
         std::string cell;
         std::string host; // the owner that the job was forwarded to; empty: none
@@ -113,10 +118,13 @@
     static void noteHandOver(pending_job& job);
     void send(time_point now, pending_job& job);
     void finish(const std::string& id, protocol::order_answer answer);
+    void updateBytes(pending_job& job);
 
     cell_lookup m_homeCellOf;
     owner_lookup m_ownerOf;
     evacuation_lookup m_evacuationTargetOf;
+    std::size_t m_maxBytes;
+    std::size_t m_bytes = 0; // sum over m_jobs
     std::map<std::string, pending_job, std::less<>> m_jobs;
     std::map<caller_id, std::string> m_jobOfCaller;
     std::map<cancel_key, pending_cancel> m_cancels;
--- a/src/coordination/cells/tests/cell_memory_tests.cpp
+++ b/src/coordination/cells/tests/cell_memory_tests.cpp
@@ -153,3 +153,69 @@
     CHECK(owner.starts.size() <= maxStarts);
     CHECK(owner.starts.size() >= connectionsPerUpstream);
 }
+
+// Guards against an account that forgets work when its job is answered: the runs are still there, and calls for them still wait.
+TEST_CASE("jobs that end at their deadlines make room for others while their runs are still held")
+{
+    cell_settings settings;
+    settings.maxTasks = 300;
+    settings.maxTasksOfJob = 100;
+    owner_of_one owner(settings);
+    for (int i = 0; i < 200; ++i) {
+        owner.submit(owner_of_one::makeWide(std::to_string(i), 100));
+        owner.wait(milliseconds(100));
+        owner.answerStarts(connectionsPerUpstream);
+        CHECK(owner.running.size() + owner.starts.size() <= settings.maxTasks);
+        CHECK(owner.dispatcher.workInHand().tasks <= settings.maxTasks);
+    }
+    CHECK(owner.answersWith(job_outcome::rejected) > 0);
+    CHECK(owner.running.size() > settings.maxTasks / 2); // of jobs that have ended
+}
+
+// Guards against jobs of one task whose orders are large: the number of tasks says nothing of them.
+TEST_CASE("waiting jobs with large orders take an owner over its memory")
+{
+    cell_settings settings;
+    settings.maxOrderBytes = 4 * 1024 * 1024;
+    owner_of_one owner(settings);
+    job_order job = cell_simulation(1).makeJob("large", 1, 32000, 10);
+    job.steps.assign(100, job.steps.front());
+    for (std::uint32_t step = 1; step < job.steps.size(); ++step)
+        job.steps[step].dependsOn.assign(600, step - 1);
+    job.targetMs = 9'000'000;
+    job.timeLeftMs = 10'000'000;
+    for (int i = 0; i < 100; ++i) {
+        job.id = "large " + std::to_string(i);
+        owner.submit(job);
+    }
+    CHECK(owner.dispatcher.workInHand().orderBytes <= settings.maxOrderBytes);
+    CHECK(owner.dispatcher.counts().jobs >= 10);
+    CHECK(owner.dispatcher.counts().jobs + owner.answersWith(job_outcome::rejected) == 100);
+    job.handOverCount = 1;
+    job.id = "handed over";
+    owner.submit(job);
+    CHECK(owner.answers.back().answer.outcome == job_outcome::unfinished); // an earlier owner may have begun it
+    for (int i = 0; i < 100; ++i)
+        owner.dispatcher.cancel(owner.now, "large " + std::to_string(i), "host");
+    CHECK(owner.dispatcher.workInHand().orderBytes == 0);
+    CHECK(owner.dispatcher.workInHand().tasks <= 1); // a start without an answer
+}
+
+// Guards against a bound that each cell of a host may use up.
+TEST_CASE("the work in an owner's other cells is not counted")
+{
+    cell_settings settings;
+    settings.maxTasks = 100;
+    settings.maxTasksOfJob = 100;
+    cell_hooks hooks;
+    work_in_hand elsewhere { 95, 0 };
+    hooks.workInOtherCells = [&elsewhere] { return elsewhere; };
+    owner_of_one owner(settings, hooks);
+    owner.submit(owner_of_one::makeWide("1", 6));
+    CHECK(owner.answersWith(job_outcome::rejected) == 1);
+    owner.submit(owner_of_one::makeWide("2", 5));
+    CHECK(owner.startCount == 5);
+    elsewhere = { 0, settings.maxOrderBytes };
+    owner.submit(owner_of_one::makeWide("3", 1));
+    CHECK(owner.answersWith(job_outcome::rejected) == 2);
+}
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -58,6 +58,41 @@
     CHECK(f.router.size() == 0);
 }
 
+// Guards against jobs that wait for their owners' answers without being counted in this host's memory.
+TEST_CASE("jobs in progress take more of the memory of their callers' host than they may")
+{
+    constexpr std::size_t maxBytes = 1024 * 1024;
+    router_fixture f;
+    job_router router([](std::string_view) { return "a"; }, [&f](std::string_view) { return f.owner; }, {}, maxBytes);
+    job_order large = f.makeOrder("large");
+    large.steps.front().dependsOn.assign(64 * 1024, 0); // 256 KiB
+    for (caller_id caller = 1; caller <= 20; ++caller) {
+        large.id = std::to_string(caller);
+        router.submit(f.now, large, caller);
+    }
+    CHECK(router.size() == 3);
+    std::size_t rejected = 0;
+    for (const router_action& action : router.takeActions()) {
+        if (const auto* answer = std::get_if<answer_callers>(&action))
+            rejected += answer->answer.outcome == job_outcome::rejected && answer->answer.retryAfterMs > 0 ? 1 : 0;
+    }
+    CHECK(rejected == 17);
+    router.submit(f.now, large, 21); // the same job as the last rejected one
+    router.submit(f.now, f.makeOrder("small"), 22);
+    CHECK(router.size() == 4);
+    router.onCallerGone(f.now, 1);
+    router.submit(f.now, large, 23);
+    CHECK(router.size() == 4);
+    for (const caller_id caller : { 2, 3, 22, 23 })
+        router.onCallerGone(f.now, caller);
+    CHECK(router.size() == 0);
+    for (caller_id caller = 31; caller <= 33; ++caller) { // nothing of the ended ones is counted any more
+        large.id = std::to_string(caller);
+        router.submit(f.now, large, caller);
+    }
+    CHECK(router.size() == 3);
+}
+
 TEST_CASE("a job that avoids its home cell is a first submission there, and a repeated one doesn't move it")
 {
     router_fixture f;
--- a/src/protocol/cell_messages.cpp
+++ b/src/protocol/cell_messages.cpp
@@ -28,6 +28,26 @@
     return { order.id, order.submissionNumber, order.handOverCount, outcome, std::string(reason), retryAfterMs, {}, {} };
 }
 
+std::size_t memoryOf(const job_order& order)
+{
+    const auto ofReport = [](const upstream_report& report) {
+        std::size_t bytes = sizeof(report) + report.id.capacity() + report.service.capacity() + report.address.capacity() + report.zone.capacity();
+        for (const std::string& label : report.labels)
+            bytes += sizeof(std::string) + label.capacity();
+        return bytes;
+    };
+    std::size_t bytes = sizeof(order) + order.id.capacity() + order.cell.capacity() + order.spec.capacity() + order.service.capacity();
+    for (const job_step& step : order.steps)
+        bytes += sizeof(step) + step.dependsOn.capacity() * sizeof(std::uint32_t) + step.requiredLabel.capacity() + step.dataRack.capacity();
+    for (const std::string& task : order.doneTasks)
+        bytes += sizeof(std::string) + task.capacity();
+    for (const task_failures& failed : order.failures)
+        bytes += sizeof(failed) + failed.task.capacity();
+    for (const upstream_report& report : order.runsOn)
+        bytes += ofReport(report);
+    return bytes;
+}
+
 void shortenTimeLeft(job_order& order, std::chrono::milliseconds delay)
 {
     order.timeLeftMs -= static_cast<std::uint32_t>(std::clamp<std::int64_t>(delay.count(), 0, order.timeLeftMs));
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -99,6 +99,9 @@
     MSGPACK_DEFINE_ARRAY(id, cell, fencingToken, spec, steps, service, priority, maxAttempts, slackFactor, targetMs, ageMs, timeLeftMs, submissionNumber, handOverCount, mayMove, doneTasks, failures, runsOn, areRunsKnown, earlierCellCount, earlierToken)
 };
 
+// Bytes that the order takes in memory, without its tasks' states; about.
+std::size_t memoryOf(const job_order& order);
+
 // The order may have waited unread for up to this long: its caller may stop waiting earlier by as much. Its age stays as it is, since
 // it may also have waited less.
 void shortenTimeLeft(job_order& order, std::chrono::milliseconds delay);
