A job that takes longer than its caller waits is rejected at once

A chain of 1,000 steps of 60 ms, or one step of 5 s, with a deadline of 1.5 s was accepted, ran in part and ended in 504 at the deadline.

Cause: admission compared the expected end with the job's objective only, which follows from the declared times and may lie behind the caller's deadline. It compares with the earlier of the two now, also for jobs that wait and have not begun. Deadlines of the sites in force lie behind the objectives unless a declared time is far too long. Late jobs were bounded by the deadline already.

--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -9,6 +9,7 @@
 #include "protocol/cell_messages.h"
 #include "protocol/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -69,6 +70,9 @@
     std::uint32_t waitingTasks() const;
     std::uint64_t activeTasks() const;
 
+    // The end of its objective, or its deadline if that comes first: an end in between is in time for nobody.
+    time_point usefulEnd() const { return std::min(objectiveEnd, deadline); }
+
     // Declared run time of the longest chain of dependent steps.
     duration declaredCriticalPath() const;
 
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -197,7 +197,7 @@
     const internal::available_upstreams available(upstreams, serviceRatios, calls.expectedWait(now), now);
     const duration run = fastestRun(job, available);
     const duration link = calls.expectedWait(now) + overhead.expected(now);
-    if (fitsNow(job, available) && now + link + run <= job.objectiveEnd)
+    if (fitsNow(job, available) && now + link + run <= job.usefulEnd())
         return true;
     if (job.order.mayMove && hooks.findOtherCell) {
         if (const std::string cell = hooks.findOtherCell(job.order); !cell.empty()) {
@@ -208,14 +208,15 @@
         }
     }
     const duration wait = estimateWait(now, job);
-    if (now + wait + link + run <= job.objectiveEnd)
+    if (now + wait + link + run <= job.usefulEnd())
         return true;
     if (mayRunLate(now, job, available)) {
         job.isLate = true;
         return true;
     }
-    note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " link_ms=" + toMs(link) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " tasks=" + std::to_string(job.waitingTasks()));
-    reject(now, job, "too much work is waiting", wait + link);
+    note("job_rejected", job.order.id, "wait_ms=" + toMs(wait) + " link_ms=" + toMs(link) + " run_ms=" + toMs(run) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " until_deadline_ms=" + toMs(job.deadline - now) + " tasks=" + std::to_string(job.waitingTasks()));
+    const bool isHopeless = now + link + run > job.deadline;
+    reject(now, job, isHopeless ? "the job takes longer than its caller waits" : "too much work is waiting", wait + link);
     return false;
 }
 
@@ -360,7 +361,7 @@
     if (evacuationStartsUntil && evacuate(now, job))
         return;
     const duration path = job.hasBegun ? internal::unstartedCriticalPath(job) : job.declaredCriticalPath();
-    job.isLate = now + fastestRun(job, available, path) + overhead.expected(now) > job.objectiveEnd;
+    job.isLate = now + fastestRun(job, available, path) + overhead.expected(now) > job.usefulEnd();
     if (job.hasBegun || !job.isLate || mayRunLate(now, job, available))
         return;
     const duration wait = estimateWait(now, job);
