--- a/src/coordination/cells/tests/cell_lease_tests.cpp
+++ b/src/coordination/cells/tests/cell_lease_tests.cpp
@@ -78,3 +78,105 @@
         CHECK(sim.overfills() == 0);
     }
 }
+
+namespace {
+
+// What happens while an upstream's answers are lost, beside a job whose caller has left and a start that renews the lease.
+enum class event_in_cut {
+    none,
+    owner_releases,
+    owner_killed,
+    upstream_restarts,
+    stops_lost, // from before the cut on
+    polls_late // also those of the owner before the next one
+};
+
+// The next owner gets the job as its origin forwards it: with what the earlier owner has told, if it has released the job.
+void handOver(cell_simulation& sim, job_order job, bool isReleased)
+{
+    const std::size_t before = 0;
+    if (isReleased)
+        sim.owner(before).release(sim.now());
+    job.handOverCount = 1;
+    job.earlierToken = sim.tokenOf(before);
+    job.earlierCellCount = 1;
+    job.areRunsKnown = false;
+    for (const cell_action& action : sim.owner(before).takeActions()) {
+        const auto* released = std::get_if<owner_answer>(&action);
+        if (!released || released->answer.id != job.id)
+            continue;
+        job.doneTasks = released->answer.doneTasks;
+        job.runsOn = released->answer.runsOn;
+        job.areRunsKnown = released->answer.areRunsKnown;
+    }
+    sim.killOwner(before);
+    const std::size_t next = sim.addOwner(!isReleased);
+    sim.runFor(milliseconds(5));
+    sim.submit(next, job);
+}
+
+void playCut(std::uint64_t seed, event_in_cut event)
+{
+    cell_simulation sim(seed);
+    sim.addUpstream("u1", 48000).labels = { "only here" };
+    sim.addOwner();
+    sim.runFor(milliseconds(100));
+    job_order stays = sim.makeJob("stays", 4, 9000, 2600);
+    stays.timeLeftMs = 3 * 2600;
+    sim.submit(0, stays);
+    sim.runFor(milliseconds(50));
+    submitLong(sim, "left", 1, 2600);
+    sim.runFor(milliseconds(200));
+    sim.addUpstream("u2", 48000);
+    sim.addUpstream("u3", 48000);
+    sim.runFor(milliseconds(200 + sim.random()() % 300));
+    REQUIRE(sim.upstream("u1").running.size() == 5);
+    if (event == event_in_cut::polls_late) {
+        sim.setDelayedCalls({ false, false, true });
+        sim.setDelayedShare(0.5);
+        sim.upstream("u1").fault = upstream_fault::delayed_calls;
+    } else if (event == event_in_cut::stops_lost) {
+        sim.upstream("u1").fault = upstream_fault::stops_lost;
+    } else {
+        sim.upstream("u1").fault = upstream_fault::cut_one_way;
+    }
+    sim.runFor(milliseconds(sim.random()() % 200));
+    sim.owner(0).cancel(sim.now(), "left", "host");
+    if (event == event_in_cut::stops_lost) {
+        sim.runFor(milliseconds(sim.random()() % 300));
+        sim.upstream("u1").fault = upstream_fault::cut_one_way;
+    }
+    sim.runFor(milliseconds(sim.random()() % 700));
+    job_order job = sim.makeJob("short", 1, 1000, 50);
+    job.steps.front().requiredLabel = "only here";
+    job.targetMs = 1500;
+    sim.submit(0, job);
+    sim.runFor(milliseconds(sim.random()() % 400));
+    if (event == event_in_cut::owner_releases || event == event_in_cut::owner_killed || event == event_in_cut::polls_late)
+        handOver(sim, stays, event != event_in_cut::owner_killed);
+    if (event == event_in_cut::upstream_restarts) {
+        sim.crash("u1");
+        sim.runFor(milliseconds(sim.random()() % 600));
+        sim.restart("u1");
+        sim.upstream("u1").fault = upstream_fault::cut_one_way;
+    }
+    sim.runFor(milliseconds(500 + sim.random()() % 2000));
+    sim.upstream("u1").fault = upstream_fault::none;
+    sim.runFor(seconds(14));
+    CHECK(sim.doubleRuns() == 0);
+    CHECK(sim.overfills() == 0);
+}
+
+} // namespace
+
+// Guards against a lease that one event of a cut lets the owner, or the next one, take for over while the upstream still holds it.
+TEST_CASE("a cut in one direction with another event in it lets a task run twice")
+{
+    for (const event_in_cut event : { event_in_cut::none, event_in_cut::owner_releases, event_in_cut::owner_killed, event_in_cut::upstream_restarts, event_in_cut::stops_lost, event_in_cut::polls_late }) {
+        for (std::uint64_t seed = 1; seed <= 100; ++seed) {
+            CAPTURE(static_cast<int>(event));
+            CAPTURE(seed);
+            playCut(seed, event);
+        }
+    }
+}
