--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -121,9 +121,11 @@
     bool admit(time_point now, cell_job& job);
     void reject(time_point now, cell_job& job, std::string_view reason, duration wait);
     protocol::order_answer answerUnfitting(const protocol::job_order& order) const;
-    // Answers the order and returns true if its tasks would take the owner over its bounds.
+    // Answers the order and returns true if it would take the owner over its bounds.
     bool refusesSize(const protocol::job_order& order, std::string_view origin);
     work_in_hand workInHand() const;
+    void addWork(cell_job& job);
+    void removeWork(const cell_job& job);
     void claimRuns(time_point now, cell_job& job);
     std::ptrdiff_t countRuns(std::string_view task) const; // of a task, on all upstreams
     void requeue(cell_job& job, std::size_t step, std::size_t index);
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -53,7 +53,7 @@
     const std::shared_ptr<const std::string> spec;
     std::map<std::string, std::uint64_t, std::less<>> origins; // with the number of each one's latest order
     std::vector<cell_step> steps;
-    std::size_t bytes = 0; // that it takes beside its tasks
+    std::size_t bytes = 0; // that it takes beside its tasks; valid once it is counted as work in hand
     time_point submittedAt;
     time_point objectiveEnd;
     time_point deadline; // when the caller stops waiting
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -24,27 +24,10 @@
     // Between a caller's leaving and the owner: its connection's end is noticed, and the link from the origin carries the news.
     constexpr duration messageMargin = milliseconds(50);
     constexpr std::uint32_t retryWithoutUpstreamsMs = 1000; // upstreams report every 1 to 2 s
-    constexpr std::uint32_t retryTooLargeMs = 30000; // long, because another try has the same result
     // Run numbers per handover: more than the starts that one owner is expected to need for a task, so that the next owner's numbers
     // are higher. If they are not, the upstream refuses the start as superseded, and the run number is raised.
     constexpr std::uint32_t runsPerHandOver = 16;
 
-    std::uint64_t countTasks(const protocol::job_order& order)
-    {
-        std::uint64_t sum = 0;
-        for (const protocol::job_step& step : order.steps)
-            sum += step.count;
-        return sum;
-    }
-
-    // Beside the order: the job's record, origins, groups and answer.
-    constexpr std::size_t jobBytes = 1024;
-
-    std::uint64_t countBytes(const protocol::job_order& order)
-    {
-        return jobBytes + protocol::memoryOf(order);
-    }
-
     std::string toMs(duration value)
     {
         return std::to_string(duration_cast<milliseconds>(value).count());
@@ -91,9 +74,7 @@
             task.lastRun = order.handOverCount * runsPerHandOver;
     }
     jobs.emplace(order.id, std::move(owned));
-    tasksOfJobs += countTasks(order);
-    job.bytes = countBytes(order);
-    bytesOfOrders += job.bytes;
+    addWork(job);
     claimRuns(now, job);
     if (job.isDone())
         return finishIfDone(now, job);
@@ -115,42 +96,6 @@
     dispatch(now);
 }
 
-// An order that was handed over may have runs under an earlier owner, so nothing is promised about it.
-bool cell_dispatcher::impl::refusesSize(const protocol::job_order& order, std::string_view origin)
-{
-    const std::uint64_t tasks = countTasks(order);
-    const std::uint64_t bytes = countBytes(order);
-    const bool isTooLarge = tasks > settings.maxTasksOfJob || bytes > settings.maxOrderBytes;
-    work_in_hand held;
-    if (!isTooLarge) {
-        held = workInHand();
-        const work_in_hand elsewhere = hooks.workInOtherCells ? hooks.workInOtherCells() : work_in_hand();
-        held.tasks += elsewhere.tasks;
-        held.orderBytes += elsewhere.orderBytes;
-        if (held.tasks + tasks <= settings.maxTasks && held.orderBytes + bytes <= settings.maxOrderBytes)
-            return false;
-    }
-    note("job_too_large", order.id, "tasks=" + std::to_string(tasks) + " bytes=" + std::to_string(bytes) + " tasks_in_hand=" + std::to_string(held.tasks) + " bytes_in_hand=" + std::to_string(held.orderBytes));
-    const job_outcome outcome = order.handOverCount == 0 ? job_outcome::rejected : job_outcome::unfinished;
-    const std::string_view reason = isTooLarge ? "the job is too large" : "the jobs in hand are too large";
-    actions.emplace_back(owner_answer { { std::string(origin) }, protocol::makeOrderAnswer(order, outcome, reason, isTooLarge ? retryTooLargeMs : retryWithoutUpstreamsMs) });
-    return true;
-}
-
-work_in_hand cell_dispatcher::impl::workInHand() const
-{
-    std::uint64_t runs = 0;
-    std::uint64_t unanswered = 0;
-    for (const auto& [id, upstream] : upstreams) {
-        runs += upstream.runs.size();
-        unanswered += static_cast<std::uint64_t>(std::count_if(upstream.unansweredStarts.begin(), upstream.unansweredStarts.end(), [&runs = upstream.runs](const auto& start) { return !runs.contains(start.first); }));
-    }
-    std::uint64_t active = 0; // each has a run, which is no further work
-    for (const auto& [id, job] : jobs)
-        active += job->activeTasks();
-    return { tasksOfJobs + (runs - std::min(runs, active)) + unanswered, bytesOfOrders };
-}
-
 // A result answers every resubmission of a job. So does a move, since the other cell may still run the earlier submission; but a job that
 // was handed over has runs here, of which the other cell does not know. Any other answer is only for the same order, if that is resent.
 const order_answer* cell_dispatcher::impl::findCachedAnswer(const protocol::job_order& order) const
@@ -330,8 +275,7 @@
     answeredJobs[job.order.id] = { answer, now + answerRetention };
     note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " runs_left=" + std::to_string(left));
     actions.emplace_back(owner_answer { job.originNames(), std::move(answer) });
-    tasksOfJobs -= countTasks(job.order);
-    bytesOfOrders -= job.bytes;
+    removeWork(job);
     jobs.erase(jobs.find(job.order.id));
 }
 
