The idle time does not end while a request waits unread

What callers saw: a request on an open connection is reset, without an answer, after a pause as long as the idle time. Cause: the check of times goes by what the server has read. What arrives in the pass of the loop that also checks the times is unread, and a close with unread input resets the connection. The longer a pass takes, the more requests it hits; a weak processor or a stall makes it long. Evidence: http_closing_tests sends 20 requests in such a pass. Before: 0 of 20 answered, 20 closures with unread input; now 20 of 20. Why it works: the socket is asked before the close. If bytes wait, the next pass reads them, and the connection is not idle. Cost: one system call for each connection whose idle time has passed.

--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -244,7 +244,7 @@
     const protocol::duration since = now - m_phaseSince;
     switch (m_phase) {
     case phase::idle:
-        if (since >= m_limits.idleTimeout)
+        if (since >= m_limits.idleTimeout && !hasUnreadInput())
             m_hooks.close(close_reason::idle);
         return;
     case phase::answering:
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -3,7 +3,10 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 using namespace jackdaw::transport;
@@ -12,7 +15,9 @@
 
 namespace {
 
-// A caller over a socket of its own. What it sends does not depend on the loop.
+constexpr std::string_view request = "GET /x HTTP/1.1\r\nHost: x\r\n\r\n";
+
+// A caller over a socket of its own. What it sends and receives does not depend on the loop.
 class raw_caller {
 public:
     explicit raw_caller(const http_fixture& fixture)
@@ -25,8 +30,20 @@
 
     void send(std::string_view text) const { REQUIRE(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size())); }
 
+    // Adds what has arrived, up to so many bytes, to what was received before.
+    const std::string& receive(std::size_t maxBytes = 4096)
+    {
+        std::string part(maxBytes, '\0');
+        const ssize_t length = recv(m_descriptor, part.data(), part.size(), MSG_DONTWAIT);
+        m_received.append(part, 0, static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
+        return m_received;
+    }
+
+    bool isAnswered() { return receive().starts_with("HTTP/1.1 200"); }
+
 private:
     int m_descriptor;
+    std::string m_received;
 };
 
 std::vector<std::unique_ptr<raw_caller>> connectCallers(const http_fixture& fixture, int count)
@@ -37,6 +54,26 @@
     return callers;
 }
 
+auto countAnswered(const std::vector<std::unique_ptr<raw_caller>>& callers)
+{
+    return std::count_if(callers.begin(), callers.end(), [](const auto& caller) { return caller->isAnswered(); });
+}
+
+void replyAtOnce(const http_request&, const std::shared_ptr<http_responder>& responder)
+{
+    responder->reply({});
+}
+
+// Runs the hook and the server's check of times in one pass, so that what the hook sends is unread when connections are checked.
+std::unique_ptr<event_loop::timer> runBeforeCheck(http_fixture& fixture, std::unique_ptr<event_loop::timer>& inner, event_loop::task hook)
+{
+    constexpr auto stall = milliseconds(600); // over the interval of the checks
+    return fixture.loop.after(milliseconds(100), [&fixture, &inner, hook, stall] {
+        inner = fixture.loop.after(milliseconds(1), hook);
+        std::this_thread::sleep_for(stall);
+    });
+}
+
 } // namespace
 
 // Guards against counts that do not tell why callers lost their connections.
@@ -72,3 +109,22 @@
     CHECK(closures.notAccepted == 0);
     CHECK(closures.withUnreadInput == 0);
 }
+
+// Guards against a check of times that closes a connection whose request waits in the socket.
+TEST_CASE("the idle time ends while a request waits unread, and the request is cut off")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.idleTimeout = milliseconds(300);
+    fixture.serve(replyAtOnce, limits);
+    const auto callers = connectCallers(fixture, 20);
+    std::unique_ptr<event_loop::timer> sending;
+    const auto stalled = runBeforeCheck(fixture, sending, [&] {
+        for (const auto& caller : callers)
+            caller->send(request);
+    });
+    const auto end = fixture.loop.after(milliseconds(900), [&] { fixture.finish(); });
+    fixture.run();
+    CHECK(countAnswered(callers) == 20);
+    CHECK(fixture.server->closures().withUnreadInput == 0);
+}
