Limits that become shorter do not act on what began under longer ones

What callers saw: a change of the configuration with a shorter idle time closes connections at once that were opened under the longer one, with whatever their callers have just sent; a shorter header time refuses a request that is being sent in time. Cause: connections held the server's limits by reference, though the interface promises them for what arrives from now on. Evidence: http_closing_tests, before: 0 of 7 connections open after the change, 0 of 5 requests on them answered, the request in two parts refused. Now all are answered, and each connection closes under the new limit once it has had a request. Why it works: a connection copies the limits when it begins to wait for a request and when a request begins.

--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -78,7 +78,7 @@
     std::size_t openRequests() const;
     std::size_t openConnections() const;
 
-    // Replaces the limits for what arrives from now on, without those of a budget.
+    // Replaces the limits, without those of a budget. A request that has begun, and a wait for one, end under the earlier limits.
     void setLimits(const http_server_limits& limits);
     http_server_refusals refusals() const;
     http_server_closures closures() const;
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -40,6 +40,7 @@
 
 request_gate::request_gate(bufferevent* stream, const gate_limits& limits, memory_budget& budget, hooks gateHooks)
     : m_stream(stream)
+    , m_currentLimits(limits)
     , m_limits(limits)
     , m_budget(budget)
     , m_hooks(std::move(gateHooks))
@@ -62,6 +63,8 @@
 
 void request_gate::enter(phase next)
 {
+    if (next == phase::idle || next == phase::head)
+        m_limits = m_currentLimits;
     m_phase = next;
     m_phaseSince = protocol::steadyNow();
 }
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -128,3 +128,30 @@
     CHECK(countAnswered(callers) == 20);
     CHECK(fixture.server->closures().withUnreadInput == 0);
 }
+
+// Guards against limits that apply to connections and requests that began under longer ones.
+TEST_CASE("a limit that becomes shorter closes connections and refuses requests that are within the earlier one")
+{
+    http_fixture fixture;
+    fixture.serve(replyAtOnce);
+    const auto idle = connectCallers(fixture, 5);
+    const raw_caller untouched(fixture);
+    raw_caller slowReader(fixture);
+    slowReader.send(request.substr(0, 20));
+    const auto change = fixture.loop.after(milliseconds(100), [&] {
+        http_server_limits shorter;
+        shorter.idleTimeout = shorter.headerTimeout = milliseconds(50);
+        fixture.server->setLimits(shorter);
+    });
+    const auto sending = fixture.loop.after(milliseconds(800), [&] {
+        CHECK(fixture.server->openConnections() == 7);
+        slowReader.send(request.substr(20));
+        for (const auto& caller : idle)
+            caller->send(request);
+    });
+    const auto end = fixture.loop.after(milliseconds(1600), [&] { fixture.finish(); });
+    fixture.run();
+    CHECK(countAnswered(idle) == 5);
+    CHECK(slowReader.isAnswered());
+    CHECK(fixture.server->openConnections() == 1); // the one that has been idle since before the change
+}
