A response's idle time counts from its last progress

What callers saw: a long response to a slow reader is cut off in the middle, the sooner the shorter the configuration's idle time is. Cause: the time counted from the start of the response, though the limit says without progress. Evidence: http_closing_tests, before: 7.9 of 16 MB read, then the end of the connection; now the whole response. Why it works: the output buffer tells when bytes have left it, and that starts the time anew. Not seen by callers of jobs, whose responses are short; operators' responses and metrics pages are longer.

--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -291,8 +291,12 @@
 
 void request_gate::onOutputChange(evbuffer*, const evbuffer_cb_info* change, void* self)
 {
-    if (change->n_deleted > 0)
-        static_cast<request_gate*>(self)->m_isSpared = false;
+    if (change->n_deleted == 0)
+        return;
+    auto& gate = *static_cast<request_gate*>(self);
+    gate.m_isSpared = false;
+    if (gate.m_phase == phase::answering)
+        gate.m_phaseSince = protocol::steadyNow();
 }
 
 void request_gate::onReadable(bufferevent*, void* self)
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -113,7 +113,7 @@
     std::size_t m_headBytes = 0; // of the present request
     std::size_t m_counted = 0; // as accounted for in the budget
     phase m_phase = phase::idle;
-    protocol::time_point m_phaseSince;
+    protocol::time_point m_phaseSince; // of a response: since it last made progress
     std::size_t m_bodyBytesRead = 0;
     bool m_isReadingOff = false;
     bool m_isAdvancing = false;
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -198,3 +198,21 @@
     CHECK(waiting.size() == 10);
     CHECK(countAnswered(callers) == 10);
 }
+
+// Guards against an idle time that counts from the start of a response, however steadily it is read.
+TEST_CASE("a long response to a slow reader is cut off though it makes progress")
+{
+    constexpr std::size_t bodyBytes = 16 * 1024 * 1024;
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.idleTimeout = milliseconds(400);
+    fixture.serve([](const http_request&, const std::shared_ptr<http_responder>& responder) { responder->reply({ 200, "text/plain", std::string(bodyBytes, 'x'), {} }); }, limits);
+    raw_caller caller(fixture);
+    caller.send(request);
+    const auto reading = fixture.loop.every(milliseconds(25), [&] {
+        if (caller.receive(bodyBytes / 64).size() >= bodyBytes)
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(caller.receive().size() > bodyBytes);
+}
