--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -317,6 +317,9 @@
         case internal::close_reason::evicted:
             ++closures.evicted;
             break;
+        case internal::close_reason::draining:
+            ++closures.draining;
+            break;
         }
         if (gate.hasUnreadInput())
             ++closures.withUnreadInput;
@@ -335,22 +338,28 @@
         });
     }
 
-    void checkTimes()
+    // The hook may close connections.
+    void forEachGate(const std::function<void(internal::request_gate& gate)>& hook)
     {
         std::vector<evhtp_connection_t*> present;
         present.reserve(connections.size());
         for (const auto& [connection, gate] : connections)
             present.push_back(connection);
-        const protocol::time_point now = protocol::steadyNow();
         for (evhtp_connection_t* connection : present) {
             if (const auto found = connections.find(connection); found != connections.end())
-                found->second->checkTime(now);
+                hook(*found->second);
         }
+    }
+
+    void checkTimes()
+    {
+        const protocol::time_point now = protocol::steadyNow();
+        forEachGate([now](internal::request_gate& gate) { gate.checkTime(now); });
         logRefusals(now);
         logClosures(now);
     }
 
-    // Responses that announce the end of their connection are not counted: they are part of every planned stop.
+    // Connections that end with a planned stop do not count as a change.
     void logClosures(protocol::time_point now)
     {
         const std::uint64_t sum = closures.idle + closures.unsentResponses + closures.refused + closures.evicted + closures.library + closures.notAccepted + closures.withUnreadInput;
@@ -361,7 +370,7 @@
         state::logEvent(state::log_level::info, "connections_closed",
             { { "port", std::to_string(port) }, { "idle", std::to_string(closures.idle) }, { "unsent_response", std::to_string(closures.unsentResponses) },
                 { "refused", std::to_string(closures.refused) }, { "last_response", std::to_string(closures.lastResponses) }, { "evicted", std::to_string(closures.evicted) },
-                { "library", std::to_string(closures.library) }, { "not_accepted", std::to_string(closures.notAccepted) }, { "with_unread_input", std::to_string(closures.withUnreadInput) }, { "open", std::to_string(connections.size()) } });
+                { "draining", std::to_string(closures.draining) }, { "library", std::to_string(closures.library) }, { "not_accepted", std::to_string(closures.notAccepted) }, { "with_unread_input", std::to_string(closures.withUnreadInput) }, { "open", std::to_string(connections.size()) } });
     }
 
     void logRefusals(protocol::time_point now)
@@ -470,6 +479,11 @@
     m_impl->stopAccepting();
 }
 
+void http_server::closeIdleConnections()
+{
+    m_impl->forEachGate([](internal::request_gate& gate) { gate.closeIfIdle(); });
+}
+
 std::size_t http_server::openRequests() const
 {
     return m_impl->openRequests;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -54,6 +54,7 @@
     std::uint64_t refused = 0; // after the response that refused a request
     std::uint64_t lastResponses = 0; // after a response that announced it
     std::uint64_t evicted = 0;
+    std::uint64_t draining = 0;
     std::uint64_t library = 0; // by libevhtp, without a reason of the server's
     std::uint64_t notAccepted = 0;
     std::uint64_t withUnreadInput = 0; // of all of these but the last two: the caller had sent bytes that were not read
@@ -75,6 +76,10 @@
     // Stops accepting; open requests are still answered.
     void stopAccepting();
 
+    // Closes the connections that are between two requests and whose callers have sent nothing. No request is lost when the server ends
+    // once no connection is open.
+    void closeIdleConnections();
+
     std::size_t openRequests() const;
     std::size_t openConnections() const;
 
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -260,6 +260,12 @@
     advance();
 }
 
+void request_gate::closeIfIdle()
+{
+    if (m_phase == phase::idle && !hasUnreadInput())
+        m_hooks.close(close_reason::draining);
+}
+
 void request_gate::checkTime(protocol::time_point now)
 {
     const protocol::duration since = now - m_phaseSince;
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -32,7 +32,8 @@
     unsent_response, // the caller did not read the response within the idle time
     refused, // after the response that refused a request
     last_response, // after a response that announced it
-    evicted // to make room within the budget
+    evicted, // to make room within the budget
+    draining // no request before the server's planned end
 };
 
 // Takes the place of the callbacks of a connection. Must outlive the connection's use.
@@ -59,6 +60,9 @@
     // The response of the request that was read last has been queued.
     void onReplied(bool closesConnection);
 
+    // Ends the connection if it is between two requests and the caller has sent nothing.
+    void closeIfIdle();
+
     // Ends the connection if its time is over.
     void checkTime(protocol::time_point now);
 
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -216,3 +216,36 @@
     fixture.run();
     CHECK(caller.receive().size() > bodyBytes);
 }
+
+// Guards against a planned stop that ends the process in the pass that reads a request.
+TEST_CASE("a server that drains closes a connection whose request waits unread")
+{
+    http_fixture fixture;
+    fixture.serve([](const http_request&, const std::shared_ptr<http_responder>& responder) {
+        http_response last;
+        last.closesConnection = true;
+        responder->reply(std::move(last));
+    });
+    const auto idle = connectCallers(fixture, 10);
+    const auto callers = connectCallers(fixture, 10);
+    const raw_caller unfinished(fixture);
+    unfinished.send(request.substr(0, 20));
+    const auto draining = fixture.loop.after(milliseconds(100), [&] {
+        for (const auto& caller : callers)
+            caller->send(request);
+        fixture.server->stopAccepting();
+        fixture.server->closeIdleConnections();
+        CHECK(fixture.server->openConnections() == 11);
+    });
+    const auto end = fixture.loop.after(milliseconds(300), [&] {
+        CHECK(fixture.server->openConnections() == 1);
+        unfinished.send(request.substr(20));
+    });
+    const auto check = fixture.loop.every(milliseconds(10), [&] {
+        if (fixture.server->openConnections() == 0)
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(countAnswered(callers) == 10);
+    CHECK(fixture.server->closures().draining == 10);
+}
