A host that ends answers the cancellations that wait

What callers saw: a DELETE that a host has read and asked the other hosts about ends without an answer when the host is stopped. Cause: abandonJobs() ended the jobs of callers, not the searches for jobs to cancel. Evidence: cancel_search_tests; before, there was no way to end them. Why it works: searches end as not found out (504), which promises nothing.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -416,6 +416,7 @@
 void cell_host::abandonJobs()
 {
     m_impl->jobRouter.abandonJobs(steadyNow());
+    m_impl->cancelSearch.abandon();
     m_impl->performActions();
 }
 
--- a/src/apps/cell_host/cell_host.h
+++ b/src/apps/cell_host/cell_host.h
@@ -49,7 +49,7 @@
     void leave();
     bool isLeaving() const;
 
-    // Ends the jobs of this host's callers and stops their tasks. To be called before the process ends, with time left for the
+    // Ends the jobs and cancellations of this host's callers and stops the jobs' tasks. To be called before the process ends, with time left for the
     // messages to go out.
     void abandonJobs();
 
--- a/src/coordination/cells/cancel_search.cpp
+++ b/src/coordination/cells/cancel_search.cpp
@@ -65,6 +65,12 @@
         end(number, outcome);
 }
 
+void cancel_search::abandon()
+{
+    while (!m_searches.empty())
+        end(m_searches.begin()->first, cancel_outcome::unanswered);
+}
+
 std::vector<cancel_search::question> cancel_search::takeQuestions()
 {
     return std::exchange(m_questions, {});
--- a/src/coordination/cells/cancel_search.h
+++ b/src/coordination/cells/cancel_search.h
@@ -46,6 +46,9 @@
     // Asks again and ends searches. A host that is no longer live has no job left: its owners end the jobs of a silent origin.
     void advance(time_point now, std::span<const std::string> hosts);
 
+    // Ends all searches as unanswered: the process is about to end.
+    void abandon();
+
     std::vector<question> takeQuestions();
     std::size_t size() const { return m_searches.size(); }
 
--- a/src/coordination/cells/tests/cancel_search_tests.cpp
+++ b/src/coordination/cells/tests/cancel_search_tests.cpp
@@ -83,3 +83,16 @@
     CHECK(sim.runsOf("1.0.0.0") == 1);
     CHECK(sim.runsOf("1.0.1.0") == 0);
 }
+
+// Guards against a cancellation whose caller's connection ends with the process, without an answer.
+TEST_CASE("a host that ends leaves a cancellation unanswered")
+{
+    search_fixture f;
+    f.begin();
+    std::optional<cancel_outcome> second;
+    f.searches.begin(f.now, "2", hosts, f.now + seconds(2), [&second](cancel_outcome result) { second = result; });
+    f.searches.abandon();
+    CHECK(f.outcome == cancel_outcome::unanswered);
+    CHECK(second == cancel_outcome::unanswered);
+    CHECK(f.searches.size() == 0);
+}
