A control host that stops answers the requests that it has read

What operators saw: a change or a read that is sent to a control host about to stop gets no answer; a change may be stored and not acknowledged. Upstreams lose the answer to a heartbeat in the same way. The process ended at once, or as leader after 0.5 s, without a look at open requests and connections.

--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -36,6 +36,8 @@
     constexpr duration heartbeatInterval = std::chrono::milliseconds(500);
     constexpr duration trafficLogInterval = std::chrono::seconds(5);
     constexpr duration batchInterval = std::chrono::milliseconds(100); // a twentieth of an upstream's drain time
+    constexpr duration maxStopTime = std::chrono::seconds(2); // an operator's change is answered within 900 ms
+    constexpr duration stopCheckInterval = std::chrono::milliseconds(50);
     constexpr duration leaderTransferTime = std::chrono::milliseconds(500); // time that a stopping leader leaves for the transfer
     constexpr duration changeTimeout = std::chrono::milliseconds(900); // below the time-out of operators' tools, 1 s
     // A link without acknowledgements for so long is dialled again. It is 1.5 times the longest election timeout, 600 ms.
@@ -68,6 +70,7 @@
     std::unique_ptr<transport::event_loop::timer> heartbeatTimer;
     std::unique_ptr<transport::event_loop::timer> batchTimer;
     std::unique_ptr<transport::event_loop::timer> stopTimer;
+    std::function<bool()> hasNoRequest;
     state::metrics allMetrics;
     state::counter& reports = allMetrics.addCounter("jackdaw_upstream_reports_total", "Reports received from upstreams.");
     state::counter& changes = allMetrics.addCounter("jackdaw_configuration_calls_total", "Changes and sure reads of the configuration.");
@@ -335,7 +338,12 @@
     const bool isLeader = node.status().role == coordination::raft_role::leader;
     logEvent(log_level::info, "stopping", { { "leader", isLeader ? "yes" : "no" } });
     node.transferLeadership(steadyNow());
-    stopTimer = loop.after(isLeader ? leaderTransferTime : duration::zero(), [this] { loop.stop(); });
+    const time_point stopAt = steadyNow() + (isLeader ? leaderTransferTime : duration::zero());
+    stopTimer = loop.every(stopCheckInterval, [this, stopAt] {
+        const time_point now = steadyNow();
+        if (now >= stopAt && (!hasNoRequest || hasNoRequest() || now >= stopAt + maxStopTime))
+            loop.stop();
+    });
 }
 
 void control_host::impl::changeConfiguration(configuration newConfiguration, change_completion done)
@@ -386,6 +394,11 @@
     return boost::outcome_v2::success();
 }
 
+void control_host::setStopHook(std::function<bool()> hasNoRequest)
+{
+    m_impl->hasNoRequest = std::move(hasNoRequest);
+}
+
 void control_host::run()
 {
     impl& self = *m_impl;
--- a/src/apps/hub/control_host.h
+++ b/src/apps/hub/control_host.h
@@ -36,6 +36,9 @@
     protocol::result<void> open();
     void run(); // until SIGTERM
 
+    // Asked again and again once the host is to stop; it ends when the hook says that no request is open, or after two seconds.
+    void setStopHook(std::function<bool()> hasNoRequest);
+
     // Succeeds once a majority has stored the change. The highest version takes effect.
     void replaceConfiguration(configuration newConfiguration, change_completion done);
 
