A connection for which there is no room is refused with 503

Cause: the server closed it before it read anything; input that had arrived made that a reset. Evidence: http_closing_tests, five callers over the bound: reset before, 503 now. Why it works: what has arrived is discarded unread, the refusal is sent, then the connection is closed. 503 is true: nothing was read, so nothing runs. A caller whose request arrives only later may still see a reset behind the refusal.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -13,9 +13,11 @@
 #include <netinet/in.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
 #include <map>
 #include <memory>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -89,6 +91,17 @@
         evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
     }
 
+    // Tells the caller that its request is not read. What it has sent is discarded, since a close with unread input resets the connection
+    // and may take the response with it.
+    void refuseConnection(int descriptor)
+    {
+        constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n";
+        constexpr int maxReads = 4; // an ordinary request takes one
+        std::array<char, 16 * 1024> discarded;
+        for (int i = 0; i < maxReads && recv(descriptor, discarded.data(), discarded.size(), MSG_DONTWAIT) > 0; ++i) { }
+        [[maybe_unused]] const ssize_t sent = send(descriptor, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+
     // Holds the library's request until it is answered or its connection is lost.
     // The library's hooks keep a reference as long as the library's request lives.
     class responder final : public http_responder {
@@ -256,12 +269,13 @@
         gateLimits = { { limits.maxHeaderBytes, limits.maxBodyBytes }, limits.headerTimeout, limits.idleTimeout, limits.bodyTimeout };
     }
 
-    static evhtp_res onAccept(evhtp_connection_t*, void* self)
+    static evhtp_res onAccept(evhtp_connection_t* connection, void* self)
     {
         impl& server = *static_cast<impl*>(self);
         if (server.budget.admit())
             return EVHTP_RES_OK;
         ++server.closures.notAccepted;
+        refuseConnection(connection->sock);
         return EVHTP_RES_ERROR;
     }
 
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -231,6 +231,35 @@
     CHECK(fixture.server->closures().notAccepted == 1);
 }
 
+// Guards against a reset in place of a refusal for callers for whom there is no room.
+TEST_CASE("a connection over the bound ends without a response")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 5;
+    std::vector<std::shared_ptr<http_responder>> waiting;
+    fixture.serve([&](const http_request&, const std::shared_ptr<http_responder>& responder) { waiting.push_back(responder); }, limits);
+    const auto callers = connectCallers(fixture, 5);
+    for (const auto& caller : callers)
+        caller->send(request);
+    std::vector<std::unique_ptr<raw_caller>> further;
+    const auto connecting = fixture.loop.every(milliseconds(100), [&] {
+        if (!further.empty() || waiting.size() < callers.size())
+            return;
+        further = connectCallers(fixture, 5);
+        for (const auto& caller : further)
+            caller->send(request);
+    });
+    const auto end = fixture.loop.every(milliseconds(300), [&] {
+        if (!further.empty())
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(fixture.server->closures().notAccepted == 5);
+    for (const auto& caller : further)
+        CHECK(caller->receive().starts_with("HTTP/1.1 503"));
+}
+
 // Guards against an idle time that counts from the start of a response, however steadily it is read.
 TEST_CASE("a long response to a slow reader is cut off though it makes progress")
 {
