Callers whose jobs can't be ended in time are answered before their deadline

Cause: the caller's host waited for the owner's answer until 200 ms beyond the deadline, and the owner ends a job at the deadline as it sees it, later by the time that the order was under way and by a tick.

Now the host answers 40 ms before the deadline (a tick of its loop, 20 ms, and as much for the ways) and cancels the job at its owner then. This needs nothing of the owner, so a slow or silent one can't make the answer late. A job with 40 ms left or less is rejected before it is sent to anyone, as one without time left was before. A result that comes after the answer is dropped at the host, as after any cancellation; the owner keeps it for the next submission, and it ends the resent cancellation.

Two runs: a caller that was answered sends its job again 1.3 s after the answer, up to 40 ms earlier than one that left at its deadline. An owner that misses the cancellation keeps runs until 1.25 s after the time that it was told, so it is told the time of the answer instead of the deadline.

A host whose own loop stands still can be late as before.

--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -56,7 +56,7 @@
     std::size_t bytes = 0; // that it takes beside its tasks; valid once it is counted as work in hand
     time_point submittedAt;
     time_point objectiveEnd;
-    time_point deadline; // when the caller stops waiting
+    time_point deadline; // when the caller is answered at the latest
     time_point abandonedAt; // valid once no origin waits: when the last one was known to wait
     bool hasBegun = false; // a start was sent, or an earlier owner's run was found
     std::vector<std::string> groups; // whose shares of accepted jobs are compared; empty if it was not admitted here
--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-    constexpr duration answerGracePeriod = milliseconds(200); // for the owner's answer at the deadline to arrive
+    constexpr duration answerMargin = milliseconds(40); // a tick of the host's loop, 20 ms, and as much for the way to the caller and back
+    constexpr duration cancelGracePeriod = milliseconds(200); // for the owner to notice the deadline and end the job by itself
     constexpr duration resendInterval = milliseconds(500); // the order or its answer may have been lost with a connection
     constexpr duration cancelResendInterval = milliseconds(200); // several before callers send the job again, 1.3 s later
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a failed owner is replaced within this time
@@ -39,9 +40,9 @@
         known->second.callers.push_back(caller);
         return;
     }
-    if (order.timeLeftMs == 0) {
+    if (milliseconds(order.timeLeftMs) <= answerMargin) {
         m_jobOfCaller.erase(caller);
-        m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "the caller's deadline has passed", retryAfterDelayMs) });
+        m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "too little time is left before the caller's deadline", retryAfterDelayMs) });
         return;
     }
     if (m_bytes + jobBytes + protocol::memoryOf(order) > m_maxBytes) {
@@ -57,6 +58,7 @@
     }
     pending_job job;
     job.deadline = now + milliseconds(order.timeLeftMs);
+    job.answerBy = job.deadline - answerMargin;
     job.arrivedAt = now;
     job.callers = { caller };
     if (target)
@@ -114,7 +116,8 @@
     order.cell = job.cell;
     order.fencingToken = job.token;
     const auto age = std::chrono::duration_cast<milliseconds>(now - job.arrivedAt).count();
-    const auto left = std::chrono::duration_cast<milliseconds>(job.deadline - now).count();
+    // Callers that were answered send the job again as others do, so its owner must not count them as waiting until the deadline.
+    const auto left = std::chrono::duration_cast<milliseconds>(job.answerBy - now).count();
     order.ageMs += static_cast<std::uint32_t>(age);
     order.timeLeftMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
     m_actions.emplace_back(forward_job { job.host, std::move(order) });
@@ -142,7 +145,7 @@
         hosts.insert(job.host);
     for (const std::string& host : hosts) {
         const forward_cancel message { host, job.order.id, job.order.submissionNumber };
-        m_cancels[{ message.job, message.submissionNumber, host }] = { message, now, job.deadline + answerGracePeriod };
+        m_cancels[{ message.job, message.submissionNumber, host }] = { message, now, job.deadline + cancelGracePeriod };
         m_actions.emplace_back(message);
     }
 }
@@ -246,7 +249,7 @@
     }
     std::vector<std::string> overdue;
     for (auto& [id, job] : m_jobs) {
-        if (now >= job.deadline + answerGracePeriod) {
+        if (now >= job.answerBy) {
             overdue.push_back(id);
             continue;
         }
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -61,8 +61,8 @@
     // maxBytes: what the jobs in progress may take together. Each is kept until it is answered, to be forwarded again if its owner is lost.
     job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf = {}, std::size_t maxBytes = unlimited);
 
-    // A resubmission of a job in progress adds the caller to that job. A job without time left is rejected: its caller may have
-    // given up and sent it again elsewhere. So is one that would take more than maxBytes together with the others.
+    // A resubmission of a job in progress adds the caller to that job. A job with too little time left for an answer is rejected: its
+    // caller may have given up and sent it again elsewhere. So is one that would take more than maxBytes together with the others.
     // preferredCell: the cell that a new job is forwarded to first; empty: its home cell.
     void submit(time_point now, protocol::job_order order, caller_id caller, std::string preferredCell = {});
 
@@ -77,7 +77,8 @@
 
     void onAnswer(time_point now, std::string_view host, const protocol::order_answer& answer);
 
-    // Forwards jobs whose owner has changed, resends unanswered orders and cancellations, and ends jobs past their deadline.
+    // Forwards jobs whose owner has changed, resends unanswered orders and cancellations, and ends jobs whose
+    // callers must be answered now to hear it before their deadline.
     void advance(time_point now);
 
     // Hosts that own the cells of jobs in progress. They have to hear from this host, or they end its jobs.
@@ -99,7 +100,8 @@
         std::uint32_t moveCount = 0; // how often an owner moved the job to another cell
         std::uint32_t sendCount = 0; // how often the order was sent under that ownership
         time_point arrivedAt;
-        time_point deadline;
+        time_point deadline; // when the callers stop waiting
+        time_point answerBy; // when they are answered at the latest
         time_point sentAt; // valid while host is not empty
         bool mayHaveRun = false; // the order was sent to an owner that has not confirmed that no task ran
     };
--- a/src/protocol/cell_messages.h
+++ b/src/protocol/cell_messages.h
@@ -81,7 +81,7 @@
     double slackFactor = 1; // objective = slackFactor * run time of the critical path + targetMs
     std::uint32_t targetMs = 0;
     std::uint32_t ageMs = 0; // time since the caller sent the job, as far as the origin knows
-    std::uint32_t timeLeftMs = 0; // time until the caller stops waiting
+    std::uint32_t timeLeftMs = 0; // time until the caller stops waiting; for owners, until its host answers it at the latest
     std::uint64_t submissionNumber = 0; // assigned by the origin; a resent order carries the same number
     std::uint32_t handOverCount = 0; // number of earlier handovers of the job to other owners
     bool mayMove = true; // the owner may redirect the job to another cell instead of queueing it
