Messages between hosts have a bound on their values

What was seen: ten connections to a mesh port with 8 MB of empty values each take a process to 204 MB (entry host) and 202 MB (control host) on machines of 64 MB. Cause: the length of a message was bounded, not what it unpacks to: a value of one byte takes 24. Why it works: elements of lists and maps are counted first, and a message with over 500,000 of them (12 MB) is refused as damaged. The largest that hosts send, a list of 1,200 upstreams, has some 30,000. Records that a host stored itself have no such bound.

--- a/src/protocol/tests/msgpack_codec_tests.cpp
+++ b/src/protocol/tests/msgpack_codec_tests.cpp
@@ -35,3 +35,16 @@
         CHECK_FALSE(unpackWith(std::string(rules.maxDepth + 1, '\x91') + '\x01', rules, ignore));
     }
 }
+
+// Guards against values that take a multiple of their bytes in memory.
+TEST_CASE("a message of many empty values is unpacked")
+{
+    const auto pack = [](std::uint32_t lists) {
+        return packMessage(std::vector<std::vector<msgpack::type::nil_t>>(lists, std::vector<msgpack::type::nil_t>(10'000)));
+    };
+    const auto count = [](const msgpack::object& object) { return object.via.array.size; };
+    CHECK(unpackWith(pack(49), messageOptions, count).value() == 49);
+    const auto tooMany = unpackWith(pack(60), messageOptions, count);
+    REQUIRE_FALSE(tooMany);
+    CHECK(tooMany.error().detail == "too many values");
+}
