Long responses to reads are refused when there is no room for them

What was seen: 100 operators who ask for a configuration of 1 MB and do not read it take a control host of 64 MB to 115 MB. Cause: requests that were read are always answered, whatever the responses take together; the budget only counted them afterwards. Why it works: a response of over 16 KiB to a GET that does not fit into the budget becomes a 503 with Retry-After. A read can be repeated; any other response says what was done, is short, and is sent as before.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -30,6 +30,7 @@
 
     constexpr int listenBacklog = 1024;
     constexpr protocol::duration logInterval = std::chrono::seconds(5); // between two log lines on what limits have refused
+    constexpr std::size_t maxUncheckedBytes = 16 * 1024; // of a response: about what a connection counts for at least
     constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this
 
     // The library takes hooks of all types as one function type.
@@ -75,6 +76,14 @@
         return out;
     }
 
+    http_response makeBusyResponse()
+    {
+        http_response response;
+        response.status = 503;
+        response.headers = { { "Retry-After", "1" } };
+        return response;
+    }
+
     void addHeader(evhtp_request_t* request, const std::string& name, const std::string& value)
     {
         evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
@@ -106,10 +115,11 @@
     // The library's hooks keep a reference as long as the library's request lives.
     class responder final : public http_responder {
     public:
-        responder(evhtp_request_t* request, internal::request_gate* gate, event_loop& loop, std::size_t& openRequests)
+        responder(evhtp_request_t* request, internal::request_gate* gate, event_loop& loop, const memory_budget& budget, std::size_t& openRequests)
             : m_request(request)
             , m_gate(gate)
             , m_loop(loop)
+            , m_budget(budget)
             , m_openRequests(openRequests)
         {
             ++m_openRequests;
@@ -124,6 +134,8 @@
                 return;
             m_hasReplied = true;
             m_goneHook = nullptr;
+            if (isTooLarge(response))
+                response = makeBusyResponse();
             if (!m_isPaused) {
                 sendResponse(m_request, response);
                 noteReply(response);
@@ -186,6 +198,12 @@
         }
 
     private:
+        // A read can be repeated. The response to anything else says what was done, and is short.
+        bool isTooLarge(const http_response& response) const
+        {
+            return response.body.size() > maxUncheckedBytes && evhtp_request_get_method(m_request) == htp_method_GET && !m_budget.hasRoomFor(response.body.size());
+        }
+
         // While the library's request lives, its connection and gate do.
         void noteReply(const http_response& response)
         {
@@ -205,6 +223,7 @@
         evhtp_request_t* m_request; // null once the library freed it
         internal::request_gate* m_gate;
         event_loop& m_loop;
+        const memory_budget& m_budget;
         std::size_t& m_openRequests;
         bool m_isPaused = false;
         bool m_hasReplied = false;
@@ -429,7 +448,7 @@
     void handle(evhtp_request_t* request)
     {
         internal::request_gate* gate = gateOf(request);
-        auto held = std::make_shared<responder>(request, gate, loop, openRequests);
+        auto held = std::make_shared<responder>(request, gate, loop, budget, openRequests);
         // Owned by the library's request, released by onRequestFinished.
         auto* reference = new responder_reference(held);
         evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(&onRequestFinished), reference);
--- a/src/transport/memory_budget.h
+++ b/src/transport/memory_budget.h
@@ -35,6 +35,7 @@
     // The holder holds so much more or less than before.
     void change(std::size_t before, std::size_t after) { m_usedBytes = m_usedBytes - before + after; }
 
+    bool hasRoomFor(std::size_t bytes) const { return m_usedBytes + bytes <= m_maxBytes; }
     bool isExceeded() const { return m_usedBytes > m_maxBytes; }
 
     // Closes connections until what remains is within the bounds, or no connection may be closed. Not from within a callback of a connection.
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 using namespace jackdaw::transport;
@@ -310,3 +311,33 @@
     CHECK(countAnswered(callers) == 10);
     CHECK(fixture.server->closures().draining == 10);
 }
+
+// Guards against long responses to many reads at once, which together take more than the budget.
+TEST_CASE("reads whose responses have no room are answered in full")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxMemoryBytes = 4 * 1024 * 1024;
+    std::vector<std::pair<http_method, std::shared_ptr<http_responder>>> waiting;
+    fixture.serve([&](const http_request& received, const std::shared_ptr<http_responder>& responder) { waiting.emplace_back(received.method, responder); }, limits);
+    const auto readers = connectCallers(fixture, 20);
+    for (const auto& caller : readers)
+        caller->send(request);
+    raw_caller changing(fixture);
+    changing.send("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    const auto answering = fixture.loop.every(milliseconds(100), [&] {
+        if (waiting.size() < readers.size() + 1)
+            return;
+        for (const auto& [method, responder] : waiting)
+            responder->reply({ 200, "text/plain", std::string(method == http_method::get ? 1024 * 1024 : 10, 'x'), {} });
+        fixture.finish();
+    });
+    fixture.run();
+    const auto end = fixture.loop.after(milliseconds(300), [&] { fixture.loop.stop(); });
+    fixture.loop.run();
+    const auto full = countAnswered(readers);
+    CHECK(full >= 1);
+    CHECK(full <= 3);
+    CHECK(std::count_if(readers.begin(), readers.end(), [](const auto& caller) { return caller->receive().starts_with("HTTP/1.1 503"); }) == 20 - full);
+    CHECK(changing.isAnswered());
+}
