Callers that send ahead are not spared from eviction

What was seen: with evictions that spare responses about to be sent, 600 clients that send requests ahead and read nothing keep all others out: each pass has one more response for each of them. Cause: the sparing of the first matter took any short response for one that ends its connection's work. Evidence: crowd_tests, "requests read in full, with large heads and pipelined bytes": held on, failed with the sparing (no ordinary job completed), holds now. Why it works: a connection with further input waiting behind its response is closed as before.

--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -144,7 +144,7 @@
     if (evbuffer_peek(m_held, -1, &from, &span, 1) < 1)
         return true;
     const bool isHead = m_scanner.at() == message_scanner::part::head;
-    const std::size_t length = m_scanner.scan({ static_cast<const char*>(span.iov_base), span.iov_len }, m_limits.message);
+    const std::size_t length = m_scanner.scan({ static_cast<const char*>(span.iov_base), span.iov_len }, m_currentLimits.message);
     if (m_scanner.at() == message_scanner::part::refused)
         return true;
     m_scanned += length;
@@ -207,8 +207,9 @@
 
 bool request_gate::mayBeEvicted()
 {
+    const bool sendsAhead = evbuffer_get_length(m_held) > 0; // may go on for ever
     const bool isShort = evbuffer_get_length(bufferevent_get_output(m_stream)) <= maxWriteBytes;
-    m_isAboutToMove = (m_phase == phase::idle && hasUnreadInput()) || (m_phase == phase::answering && isShort && canSend());
+    m_isAboutToMove = (m_phase == phase::idle && hasUnreadInput()) || (m_phase == phase::answering && isShort && !sendsAhead && canSend());
     return !m_isAboutToMove;
 }
 
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -106,7 +106,7 @@
 
     bufferevent* m_stream;
     const gate_limits& m_currentLimits; // of the server
-    gate_limits m_limits; // those that were in force when the present request, or the wait for it, began
+    gate_limits m_limits; // the times that were in force when the present request, or the wait for it, began
     memory_budget& m_budget;
     hooks m_hooks;
     message_scanner m_scanner;
