--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -50,6 +50,7 @@
 std::vector<std::unique_ptr<raw_caller>> connectCallers(const http_fixture& fixture, int count)
 {
     std::vector<std::unique_ptr<raw_caller>> callers;
+    callers.reserve(static_cast<std::size_t>(count));
     for (int i = 0; i < count; ++i)
         callers.push_back(std::make_unique<raw_caller>(fixture));
     return callers;
