--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -303,11 +303,11 @@
         }
     });
     sleepMs(2000);
-    for (int round = 0; round < 12; ++round) {
+    for (int round = 0; round < 30; ++round) {
         const bool isLargeNext = round % 2 == 1;
         if (hasTrouble())
             first.restart(100, isLargeNext ? large : small, isLargeNext ? json { "b", "r1-1" } : json { "a", "r1-1" });
-        sleepMs(5000);
+        sleepMs(2500);
     }
     isOver = true;
     client.join();
