--- a/review/standins-3/cases.cpp
+++ b/review/standins-3/cases.cpp
@@ -321,7 +321,110 @@
     return withoutLabel + overCapacity > 0 ? 1 : 0;
 }
 
+// Two starts that get no answer are carried out late, after the runner has crashed and started again.
+int lateStartInNextLife()
+{
+    constexpr int timeoutMs = 8000;
+    constexpr int runMs = 3500;
+    constexpr std::int64_t delayMs = 2000; // orders are carried out 2 to 12 s later
+    deployment site;
+    startCore(site, timeoutMs);
+    const std::vector<address> controlHosts { site.controlPlane(1), site.controlPlane(2), site.controlPlane(3) };
+    for (const int host : { 11, 12 })
+        site.entry(host);
+    const json capacity = { { "cpu", 16000 }, { "mem_mb", 32768 }, { "gpu", 0 } };
+    const json labels { "a", "r1-1" };
+    std::mutex mutex;
+    std::string wantedJob; // whose first start is late
+    std::string shortJob; // the same, if it is sent to the same runner
+    std::string lateAt;
+    std::vector<std::unique_ptr<runner>> runners;
+    for (int number = 1; number <= 8; ++number) { // one of eight, a share of 0.125, crashes
+        runners.push_back(std::make_unique<runner>("i-0000000" + std::to_string(number), site.runner(number), controlHosts, capacity, labels));
+        runners.back()->setDelay([&, id = runners.back()->id()](const std::string& task) -> std::int64_t {
+            const std::lock_guard lock(mutex);
+            const bool isWanted = !wantedJob.empty() && task.starts_with(wantedJob);
+            const bool isShort = !shortJob.empty() && task.starts_with(shortJob) && id == lateAt;
+            if (!isWanted && !isShort)
+                return 0;
+            (isWanted ? wantedJob : shortJob).clear();
+            lateAt = id;
+            return delayMs;
+        });
+    }
+    for (const int host : { 11, 12 }) {
+        if (!waitReady(site.readiness(host), 15000))
+            throw cannot_run("an entry host is not ready");
+    }
+    sleepMs(4000);
+    std::atomic<bool> isOver { false };
+    std::vector<std::thread> others; // so that one order in some dozens is late
+    for (int client = 0; client < 4; ++client) {
+        others.emplace_back([&, client] {
+            while (!isOver) {
+                submit(site.frontend(11 + client % 2), randomId(), makeJob(2, 2000, 100), 1500);
+                sleepMs(150);
+            }
+        });
+    }
+    sleepMs(1000);
+    for (int round = 0; round < 6; ++round) {
+        const std::string id = randomId();
+        const std::string shortId = randomId();
+        if (hasTrouble()) {
+            const std::lock_guard lock(mutex);
+            wantedJob = id;
+            shortJob = shortId;
+        }
+        const std::int64_t sentAt = nowMs();
+        answer result;
+        std::thread client([&] { result = submit(site.frontend(11), id, makeJob(1, 2000, runMs), timeoutMs); });
+        sleepMs(2);
+        std::thread shortClient([&] { submit(site.frontend(11), shortId, makeJob(1, 2000, 10), timeoutMs); });
+        sleepMs(delayMs - 107);
+        for (const auto& item : runners) {
+            const std::lock_guard lock(mutex);
+            if (!lateAt.empty() && item->id() == lateAt)
+                lateAt += "!";
+        }
+        for (const auto& item : runners) {
+            if (lateAt == item->id() + "!")
+                item->restart(100, capacity, labels);
+        }
+        lateAt.clear();
+        client.join();
+        shortClient.join();
+        out().line("job " + id + ": answer " + std::to_string(result.status) + ' ' + result.body + " after " + std::to_string(nowMs() - sentAt) + " ms");
+        sleepMs(2500);
+    }
+    isOver = true;
+    for (std::thread& thread : others)
+        thread.join();
+    std::vector<runner::interval> all;
+    for (const auto& item : runners) {
+        const auto own = item->intervals();
+        all.insert(all.end(), own.begin(), own.end());
+    }
+    std::size_t twice = 0;
+    for (std::size_t i = 0; i < all.size(); ++i) {
+        for (std::size_t j = i + 1; j < all.size(); ++j) {
+            const std::int64_t together = std::min(all[i].to, all[j].to) - std::max(all[i].from, all[j].from);
+            if (all[i].task != all[j].task || together <= 0)
+                continue;
+            ++twice;
+            out().line(all[i].task + " ran twice for " + std::to_string(together) + " ms: run " + std::to_string(all[i].run) + " on " + all[i].runner + " from " + std::to_string(all[i].from) + " to " + std::to_string(all[i].to) + ", run " + std::to_string(all[j].run) + " on " + all[j].runner + " from " + std::to_string(all[j].from) + " to " + std::to_string(all[j].to));
+        }
+    }
+    site.copyLogs(std::getenv("REVIEW_LOGS") ? std::getenv("REVIEW_LOGS") : "/dev/null");
+    for (auto& item : runners)
+        item->end();
+    if (all.empty())
+        throw cannot_run("no task was run");
+    return twice > 0 ? 1 : 0;
+}
+
 const std::map<std::string, int (*)()> cases {
+    { "late-start-in-next-life", &lateStartInNextLife },
     { "restart-as-other-kind", &restartAsOtherKind },
     { "cancel-at-another-zone", &cancelAtAnotherZone },
     { "first-start-with-one-lost", &firstStartWithOneLost },
--- a/review/standins-3/harness.hpp
+++ b/review/standins-3/harness.hpp
@@ -579,6 +579,8 @@
         {
             const std::lock_guard lock(m_mutex);
             m_isDown = true;
+            for (const auto& [task, running] : m_running)
+                m_intervals.push_back({ m_id, task, running.run, running.from, nowMs() });
             m_running.clear();
             m_wake.notify_all();
         }
@@ -610,6 +612,30 @@
         const std::lock_guard lock(m_mutex);
         m_check = std::move(check);
     }
+    // Starts for which the hook returns a time above 0 get no answer and are carried out that much later, in ms, by the runner as it is then.
+    using delay_hook = std::function<std::int64_t(const std::string& task)>;
+    void setDelay(delay_hook delay)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_delay = std::move(delay);
+    }
+    // When which tasks ran; a run that has not ended yet has no end.
+    struct interval {
+        std::string runner;
+        std::string task;
+        std::uint32_t run = 0;
+        std::int64_t from = 0;
+        std::int64_t to = 0;
+    };
+    std::vector<interval> intervals()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::vector<interval> all = m_intervals;
+        for (const auto& [task, running] : m_running)
+            all.push_back({ m_id, task, running.run, running.from, nowMs() });
+        return all;
+    }
+
     // Only for the check.
     const json& capacity() const { return m_capacity; }
     const json& labels() const { return m_labels; }
@@ -648,6 +674,7 @@
         std::uint32_t run = 0;
         std::int64_t endsAt = 0;
         std::string how = "done";
+        std::int64_t from = 0;
     };
 
     std::int64_t clockMs() const { return nowMs() - m_bornAt + 1; }
@@ -662,6 +689,18 @@
         std::unique_lock lock(m_mutex);
         if (m_isDown)
             return { 0, {} };
+        if (const std::int64_t delay = path == "/api/run-start" && m_delay ? m_delay(body.at("task").get<std::string>()) : 0; delay > 0) {
+            out().line(m_id + " leaves the start of " + body.at("task").get<std::string>() + " run " + body.at("run").dump() + " unanswered");
+            m_delayed.emplace_back(nowMs() + delay, request);
+            const std::int64_t until = nowMs() + 5000;
+            while (nowMs() < until && !m_ended && !m_isDown)
+                m_wake.wait_for(lock, std::chrono::milliseconds(until - nowMs()));
+            return { 0, {} };
+        }
+        return carryOut(request, path, body, lock);
+    }
+    std::pair<int, std::string> carryOut(const message& request, const std::string& path, const json& body, std::unique_lock<std::mutex>& lock)
+    {
         json reply = head();
         if (request.header("jackdawpath-expected-instance") != m_id)
             return { 421, reply.dump() };
@@ -698,7 +737,7 @@
         out().line(m_id + " starts " + task + " run " + std::to_string(run));
         if (m_check)
             m_check(*this, task);
-        m_running[task] = { run, nowMs() + std::stoll(body.at("spec").get<std::string>()), "done" };
+        m_running[task] = { run, nowMs() + std::stoll(body.at("spec").get<std::string>()), "done", nowMs() };
         m_wake.notify_all();
         return { 200, reply.dump() };
     }
@@ -737,9 +776,19 @@
     {
         while (!m_ended) {
             sleepMs(2);
-            const std::lock_guard lock(m_mutex);
+            std::unique_lock lock(m_mutex);
             if (m_isDown)
                 continue;
+            for (auto item = m_delayed.begin(); item != m_delayed.end();) {
+                if (nowMs() < item->first) {
+                    ++item;
+                    continue;
+                }
+                const message late = item->second;
+                item = m_delayed.erase(item);
+                const auto [status, text] = carryOut(late, "/api/run-start", json::parse(late.body), lock);
+                out().line(m_id + " has carried out the late start: " + std::to_string(status) + ' ' + text);
+            }
             const bool isLapsed = m_leaseEnd <= clockMs();
             for (auto item = m_running.begin(); item != m_running.end();) {
                 if (!isLapsed && nowMs() < item->second.endsAt) {
@@ -749,6 +798,7 @@
                 const std::string how = nowMs() >= item->second.endsAt ? item->second.how : "lapsed";
                 m_finished.push_back({ ++m_ends, item->first, item->second.run, how, "" });
                 m_over[item->first] = std::max(m_over[item->first], item->second.run);
+                m_intervals.push_back({ m_id, item->first, item->second.run, item->second.from, nowMs() });
                 item = m_running.erase(item);
                 m_wake.notify_all();
             }
@@ -794,6 +844,9 @@
     json m_capacity;
     json m_labels;
     start_check m_check;
+    delay_hook m_delay;
+    std::vector<interval> m_intervals;
+    std::vector<std::pair<std::int64_t, message>> m_delayed; // when to carry out which start
     bool m_isDown = false;
     const std::string m_zone;
     std::int64_t m_born = 0;
