--- a/src/apps/control/control_node.cpp
+++ b/src/apps/control/control_node.cpp
@@ -40,8 +40,14 @@
     constexpr std::size_t minWantedVoters = 3;
 
     constexpr duration memberSilenceLimit = std::chrono::seconds(3);
+    constexpr duration spareVoterSilenceLimit = std::chrono::seconds(1); // ten heartbeats
     constexpr std::uint64_t maxJournalBytes = 8 * 1024 * 1024; // compacts earlier when changes are large
 
+    bool isVoter(const raft_membership& membership, const raft_member_id& member)
+    {
+        return std::ranges::find(membership.voters, member) != membership.voters.end();
+    }
+
     struct pending_change {
         std::uint64_t term = 0;
         time_point deadline;
@@ -94,6 +100,12 @@
     void reopen(time_point now);
     void answerOverdue(time_point now);
     void replaceMembers(time_point now);
+    void onRemovalRequest(const raft_member_id& voter);
+
+    // With one voter more than wanted the group bears no more losses, and too few once that one is lost: so it is while a host is
+    // replaced. Larger groups bear them all the same.
+    bool hasSpareVoter() const { return raft->membership().voters.size() == wantedVoters() + 1; }
+    bool isSpareVoterLost(time_point now, const raft_member_id& voter) const;
 
     // A change is then stored by more hosts than may lose their disks, and the voters that keep theirs are a majority.
     std::size_t wantedVoters() const { return std::max(minWantedVoters, 2 * settings.toleratedLosses + 1); }
@@ -114,6 +126,7 @@
     raftSettings.heartbeat = settings.heartbeat;
     raftSettings.minElectionTimeout = settings.minElectionTimeout;
     raftSettings.maxElectionTimeout = 2 * settings.minElectionTimeout;
+    raftSettings.discountsEndedVoters = true;
     raft = std::make_unique<raft_node>(raftSettings, initial, now);
 }
 
@@ -280,13 +293,30 @@
     if (live.empty())
         return;
     live.push_back(selfId);
-    auto plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
+    std::optional<raft_membership> plan;
+    if (settings.removesSilentVoters && hasSpareVoter())
+        plan = coordination::planRemoval(raft->membership(), wantedVoters(), [&](const raft_member_id& voter) { return isSpareVoterLost(now, voter); });
+    if (!plan)
+        plan = coordination::planReplacement(raft->membership(), live, minVotersLeft, [&](const raft_member_id& member) { return raft->isCaughtUp(now, member); });
     if (!plan && settings.removesSilentVoters)
         plan = coordination::planRemoval(raft->membership(), wantedVoters(), [&](const raft_member_id& voter) { return voter != selfId && heardMembers.isSilent(now, voter); });
     if (plan)
         raft->proposeMembership(now, *plan);
 }
 
+bool control_node::impl::isSpareVoterLost(time_point now, const raft_member_id& voter) const
+{
+    return voter != selfId && (heardMembers.isSilent(now, voter) || raft->isSilent(now, voter, spareVoterSilenceLimit));
+}
+
+void control_node::impl::onRemovalRequest(const raft_member_id& voter)
+{
+    if (!settings.removesSilentVoters || !hasSpareVoter() || !isVoter(raft->membership(), voter))
+        return;
+    if (heardMembers.hearStopping(voter))
+        logEvent(state::log_level::info, "voter_stopping", { { "host", voter.host }, { "voters", toText(raft->membership().voters) } });
+}
+
 std::size_t control_node::impl::knownHosts(time_point now) const
 {
     std::set<std::string> hosts { selfId.host };
@@ -307,6 +337,10 @@
 {
     if (!m_impl->storageFailure.empty())
         return;
+    // A leader receives timeout_now_request in its own term only from a voter that asks to be removed.
+    const bool isLeaderOfTerm = m_impl->raft->role() == raft_role::leader && message.term == m_impl->raft->term();
+    if (isLeaderOfTerm && message.to == m_impl->selfId && std::holds_alternative<coordination::timeout_now_request>(message.body))
+        m_impl->onRemovalRequest(message.from);
     m_impl->raft->step(now, message);
     m_impl->process(now);
 }
@@ -360,6 +394,21 @@
     m_impl->process(now);
 }
 
+bool control_node::requestRemoval()
+{
+    const raft_member_id& self = m_impl->selfId;
+    if (!m_impl->storageFailure.empty() || !isVoter(m_impl->appliedMembership, self))
+        return false;
+    if (!isVoter(membership(), self))
+        return true; // the removal is not committed yet
+    if (!m_impl->hasSpareVoter())
+        return false;
+    const auto leader = m_impl->raft->leader();
+    if (leader && *leader != self)
+        m_impl->hooks.send({ self, *leader, m_impl->raft->term(), coordination::timeout_now_request {} });
+    return true;
+}
+
 bool control_node::isServingLeader() const
 {
     return m_impl->storageFailure.empty() && m_impl->raft->role() == raft_role::leader && m_impl->appliedTerm == m_impl->raft->term();
@@ -388,7 +437,7 @@
 control_node_status control_node::status() const
 {
     const raft_node& raft = *m_impl->raft;
-    return { raft.role(), raft.term(), raft.commitIndex(), m_impl->storage ? m_impl->storage->journalBytes() : 0, raft.storedEntries(), m_impl->storageFailure, leader(), raft.membership(), raft.lastElection() };
+    return { raft.role(), raft.term(), raft.commitIndex(), m_impl->storage ? m_impl->storage->journalBytes() : 0, raft.storedEntries(), m_impl->storageFailure, leader(), raft.membership(), raft.lastElection(), raft.discountedVoter() };
 }
 
 } // namespace jackdaw::control
--- a/src/apps/control/control_node.h
+++ b/src/apps/control/control_node.h
@@ -49,6 +49,7 @@
     std::optional<coordination::raft_member_id> leader;
     coordination::raft_membership membership; // the newest one in the log, maybe not committed yet
     coordination::raft_election lastElection;
+    std::optional<coordination::raft_member_id> discountedVoter; // an ended voter that does not count in this election or term
 };
 
 class control_node {
@@ -74,6 +75,10 @@
     // Hands leadership on; for a planned stop.
     void transferLeadership(time_point now);
 
+    // For a planned stop: asks the leader to remove this voter, where the group has one more than it needs.
+    // To be repeated while it returns true: the request is under way. The caller no longer announces this member to the others.
+    bool requestRemoval();
+
     // True on a leader that has applied all that was committed before its term.
     bool isServingLeader() const;
     std::optional<coordination::raft_member_id> leader() const;
--- a/src/apps/control/group_log.cpp
+++ b/src/apps/control/group_log.cpp
@@ -51,7 +51,7 @@
 {
     const bool isLeader = status.role == raft_role::leader;
     if (isLeader != (m_logged.role == raft_role::leader))
-        logEvent(log_level::info, isLeader ? "leadership_won" : "leadership_ended", { { "term", std::to_string(status.term) }, { "voters", std::to_string(status.membership.voters.size()) } });
+        logEvent(log_level::info, isLeader ? "leadership_won" : "leadership_ended", { { "term", std::to_string(status.term) }, { "voters", std::to_string(status.membership.voters.size()) }, { "discounted", status.discountedVoter ? toText({ &*status.discountedVoter, 1 }) : "" } });
     else if (status.leader != m_logged.leader)
         logEvent(log_level::info, "leader_changed", { { "leader", status.leader ? status.leader->host : "none" }, { "term", std::to_string(status.term) } });
 }
--- a/src/apps/control/tests/control_group_simulation.cpp
+++ b/src/apps/control/tests/control_group_simulation.cpp
@@ -83,6 +83,17 @@
     m_hosts.at(host).isDiskFull = isFull;
 }
 
+void control_group_simulation::stop(const std::string& host)
+{
+    std::optional<planned_stop>& plannedStop = m_hosts.at(host).plannedStop;
+    plannedStop.emplace(node(host), m_now);
+    do
+        pass(planned_stop::checkInterval);
+    while (!plannedStop->mayEnd(m_now, {}));
+    plannedStop.reset();
+    powerOff(host);
+}
+
 void control_group_simulation::powerOff(const std::string& host)
 {
     m_hosts.at(host).node.reset();
@@ -190,7 +201,8 @@
 void control_group_simulation::sayHello()
 {
     for (auto& [from, sender] : m_hosts) {
-        if (!sender.node || m_now < sender.nextHello)
+        const bool isLeaving = sender.plannedStop && sender.plannedStop->hasAskedToLeave();
+        if (!sender.node || isLeaving || m_now < sender.nextHello)
             continue;
         sender.nextHello += helloInterval;
         for (const auto& [to, receiver] : m_hosts) {
--- a/src/apps/control/tests/control_group_simulation.h
+++ b/src/apps/control/tests/control_group_simulation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "apps/control/control_node.h"
+#include "apps/control/planned_stop.h"
 #include "state/tests/temporary_folder.h"
 
 #include <map>
@@ -30,6 +31,9 @@
     // What a host writes after its disk is full fails; its files stay as they are.
     void setDiskFull(const std::string& host, bool isFull);
 
+    // A planned stop, after which the host is off.
+    void stop(const std::string& host);
+
     void powerOff(const std::string& host);
     void loseDisk(const std::string& host); // of a host without power
     void powerOn(const std::string& host);
@@ -67,6 +71,7 @@
         bool isOn = true;
         std::unique_ptr<control_node> node; // null while not running
         bool isDiskFull = false;
+        std::optional<planned_stop> plannedStop;
         time_point nextHello; // hosts send theirs at different times
     };
 
--- a/src/apps/control/tests/group_soak_tests.cpp
+++ b/src/apps/control/tests/group_soak_tests.cpp
@@ -152,9 +152,15 @@
             m_group.addHost(newName(), false);
         m_cut.erase(host);
         if (isPlanned)
-            submitFor(seconds(4));
+            submitFor(catchUpTime + contactTime);
+        // A host does not count as lost if its successor has had its time in a group that serves.
+        const bool countsAsLost = !isPlanned || m_isSuspended;
+        if (isPlanned && m_group.isRunning(host) && happens(0.5))
+            m_group.stop(host);
         m_group.removeHost(host);
         noteEvent("removed " + host);
+        if (!countsAsLost)
+            return;
         noteLoss(1);
         submitFor(seconds(1));
         if (!isPlanned)
--- a/src/apps/control/tests/heard_members_tests.cpp
+++ b/src/apps/control/tests/heard_members_tests.cpp
@@ -37,6 +37,24 @@
     CHECK(heard.live(start) == std::vector { returned });
 }
 
+// Guards against a voter that was removed at its planned stop and is taken in again while it stops, or not once it is back.
+TEST_CASE("a member that stops is silent until it is heard again")
+{
+    heard_members heard(silenceLimit, {});
+    heard.hear(start, returned);
+    CHECK_FALSE(heard.hearStopping(lost));
+    CHECK_FALSE(heard.isSilent(start, returned));
+    CHECK(heard.hearStopping(returned));
+    CHECK_FALSE(heard.hearStopping(returned));
+    CHECK(heard.hearStopping({ "a1", 1 }));
+    CHECK(heard.isSilent(start, { "a1", 1 }));
+    CHECK(heard.isSilent(start, returned));
+    CHECK(heard.live(start).empty());
+    heard.hear(start, returned);
+    CHECK_FALSE(heard.isSilent(start, returned));
+    CHECK(heard.live(start) == std::vector { returned });
+}
+
 TEST_CASE("a host whose disk was lost returns once, and its lost incarnation never again")
 {
     heard_members heard(silenceLimit, {});
--- a/src/apps/hub/control_host.cpp
+++ b/src/apps/hub/control_host.cpp
@@ -4,6 +4,7 @@
 #include "apps/control/control_messages.h"
 #include "apps/control/control_node.h"
 #include "apps/control/group_log.h"
+#include "apps/control/planned_stop.h"
 #include "apps/control/storage_opening.h"
 #include "apps/hub/host_directory.h"
 #include "apps/shared/process_gauges.h"
@@ -36,9 +37,6 @@
     constexpr duration heartbeatInterval = std::chrono::milliseconds(500);
     constexpr duration trafficLogInterval = std::chrono::seconds(5);
     constexpr duration batchInterval = std::chrono::milliseconds(100); // a twentieth of an upstream's drain time
-    constexpr duration maxStopTime = std::chrono::seconds(2); // an operator's change is answered within 900 ms
-    constexpr duration stopCheckInterval = std::chrono::milliseconds(50);
-    constexpr duration leaderTransferTime = std::chrono::milliseconds(500); // time that a stopping leader leaves for the transfer
     constexpr duration changeTimeout = std::chrono::milliseconds(900); // below the time-out of operators' tools, 1 s
     // A link without acknowledgements for so long is dialled again. It is 1.5 times the longest election timeout, 600 ms.
     constexpr duration linkSilenceLimit = std::chrono::milliseconds(900);
@@ -70,6 +68,7 @@
     std::unique_ptr<transport::event_loop::timer> heartbeatTimer;
     std::unique_ptr<transport::event_loop::timer> batchTimer;
     std::unique_ptr<transport::event_loop::timer> stopTimer;
+    std::optional<control::planned_stop> plannedStop;
     std::function<bool()> hasNoRequest;
     state::metrics allMetrics;
     state::counter& reports = allMetrics.addCounter("jackdaw_upstream_reports_total", "Reports received from upstreams.");
@@ -289,6 +288,8 @@
 
 void control_host::impl::sendHeartbeats()
 {
+    if (plannedStop && plannedStop->hasAskedToLeave())
+        return;
     const time_point now = steadyNow();
     std::vector<std::string> groupHosts;
     for (const auto* members : { &node.membership().voters, &node.membership().learners }) {
@@ -333,15 +334,14 @@
 
 void control_host::impl::stop()
 {
-    if (stopTimer)
+    if (plannedStop)
         return;
-    const bool isLeader = node.status().role == coordination::raft_role::leader;
-    logEvent(log_level::info, "stopping", { { "leader", isLeader ? "yes" : "no" } });
-    node.transferLeadership(steadyNow());
-    const time_point stopAt = steadyNow() + (isLeader ? leaderTransferTime : duration::zero());
-    stopTimer = loop.every(stopCheckInterval, [this, stopAt] {
-        const time_point now = steadyNow();
-        if (now >= stopAt && (!hasNoRequest || hasNoRequest() || now >= stopAt + maxStopTime))
+    plannedStop.emplace(node, steadyNow());
+    rescheduleNodeTimer();
+    stopTimer = loop.every(control::planned_stop::checkInterval, [this] {
+        const bool mayEnd = plannedStop->mayEnd(steadyNow(), hasNoRequest);
+        rescheduleNodeTimer();
+        if (mayEnd)
             loop.stop();
     });
 }
--- a/src/coordination/internal/raft_election.cpp
+++ b/src/coordination/internal/raft_election.cpp
@@ -22,6 +22,7 @@
     votes.clear();
     peers.clear();
     transferTarget.reset();
+    discounted.reset();
     leader = std::move(newLeader);
 }
 
@@ -38,12 +39,14 @@
     becomeFollower(hardState.term, std::nullopt);
     resetElectionDeadline();
     phase = newPhase;
+    // Chosen here, so that all votes and acknowledgements of the term are given after that voter ended.
+    discounted = quorum().voterToDiscount(ended);
     lastElection = { lastElection.number + 1, phase == vote_phase::pre_vote, {}, {} };
     if (phase == vote_phase::vote)
         hardState = { hardState.term + 1, settings.self };
     const bool isPreVote = phase == vote_phase::pre_vote;
     const vote_request request { isPreVote, isTransfer, log.lastIndex(), log.lastTerm() };
-    for (const raft_member_id& voter : log.membership().voters) {
+    for (const raft_member_id& voter : quorum().voters()) {
         if (voter != settings.self)
             send(voter, request, hardState.term + (isPreVote ? 1 : 0));
     }
@@ -54,8 +57,7 @@
 {
     if (votes.insert(voter).second)
         lastElection.granted.push_back(voter);
-    const auto granted = std::ranges::count_if(log.membership().voters, [this](const raft_member_id& member) { return votes.contains(member); });
-    if (static_cast<std::size_t>(granted) < majorityOf(log.membership()))
+    if (!quorum().isReached([this](const raft_member_id& member) { return votes.contains(member); }, discounted))
         return;
     if (phase == vote_phase::pre_vote)
         campaign(vote_phase::vote, false);
--- a/src/coordination/internal/raft_log.cpp
+++ b/src/coordination/internal/raft_log.cpp
@@ -107,6 +107,11 @@
     return m_membershipIndexes.empty() ? m_snapshot.index : m_membershipIndexes.back();
 }
 
+const raft_membership& raft_log::previousMembership() const
+{
+    return m_membershipIndexes.empty() ? m_snapshot.membership : membershipAt(m_membershipIndexes.back() - 1);
+}
+
 const raft_membership& raft_log::membershipAt(std::uint64_t index) const
 {
     const auto after = std::upper_bound(m_membershipIndexes.begin(), m_membershipIndexes.end(), index);
--- a/src/coordination/internal/raft_log.h
+++ b/src/coordination/internal/raft_log.h
@@ -45,6 +45,10 @@
     const protocol::raft_membership& membership() const;
     std::uint64_t membershipIndex() const;
 
+    // The one before membership(), which is committed: a leader changes no membership that is not. The same as membership()
+    // if the log has no earlier one.
+    const protocol::raft_membership& previousMembership() const;
+
     // Return what was added since the last call and must be stored.
     std::vector<protocol::raft_entry> takeUnstored();
     std::optional<protocol::raft_snapshot> takeUnstoredSnapshot();
--- a/src/coordination/internal/raft_node_impl.h
+++ b/src/coordination/internal/raft_node_impl.h
@@ -4,6 +4,7 @@
 #include "coordination/internal/raft_log.h"
 #include "coordination/internal/raft_membership.h"
 #include "coordination/internal/raft_progress.h"
+#include "coordination/internal/raft_quorum.h"
 #include "coordination/raft_node.h"
 
 #include <map>
@@ -50,8 +51,11 @@
     vote_phase phase = vote_phase::none; // other than none on a candidate
     std::set<raft_member_id> votes; // granted in this phase
     raft_election lastElection;
+    std::set<raft_member_id> ended; // voters whose host has answered as another incarnation
+    std::optional<raft_member_id> discounted; // one of them; chosen when an election starts, and kept for its term
     bool isLeader = false;
-    std::map<raft_member_id, raft_progress> peers; // leader only: all other members
+    // Leader only: all other members, and the voters of the previous membership that the quorum rule still needs.
+    std::map<raft_member_id, raft_progress> peers;
     std::uint64_t termStartIndex = 0; // leader only: index of the no-op that starts its term
     time_point quorumCheckAt; // leader only
     std::optional<raft_member_id> transferTarget; // leader only
@@ -59,7 +63,7 @@
     std::vector<raft_message> outbox;
     bool wantsSnapshot = false; // a peer needs the snapshot data that compactLazily() left out
 
-    bool isSelfVoter() const { return isVoter(log.membership(), settings.self); }
+    bool isSelfVoter() const { return quorum().hasVoter(settings.self); }
     void resetElectionDeadline();
 
     template <typename Body>
@@ -68,6 +72,11 @@
         outbox.push_back({ settings.self, to, term, std::move(body) });
     }
 
+    // Quorums
+    raft_quorum quorum() const { return { log, commit, settings.discountsEndedVoters }; }
+    void answerForEndedIncarnation(const raft_message& message);
+    void handle(const raft_message& message, const incarnation_ended& answer);
+
     // Elections
     void becomeFollower(std::uint64_t term, std::optional<raft_member_id> newLeader);
 
@@ -101,6 +110,9 @@
 
     // Counts replicas only for entries of the current term; earlier entries commit with them (Raft paper, section 5.4.2).
     void advanceCommit();
+    std::uint64_t matchOf(const raft_member_id& voter) const;
+    std::uint64_t highestReplicated() const; // the highest index that a quorum has stored; at least commit
+    void onMembershipCommitted();
     void sendAppend(const raft_member_id& to, raft_progress& progress, std::vector<raft_entry> entries);
     std::vector<raft_entry> nextEntries(const raft_progress& progress) const;
     void flush(const raft_member_id& to, raft_progress& progress);
--- a/src/coordination/internal/raft_replication.cpp
+++ b/src/coordination/internal/raft_replication.cpp
@@ -70,8 +70,9 @@
 void raft_node::impl::updatePeers()
 {
     const raft_membership& membership = log.membership();
-    std::erase_if(peers, [&](const auto& peer) { return !isVoter(membership, peer.first) && !isLearner(membership, peer.first); });
-    for (const auto* members : { &membership.voters, &membership.learners }) {
+    const std::vector<raft_member_id> voters = quorum().voters();
+    std::erase_if(peers, [&](const auto& peer) { return std::ranges::find(voters, peer.first) == voters.end() && !isLearner(membership, peer.first); });
+    for (const auto* members : { &voters, &membership.learners }) {
         for (const raft_member_id& member : *members) {
             if (member == settings.self || peers.contains(member))
                 continue;
@@ -96,18 +97,49 @@
     return proposal;
 }
 
+std::uint64_t raft_node::impl::matchOf(const raft_member_id& voter) const
+{
+    if (voter == settings.self)
+        return log.lastIndex();
+    const auto peer = peers.find(voter);
+    return peer == peers.end() ? 0 : peer->second.match;
+}
+
+std::uint64_t raft_node::impl::highestReplicated() const
+{
+    std::uint64_t highest = commit;
+    const auto consider = [&](std::uint64_t index) {
+        if (index > highest && quorum().isReached([&](const raft_member_id& member) { return matchOf(member) >= index; }, discounted))
+            highest = index;
+    };
+    consider(log.lastIndex());
+    for (const auto& [member, progress] : peers)
+        consider(progress.match);
+    return highest;
+}
+
 void raft_node::impl::advanceCommit()
 {
-    std::vector<std::uint64_t> matches;
-    for (const raft_member_id& voter : log.membership().voters)
-        matches.push_back(voter == settings.self ? log.lastIndex() : peers[voter].match);
-    const auto middle = matches.begin() + static_cast<std::ptrdiff_t>(majorityOf(log.membership()) - 1);
-    std::nth_element(matches.begin(), middle, matches.end(), std::greater<>());
-    if (*middle <= commit || log.termAt(*middle) != hardState.term)
+    const std::uint64_t replicated = highestReplicated();
+    if (replicated <= commit || log.termAt(replicated) != hardState.term)
         return;
-    commit = *middle;
-    if (log.membershipIndex() <= commit && !isSelfVoter())
-        becomeFollower(hardState.term, std::nullopt);
+    const bool isMembershipPending = commit < log.membershipIndex();
+    commit = replicated;
+    if (isMembershipPending && log.membershipIndex() <= commit)
+        onMembershipCommitted();
+}
+
+void raft_node::impl::onMembershipCommitted()
+{
+    if (settings.discountsEndedVoters) {
+        // Its voters may have to decide without this leader, and must know by then that it is committed.
+        for (auto& [member, progress] : peers)
+            sendHeartbeat(member, progress);
+        updatePeers();
+    }
+    if (!isSelfVoter())
+        return becomeFollower(hardState.term, std::nullopt);
+    advanceCommit(); // entries after it may need fewer voters
 }
 
 void raft_node::impl::sendAppend(const raft_member_id& to, raft_progress& progress, std::vector<raft_entry> entries)
@@ -237,10 +269,7 @@
 
 bool raft_node::impl::hasQuorumContact() const
 {
-    const auto contacted = std::ranges::count_if(log.membership().voters, [this](const raft_member_id& voter) {
-        return voter == settings.self || isReachable(voter);
-    });
-    return static_cast<std::size_t>(contacted) >= majorityOf(log.membership());
+    return quorum().isReached([this](const raft_member_id& voter) { return voter == settings.self || isReachable(voter); }, discounted);
 }
 
 bool raft_node::impl::isReachable(const raft_member_id& member) const
--- a/src/coordination/raft_node.cpp
+++ b/src/coordination/raft_node.cpp
@@ -9,7 +9,9 @@
 void raft_node::impl::step(const raft_message& message)
 {
     if (message.to != settings.self)
-        return;
+        return answerForEndedIncarnation(message);
+    if (const auto* answer = std::get_if<incarnation_ended>(&message.body))
+        return handle(message, *answer); // whatever its term, which says nothing
     // Recorded whatever its term: a voter refuses with its own one.
     if (const auto* reply = std::get_if<vote_reply>(&message.body); reply && !reply->granted && phase != vote_phase::none)
         lastElection.refused.push_back(message.from);
@@ -19,6 +21,22 @@
         std::visit([&](const auto& body) { handle(message, body); }, message.body);
 }
 
+// A host runs one incarnation at a time. The addressee existed before this host answers as another one, so it has ended.
+void raft_node::impl::answerForEndedIncarnation(const raft_message& message)
+{
+    const bool isRequest = std::holds_alternative<vote_request>(message.body) || std::holds_alternative<append_request>(message.body)
+        || std::holds_alternative<snapshot_request>(message.body);
+    if (settings.discountsEndedVoters && isRequest && message.to.host == settings.self.host)
+        send(message.from, incarnation_ended { message.to.incarnation }, 0);
+}
+
+void raft_node::impl::handle(const raft_message& message, const incarnation_ended& answer)
+{
+    std::erase_if(ended, [this](const raft_member_id& known) { return !isVoter(log.membership(), known) && !isVoter(log.previousMembership(), known); });
+    if (settings.discountsEndedVoters)
+        ended.insert({ message.from.host, answer.incarnation });
+}
+
 raft_ready raft_node::impl::takeReady()
 {
     if (isLeader) {
@@ -175,6 +193,17 @@
     return m_impl->isLeader && m_impl->isCaughtUp(member);
 }
 
+bool raft_node::isSilent(time_point now, const raft_member_id& member, duration limit) const
+{
+    const auto peer = m_impl->peers.find(member);
+    return m_impl->isLeader && peer != m_impl->peers.end() && now - peer->second.lastHeard > limit;
+}
+
+const std::optional<raft_member_id>& raft_node::discountedVoter() const
+{
+    return m_impl->discounted;
+}
+
 bool raft_node::isReachable(time_point now, const raft_member_id& member) const
 {
     m_impl->now = now;
--- a/src/coordination/raft_node.h
+++ b/src/coordination/raft_node.h
@@ -20,6 +20,7 @@
 
 using protocol::append_reply;
 using protocol::append_request;
+using protocol::incarnation_ended;
 using protocol::raft_entry;
 using protocol::raft_entry_kind;
 using protocol::raft_hard_state;
@@ -41,6 +42,10 @@
     std::size_t maxEntriesPerAppend = 256;
     std::size_t maxBytesPerAppend = 1024 * 1024; // exceeded only by a single larger entry
     std::size_t maxInflightAppends = 4; // per peer; later entries wait for the next append
+
+    // In a group of an even number, half of the voters decide once one of the others is known to have ended
+    // (internal/raft_quorum.h). For groups in which an incarnation that ended never returns.
+    bool discountsEndedVoters = false;
 };
 
 // Initial state of a member: only a membership for a new group, or the state read from disk.
@@ -137,6 +142,12 @@
     // True only on the leader, for a member that was heard from within the last minElectionTimeout.
     bool isReachable(time_point now, const raft_member_id& member) const;
 
+    // True only on the leader, for another member that was not heard from within the limit, of which all was spent leading.
+    bool isSilent(time_point now, const raft_member_id& member, duration limit) const;
+
+    // The ended voter that does not count in this election or term; std::nullopt if all count.
+    const std::optional<raft_member_id>& discountedVoter() const;
+
 private:
     class impl;
     std::unique_ptr<impl> m_impl;
--- a/src/coordination/tests/raft_checker_tests.cpp
+++ b/src/coordination/tests/raft_checker_tests.cpp
@@ -1,14 +1,17 @@
-// Simulations of Raft under faults, and mutations that the checker must detect.
+// Simulations of Raft under faults, and mutations that the checker must detect. JACKDAW_RAFT_SEEDS sets the number of seeds.
 #include "coordination/tests/raft_simulation.h"
 
 #include <doctest/doctest.h>
 
+#include <cstdlib>
+
 using namespace jackdaw::coordination;
 using namespace jackdaw::coordination::tests;
 
 namespace {
 
-constexpr std::uint64_t checkedSeeds = 500; // for each kind of group
+// For each kind of group.
+const std::uint64_t checkedSeeds = std::getenv("JACKDAW_RAFT_SEEDS") ? std::strtoull(std::getenv("JACKDAW_RAFT_SEEDS"), nullptr, 10) : 500;
 constexpr std::uint64_t mutationSeeds = 300;
 
 raft_simulation_settings settingsFor(std::uint64_t seed)
@@ -19,6 +22,15 @@
     return settings;
 }
 
+raft_simulation_settings discountingSettings(std::uint64_t seed)
+{
+    raft_simulation_settings settings;
+    settings.seed = seed;
+    settings.hosts = 3 + seed % 4;
+    settings.discountsEndedVoters = true;
+    return settings;
+}
+
 // Returns the first seed that ends with the given violation; 0 if there is none.
 std::uint64_t firstDetectingSeed(raft_violation wanted, const raft_mutation& mutation)
 {
@@ -51,6 +63,37 @@
     }
 }
 
+// Guards the rule by which half of an even group decides (raft_quorum.h).
+TEST_CASE("two halves of a group decide apart, or a group without an ended voter never decides again")
+{
+    for (std::uint64_t seed = 1; seed <= checkedSeeds; ++seed) {
+        CAPTURE(seed);
+        REQUIRE(raft_simulation(discountingSettings(seed)).run() == raft_violation::none);
+    }
+}
+
+TEST_CASE("the checker detects living voters that are taken for ended")
+{
+    const auto isDetected = [](std::uint64_t seed) {
+        int replies = 0;
+        raft_simulation_settings settings = discountingSettings(seed);
+        settings.hosts = 4;
+        settings.mutation.onMessage = [&replies](raft_message& message) {
+            const bool isReply = std::holds_alternative<append_reply>(message.body) || std::holds_alternative<vote_reply>(message.body);
+            if (!isReply || ++replies % 2 != 0)
+                return;
+            message.term = 0;
+            message.body = incarnation_ended { message.from.incarnation };
+        };
+        const raft_violation found = raft_simulation(settings).run();
+        return found == raft_violation::two_leaders_in_a_term || found == raft_violation::committed_lost;
+    };
+    bool isFound = false;
+    for (std::uint64_t seed = 1; seed <= mutationSeeds && !isFound; ++seed)
+        isFound = isDetected(seed);
+    CHECK(isFound);
+}
+
 TEST_CASE("the checker detects a refused vote that is counted")
 {
     raft_mutation mutation;
--- a/src/coordination/tests/raft_node_tests.cpp
+++ b/src/coordination/tests/raft_node_tests.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <array>
+#include <span>
 
 using namespace jackdaw::coordination;
 using namespace std::chrono_literals;
@@ -17,10 +19,11 @@
 const raft_member_id d { "d", 1 };
 constexpr time_point start { 1s };
 
-raft_node makeNode(const raft_membership& membership, std::vector<raft_entry> entries = {}, std::uint64_t term = 0)
+raft_node makeNode(const raft_membership& membership, std::vector<raft_entry> entries = {}, std::uint64_t term = 0, bool discountsEndedVoters = false)
 {
     raft_settings settings;
     settings.self = a;
+    settings.discountsEndedVoters = discountsEndedVoters;
     return { settings, { { term, {} }, { 0, 0, membership, {} }, std::move(entries) }, start };
 }
 
@@ -40,8 +43,136 @@
     node.takeReady();
 }
 
+raft_node makeDiscountingNode(const raft_membership& membership, std::vector<raft_entry> entries = {})
+{
+    const std::uint64_t term = entries.empty() ? 0 : entries.back().term;
+    return makeNode(membership, std::move(entries), term, true);
+}
+
+void learnThatHasEnded(raft_node& node, const raft_member_id& member)
+{
+    node.step(start, { { member.host, member.incarnation + 1 }, a, 0, incarnation_ended { member.incarnation } });
+}
+
+void grant(raft_node& node, std::span<const raft_member_id> voters, bool isPreVote)
+{
+    for (const raft_member_id& voter : voters)
+        node.step(start + 1s, { voter, a, node.term() + (isPreVote ? 1 : 0), vote_reply { isPreVote, true } });
+}
+
+// Whether member a becomes the leader with the votes of these members.
+bool isElectedBy(raft_node& node, const std::vector<raft_member_id>& voters)
+{
+    node.advance(start + 1s);
+    grant(node, voters, true);
+    grant(node, voters, false);
+    return node.role() == raft_role::leader;
+}
+
 } // namespace
 
+// Guards against a group that is larger by the successor of a lost host, and never decides again once another disk is lost.
+TEST_CASE("half of a group of four does not decide without a voter that has ended")
+{
+    raft_node node = makeDiscountingNode({ { a, b, c, d }, {} });
+    learnThatHasEnded(node, d);
+    REQUIRE(isElectedBy(node, { b }));
+    CHECK(node.discountedVoter() == d);
+    acknowledge(node, b, 1);
+    CHECK(node.commitIndex() == 1);
+    REQUIRE(node.proposeMembership(start + 1s, { { a, b, c }, {} }));
+    acknowledge(node, b, 2);
+    CHECK(node.commitIndex() == 2);
+}
+
+// Guards against two halves that decide apart: a voter that is merely silent may decide with another half.
+TEST_CASE("half of a group of four decides without a voter that has not ended")
+{
+    raft_node node = makeDiscountingNode({ { a, b, c, d }, {} });
+    CHECK_FALSE(isElectedBy(node, { b }));
+    raft_node neighbour = makeDiscountingNode({ { a, b, c, d }, {} });
+    learnThatHasEnded(neighbour, { "d", 7 });
+    CHECK_FALSE(isElectedBy(neighbour, { b }));
+}
+
+// Guards against votes and acknowledgements that were given before the voter ended.
+TEST_CASE("a voter is discounted in an election that began before it was known to have ended")
+{
+    raft_node node = makeDiscountingNode({ { a, b, c, d }, {} });
+    node.advance(start + 1s);
+    learnThatHasEnded(node, d);
+    grant(node, std::array { b }, true);
+    CHECK(node.role() == raft_role::candidate);
+    CHECK(node.term() == 0);
+    raft_node leader = makeDiscountingNode({ { a, b, c, d }, {} });
+    REQUIRE(isElectedBy(leader, { b, c }));
+    learnThatHasEnded(leader, d);
+    acknowledge(leader, b, 1);
+    CHECK(leader.commitIndex() == 0);
+}
+
+// Guards against fewer than a majority of an odd group: two of five and the other three would decide apart.
+TEST_CASE("an odd group discounts a voter")
+{
+    const raft_member_id e { "e", 1 };
+    raft_node node = makeDiscountingNode({ { a, b, c, d, e }, {} });
+    learnThatHasEnded(node, e);
+    CHECK_FALSE(isElectedBy(node, { b }));
+    raft_node pair = makeDiscountingNode({ { a, b }, {} });
+    learnThatHasEnded(pair, b);
+    CHECK_FALSE(isElectedBy(pair, {}));
+}
+
+// Guards against a majority of the three former voters that decides beside two of the four.
+TEST_CASE("a voter is discounted in a membership that is not known to be committed")
+{
+    const raft_entry promotion { 1, 1, raft_entry_kind::membership, {}, { { a, b, c, d }, {} } };
+    raft_node node = makeDiscountingNode({ { a, b, c }, { d } }, { promotion });
+    learnThatHasEnded(node, c);
+    CHECK_FALSE(isElectedBy(node, { b }));
+    raft_node other = makeDiscountingNode({ { a, b, c }, { d } }, { promotion });
+    learnThatHasEnded(other, c);
+    CHECK(isElectedBy(other, { b, d }));
+}
+
+// Guards against two of four voters that decide, without an ended one, beside a majority of the three that are left after a removal.
+TEST_CASE("a removal from a group of four is committed, or decides an election, without a quorum of the four")
+{
+    const raft_membership reduced { { a, b, c }, {} };
+    raft_node node = makeDiscountingNode({ { a, b, c, d }, {} }, { { 1, 1, raft_entry_kind::membership, {}, reduced } });
+    CHECK_FALSE(isElectedBy(node, { b }));
+    raft_node leader = makeDiscountingNode({ { a, b, c, d }, {} });
+    REQUIRE(isElectedBy(leader, { b, c }));
+    acknowledge(leader, b, 1);
+    acknowledge(leader, c, 1);
+    REQUIRE(leader.proposeMembership(start + 1s, reduced));
+    acknowledge(leader, b, 2);
+    CHECK(leader.commitIndex() == 1);
+    acknowledge(leader, d, 2);
+    CHECK(leader.commitIndex() == 2);
+    leader.propose(start + 1s, "x");
+    acknowledge(leader, b, 3);
+    CHECK(leader.commitIndex() == 3);
+}
+
+// Guards against a host that keeps silent on its lost incarnation, and against one that claims an end where nobody may rely on it.
+TEST_CASE("a host does not tell that its earlier incarnation has ended")
+{
+    const raft_member_id lost { "a", 0 };
+    raft_node node = makeDiscountingNode({});
+    node.step(start, { b, lost, 5, vote_request { true, false, 9, 5 } });
+    const auto answers = node.takeReady().messages;
+    REQUIRE(answers.size() == 1);
+    CHECK(answers.front() == raft_message { a, b, 0, incarnation_ended { 0 } });
+    node.step(start, { b, lost, 5, vote_reply { true, true } });
+    node.step(start, { b, { "c", 1 }, 5, vote_request {} });
+    CHECK(node.takeReady().isEmpty());
+    CHECK(node.term() == 0);
+    raft_node other = makeNode({ { a, b, c }, {} });
+    other.step(start, { b, lost, 5, vote_request {} });
+    CHECK(other.takeReady().isEmpty());
+}
+
 TEST_CASE("an entry of an older term commits only with an entry of the leader's own term")
 {
     raft_node node = makeNode({ { a, b, c }, {} }, { { 1, 1, raft_entry_kind::command, "old", {} } }, 1);
--- a/src/coordination/tests/raft_simulation.cpp
+++ b/src/coordination/tests/raft_simulation.cpp
@@ -58,6 +58,7 @@
     settings.self = host.id;
     settings.seed = m_random();
     settings.maxEntriesPerAppend = 4;
+    settings.discountsEndedVoters = m_settings.discountsEndedVoters;
     host.state = {};
     host.applied = host.disk.snapshot.index;
     if (host.applied > 0)
@@ -77,19 +78,35 @@
         host.id.incarnation = m_nextIncarnation++;
 }
 
-// The group survives the loss if all hosts are up and, by every host's membership, a majority of voters remains.
+raft_membership raft_simulation::newestMembership(const simulated_host& host) const
+{
+    if (host.node)
+        return host.node->membership();
+    const auto newest = std::find_if(host.disk.entries.rbegin(), host.disk.entries.rend(), [](const raft_entry& entry) { return entry.kind == raft_entry_kind::membership; });
+    return newest == host.disk.entries.rend() ? host.disk.snapshot.membership : newest->membership;
+}
+
+// The group survives the loss if, by every host's membership, a majority of voters remains, or half of an even number. All hosts
+// must be up, unless ended voters are discounted.
 bool raft_simulation::canLoseDisk(const simulated_host& host) const
 {
-    for (const simulated_host& other : m_hosts) {
-        const raft_membership& membership = other.node ? other.node->membership() : other.disk.snapshot.membership;
+    return std::ranges::all_of(m_hosts, [&](const simulated_host& other) {
+        const raft_membership membership = newestMembership(other);
         const auto kept = std::ranges::count_if(membership.voters, [&](const raft_member_id& voter) {
             const auto found = std::ranges::find(m_hosts, voter, &simulated_host::id);
             return found != m_hosts.end() && found->id != host.id;
         });
-        if (!other.node || static_cast<std::size_t>(kept) * 2 <= membership.voters.size())
+        if (!other.node && !m_settings.discountsEndedVoters)
             return false;
-    }
-    return true;
+        const std::size_t missing = membership.voters.size() - static_cast<std::size_t>(kept);
+        return 2 * missing < membership.voters.size() || (2 * missing == membership.voters.size() && canLoseHalf(other, membership));
+    });
+}
+
+bool raft_simulation::canLoseHalf(const simulated_host& host, const raft_membership& membership) const
+{
+    const bool isPending = std::ranges::any_of(host.disk.entries, [&](const raft_entry& entry) { return entry.kind == raft_entry_kind::membership && entry.index > host.applied; });
+    return m_settings.discountsEndedVoters && membership.voters.size() >= 4 && !isPending;
 }
 
 time_point raft_simulation::nextTimer() const
@@ -137,7 +154,7 @@
         return start(host);
     const std::size_t choice = randomBelow(10);
     if (choice < 3)
-        return cutRandomLinks();
+        return m_settings.discountsEndedVoters && happens(0.5) ? cutIntoHalves() : cutRandomLinks();
     if (choice < 4)
         return m_link.heal();
     if (choice < 5) {
@@ -164,6 +181,21 @@
     }
 }
 
+void raft_simulation::cutIntoHalves()
+{
+    std::vector<std::string> hosts;
+    for (const simulated_host& host : m_hosts)
+        hosts.push_back(host.id.host);
+    std::shuffle(hosts.begin(), hosts.end(), m_random);
+    const time_point until = m_now + (happens(0.3) ? 4s : 1s);
+    for (std::size_t i = 0; i < hosts.size() / 2; ++i) {
+        for (std::size_t k = hosts.size() / 2; k < hosts.size(); ++k) {
+            m_link.cut(hosts[i], hosts[k], until);
+            m_link.cut(hosts[k], hosts[i], until);
+        }
+    }
+}
+
 void raft_simulation::healAll()
 {
     m_link.heal();
@@ -203,8 +235,15 @@
         if (host.node)
             live.push_back(host.id);
     }
-    const auto plan = planReplacement(leader.node->membership(), live, 1,
+    auto plan = planReplacement(leader.node->membership(), live, 1,
         [&](const raft_member_id& member) { return leader.node->isCaughtUp(m_now, member); });
+    const std::vector<raft_member_id>& voters = leader.node->membership().voters;
+    const bool areAllLive = std::ranges::all_of(voters, [&](const raft_member_id& voter) { return std::ranges::find(live, voter) != live.end(); });
+    if (m_settings.discountsEndedVoters && m_isFaulty && areAllLive && voters.size() % 2 == 0 && happens(0.3)) {
+        const auto isLeaving = [&](const raft_member_id& voter) { return voter != leader.id && happens(0.3); };
+        if (const auto removal = planRemoval(leader.node->membership(), 3, isLeaving))
+            plan = removal;
+    }
     if (plan)
         leader.node->proposeMembership(m_now, *plan);
 }
@@ -224,7 +263,9 @@
     checkLeader(host);
     sendAll(host, ready.messages);
     apply(host, ready);
-    if (host.applied > host.disk.snapshot.index + 20) {
+    // As control_node does it: after a restart a committed membership is known to be committed.
+    const bool hasNewMembership = m_settings.discountsEndedVoters && std::ranges::any_of(ready.committed, [](const raft_entry& entry) { return entry.kind == raft_entry_kind::membership; });
+    if (host.applied > host.disk.snapshot.index + 20 || hasNewMembership) {
         std::ostringstream data;
         data << host.state.commands << ' ' << host.state.hash;
         host.node->compact(host.applied, data.str());
--- a/src/coordination/tests/raft_simulation.h
+++ b/src/coordination/tests/raft_simulation.h
@@ -42,6 +42,7 @@
     duration faultyTime = std::chrono::seconds(12);
     duration healedTime = std::chrono::seconds(8);
     bool hasDisks = true; // false: each restart loses all state
+    bool discountsEndedVoters = false; // half of an even group may then lose their disks, and voters beyond three leave and return
     raft_mutation mutation;
 };
 
@@ -79,10 +80,13 @@
     void start(simulated_host& host);
     void crash(simulated_host& host, bool losesDisk);
     bool canLoseDisk(const simulated_host& host) const;
+    bool canLoseHalf(const simulated_host& host, const raft_membership& membership) const;
+    raft_membership newestMembership(const simulated_host& host) const;
     time_point nextTimer() const;
     void runEvent();
     void injectFault();
     void cutRandomLinks();
+    void cutIntoHalves();
     void healAll();
     bool haveAllRejoined() const;
     void propose();
--- a/src/protocol/raft_codec.cpp
+++ b/src/protocol/raft_codec.cpp
@@ -25,7 +25,8 @@
         append_request = 2,
         append_reply = 3,
         snapshot_request = 4,
-        timeout_now_request = 5
+        timeout_now_request = 5,
+        incarnation_ended = 6
     };
 
     void write(msgpack_writer& writer, const raft_member_id& member)
@@ -171,6 +172,12 @@
         writer.pack_array(0);
     }
 
+    void writeBody(msgpack_writer& writer, const incarnation_ended& answer)
+    {
+        writer.pack_array(1);
+        writer.pack(answer.incarnation);
+    }
+
     vote_request readVoteRequest(msgpack_array_reader& fields)
     {
         vote_request request;
@@ -235,6 +242,9 @@
         case body_kind::timeout_now_request:
             message.body = timeout_now_request {};
             return;
+        case body_kind::incarnation_ended:
+            message.body = incarnation_ended { fields.take<std::uint64_t>() };
+            return;
         }
         throw msgpack::type_error();
     }
--- a/src/protocol/raft_messages.h
+++ b/src/protocol/raft_messages.h
@@ -108,11 +108,19 @@
     friend bool operator==(const timeout_now_request&, const timeout_now_request&) = default;
 };
 
+// Answers a message to another incarnation of the sender's host: that one has ended and will never send again. The message's
+// term is 0, as the sender may be in no group.
+struct incarnation_ended {
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(const incarnation_ended&, const incarnation_ended&) = default;
+};
+
 struct raft_message {
     raft_member_id from;
     raft_member_id to;
     std::uint64_t term = 0;
-    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_request, timeout_now_request> body;
+    std::variant<vote_request, vote_reply, append_request, append_reply, snapshot_request, timeout_now_request, incarnation_ended> body;
 
     friend bool operator==(const raft_message&, const raft_message&) = default;
 };
--- a/src/protocol/tests/raft_codec_tests.cpp
+++ b/src/protocol/tests/raft_codec_tests.cpp
@@ -22,6 +22,7 @@
         append_reply { true, 8, 6 },
         snapshot_request { { 9, 3, exampleMembership, "state" } },
         timeout_now_request {},
+        incarnation_ended { 7 },
     };
     for (const auto& body : bodies) {
         const raft_message message { { "a", 1 }, { "b", 2 }, 3, body };
