--- a/src/coordination/internal/raft_quorum.h
+++ b/src/coordination/internal/raft_quorum.h
@@ -1,14 +1,15 @@
 // Which voters decide elections and commits: a majority, and in a group of an even number also half of the voters, if one of the
 // others is known to have ended.
 //
-// In a group of 2n voters, any n of the 2n - 1 that are left without an ended voter meet each majority (n + 1 voters), and meet
-// each other, among those that are left. Two elections that discount different voters X and Y have no common voter only if X
-// decides without Y and Y decides without X. Each would have acted after the other one had ended, so only one of the two exists.
-// For this, the discounted voter is known to have ended before the election asks for votes, and is not changed in its term.
+// In a group of 2n voters, any n of the 2n - 1 other than an ended voter X have a member in common with each majority (n + 1
+// voters), and with any other n that leave out X. If n voters leave out X and n leave out Y, they have none in common only if
+// the first contain Y and the second contain X. Both act only after the voter that they leave out has ended, so X and Y would
+// each have acted after the other one's end, which is impossible. For this, a candidate knows of the end before it asks for
+// votes, and discounts the same voter throughout its term.
 //
-// Majorities of the memberships before and after a change meet as well, but n voters need not meet a majority of another
-// membership. So voters are discounted only in a committed membership, and a change away from 2n voters is committed, and is
-// the base of elections until then, by a quorum of both memberships.
+// Majorities of the memberships before and after a change have a member in common as well, but n voters may have none in common
+// with a majority of another membership. So voters are discounted only in a committed membership, and a change away from 2n
+// voters needs a quorum of both memberships, as does each election on its basis until it is known to be committed.
 #pragma once
 
 #include "coordination/internal/raft_log.h"
