HTTP server: counts tell requests that were read from those that were not, and a line for each that is cut off

A request that no host logs until its deadline may have been left in a socket, or read and lost on the way to its handler; a connection that ends may have held a request, a response, or nothing. The log could not tell these apart. connections_closed now has the connections accepted, the requests begun and handled, and the callers that left; request_cut_off has a line for each connection that ends, not by its caller, with a request or response unfinished. No decision is changed.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -305,6 +305,7 @@
         hooks.onRefused = [&server](int status) { server.countRefusal(status); };
         hooks.onOverBudget = [&server] { server.postEnforcement(); };
         hooks.close = [&server, connection](internal::close_reason reason) { server.close(connection, reason); };
+        ++server.requestsOfEndedConnections.connectionsAccepted;
         server.connections[connection] = std::make_unique<internal::request_gate>(evhtp_connection_get_bev(connection), server.gateLimits, server.budget, std::move(hooks));
         evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini, toHook(&impl::onConnectionClosed), self);
         evhtp_connection_set_hook(connection, evhtp_hook_on_read, toHook(&impl::onBody), self);
@@ -358,6 +359,33 @@
             ++closures.withUnreadInput;
     }
 
+    void countEnd(const internal::request_gate& gate)
+    {
+        requestsOfEndedConnections.begun += gate.requestsBegun();
+        requestsOfEndedConnections.handled += gate.requestsHandled();
+        const internal::unfinished_work work = gate.unfinishedWork();
+        if (work == internal::unfinished_work::none)
+            return;
+        if (gate.hasCallerEnded()) {
+            ++requestsOfEndedConnections.leftByCaller;
+            return;
+        }
+        std::string_view state;
+        if (work == internal::unfinished_work::partial_request) {
+            ++closures.withPartialRequest;
+            state = "request read in part";
+        } else if (work == internal::unfinished_work::whole_request) {
+            ++closures.withWholeRequest;
+            state = "request read in full";
+        } else {
+            ++closures.withUnsentResponse;
+            state = "response not sent";
+        }
+        state::logEvent(state::log_level::warning, "request_cut_off",
+            { { "port", std::to_string(port) }, { "state", std::string(state) }, { "closed_by", isClosing ? "server" : "library or end of the server" },
+                { "since_ms", std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(gate.sinceLastChange()).count()) } });
+    }
+
     // Connections are closed outside of their callbacks.
     void postEnforcement()
     {
@@ -371,6 +399,16 @@
         });
     }
 
+    http_server_requests requests() const
+    {
+        http_server_requests sums = requestsOfEndedConnections;
+        for (const auto& [connection, gate] : connections) {
+            sums.begun += gate->requestsBegun();
+            sums.handled += gate->requestsHandled();
+        }
+        return sums;
+    }
+
     // The visitor may close connections.
     void forEachGate(const std::function<void(internal::request_gate& gate)>& visitor)
     {
@@ -392,10 +430,11 @@
         logClosures(now);
     }
 
-    // A planned stop closes connections too, and needs no line of its own.
+    // Connections that a planned stop closes need no line of their own.
     void logClosures(protocol::time_point now)
     {
-        const std::uint64_t sum = closures.idle + closures.unsentResponses + closures.refused + closures.evicted + closures.library + closures.notAccepted + closures.withUnreadInput;
+        const http_server_requests sums = requests();
+        const std::uint64_t sum = sums.begun + closures.idle + closures.unsentResponses + closures.refused + closures.evicted + closures.library + closures.notAccepted + closures.withUnreadInput;
         if (sum == loggedClosures || now - closuresLoggedAt < logInterval)
             return;
         loggedClosures = sum;
@@ -403,7 +442,10 @@
         state::logEvent(state::log_level::info, "connections_closed",
             { { "port", std::to_string(port) }, { "idle", std::to_string(closures.idle) }, { "unsent_response", std::to_string(closures.unsentResponses) },
                 { "refused", std::to_string(closures.refused) }, { "last_response", std::to_string(closures.lastResponses) }, { "evicted", std::to_string(closures.evicted) },
-                { "draining", std::to_string(closures.draining) }, { "library", std::to_string(closures.library) }, { "not_accepted", std::to_string(closures.notAccepted) }, { "with_unread_input", std::to_string(closures.withUnreadInput) }, { "open", std::to_string(connections.size()) } });
+                { "draining", std::to_string(closures.draining) }, { "library", std::to_string(closures.library) }, { "not_accepted", std::to_string(closures.notAccepted) }, { "with_unread_input", std::to_string(closures.withUnreadInput) },
+                { "with_partial_request", std::to_string(closures.withPartialRequest) }, { "with_whole_request", std::to_string(closures.withWholeRequest) }, { "with_unsent_response", std::to_string(closures.withUnsentResponse) },
+                { "accepted", std::to_string(sums.connectionsAccepted) }, { "requests_begun", std::to_string(sums.begun) }, { "requests_handled", std::to_string(sums.handled) }, { "left_by_caller", std::to_string(sums.leftByCaller) },
+                { "open", std::to_string(connections.size()) } });
     }
 
     void logRefusals(protocol::time_point now)
@@ -426,6 +468,7 @@
             return EVHTP_RES_OK;
         if (!server.isClosing && !found->second->hasCallerEnded())
             ++server.closures.library;
+        server.countEnd(*found->second);
         server.connections.erase(found);
         return EVHTP_RES_OK;
     }
@@ -474,6 +517,7 @@
     std::uint64_t loggedRefusals = 0; // sum of all counts in the last log line
     protocol::time_point loggedAt;
     http_server_closures closures;
+    http_server_requests requestsOfEndedConnections; // and all connections accepted
     std::uint64_t loggedClosures = 0; // sum of the counts in the last log line
     protocol::time_point closuresLoggedAt;
     std::size_t openRequests = 0;
@@ -537,6 +581,11 @@
     return m_impl->closures;
 }
 
+http_server_requests http_server::requests() const
+{
+    return m_impl->requests();
+}
+
 std::size_t http_server::openConnections() const
 {
     return m_impl->connections.size();
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -58,6 +58,17 @@
     std::uint64_t library = 0; // by libevhtp, without a reason of the server's
     std::uint64_t notAccepted = 0;
     std::uint64_t withUnreadInput = 0; // of those that the server chose to close: the caller had sent bytes that were not read
+    std::uint64_t withPartialRequest = 0; // not ended by the caller: a request had been read in part
+    std::uint64_t withWholeRequest = 0; // not ended by the caller: a request had been read in full and not answered
+    std::uint64_t withUnsentResponse = 0; // not ended by the caller: a response or refusal had not been sent in full
+};
+
+// Requests on the way from their first byte to the handler. Those that were refused, or whose callers left early, are not handled.
+struct http_server_requests {
+    std::uint64_t connectionsAccepted = 0;
+    std::uint64_t begun = 0; // the first byte was read
+    std::uint64_t handled = 0; // the handler was given the request
+    std::uint64_t leftByCaller = 0; // the caller ended the connection before the response was sent
 };
 
 class http_server {
@@ -86,6 +97,7 @@
     void setLimits(const http_server_limits& limits);
     http_server_refusals refusals() const;
     http_server_closures closures() const;
+    http_server_requests requests() const;
 
 private:
     class impl;
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -84,6 +84,7 @@
 
 void request_gate::onRequestRead()
 {
+    ++m_requestsHandled;
     enter(phase::handled);
 }
 
@@ -136,8 +137,10 @@
 // Scans the next bytes that lie together. False if the connection has been closed.
 bool request_gate::scanSome()
 {
-    if (m_phase == phase::idle)
+    if (m_phase == phase::idle) {
+        ++m_requestsBegun;
         enter(phase::head);
+    }
     evbuffer_ptr from {};
     evbuffer_ptr_set(m_held, &from, m_scanned, EVBUFFER_PTR_SET);
     evbuffer_iovec span {};
@@ -193,6 +196,25 @@
     return connectionBytes + buffered + m_body.capacity() + (m_headBytes > 0 ? openRequestBytes + 2 * m_headBytes : 0);
 }
 
+unfinished_work request_gate::unfinishedWork() const
+{
+    const bool hasOutput = evbuffer_get_length(bufferevent_get_output(m_stream)) > 0;
+    switch (m_phase) {
+    case phase::idle:
+        return unfinished_work::none;
+    case phase::head:
+    case phase::body:
+        return m_scanner.at() == message_scanner::part::end ? unfinished_work::whole_request : unfinished_work::partial_request;
+    case phase::handled:
+        return unfinished_work::whole_request;
+    case phase::answering:
+        return hasOutput ? unfinished_work::response : unfinished_work::none;
+    case phase::refused:
+        return hasOutput ? unfinished_work::refusal : unfinished_work::none;
+    }
+    return unfinished_work::none;
+}
+
 bool request_gate::hasUnreadInput() const
 {
     char next = 0;
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -9,6 +9,7 @@
 #include <event2/bufferevent.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,6 +37,15 @@
     draining // no request before the server's planned end
 };
 
+// What remains unfinished on a connection that ends.
+enum class unfinished_work {
+    none,
+    partial_request, // read in part
+    whole_request, // read in full, not answered
+    response, // not sent in full
+    refusal // not sent in full
+};
+
 // Takes the place of the callbacks of a connection. Must outlive the connection's use.
 class request_gate final : public memory_budget::holder {
 public:
@@ -72,6 +82,15 @@
     bool mayBeEvicted() override;
     void evict() override { m_hooks.close(close_reason::evicted); }
 
+    unfinished_work unfinishedWork() const;
+
+    // Since a request began, was read or answered, or its response made progress.
+    protocol::duration sinceLastChange() const { return protocol::steadyNow() - m_phaseSince; }
+
+    // Requests of which the first byte has been read, and those that the handler has been given.
+    std::uint64_t requestsBegun() const { return m_requestsBegun; }
+    std::uint64_t requestsHandled() const { return m_requestsHandled; }
+
     // Whether the caller has sent bytes that have not been read.
     bool hasUnreadInput() const;
 
@@ -119,6 +138,8 @@
     phase m_phase = phase::idle;
     protocol::time_point m_phaseSince; // of a response: since it last made progress
     std::size_t m_bodyBytesRead = 0;
+    std::uint64_t m_requestsBegun = 0;
+    std::uint64_t m_requestsHandled = 0;
     bool m_isReadingOff = false;
     bool m_isAdvancing = false;
     bool m_isAboutToMove = false; // the next pass of the loop reads a request or sends the response; not evicted until then
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -125,6 +125,36 @@
     CHECK(closures.withUnreadInput == 0);
 }
 
+// Guards against counts that do not tell a request that was read from one that was not.
+TEST_CASE("a connection that ends with a request in part or in full is counted as one without")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 3;
+    std::vector<std::shared_ptr<http_responder>> waiting;
+    fixture.serve([&](const http_request&, const std::shared_ptr<http_responder>& responder) { waiting.push_back(responder); }, limits);
+    const auto callers = connectCallers(fixture, 2);
+    callers[0]->send(request.substr(0, 20));
+    callers[1]->send(request);
+    auto leaving = std::make_unique<raw_caller>(fixture);
+    leaving->send(request);
+    std::vector<std::unique_ptr<raw_caller>> further;
+    const auto steps = fixture.loop.every(milliseconds(100), [&] {
+        if (waiting.size() == 2)
+            leaving.reset();
+        if (fixture.server->requests().leftByCaller == 1 && further.empty())
+            further = connectCallers(fixture, 2); // the second takes the place of the request in part
+        if (fixture.server->requests().connectionsAccepted == 5)
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(fixture.server->requests().begun == 3);
+    CHECK(fixture.server->requests().handled == 2);
+    CHECK(fixture.server->requests().leftByCaller == 1);
+    CHECK(fixture.server->closures().withPartialRequest == 1);
+    CHECK(fixture.server->closures().withWholeRequest == 0);
+}
+
 // Guards against a check of times that closes a connection whose request waits in the socket.
 TEST_CASE("the idle time ends while a request waits unread, and the request is cut off")
 {
