--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -12,6 +12,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <array>
 #include <cerrno>
@@ -31,7 +32,8 @@
     constexpr int listenBacklog = 1024;
     constexpr protocol::duration logInterval = std::chrono::seconds(5); // between two log lines on what limits have refused
     constexpr std::size_t maxUncheckedBytes = 16 * 1024; // of a response: about what a connection counts for at least
-    constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this
+    constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this and the sweep's passes
+    constexpr std::size_t maxDuePerPass = 64; // connections; some milliseconds at a tenth of a processor, as requests wait meanwhile
 
     // The library takes hooks of all types as one function type.
     template <typename Function>
@@ -324,10 +326,15 @@
             ++refusals.malformed;
     }
 
-    // Destroys the connection's gate and its hooks.
+    // Destroys the connection's gate and its hooks. Left to libevent, the descriptor would be closed later in the loop's pass, and what
+    // arrives until then cut off.
     void close(evhtp_connection_t* connection, internal::close_reason reason)
     {
         countClosure(reason, *connections.at(connection));
+        bufferevent* stream = evhtp_connection_get_bev(connection);
+        const int descriptor = bufferevent_getfd(stream);
+        bufferevent_setfd(stream, -1);
+        ::close(descriptor);
         isClosing = true;
         evhtp_connection_free(connection);
         isClosing = false;
@@ -425,9 +432,31 @@
     void checkTimes()
     {
         const protocol::time_point now = protocol::steadyNow();
-        forEachGate([now](internal::request_gate& gate) { gate.checkTime(now); });
         logRefusals(now);
         logClosures(now);
+        if (!std::exchange(isSweeping, true))
+            continueSweep();
+    }
+
+    // A pass of the loop takes a bounded part of the sweep, so that requests do not wait for the end of many connections.
+    void continueSweep()
+    {
+        const protocol::time_point now = protocol::steadyNow();
+        std::size_t due = 0;
+        for (auto next = connections.upper_bound(lastSwept); next != connections.end(); next = connections.upper_bound(lastSwept)) {
+            if (due >= maxDuePerPass) {
+                loop.post([this, alive = std::weak_ptr<bool>(aliveToken)] {
+                    if (!alive.expired())
+                        continueSweep();
+                });
+                return;
+            }
+            lastSwept = next->first;
+            if (next->second->checkTime(now))
+                ++due;
+        }
+        lastSwept = nullptr;
+        isSweeping = false;
     }
 
     // Connections that a planned stop closes need no line of their own.
@@ -512,6 +541,8 @@
     evhtp_t* server;
     std::unique_ptr<event_loop::timer> sweep;
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
+    evhtp_connection_t* lastSwept = nullptr; // the connections behind it are still to be looked at; null before the first
+    bool isSweeping = false;
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     http_server_refusals refusals;
     std::uint64_t loggedRefusals = 0; // sum of all counts in the last log line
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -291,33 +291,41 @@
         m_hooks.close(close_reason::draining);
 }
 
-void request_gate::checkTime(protocol::time_point now)
+bool request_gate::checkTime(protocol::time_point now)
 {
     const protocol::duration since = now - m_phaseSince;
     switch (m_phase) {
     case phase::idle:
-        if (since >= std::max(m_limits.idleTimeout, m_currentLimits.idleTimeout) && !hasUnreadInput())
+        if (since < std::max(m_limits.idleTimeout, m_currentLimits.idleTimeout))
+            return false;
+        if (!hasUnreadInput())
             m_hooks.close(close_reason::idle);
-        return;
+        return true;
     case phase::answering:
-        if (since >= m_limits.idleTimeout && !canSend())
+        if (since < m_limits.idleTimeout)
+            return false;
+        if (!canSend())
             m_hooks.close(close_reason::unsent_response);
-        return;
+        return true;
     case phase::head:
-        if (since >= m_limits.headerTimeout)
-            refuse(408);
-        return;
+        if (since < m_limits.headerTimeout)
+            return false;
+        refuse(408);
+        return true;
     case phase::body:
-        if (since >= m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
-            refuse(408);
-        return;
+        if (since < m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
+            return false;
+        refuse(408);
+        return true;
     case phase::handled:
-        return;
+        return false;
     case phase::refused:
-        if (since >= lingerTime)
-            m_hooks.close(close_reason::refused);
-        return;
+        if (since < lingerTime)
+            return false;
+        m_hooks.close(close_reason::refused);
+        return true;
     }
+    return false;
 }
 
 void request_gate::onOutputChange(evbuffer*, const evbuffer_cb_info* change, void* self)
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -73,8 +73,8 @@
     // Ends the connection if it is between two requests and the caller has sent nothing.
     void closeIfIdle();
 
-    // Ends the connection if its time is over.
-    void checkTime(protocol::time_point now);
+    // Ends the connection if its time is over and nothing is under way. Whether the time was over.
+    bool checkTime(protocol::time_point now);
 
     std::size_t heldBytes() const override;
     int evictionRank() const override;
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -4,6 +4,8 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -36,14 +38,22 @@
     {
         std::string part(maxBytes, '\0');
         const ssize_t length = recv(m_descriptor, part.data(), part.size(), MSG_DONTWAIT);
+        m_hasEnded = m_hasEnded || length == 0;
+        m_isReset = m_isReset || (length < 0 && errno != EAGAIN);
         m_received.append(part, 0, static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
         return m_received;
     }
 
     bool isAnswered() { return receive().starts_with("HTTP/1.1 200"); }
 
+    // As of the last call of receive.
+    bool hasEnded() const { return m_hasEnded; }
+    bool isReset() const { return m_isReset; }
+
 private:
     int m_descriptor;
+    bool m_hasEnded = false;
+    bool m_isReset = false;
     std::string m_received;
 };
 
@@ -343,6 +353,73 @@
     CHECK(fixture.server->closures().draining == 10);
 }
 
+// Guards against a close that takes effect later than the look that found nothing unread.
+TEST_CASE("an idle connection is open after it was closed, and a request that arrives then is cut off")
+{
+    http_fixture fixture;
+    fixture.serve(replyAtOnce);
+    const auto callers = connectCallers(fixture, 10);
+    const auto draining = fixture.loop.every(milliseconds(10), [&] {
+        if (fixture.server->openConnections() < callers.size())
+            return;
+        fixture.server->closeIdleConnections();
+        for (const auto& caller : callers) {
+            caller->receive();
+            CHECK(caller->hasEnded());
+        }
+        fixture.finish();
+    });
+    fixture.run();
+}
+
+// Guards against descriptors that a pass of the loop closes and opens again under the same number.
+TEST_CASE("a connection that takes the number of one that was closed in the same pass is not served")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 10;
+    fixture.serve(replyAtOnce, limits);
+    const auto idle = connectCallers(fixture, 10);
+    std::vector<std::unique_ptr<raw_caller>> further;
+    const auto steps = fixture.loop.every(milliseconds(10), [&] {
+        if (further.empty() && fixture.server->openConnections() == idle.size()) {
+            further = connectCallers(fixture, 10);
+            for (const auto& caller : further)
+                caller->send(request);
+        }
+        if (!further.empty() && countAnswered(further) == 10)
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(fixture.server->closures().evicted == 10);
+}
+
+// Guards against a pass of the loop that grows with the connections whose time is over, while requests wait.
+TEST_CASE("one pass of the loop closes all connections whose idle time is over")
+{
+    constexpr std::size_t count = 200;
+    constexpr std::size_t maxClosedInOnePass = 64;
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.idleTimeout = milliseconds(300);
+    fixture.serve(replyAtOnce, limits);
+    const auto callers = connectCallers(fixture, count);
+    const auto stalling = fixture.loop.after(milliseconds(50), [] { std::this_thread::sleep_for(milliseconds(600)); });
+    std::size_t before = 0;
+    std::size_t mostClosed = 0;
+    const std::function<void()> observe = [&] {
+        const std::size_t open = fixture.server->openConnections();
+        mostClosed = std::max(mostClosed, before - std::min(before, open));
+        before = open;
+        if (fixture.server->closures().idle == count)
+            return fixture.finish();
+        fixture.loop.post(observe);
+    };
+    fixture.loop.post(observe);
+    fixture.run();
+    CHECK(mostClosed <= maxClosedInOnePass);
+}
+
 // Guards against long responses to many reads at once, which together take more than the budget.
 TEST_CASE("reads whose responses have no room are answered in full")
 {
