HTTP server: a last response or a refusal is not reset by input behind it

What callers saw: a response whose connection ends with it (Connection: close, HTTP/1.0, a stopping host), or a refusal, that was cut off with ECONNRESET where the caller had sent more than was read, or was still sending.

Cause: a close with unread input resets the connection, and the system discards what it has not delivered yet. libevhtp's write callback closes the connection of a request without keep-alive by itself, and one without a request of its own ('shutting down connection: no request associated with connection'), so the linger that was meant for refusals never happened.

Evidence, before: of a response of 1,048,576 bytes with 64 KiB behind the request 119,808 bytes arrive, then a reset, in all three forms of a last response (CHECK( 119808 > 1048576 ), lastResponses 1 == 3); a 413 whose request is still arriving: the caller's next send fails (-1 == 15000).

Fix: the gate keeps these writes from libevhtp and closes when all is handed to the system. The descriptor of a sent last response or refusal goes to half_closed_connections: end of the sending side, what arrives is discarded until the caller's end or 1 s, at most 256 a server, beyond that closed at once. libevhtp's connection, the request and its memory are freed at once, and a stop does not wait for callers that have their response.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -2,6 +2,7 @@
 #include "transport/http_server.h"
 
 #include "state/log.h"
+#include "transport/internal/half_closed_connections.h"
 #include "transport/internal/request_gate.h"
 
 #include <evhtp/evhtp.h>
@@ -33,6 +34,7 @@
     constexpr protocol::duration logInterval = std::chrono::seconds(5); // between two log lines on what limits have refused
     constexpr std::size_t maxUncheckedBytes = 16 * 1024; // of a response: about what a connection counts for at least
     constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this and the sweep's passes
+    constexpr std::size_t maxHalfClosed = 256; // a twelfth of the usual max_descriptors, of which connections take half
     constexpr std::size_t maxDuePerPass = 64; // connections; some milliseconds at a tenth of a processor, as requests wait meanwhile
 
     // The library takes hooks of all types as one function type.
@@ -259,6 +261,7 @@
         , budget(shared ? *shared : *ownBudget)
         , onRequest(std::move(requestHandler))
         , server(evhtp_new(eventLoop.base(), nullptr))
+        , halfClosed(eventLoop.base(), maxHalfClosed)
         , sweep(loop.every(sweepInterval, [this] { checkTimes(); }))
     {
         setLimits(serverLimits);
@@ -330,17 +333,25 @@
     // arrives until then cut off.
     void close(evhtp_connection_t* connection, internal::close_reason reason)
     {
-        countClosure(reason, *connections.at(connection));
+        const internal::request_gate& gate = *connections.at(connection);
+        const bool isLast = reason == internal::close_reason::last_response || reason == internal::close_reason::refused;
+        const bool isSent = isLast && gate.unfinishedWork() == internal::unfinished_work::none;
+        countClosure(reason);
+        if (!isSent && gate.hasUnreadInput())
+            ++closures.withUnreadInput;
         bufferevent* stream = evhtp_connection_get_bev(connection);
         const int descriptor = bufferevent_getfd(stream);
         bufferevent_setfd(stream, -1);
-        ::close(descriptor);
+        if (isSent)
+            halfClosed.add(descriptor);
+        else
+            ::close(descriptor);
         isClosing = true;
         evhtp_connection_free(connection);
         isClosing = false;
     }
 
-    void countClosure(internal::close_reason reason, const internal::request_gate& gate)
+    void countClosure(internal::close_reason reason)
     {
         switch (reason) {
         case internal::close_reason::idle:
@@ -362,8 +373,6 @@
             ++closures.draining;
             break;
         }
-        if (gate.hasUnreadInput())
-            ++closures.withUnreadInput;
     }
 
     void countEnd(const internal::request_gate& gate)
@@ -434,6 +443,7 @@
         const protocol::time_point now = protocol::steadyNow();
         logRefusals(now);
         logClosures(now);
+        halfClosed.checkTimes(now);
         if (!std::exchange(isSweeping, true))
             continueSweep();
     }
@@ -539,6 +549,7 @@
     internal::gate_limits gateLimits;
     handler onRequest;
     evhtp_t* server;
+    internal::half_closed_connections halfClosed; // after a last response or a refusal
     std::unique_ptr<event_loop::timer> sweep;
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
     evhtp_connection_t* lastSwept = nullptr; // the connections behind it are still to be looked at; null before the first
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -57,7 +57,7 @@
     std::uint64_t draining = 0;
     std::uint64_t library = 0; // by libevhtp, without a reason of the server's
     std::uint64_t notAccepted = 0;
-    std::uint64_t withUnreadInput = 0; // of those that the server chose to close: the caller had sent bytes that were not read
+    std::uint64_t withUnreadInput = 0; // of those that the server chose to close: the caller had sent bytes that were not read; not after a last response or refusal was sent
     std::uint64_t withPartialRequest = 0; // not ended by the caller: a request had been read in part
     std::uint64_t withWholeRequest = 0; // not ended by the caller: a request had been read in full and not answered
     std::uint64_t withUnsentResponse = 0; // not ended by the caller: a response or refusal had not been sent in full
@@ -91,7 +91,7 @@
     void closeIdleConnections();
 
     std::size_t openRequests() const;
-    std::size_t openConnections() const;
+    std::size_t openConnections() const; // without those whose last response or refusal has been sent
 
     // Replaces the limits, without those of a budget. A request that has begun keeps the earlier ones, and a wait for a request the longer.
     void setLimits(const http_server_limits& limits);
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -20,7 +20,7 @@
     constexpr std::size_t maxWriteBytes = 16 * 1024; // as much as libevent writes at once
     constexpr std::size_t maxCopiedBytes = 4096; // the size of libevent's read buffers
     constexpr std::size_t minBodyBytesPerSecond = 64 * 1024; // the slowest link of a host carries 2 MB/s
-    constexpr protocol::duration lingerTime = std::chrono::seconds(1); // for a refusal to be read
+    constexpr protocol::duration refusalTime = std::chrono::seconds(1); // for a refusal to be sent
 
     std::string refusalText(int status)
     {
@@ -270,10 +270,8 @@
 
 void request_gate::onSent()
 {
-    if (m_phase == phase::refused) {
-        shutdown(bufferevent_getfd(m_stream), SHUT_WR);
-        return;
-    }
+    if (m_phase == phase::refused)
+        return m_hooks.close(close_reason::refused);
     if (m_phase != phase::answering)
         return;
     if (m_closesConnection)
@@ -320,7 +318,7 @@
     case phase::handled:
         return false;
     case phase::refused:
-        if (since < lingerTime)
+        if (since < refusalTime)
             return false;
         m_hooks.close(close_reason::refused);
         return true;
@@ -347,7 +345,9 @@
 {
     auto& gate = *static_cast<request_gate*>(self);
     const std::shared_ptr<bool> isAlive = gate.m_isAlive;
-    if (gate.m_written)
+    // The library would close the connection at once after a last response, or a refusal without a request of the library's.
+    const bool isLast = gate.m_phase == phase::refused || (gate.m_phase == phase::answering && gate.m_closesConnection);
+    if (gate.m_written && !isLast)
         gate.m_written(stream, gate.m_argument);
     if (*isAlive && evbuffer_get_length(bufferevent_get_output(stream)) == 0)
         gate.onSent();
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -52,7 +52,7 @@
     struct hooks {
         std::function<void(int status)> onRefused; // the request was refused with this HTTP status; 0: closed without a response
         std::function<void()> onOverBudget;
-        std::function<void(close_reason reason)> close; // closes the connection and destroys the gate
+        std::function<void(close_reason reason)> close; // closes the connection and destroys the gate; a last response or refusal is sent, unless its time is over
     };
 
     request_gate(bufferevent* stream, const gate_limits& limits, memory_budget& budget, hooks gateHooks);
@@ -104,7 +104,7 @@
         body,
         handled, // read in full, not answered
         answering, // the response is not sent yet
-        refused // the refusal is not sent or not read yet
+        refused // the refusal is not sent yet
     };
 
     void enter(phase next);
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -1,9 +1,11 @@
 // Tests of the connections that a server closes of its own accord: a request that its caller has sent must not be cut off.
+#include "transport/internal/half_closed_connections.h"
 #include "transport/tests/http_fixture.h"
 
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <functional>
 #include <string>
@@ -31,7 +33,9 @@
     raw_caller(const raw_caller&) = delete;
     raw_caller& operator=(const raw_caller&) = delete;
 
-    void send(std::string_view text) const { REQUIRE(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size())); }
+    void send(std::string_view text) const { REQUIRE(trySend(text)); }
+
+    bool trySend(std::string_view text) const { return ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()); }
 
     // Adds what has arrived, up to so many bytes, to what was received before.
     const std::string& receive(std::size_t maxBytes = 4096)
@@ -420,6 +424,79 @@
     CHECK(mostClosed <= maxClosedInOnePass);
 }
 
+// Guards against a close with unread input, which resets the connection and discards what is not received yet of the response.
+TEST_CASE("a last response with input behind its request is cut off")
+{
+    constexpr std::size_t bodyBytes = 1024 * 1024; // more than the caller receives before it reads
+    const std::string behind(64 * 1024, 'x'); // more than is read at once
+    http_fixture fixture;
+    fixture.serve([](const http_request& received, const std::shared_ptr<http_responder>& responder) {
+        http_response response { 200, "text/plain", std::string(bodyBytes, 'x'), {} };
+        response.closesConnection = received.path == "/last";
+        responder->reply(std::move(response));
+    });
+    auto callers = connectCallers(fixture, 3);
+    callers[0]->send("GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + behind);
+    callers[1]->send("GET /x HTTP/1.0\r\nHost: x\r\n\r\n" + behind);
+    callers[2]->send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n" + behind);
+    const auto reading = fixture.loop.every(milliseconds(100), [&] {
+        for (const auto& caller : callers)
+            caller->receive(bodyBytes / 4);
+        if (std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->hasEnded() || caller->isReset(); }))
+            fixture.finish();
+    });
+    fixture.run();
+    for (const auto& caller : callers) {
+        CHECK(caller->receive().size() > bodyBytes);
+        CHECK(!caller->isReset());
+    }
+    CHECK(fixture.server->openConnections() == 0); // a stop does not wait for callers that have their response
+    CHECK(fixture.server->closures().lastResponses == 3);
+}
+
+// Guards against a refusal that its caller, still sending, loses with the connection.
+TEST_CASE("a refusal of a request that is still arriving is cut off")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxBodyBytes = 1000;
+    fixture.serve(replyAtOnce, limits);
+    raw_caller caller(fixture);
+    caller.send("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n" + std::string(50'000, 'x'));
+    int parts = 0;
+    const auto sending = fixture.loop.every(milliseconds(20), [&] {
+        caller.receive();
+        if (caller.isReset() || ++parts > 10 || !caller.trySend(std::string(15'000, 'x')))
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(caller.receive().starts_with("HTTP/1.1 413"));
+    CHECK(parts > 10);
+    CHECK(!caller.isReset());
+    CHECK(fixture.server->closures().refused == 1);
+}
+
+// Guards against connections that are kept for ever, or without number, since their callers never end them.
+TEST_CASE("half-closed connections outlive their bound or their time")
+{
+    event_loop loop;
+    internal::half_closed_connections connections(loop.base(), 2);
+    std::array<std::array<int, 2>, 3> pairs {};
+    for (auto& ends : pairs) {
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+        connections.add(ends[0]);
+    }
+    const auto isClosed = [](const std::array<int, 2>& ends) { return send(ends[1], "x", 1, MSG_NOSIGNAL) < 0; };
+    CHECK(!isClosed(pairs[0]));
+    CHECK(!isClosed(pairs[1]));
+    CHECK(isClosed(pairs[2]));
+    connections.checkTimes(jackdaw::protocol::steadyNow() + milliseconds(2000));
+    CHECK(isClosed(pairs[0]));
+    CHECK(isClosed(pairs[1]));
+    for (const auto& ends : pairs)
+        close(ends[1]);
+}
+
 // Guards against long responses to many reads at once, which together take more than the budget.
 TEST_CASE("reads whose responses have no room are answered in full")
 {
