Request gate: a refusal's time counts from its last progress, and one that can be sent is not closed

What callers saw: a refusal that had not been sent within 1 s, since the caller read slowly or the process was held up, ended without a byte of it.

Cause: the time to read a refusal was counted from the refusal, whether or not it had been sent.

Evidence, before: with a full send buffer the check of times closes the connection with the refusal unsent (CHECK( closes.empty() ) false).

Fix: a refusal that is not sent yet is treated as a response: closed after the idle time without progress, if the socket takes nothing; not evicted while the next pass can send it. The time to read it belongs to half_closed_connections and begins when it is sent.

--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -20,7 +20,6 @@
     constexpr std::size_t maxWriteBytes = 16 * 1024; // as much as libevent writes at once
     constexpr std::size_t maxCopiedBytes = 4096; // the size of libevent's read buffers
     constexpr std::size_t minBodyBytesPerSecond = 64 * 1024; // the slowest link of a host carries 2 MB/s
-    constexpr protocol::duration refusalTime = std::chrono::seconds(1); // for a refusal to be sent
 
     std::string refusalText(int status)
     {
@@ -231,7 +230,7 @@
 {
     const bool sendsAhead = evbuffer_get_length(m_held) > 0; // may go on for ever
     const bool isShort = evbuffer_get_length(bufferevent_get_output(m_stream)) <= maxWriteBytes;
-    m_isAboutToMove = (m_phase == phase::idle && hasUnreadInput()) || (m_phase == phase::answering && isShort && !sendsAhead && canSend());
+    m_isAboutToMove = (m_phase == phase::idle && hasUnreadInput()) || ((m_phase == phase::answering || m_phase == phase::refused) && isShort && !sendsAhead && canSend());
     return !m_isAboutToMove;
 }
 
@@ -300,10 +299,11 @@
             m_hooks.close(close_reason::idle);
         return true;
     case phase::answering:
+    case phase::refused:
         if (since < m_limits.idleTimeout)
             return false;
         if (!canSend())
-            m_hooks.close(close_reason::unsent_response);
+            m_hooks.close(m_phase == phase::refused ? close_reason::refused : close_reason::unsent_response);
         return true;
     case phase::head:
         if (since < m_limits.headerTimeout)
@@ -317,11 +317,6 @@
         return true;
     case phase::handled:
         return false;
-    case phase::refused:
-        if (since < refusalTime)
-            return false;
-        m_hooks.close(close_reason::refused);
-        return true;
     }
     return false;
 }
@@ -332,7 +327,7 @@
         return;
     auto& gate = *static_cast<request_gate*>(self);
     gate.m_isAboutToMove = false;
-    if (gate.m_phase == phase::answering)
+    if (gate.m_phase == phase::answering || gate.m_phase == phase::refused)
         gate.m_phaseSince = protocol::steadyNow();
 }
 
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -31,7 +31,7 @@
 enum class close_reason {
     idle, // no request within the idle time
     unsent_response, // the caller did not read the response within the idle time
-    refused, // after the response that refused a request
+    refused, // after the response that refused a request, or the caller did not read it within the idle time
     last_response, // after a response that announced it
     evicted, // to make room within the budget
     draining // no request before the server's planned end
@@ -136,7 +136,7 @@
     std::size_t m_headBytes = 0; // of the present request
     std::size_t m_counted = 0; // as accounted for in the budget
     phase m_phase = phase::idle;
-    protocol::time_point m_phaseSince; // of a response: since it last made progress
+    protocol::time_point m_phaseSince; // of a response or refusal: since it last made progress
     std::size_t m_bodyBytesRead = 0;
     std::uint64_t m_requestsBegun = 0;
     std::uint64_t m_requestsHandled = 0;
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -1,7 +1,11 @@
 // Tests of the connections that a server closes of its own accord: a request that its caller has sent must not be cut off.
 #include "transport/internal/half_closed_connections.h"
+#include "transport/internal/request_gate.h"
 #include "transport/tests/http_fixture.h"
 
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
 #include <unistd.h>
 
 #include <algorithm>
@@ -497,6 +501,48 @@
         close(ends[1]);
 }
 
+// Guards against a refusal that is given up before it is sent, since its caller reads slowly.
+TEST_CASE("a refusal that waits to be sent is closed after the time to read it")
+{
+    event_loop loop;
+    std::array<int, 2> ends {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+    const std::string filling(1024, 'x');
+    std::size_t filled = 0;
+    while (send(ends[0], filling.data(), filling.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(filling.size()))
+        filled += filling.size();
+    bufferevent* stream = bufferevent_socket_new(loop.base(), ends[0], BEV_OPT_CLOSE_ON_FREE);
+    memory_budget budget(1024 * 1024, 1);
+    const internal::gate_limits limits { { 1000, 1000 }, milliseconds(3000), milliseconds(15'000), milliseconds(3000) };
+    int refusals = 0;
+    std::vector<internal::close_reason> closes;
+    {
+        internal::request_gate gate(stream, limits, budget, { [&](int) { ++refusals; }, [] {}, [&](internal::close_reason reason) { closes.push_back(reason); } });
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        REQUIRE(send(ends[1], "\x01\r\n\r\n", 5, MSG_NOSIGNAL) == 5);
+        std::string received;
+        const auto steps = loop.every(milliseconds(10), [&] {
+            if (refusals == 0)
+                return;
+            if (received.empty()) {
+                gate.checkTime(jackdaw::protocol::steadyNow() + milliseconds(5000));
+                CHECK(closes.empty());
+            }
+            std::string part(64 * 1024, '\0');
+            const ssize_t length = recv(ends[1], part.data(), part.size(), 0);
+            received.append(part, 0, static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
+            if (received.size() > filled && !closes.empty())
+                loop.stop();
+        });
+        const auto limit = loop.after(std::chrono::seconds(20), [&] { loop.stop(); });
+        loop.run();
+        CHECK(received.substr(std::min(filled, received.size())).starts_with("HTTP/1.1 400"));
+    }
+    CHECK(closes == std::vector { internal::close_reason::refused });
+    bufferevent_free(stream);
+    close(ends[1]);
+}
+
 // Guards against long responses to many reads at once, which together take more than the budget.
 TEST_CASE("reads whose responses have no room are answered in full")
 {
