HTTP server: a caller without room gets its 503 though its request is long or still arriving

What callers saw: a connection for which there was no room ended with a reset in place of the 503 where the request was longer than 64 KiB or not there yet.

Cause: refuseConnection read what had arrived, up to 64 KiB, answered and closed; what came later reset the connection.

Evidence, before: a caller that goes on sending after the refusal fails at its next send (REQUIRE( -1 == 15000 )).

Fix: the descriptor is kept, without a gate or a bufferevent, among at most 64 half-closed ones of its own (so that a storm of refused connections takes no room from last responses), whose input is discarded until the caller's end or 1 s. Beyond 64 as before. The library closes its own descriptor, so a copy is kept; the original was never in the loop's epoll.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -11,11 +11,11 @@
 #include <event2/bufferevent.h>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <array>
 #include <cerrno>
 #include <map>
 #include <memory>
@@ -35,6 +35,7 @@
     constexpr std::size_t maxUncheckedBytes = 16 * 1024; // of a response: about what a connection counts for at least
     constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this and the sweep's passes
     constexpr std::size_t maxHalfClosed = 256; // a twelfth of the usual max_descriptors, of which connections take half
+    constexpr std::size_t maxRefused = 64; // kept for a second; a storm of connections takes neither descriptors nor time from others
     constexpr std::size_t maxDuePerPass = 64; // connections; some milliseconds at a tenth of a processor, as requests wait meanwhile
 
     // The library takes hooks of all types as one function type.
@@ -104,15 +105,17 @@
         evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
     }
 
-    // Tells the caller that its request is not read. What it has sent is discarded, since a close with unread input resets the connection
-    // and may take the response with it.
-    void refuseConnection(int descriptor)
+    // Tells the caller that its request is not read. What it sends is discarded for a while, since a close with unread input resets the
+    // connection and may take the response with it. The library closes its own descriptor.
+    void refuseConnection(int descriptor, internal::half_closed_connections& halfClosed)
     {
         constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n";
-        constexpr int maxReads = 4; // an ordinary request takes one
-        std::array<char, 16 * 1024> discarded;
-        for (int i = 0; i < maxReads && recv(descriptor, discarded.data(), discarded.size(), MSG_DONTWAIT) > 0; ++i) { }
         [[maybe_unused]] const ssize_t sent = send(descriptor, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        const int kept = halfClosed.hasRoom() ? fcntl(descriptor, F_DUPFD_CLOEXEC, 0) : -1;
+        if (kept >= 0)
+            halfClosed.add(kept);
+        else
+            internal::half_closed_connections::discardInput(descriptor);
     }
 
     // Holds the library's request until it is answered or its connection is lost.
@@ -262,6 +265,7 @@
         , onRequest(std::move(requestHandler))
         , server(evhtp_new(eventLoop.base(), nullptr))
         , halfClosed(eventLoop.base(), maxHalfClosed)
+        , refusedConnections(eventLoop.base(), maxRefused)
         , sweep(loop.every(sweepInterval, [this] { checkTimes(); }))
     {
         setLimits(serverLimits);
@@ -299,7 +303,7 @@
         if (server.budget.admit())
             return EVHTP_RES_OK;
         ++server.closures.notAccepted;
-        refuseConnection(connection->sock);
+        refuseConnection(connection->sock, server.refusedConnections);
         return EVHTP_RES_ERROR;
     }
 
@@ -444,6 +448,7 @@
         logRefusals(now);
         logClosures(now);
         halfClosed.checkTimes(now);
+        refusedConnections.checkTimes(now);
         if (!std::exchange(isSweeping, true))
             continueSweep();
     }
@@ -550,6 +555,7 @@
     handler onRequest;
     evhtp_t* server;
     internal::half_closed_connections halfClosed; // after a last response or a refusal
+    internal::half_closed_connections refusedConnections; // for which there was no room
     std::unique_ptr<event_loop::timer> sweep;
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
     evhtp_connection_t* lastSwept = nullptr; // the connections behind it are still to be looked at; null before the first
--- a/src/transport/internal/half_closed_connections.cpp
+++ b/src/transport/internal/half_closed_connections.cpp
@@ -16,18 +16,6 @@
     constexpr std::size_t readBytes = 16 * 1024; // an ordinary request takes one read
     constexpr int maxReads = 4; // in one pass of the loop
 
-    // False once the caller has ended the connection.
-    bool discardInput(int descriptor)
-    {
-        std::array<char, readBytes> discarded;
-        for (int i = 0; i < maxReads; ++i) {
-            const ssize_t length = recv(descriptor, discarded.data(), discarded.size(), MSG_DONTWAIT);
-            if (length <= 0)
-                return length < 0 && (errno == EAGAIN || errno == EINTR);
-        }
-        return true;
-    }
-
 } // namespace
 
 half_closed_connections::half_closed_connections(event_base* base, std::size_t maxCount)
@@ -41,10 +29,23 @@
     checkTimes(protocol::time_point::max());
 }
 
+bool half_closed_connections::discardInput(int descriptor)
+{
+    std::array<char, readBytes> discarded;
+    for (int i = 0; i < maxReads; ++i) {
+        const ssize_t length = recv(descriptor, discarded.data(), discarded.size(), MSG_DONTWAIT);
+        if (length <= 0)
+            return length < 0 && (errno == EAGAIN || errno == EINTR);
+        if (static_cast<std::size_t>(length) < readBytes)
+            return true;
+    }
+    return true;
+}
+
 void half_closed_connections::add(int descriptor)
 {
     shutdown(descriptor, SHUT_WR);
-    if (m_connections.size() >= m_maxCount) {
+    if (!hasRoom()) {
         discardInput(descriptor);
         close(descriptor);
         return;
--- a/src/transport/internal/half_closed_connections.h
+++ b/src/transport/internal/half_closed_connections.h
@@ -24,6 +24,11 @@
     // once if there are as many as the bound.
     void add(int descriptor);
 
+    bool hasRoom() const { return m_connections.size() < m_maxCount; }
+
+    // Discards a bounded amount of what has arrived. False once the caller has ended the connection.
+    static bool discardInput(int descriptor);
+
     // Closes those whose time is over.
     void checkTimes(protocol::time_point now);
 
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -543,6 +543,34 @@
     close(ends[1]);
 }
 
+// Guards against a reset in place of a refusal for callers for whom there is no room and whose requests are long.
+TEST_CASE("a connection over the bound is reset while its request is arriving")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 1;
+    std::shared_ptr<http_responder> waiting;
+    fixture.serve([&](const http_request&, const std::shared_ptr<http_responder>& responder) { waiting = responder; }, limits);
+    const raw_caller first(fixture);
+    first.send(request);
+    std::unique_ptr<raw_caller> further;
+    int parts = 0;
+    const auto sending = fixture.loop.every(milliseconds(20), [&] {
+        if (waiting && !further)
+            further = std::make_unique<raw_caller>(fixture);
+        if (!further)
+            return;
+        further->receive();
+        if (further->isReset() || ++parts > 10 || !further->trySend(std::string(15'000, 'x')))
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(further->receive().starts_with("HTTP/1.1 503"));
+    CHECK(parts > 10);
+    CHECK(!further->isReset());
+    CHECK(fixture.server->closures().notAccepted == 1);
+}
+
 // Guards against long responses to many reads at once, which together take more than the budget.
 TEST_CASE("reads whose responses have no room are answered in full")
 {
