Request gate: an ordinary request whose rest waits unread is not evicted before it has been read

What callers saw: beside a burst of new connections, a request that had been sent in full, and read in part, ended without an answer.

Cause: an eviction asked the socket only of connections between two requests; one with a request in part was taken for one whose caller does not go on.

Fix: with unread input, and within ordinaryRequestBytes so far, the request is spared until the next pass has read it, twice at most: the reads that an ordinary request takes.

Cost: a recv for each candidate of an eviction whose request has begun, at most two in a request's time.

--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -17,6 +17,7 @@
     constexpr std::size_t connectionBytes = 16 * 1024; // of a connection without a request: buffers of libevhtp (8 KiB) and libevent
     constexpr std::size_t openRequestBytes = 20 * 1024; // of libevhtp's lists for 100 headers, the most that are passed on
     constexpr std::size_t maxAheadBytes = 16 * 1024; // held back while a request is open: as much as libevent reads at once
+    constexpr int maxTimesSpared = memory_budget::ordinaryRequestBytes / maxAheadBytes; // reads that an ordinary request takes
     constexpr std::size_t maxWriteBytes = 16 * 1024; // as much as libevent writes at once
     constexpr std::size_t maxCopiedBytes = 4096; // the size of libevent's read buffers
     constexpr std::size_t minBodyBytesPerSecond = 64 * 1024; // the slowest link of a host carries 2 MB/s
@@ -68,6 +69,8 @@
 {
     if (next == phase::idle || next == phase::head)
         m_limits = m_currentLimits;
+    if (next == phase::idle)
+        m_timesSpared = 0;
     m_phase = next;
     m_phaseSince = protocol::steadyNow();
 }
@@ -226,11 +229,24 @@
     return poll(&descriptor, 1, 0) > 0 && (descriptor.revents & POLLOUT) != 0;
 }
 
+// Whether the rest of an ordinary request waits unread, as far as can be told without reading it.
+bool request_gate::mayHaveArrived() const
+{
+    if (m_timesSpared >= maxTimesSpared || (m_phase != phase::head && m_phase != phase::body))
+        return false;
+    const std::size_t passedOn = m_phase == phase::body ? m_headBytes + m_bodyBytesRead : 0;
+    return connectionBytes + passedOn + evbuffer_get_length(m_held) <= memory_budget::ordinaryRequestBytes && hasUnreadInput();
+}
+
 bool request_gate::mayBeEvicted()
 {
     const bool sendsAhead = evbuffer_get_length(m_held) > 0; // may go on for ever
     const bool isShort = evbuffer_get_length(bufferevent_get_output(m_stream)) <= maxWriteBytes;
-    m_isAboutToMove = (m_phase == phase::idle && hasUnreadInput()) || ((m_phase == phase::answering || m_phase == phase::refused) && isShort && !sendsAhead && canSend());
+    const bool sends = m_phase == phase::answering || m_phase == phase::refused;
+    const bool isArriving = mayHaveArrived();
+    if (isArriving)
+        ++m_timesSpared;
+    m_isAboutToMove = isArriving || (m_phase == phase::idle && hasUnreadInput()) || (sends && isShort && !sendsAhead && canSend());
     return !m_isAboutToMove;
 }
 
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -117,6 +117,7 @@
     void limitReading();
     void onSent();
     bool canSend() const;
+    bool mayHaveArrived() const;
 
     static void onOutputChange(evbuffer* output, const evbuffer_cb_info* change, void* self);
     static void onReadable(bufferevent* stream, void* self);
@@ -140,6 +141,7 @@
     std::size_t m_bodyBytesRead = 0;
     std::uint64_t m_requestsBegun = 0;
     std::uint64_t m_requestsHandled = 0;
+    int m_timesSpared = 0; // from eviction, since the present request began; at most maxTimesSpared, so that slow callers keep no others out
     bool m_isReadingOff = false;
     bool m_isAdvancing = false;
     bool m_isAboutToMove = false; // the next pass of the loop reads a request or sends the response; not evicted until then
--- a/src/transport/memory_budget.cpp
+++ b/src/transport/memory_budget.cpp
@@ -6,11 +6,6 @@
 #include <vector>
 
 namespace jackdaw::transport {
-namespace {
-
-    constexpr std::size_t ordinaryRequestBytes = 32 * 1024; // a connection's own 16 KiB, its header section and a job's body
-
-} // namespace
 
 memory_budget::memory_budget(std::size_t maxBytes, std::size_t maxConnections)
     : m_maxBytes(maxBytes)
--- a/src/transport/memory_budget.h
+++ b/src/transport/memory_budget.h
@@ -27,6 +27,8 @@
         virtual void evict() = 0; // closes the connection and removes the holder
     };
 
+    static constexpr std::size_t ordinaryRequestBytes = 32 * 1024; // a connection's own 16 KiB, its header section and a job's body
+
     memory_budget(std::size_t maxBytes, std::size_t maxConnections);
 
     void add(holder& connection) { m_holders.insert(&connection); }
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -571,6 +571,59 @@
     CHECK(fixture.server->closures().notAccepted == 1);
 }
 
+// Guards against an eviction that takes a request that has arrived in full for one that its caller does not send.
+TEST_CASE("a request that is read in part makes room for a new connection while its rest waits unread")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 10;
+    fixture.serve(replyAtOnce, limits);
+    const auto callers = connectCallers(fixture, 10);
+    for (const auto& caller : callers)
+        caller->send(request.substr(0, 20));
+    std::unique_ptr<raw_caller> further;
+    const auto sending = fixture.loop.every(milliseconds(100), [&] {
+        if (further)
+            return fixture.finish();
+        if (fixture.server->requests().begun < callers.size())
+            return;
+        further = std::make_unique<raw_caller>(fixture); // is accepted before the rest is read
+        for (const auto& caller : callers)
+            caller->send(request.substr(20));
+    });
+    fixture.run();
+    CHECK(countAnswered(callers) == 10);
+    CHECK(fixture.server->closures().withPartialRequest == 0);
+}
+
+// Guards against callers that keep all others out by sending a byte now and then.
+TEST_CASE("requests that never end are not evicted as long as some of their bytes wait unread")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 10;
+    fixture.serve(replyAtOnce, limits);
+    const auto slow = connectCallers(fixture, 10);
+    for (const auto& caller : slow)
+        caller->send("GET /");
+    std::vector<std::unique_ptr<raw_caller>> further;
+    const auto sending = fixture.loop.every(milliseconds(10), [&] {
+        if (!further.empty() && further.back()->isAnswered())
+            return fixture.finish();
+        if (fixture.server->requests().begun < slow.size())
+            return;
+        further.push_back(std::make_unique<raw_caller>(fixture));
+        further.back()->send(request);
+        for (const auto& caller : slow) {
+            caller->receive();
+            if (!caller->hasEnded() && !caller->isReset())
+                caller->send("x");
+        }
+    });
+    fixture.run();
+    CHECK(further.size() <= 10); // each request is spared twice
+}
+
 // Guards against long responses to many reads at once, which together take more than the budget.
 TEST_CASE("reads whose responses have no room are answered in full")
 {
