--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -2,6 +2,7 @@
 #include "transport/http_server.h"
 
 #include "state/log.h"
+#include "transport/internal/half_closed_connections.h"
 #include "transport/internal/request_gate.h"
 
 #include <evhtp/evhtp.h>
@@ -10,10 +11,11 @@
 #include <event2/bufferevent.h>
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
-#include <array>
 #include <cerrno>
 #include <map>
 #include <memory>
@@ -31,7 +33,10 @@
     constexpr int listenBacklog = 1024;
     constexpr protocol::duration logInterval = std::chrono::seconds(5); // between two log lines on what limits have refused
     constexpr std::size_t maxUncheckedBytes = 16 * 1024; // of a response: about what a connection counts for at least
-    constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this
+    constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this and the sweep's passes
+    constexpr std::size_t maxHalfClosed = 256; // a twelfth of the usual max_descriptors, of which connections take half
+    constexpr std::size_t maxRefused = 64; // kept for a second; a storm of connections takes neither descriptors nor time from others
+    constexpr std::size_t maxDuePerPass = 64; // connections; some milliseconds at a tenth of a processor, as requests wait meanwhile
 
     // The library takes hooks of all types as one function type.
     template <typename Function>
@@ -100,15 +105,17 @@
         evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
     }
 
-    // Tells the caller that its request is not read. What it has sent is discarded, since a close with unread input resets the connection
-    // and may take the response with it.
-    void refuseConnection(int descriptor)
+    // Tells the caller that its request is not read. What it sends is discarded for a while, since a close with unread input resets the
+    // connection and may take the response with it. The library closes its own descriptor.
+    void refuseConnection(int descriptor, internal::half_closed_connections& halfClosed)
     {
         constexpr std::string_view refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\nConnection: close\r\n\r\n";
-        constexpr int maxReads = 4; // an ordinary request takes one
-        std::array<char, 16 * 1024> discarded;
-        for (int i = 0; i < maxReads && recv(descriptor, discarded.data(), discarded.size(), MSG_DONTWAIT) > 0; ++i) { }
         [[maybe_unused]] const ssize_t sent = send(descriptor, refusal.data(), refusal.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+        const int kept = halfClosed.hasRoom() ? fcntl(descriptor, F_DUPFD_CLOEXEC, 0) : -1;
+        if (kept >= 0)
+            halfClosed.add(kept);
+        else
+            internal::half_closed_connections::discardInput(descriptor);
     }
 
     // Holds the library's request until it is answered or its connection is lost.
@@ -257,6 +264,8 @@
         , budget(shared ? *shared : *ownBudget)
         , onRequest(std::move(requestHandler))
         , server(evhtp_new(eventLoop.base(), nullptr))
+        , halfClosed(eventLoop.base(), maxHalfClosed)
+        , refusedConnections(eventLoop.base(), maxRefused)
         , sweep(loop.every(sweepInterval, [this] { checkTimes(); }))
     {
         setLimits(serverLimits);
@@ -294,7 +303,7 @@
         if (server.budget.admit())
             return EVHTP_RES_OK;
         ++server.closures.notAccepted;
-        refuseConnection(connection->sock);
+        refuseConnection(connection->sock, server.refusedConnections);
         return EVHTP_RES_ERROR;
     }
 
@@ -324,16 +333,29 @@
             ++refusals.malformed;
     }
 
-    // Destroys the connection's gate and its hooks.
+    // Destroys the connection's gate and its hooks. Left to libevent, the descriptor would be closed later in the loop's pass, and what
+    // arrives until then cut off.
     void close(evhtp_connection_t* connection, internal::close_reason reason)
     {
-        countClosure(reason, *connections.at(connection));
+        const internal::request_gate& gate = *connections.at(connection);
+        const bool isLast = reason == internal::close_reason::last_response || reason == internal::close_reason::refused;
+        const bool isSent = isLast && gate.unfinishedWork() == internal::unfinished_work::none;
+        countClosure(reason);
+        if (!isSent && gate.hasUnreadInput())
+            ++closures.withUnreadInput;
+        bufferevent* stream = evhtp_connection_get_bev(connection);
+        const int descriptor = bufferevent_getfd(stream);
+        bufferevent_setfd(stream, -1);
+        if (isSent)
+            halfClosed.add(descriptor);
+        else
+            ::close(descriptor);
         isClosing = true;
         evhtp_connection_free(connection);
         isClosing = false;
     }
 
-    void countClosure(internal::close_reason reason, const internal::request_gate& gate)
+    void countClosure(internal::close_reason reason)
     {
         switch (reason) {
         case internal::close_reason::idle:
@@ -355,8 +377,6 @@
             ++closures.draining;
             break;
         }
-        if (gate.hasUnreadInput())
-            ++closures.withUnreadInput;
     }
 
     void countEnd(const internal::request_gate& gate)
@@ -425,9 +445,33 @@
     void checkTimes()
     {
         const protocol::time_point now = protocol::steadyNow();
-        forEachGate([now](internal::request_gate& gate) { gate.checkTime(now); });
         logRefusals(now);
         logClosures(now);
+        halfClosed.checkTimes(now);
+        refusedConnections.checkTimes(now);
+        if (!std::exchange(isSweeping, true))
+            continueSweep();
+    }
+
+    // A pass of the loop takes a bounded part of the sweep, so that requests do not wait for the end of many connections.
+    void continueSweep()
+    {
+        const protocol::time_point now = protocol::steadyNow();
+        std::size_t due = 0;
+        for (auto next = connections.upper_bound(lastSwept); next != connections.end(); next = connections.upper_bound(lastSwept)) {
+            if (due >= maxDuePerPass) {
+                loop.post([this, alive = std::weak_ptr<bool>(aliveToken)] {
+                    if (!alive.expired())
+                        continueSweep();
+                });
+                return;
+            }
+            lastSwept = next->first;
+            if (next->second->checkTime(now))
+                ++due;
+        }
+        lastSwept = nullptr;
+        isSweeping = false;
     }
 
     // Connections that a planned stop closes need no line of their own.
@@ -510,8 +554,12 @@
     internal::gate_limits gateLimits;
     handler onRequest;
     evhtp_t* server;
+    internal::half_closed_connections halfClosed; // after a last response or a refusal
+    internal::half_closed_connections refusedConnections; // for which there was no room
     std::unique_ptr<event_loop::timer> sweep;
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
+    evhtp_connection_t* lastSwept = nullptr; // the connections behind it are still to be looked at; null before the first
+    bool isSweeping = false;
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     http_server_refusals refusals;
     std::uint64_t loggedRefusals = 0; // sum of all counts in the last log line
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -17,10 +17,10 @@
     constexpr std::size_t connectionBytes = 16 * 1024; // of a connection without a request: buffers of libevhtp (8 KiB) and libevent
     constexpr std::size_t openRequestBytes = 20 * 1024; // of libevhtp's lists for 100 headers, the most that are passed on
     constexpr std::size_t maxAheadBytes = 16 * 1024; // held back while a request is open: as much as libevent reads at once
+    constexpr int maxTimesSpared = memory_budget::ordinaryRequestBytes / maxAheadBytes; // reads that an ordinary request takes
     constexpr std::size_t maxWriteBytes = 16 * 1024; // as much as libevent writes at once
     constexpr std::size_t maxCopiedBytes = 4096; // the size of libevent's read buffers
     constexpr std::size_t minBodyBytesPerSecond = 64 * 1024; // the slowest link of a host carries 2 MB/s
-    constexpr protocol::duration lingerTime = std::chrono::seconds(1); // for a refusal to be read
 
     std::string refusalText(int status)
     {
@@ -69,6 +69,8 @@
 {
     if (next == phase::idle || next == phase::head)
         m_limits = m_currentLimits;
+    if (next == phase::idle)
+        m_timesSpared = 0;
     m_phase = next;
     m_phaseSince = protocol::steadyNow();
 }
@@ -230,11 +232,24 @@
     return poll(&descriptor, 1, 0) > 0 && (descriptor.revents & POLLOUT) != 0;
 }
 
+// Whether the rest of an ordinary request waits unread, as far as can be told without reading it.
+bool request_gate::mayHaveArrived() const
+{
+    if (m_timesSpared >= maxTimesSpared || (m_phase != phase::head && m_phase != phase::body))
+        return false;
+    const std::size_t passedOn = m_phase == phase::body ? m_headBytes + m_bodyBytesRead : 0;
+    return connectionBytes + passedOn + evbuffer_get_length(m_held) <= memory_budget::ordinaryRequestBytes && hasUnreadInput();
+}
+
 bool request_gate::mayBeEvicted()
 {
     const bool sendsAhead = evbuffer_get_length(m_held) > 0; // may go on for ever
     const bool isShort = evbuffer_get_length(bufferevent_get_output(m_stream)) <= maxWriteBytes;
-    m_isAboutToMove = (m_phase == phase::idle && hasUnreadInput()) || (m_phase == phase::answering && isShort && !sendsAhead && canSend());
+    const bool sends = m_phase == phase::answering || m_phase == phase::refused;
+    const bool isArriving = mayHaveArrived();
+    if (isArriving)
+        ++m_timesSpared;
+    m_isAboutToMove = isArriving || (m_phase == phase::idle && hasUnreadInput()) || (sends && isShort && !sendsAhead && canSend());
     return !m_isAboutToMove;
 }
 
@@ -273,10 +288,8 @@
 
 void request_gate::onSent()
 {
-    if (m_phase == phase::refused) {
-        shutdown(bufferevent_getfd(m_stream), SHUT_WR);
-        return;
-    }
+    if (m_phase == phase::refused)
+        return m_hooks.close(close_reason::refused);
     if (m_phase != phase::answering)
         return;
     if (m_closesConnection)
@@ -294,33 +307,37 @@
         m_hooks.close(close_reason::draining);
 }
 
-void request_gate::checkTime(protocol::time_point now)
+bool request_gate::checkTime(protocol::time_point now)
 {
     const protocol::duration since = now - m_phaseSince;
     switch (m_phase) {
     case phase::idle:
-        if (since >= std::max(m_limits.idleTimeout, m_currentLimits.idleTimeout) && !hasUnreadInput())
+        if (since < std::max(m_limits.idleTimeout, m_currentLimits.idleTimeout))
+            return false;
+        if (!hasUnreadInput())
             m_hooks.close(close_reason::idle);
-        return;
+        return true;
     case phase::answering:
-        if (since >= m_limits.idleTimeout && !canSend())
-            m_hooks.close(close_reason::unsent_response);
-        return;
+    case phase::refused:
+        if (since < m_limits.idleTimeout)
+            return false;
+        if (!canSend())
+            m_hooks.close(m_phase == phase::refused ? close_reason::refused : close_reason::unsent_response);
+        return true;
     case phase::head:
-        if (since >= m_limits.headerTimeout)
-            refuse(408);
-        return;
+        if (since < m_limits.headerTimeout)
+            return false;
+        refuse(408);
+        return true;
     case phase::body:
-        if (since >= m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
-            refuse(408);
-        return;
+        if (since < m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
+            return false;
+        refuse(408);
+        return true;
     case phase::handled:
-        return;
-    case phase::refused:
-        if (since >= lingerTime)
-            m_hooks.close(close_reason::refused);
-        return;
+        return false;
     }
+    return false;
 }
 
 void request_gate::onOutputChange(evbuffer*, const evbuffer_cb_info* change, void* self)
@@ -329,7 +346,7 @@
         return;
     auto& gate = *static_cast<request_gate*>(self);
     gate.m_isAboutToMove = false;
-    if (gate.m_phase == phase::answering)
+    if (gate.m_phase == phase::answering || gate.m_phase == phase::refused)
         gate.m_phaseSince = protocol::steadyNow();
 }
 
@@ -342,7 +359,9 @@
 {
     auto& gate = *static_cast<request_gate*>(self);
     const std::shared_ptr<bool> isAlive = gate.m_isAlive;
-    if (gate.m_written)
+    // The library would close the connection at once after a last response, or a refusal without a request of the library's.
+    const bool isLast = gate.m_phase == phase::refused || (gate.m_phase == phase::answering && gate.m_closesConnection);
+    if (gate.m_written && !isLast)
         gate.m_written(stream, gate.m_argument);
     if (*isAlive && evbuffer_get_length(bufferevent_get_output(stream)) == 0)
         gate.onSent();
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -31,7 +31,7 @@
 enum class close_reason {
     idle, // no request within the idle time
     unsent_response, // the caller did not read the response within the idle time
-    refused, // after the response that refused a request
+    refused, // after the response that refused a request, or the caller did not read it within the idle time
     last_response, // after a response that announced it
     evicted, // to make room within the budget
     draining // no request before the server's planned end
@@ -52,7 +52,7 @@
     struct hooks {
         std::function<void(int status)> onRefused; // the request was refused with this HTTP status; 0: closed without a response
         std::function<void()> onOverBudget;
-        std::function<void(close_reason reason)> close; // closes the connection and destroys the gate
+        std::function<void(close_reason reason)> close; // closes the connection and destroys the gate; a last response or refusal is sent, unless its time is over
     };
 
     request_gate(bufferevent* stream, const gate_limits& limits, memory_budget& budget, hooks gateHooks);
@@ -73,8 +73,8 @@
     // Ends the connection if it is between two requests and the caller has sent nothing.
     void closeIfIdle();
 
-    // Ends the connection if its time is over.
-    void checkTime(protocol::time_point now);
+    // Ends the connection if its time is over and nothing is under way. Whether the time was over.
+    bool checkTime(protocol::time_point now);
 
     std::size_t heldBytes() const override;
     int evictionRank() const override;
@@ -104,7 +104,7 @@
         body,
         handled, // read in full, not answered
         answering, // the response is not sent yet
-        refused // the refusal is not sent or not read yet
+        refused // the refusal is not sent yet
     };
 
     void enter(phase next);
@@ -117,6 +117,7 @@
     void limitReading();
     void onSent();
     bool canSend() const;
+    bool mayHaveArrived() const;
 
     static void onOutputChange(evbuffer* output, const evbuffer_cb_info* change, void* self);
     static void onReadable(bufferevent* stream, void* self);
@@ -136,10 +137,11 @@
     std::size_t m_headBytes = 0; // of the present request
     std::size_t m_counted = 0; // as accounted for in the budget
     phase m_phase = phase::idle;
-    protocol::time_point m_phaseSince; // of a response: since it last made progress
+    protocol::time_point m_phaseSince; // of a response or refusal: since it last made progress
     std::size_t m_bodyBytesRead = 0;
     std::uint64_t m_requestsBegun = 0;
     std::uint64_t m_requestsHandled = 0;
+    int m_timesSpared = 0; // from eviction, since the present request began; at most maxTimesSpared, so that slow callers keep no others out
     bool m_isReadingOff = false;
     bool m_isAdvancing = false;
     bool m_isAboutToMove = false; // the next pass of the loop reads a request or sends the response; not evicted until then
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -1,9 +1,17 @@
 // Tests of the connections that a server closes of its own accord: a request that its caller has sent must not be cut off.
+#include "transport/internal/half_closed_connections.h"
+#include "transport/internal/request_gate.h"
 #include "transport/tests/http_fixture.h"
 
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -29,21 +37,31 @@
     raw_caller(const raw_caller&) = delete;
     raw_caller& operator=(const raw_caller&) = delete;
 
-    void send(std::string_view text) const { REQUIRE(::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size())); }
+    void send(std::string_view text) const { REQUIRE(trySend(text)); }
+
+    bool trySend(std::string_view text) const { return ::send(m_descriptor, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()); }
 
     // Adds what has arrived, up to so many bytes, to what was received before.
     const std::string& receive(std::size_t maxBytes = 4096)
     {
         std::string part(maxBytes, '\0');
         const ssize_t length = recv(m_descriptor, part.data(), part.size(), MSG_DONTWAIT);
+        m_hasEnded = m_hasEnded || length == 0;
+        m_isReset = m_isReset || (length < 0 && errno != EAGAIN);
         m_received.append(part, 0, static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
         return m_received;
     }
 
     bool isAnswered() { return receive().starts_with("HTTP/1.1 200"); }
 
+    // As of the last call of receive.
+    bool hasEnded() const { return m_hasEnded; }
+    bool isReset() const { return m_isReset; }
+
 private:
     int m_descriptor;
+    bool m_hasEnded = false;
+    bool m_isReset = false;
     std::string m_received;
 };
 
@@ -391,6 +409,269 @@
     CHECK(fixture.server->closures().draining == 10);
 }
 
+// Guards against a close that takes effect later than the look that found nothing unread.
+TEST_CASE("an idle connection is open after it was closed, and a request that arrives then is cut off")
+{
+    http_fixture fixture;
+    fixture.serve(replyAtOnce);
+    const auto callers = connectCallers(fixture, 10);
+    const auto draining = fixture.loop.every(milliseconds(10), [&] {
+        if (fixture.server->openConnections() < callers.size())
+            return;
+        fixture.server->closeIdleConnections();
+        for (const auto& caller : callers) {
+            caller->receive();
+            CHECK(caller->hasEnded());
+        }
+        fixture.finish();
+    });
+    fixture.run();
+}
+
+// Guards against descriptors that a pass of the loop closes and opens again under the same number.
+TEST_CASE("a connection that takes the number of one that was closed in the same pass is not served")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 10;
+    fixture.serve(replyAtOnce, limits);
+    const auto idle = connectCallers(fixture, 10);
+    std::vector<std::unique_ptr<raw_caller>> further;
+    const auto steps = fixture.loop.every(milliseconds(10), [&] {
+        if (further.empty() && fixture.server->openConnections() == idle.size()) {
+            further = connectCallers(fixture, 10);
+            for (const auto& caller : further)
+                caller->send(request);
+        }
+        if (!further.empty() && countAnswered(further) == 10)
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(fixture.server->closures().evicted == 10);
+}
+
+// Guards against a pass of the loop that grows with the connections whose time is over, while requests wait.
+TEST_CASE("one pass of the loop closes all connections whose idle time is over")
+{
+    constexpr std::size_t count = 200;
+    constexpr std::size_t maxClosedInOnePass = 64;
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.idleTimeout = milliseconds(300);
+    fixture.serve(replyAtOnce, limits);
+    const auto callers = connectCallers(fixture, count);
+    const auto stalling = fixture.loop.after(milliseconds(50), [] { std::this_thread::sleep_for(milliseconds(600)); });
+    std::size_t before = 0;
+    std::size_t mostClosed = 0;
+    const std::function<void()> observe = [&] {
+        const std::size_t open = fixture.server->openConnections();
+        mostClosed = std::max(mostClosed, before - std::min(before, open));
+        before = open;
+        if (fixture.server->closures().idle == count)
+            return fixture.finish();
+        fixture.loop.post(observe);
+    };
+    fixture.loop.post(observe);
+    fixture.run();
+    CHECK(mostClosed <= maxClosedInOnePass);
+}
+
+// Guards against a close with unread input, which resets the connection and discards what is not received yet of the response.
+TEST_CASE("a last response with input behind its request is cut off")
+{
+    constexpr std::size_t bodyBytes = 1024 * 1024; // more than the caller receives before it reads
+    const std::string behind(64 * 1024, 'x'); // more than is read at once
+    http_fixture fixture;
+    fixture.serve([](const http_request& received, const std::shared_ptr<http_responder>& responder) {
+        http_response response { 200, "text/plain", std::string(bodyBytes, 'x'), {} };
+        response.closesConnection = received.path == "/last";
+        responder->reply(std::move(response));
+    });
+    auto callers = connectCallers(fixture, 3);
+    callers[0]->send("GET /x HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n" + behind);
+    callers[1]->send("GET /x HTTP/1.0\r\nHost: x\r\n\r\n" + behind);
+    callers[2]->send("GET /last HTTP/1.1\r\nHost: x\r\n\r\n" + behind);
+    const auto reading = fixture.loop.every(milliseconds(100), [&] {
+        for (const auto& caller : callers)
+            caller->receive(bodyBytes / 4);
+        if (std::all_of(callers.begin(), callers.end(), [](const auto& caller) { return caller->hasEnded() || caller->isReset(); }))
+            fixture.finish();
+    });
+    fixture.run();
+    for (const auto& caller : callers) {
+        CHECK(caller->receive().size() > bodyBytes);
+        CHECK(!caller->isReset());
+    }
+    CHECK(fixture.server->openConnections() == 0); // a stop does not wait for callers that have their response
+    CHECK(fixture.server->closures().lastResponses == 3);
+}
+
+// Guards against a refusal that its caller, still sending, loses with the connection.
+TEST_CASE("a refusal of a request that is still arriving is cut off")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxBodyBytes = 1000;
+    fixture.serve(replyAtOnce, limits);
+    raw_caller caller(fixture);
+    caller.send("POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 200000\r\n\r\n" + std::string(50'000, 'x'));
+    int parts = 0;
+    const auto sending = fixture.loop.every(milliseconds(20), [&] {
+        caller.receive();
+        if (caller.isReset() || ++parts > 10 || !caller.trySend(std::string(15'000, 'x')))
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(caller.receive().starts_with("HTTP/1.1 413"));
+    CHECK(parts > 10);
+    CHECK(!caller.isReset());
+    CHECK(fixture.server->closures().refused == 1);
+}
+
+// Guards against connections that are kept for ever, or without number, since their callers never end them.
+TEST_CASE("half-closed connections outlive their bound or their time")
+{
+    event_loop loop;
+    internal::half_closed_connections connections(loop.base(), 2);
+    std::array<std::array<int, 2>, 3> pairs {};
+    for (auto& ends : pairs) {
+        REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+        connections.add(ends[0]);
+    }
+    const auto isClosed = [](const std::array<int, 2>& ends) { return send(ends[1], "x", 1, MSG_NOSIGNAL) < 0; };
+    CHECK(!isClosed(pairs[0]));
+    CHECK(!isClosed(pairs[1]));
+    CHECK(isClosed(pairs[2]));
+    connections.checkTimes(jackdaw::protocol::steadyNow() + milliseconds(2000));
+    CHECK(isClosed(pairs[0]));
+    CHECK(isClosed(pairs[1]));
+    for (const auto& ends : pairs)
+        close(ends[1]);
+}
+
+// Guards against a refusal that is given up before it is sent, since its caller reads slowly.
+TEST_CASE("a refusal that waits to be sent is closed after the time to read it")
+{
+    event_loop loop;
+    std::array<int, 2> ends {};
+    REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends.data()) == 0);
+    const std::string filling(1024, 'x');
+    std::size_t filled = 0;
+    while (send(ends[0], filling.data(), filling.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(filling.size()))
+        filled += filling.size();
+    bufferevent* stream = bufferevent_socket_new(loop.base(), ends[0], BEV_OPT_CLOSE_ON_FREE);
+    memory_budget budget(1024 * 1024, 1);
+    const internal::gate_limits limits { { 1000, 1000 }, milliseconds(3000), milliseconds(15'000), milliseconds(3000) };
+    int refusals = 0;
+    std::vector<internal::close_reason> closes;
+    {
+        internal::request_gate gate(stream, limits, budget, { [&](int) { ++refusals; }, [] {}, [&](internal::close_reason reason) { closes.push_back(reason); } });
+        bufferevent_enable(stream, EV_READ | EV_WRITE);
+        REQUIRE(send(ends[1], "\x01\r\n\r\n", 5, MSG_NOSIGNAL) == 5);
+        std::string received;
+        const auto steps = loop.every(milliseconds(10), [&] {
+            if (refusals == 0)
+                return;
+            if (received.empty()) {
+                gate.checkTime(jackdaw::protocol::steadyNow() + milliseconds(5000));
+                CHECK(closes.empty());
+            }
+            std::string part(64 * 1024, '\0');
+            const ssize_t length = recv(ends[1], part.data(), part.size(), 0);
+            received.append(part, 0, static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
+            if (received.size() > filled && !closes.empty())
+                loop.stop();
+        });
+        const auto limit = loop.after(std::chrono::seconds(20), [&] { loop.stop(); });
+        loop.run();
+        CHECK(received.substr(std::min(filled, received.size())).starts_with("HTTP/1.1 400"));
+    }
+    CHECK(closes == std::vector { internal::close_reason::refused });
+    bufferevent_free(stream);
+    close(ends[1]);
+}
+
+// Guards against a reset in place of a refusal for callers for whom there is no room and whose requests are long.
+TEST_CASE("a connection over the bound is reset while its request is arriving")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 1;
+    std::shared_ptr<http_responder> waiting;
+    fixture.serve([&](const http_request&, const std::shared_ptr<http_responder>& responder) { waiting = responder; }, limits);
+    const raw_caller first(fixture);
+    first.send(request);
+    std::unique_ptr<raw_caller> further;
+    int parts = 0;
+    const auto sending = fixture.loop.every(milliseconds(20), [&] {
+        if (waiting && !further)
+            further = std::make_unique<raw_caller>(fixture);
+        if (!further)
+            return;
+        further->receive();
+        if (further->isReset() || ++parts > 10 || !further->trySend(std::string(15'000, 'x')))
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(further->receive().starts_with("HTTP/1.1 503"));
+    CHECK(parts > 10);
+    CHECK(!further->isReset());
+    CHECK(fixture.server->closures().notAccepted == 1);
+}
+
+// Guards against an eviction that takes a request that has arrived in full for one that its caller does not send.
+TEST_CASE("a request that is read in part makes room for a new connection while its rest waits unread")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 10;
+    fixture.serve(replyAtOnce, limits);
+    const auto callers = connectCallers(fixture, 10);
+    for (const auto& caller : callers)
+        caller->send(request.substr(0, 20));
+    std::unique_ptr<raw_caller> further;
+    const auto sending = fixture.loop.every(milliseconds(100), [&] {
+        if (further)
+            return fixture.finish();
+        if (fixture.server->requests().begun < callers.size())
+            return;
+        further = std::make_unique<raw_caller>(fixture); // is accepted before the rest is read
+        for (const auto& caller : callers)
+            caller->send(request.substr(20));
+    });
+    fixture.run();
+    CHECK(countAnswered(callers) == 10);
+    CHECK(fixture.server->closures().withPartialRequest == 0);
+}
+
+// Guards against callers that keep all others out by sending a byte now and then.
+TEST_CASE("requests that never end are not evicted as long as some of their bytes wait unread")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.maxConnections = 10;
+    fixture.serve(replyAtOnce, limits);
+    const auto slow = connectCallers(fixture, 10);
+    for (const auto& caller : slow)
+        caller->send("GET /");
+    std::vector<std::unique_ptr<raw_caller>> further;
+    const auto sending = fixture.loop.every(milliseconds(10), [&] {
+        if (!further.empty() && further.back()->isAnswered())
+            return fixture.finish();
+        if (fixture.server->requests().begun < slow.size())
+            return;
+        further.push_back(std::make_unique<raw_caller>(fixture));
+        further.back()->send(request);
+        for (const auto& caller : slow) {
+            caller->receive();
+            if (!caller->hasEnded() && !caller->isReset())
+                caller->send("x");
+        }
+    });
+    fixture.run();
+    CHECK(further.size() <= 10); // each request is spared twice
+}
+
 // Guards against long responses to many reads at once, which together take more than the budget.
 TEST_CASE("reads whose responses have no room are answered in full")
 {
