HTTP server: empty lines before a request and extensions of chunks are dropped before the parser

Cause: the gate passed both on to libevhtp, which takes neither, and took an empty line for the beginning of a request. Why it works: both mean nothing to the request. The scanner reports them as dropped, wherever the input is divided, and the gate drains them; the connection stays idle until the first byte of a request line.

--- a/src/transport/internal/message_scanner.cpp
+++ b/src/transport/internal/message_scanner.cpp
@@ -40,6 +40,17 @@
         return first != std::string_view::npos && first > 0 && last > first + 1 && line.substr(last + 1).starts_with("HTTP/1.");
     }
 
+    bool isLineEnd(char byte)
+    {
+        return byte == '\r' || byte == '\n';
+    }
+
+    // Blanks before the semicolon are allowed (RFC 9112, section 7.1.1).
+    bool beginsExtension(char byte)
+    {
+        return byte == ';' || byte == ' ' || byte == '\t';
+    }
+
     // -1 for a byte that is none.
     int hexDigit(char byte)
     {
@@ -59,9 +70,12 @@
 
 std::size_t message_scanner::scan(std::string_view bytes, const message_limits& limits)
 {
+    m_isDropped = false;
+    if (bytes.empty())
+        return 0;
     switch (m_part) {
     case part::head:
-        return scanHead(bytes, limits);
+        return isLineEnd(bytes.front()) && m_head.empty() ? skipEmptyLines(bytes) : scanHead(bytes, limits);
     case part::body:
         if (m_isChunked)
             return scanChunks(bytes, limits);
@@ -76,17 +90,20 @@
     return length;
 }
 
+std::size_t message_scanner::skipEmptyLines(std::string_view bytes)
+{
+    m_isDropped = true;
+    const auto length = static_cast<std::size_t>(std::find_if_not(bytes.begin(), bytes.end(), isLineEnd) - bytes.begin());
+    m_emptyLineBytes += length;
+    if (m_emptyLineBytes > maxEmptyLineBytes)
+        refuse(malformed);
+    return length;
+}
+
 std::size_t message_scanner::scanHead(std::string_view bytes, const message_limits& limits)
 {
     for (std::size_t i = 0; i < bytes.size(); ++i) {
         const char byte = bytes[i];
-        if (m_head.empty() && (byte == '\r' || byte == '\n')) {
-            if (++m_emptyLineBytes > maxEmptyLineBytes) {
-                refuse(malformed);
-                return i + 1;
-            }
-            continue;
-        }
         if (m_head.size() >= limits.maxHeaderBytes) {
             refuse(m_head.find('\n') == std::string::npos ? lineTooLong : headTooLarge);
             return i + 1;
@@ -161,6 +178,12 @@
 {
     std::size_t at = 0;
     while (at < bytes.size() && m_part == part::body) {
+        if (m_chunkPart == chunk_part::size && m_sizeLineBytes > 0 && beginsExtension(bytes[at]))
+            m_chunkPart = chunk_part::extension;
+        if (m_chunkPart == chunk_part::extension && bytes[at] == '\r')
+            m_chunkPart = chunk_part::size_return;
+        if (m_chunkPart == chunk_part::extension)
+            return at > 0 ? at : skipExtension(bytes);
         if (m_chunkPart != chunk_part::data) {
             if (!readChunkByte(bytes[at], limits))
                 refuse(m_bodyBytes > limits.maxBodyBytes ? bodyTooLarge : malformed);
@@ -176,6 +199,16 @@
     return at;
 }
 
+std::size_t message_scanner::skipExtension(std::string_view bytes)
+{
+    m_isDropped = true;
+    const std::string_view skipped = bytes.substr(0, bytes.find('\r'));
+    m_sizeLineBytes += skipped.size();
+    if (m_sizeLineBytes > maxSizeLineBytes || skipped.find('\n') != std::string_view::npos)
+        refuse(malformed);
+    return skipped.size();
+}
+
 // Reads a byte of the framing. False if it is not valid or the chunk leads over the limit.
 bool message_scanner::readChunkByte(char byte, const message_limits& limits)
 {
@@ -185,14 +218,11 @@
             m_left = m_left * 16 + static_cast<std::uint64_t>(digit);
             return ++m_sizeLineBytes <= maxSizeDigits;
         }
-        if (m_sizeLineBytes == 0)
-            return false;
-        m_chunkPart = byte == '\r' ? chunk_part::size_end : chunk_part::extension;
-        return byte == '\r' || byte == ';';
-    case chunk_part::extension:
-        if (byte == '\r')
-            m_chunkPart = chunk_part::size_end;
-        return byte != '\n' && ++m_sizeLineBytes <= maxSizeLineBytes;
+        m_chunkPart = chunk_part::size_end;
+        return m_sizeLineBytes > 0 && byte == '\r';
+    case chunk_part::size_return:
+        m_chunkPart = chunk_part::size_end;
+        return byte == '\r';
     case chunk_part::size_end:
         m_bodyBytes += m_left;
         m_sizeLineBytes = 0;
@@ -210,6 +240,7 @@
     case chunk_part::last_second:
         m_part = part::end;
         return byte == '\n';
+    case chunk_part::extension:
     case chunk_part::data:
         break;
     }
--- a/src/transport/internal/message_scanner.h
+++ b/src/transport/internal/message_scanner.h
@@ -23,14 +23,18 @@
         refused
     };
 
-    // Reads on and returns the number of bytes read, which is less than all only at the end of the head and of the message. Of the head,
-    // the scanner keeps a copy until it is complete.
+    // Reads on and returns the number of bytes read, which is less than all only at the end of the head and of the message, and before
+    // and after what is dropped. Of the head, the scanner keeps a copy until it is complete.
     std::size_t scan(std::string_view bytes, const message_limits& limits);
 
     // Starts with the next request.
     void reset() { *this = message_scanner(); }
 
     part at() const { return m_part; }
+
+    // Whether the bytes of the last scan are not to be passed on: empty lines before a request, and extensions of chunks.
+    bool isDropped() const { return m_isDropped; }
+
     bool hasBegun() const { return !m_head.empty() || m_part != part::head; }
     int refusalStatus() const { return m_refusal; } // HTTP status, once refused
 
@@ -38,6 +42,7 @@
     enum class chunk_part {
         size,
         extension,
+        size_return,
         size_end,
         data,
         data_end_first,
@@ -46,8 +51,10 @@
         last_second
     };
 
+    std::size_t skipEmptyLines(std::string_view bytes);
     std::size_t scanHead(std::string_view bytes, const message_limits& limits);
     std::size_t scanChunks(std::string_view bytes, const message_limits& limits);
+    std::size_t skipExtension(std::string_view bytes);
     bool readChunkByte(char byte, const message_limits& limits);
     void finishHead(const message_limits& limits);
     bool readHeaderLine(std::string_view line, const message_limits& limits);
@@ -55,6 +62,7 @@
 
     part m_part = part::head;
     int m_refusal = 0;
+    bool m_isDropped = false;
     std::size_t m_emptyLineBytes = 0; // before the request line
     std::string m_head;
     bool m_hasLength = false;
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -137,10 +137,6 @@
 // Scans the next bytes that lie together. False if the connection has been closed.
 bool request_gate::scanSome()
 {
-    if (m_phase == phase::idle) {
-        ++m_requestsBegun;
-        enter(phase::head);
-    }
     evbuffer_ptr from {};
     evbuffer_ptr_set(m_held, &from, m_scanned, EVBUFFER_PTR_SET);
     evbuffer_iovec span {};
@@ -148,16 +144,19 @@
         return true;
     const bool isHead = m_scanner.at() == message_scanner::part::head;
     const std::size_t length = m_scanner.scan({ static_cast<const char*>(span.iov_base), span.iov_len }, m_currentLimits.message);
+    if (m_phase == phase::idle && m_scanner.hasBegun()) {
+        ++m_requestsBegun;
+        enter(phase::head);
+    }
     if (m_scanner.at() == message_scanner::part::refused)
         return true;
-    m_scanned += length;
-    if (m_scanner.at() == message_scanner::part::head) {
-        if (!m_scanner.hasBegun()) { // empty lines
-            evbuffer_drain(m_held, m_scanned);
-            m_scanned = 0;
-        }
+    if (m_scanner.isDropped()) {
+        evbuffer_drain(m_held, length);
         return true;
     }
+    m_scanned += length;
+    if (m_scanner.at() == message_scanner::part::head)
+        return true;
     if (isHead) {
         m_headBytes = m_scanned;
         m_bodyBytesRead = 0;
