HTTP server: a response to HEAD has no body

What callers saw: the body of a response to HEAD, which they take for the beginning of the next response. Cause: libevhtp sends what is in the buffer, whatever the method. Why it works: the length is announced and nothing is put into the buffer.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -96,7 +96,10 @@
             addHeader(request, header.name, header.value);
         if (response.closesConnection)
             addHeader(request, "Connection", "close");
-        evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
+        if (evhtp_request_get_method(request) == htp_method_HEAD)
+            addHeader(request, "Content-Length", std::to_string(response.body.size()));
+        else
+            evbuffer_add(request->buffer_out, response.body.data(), response.body.size());
         evhtp_send_reply(request, static_cast<evhtp_res>(response.status));
     }
 
--- a/src/transport/tests/http_form_tests.cpp
+++ b/src/transport/tests/http_form_tests.cpp
@@ -403,6 +403,12 @@
     checkForms(addCodings);
 }
 
+// Guards against a body that the caller takes for the next response.
+TEST_CASE("a response to HEAD has a body")
+{
+    checkForms({ { get("/x", {}, "HEAD"), outcome::served, "4 /x  ", {} } });
+}
+
 // Guards against requests that the parser refuses by closing the connection, or never hands over.
 TEST_CASE("a whole request of an unusual form gets neither an answer nor a refusal")
 {
