HTTP server: a request that libevhtp refuses or swallows is refused with 400, and is counted

What callers saw: a connection that closes without a byte, whenever libevhtp does not take what the gate has let pass; with a request that it does not hand over, a wait for the body's time. With bytes behind such a request the whole process stood still. Cause: nothing watched what libevhtp did with a request. The gate scanned on behind the end of a request that was still open: each scan read nothing, and the loop did not end. Why it works: if libevhtp closes a connection while a request is read, the server keeps its stream and its gate, which refuses the request behind whatever was queued and lingers as for its own refusals. A whole request that is not handed over is refused at the next check of times; the handler is not given it later. refusals().unhandled counts both, in requests_refused as well. Ruled out: a hand-over in a later pass of the loop.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -271,8 +271,11 @@
     ~impl()
     {
         stopAccepting();
+        isEnding = true;
         while (!connections.empty())
             evhtp_connection_free(connections.begin()->first); // removes it from the map
+        while (!refused.empty())
+            endRefused(refused.begin()->first);
         evhtp_free(server);
     }
 
@@ -305,7 +308,7 @@
     {
         impl& server = *static_cast<impl*>(self);
         internal::request_gate::hooks hooks;
-        hooks.onRefused = [&server](int status) { server.countRefusal(status); };
+        hooks.onRefused = [&server](int status, bool isUnhandled) { server.countRefusal(status, isUnhandled); };
         hooks.onOverBudget = [&server] { server.postEnforcement(); };
         hooks.close = [&server, connection](internal::close_reason reason) { server.close(connection, reason); };
         ++server.requestsOfEndedConnections.connectionsAccepted;
@@ -315,9 +318,11 @@
         return EVHTP_RES_OK;
     }
 
-    void countRefusal(int status)
+    void countRefusal(int status, bool isUnhandled)
     {
-        if (status == 413)
+        if (isUnhandled)
+            ++refusals.unhandled;
+        else if (status == 413)
             ++refusals.bodies;
         else if (status == 414 || status == 431)
             ++refusals.headers;
@@ -336,6 +341,27 @@
         isClosing = false;
     }
 
+    // Keeps the stream and the gate of a connection that libevhtp frees, until the refusal is sent.
+    void refuseWithoutLibrary(evhtp_connection_t* connection, std::unique_ptr<internal::request_gate> gate)
+    {
+        bufferevent* stream = evhtp_connection_get_bev(connection);
+        evhtp_connection_set_bev(connection, nullptr);
+        internal::request_gate& kept = *gate;
+        refused[stream] = std::move(gate);
+        kept.refuseWithoutLibrary([this, stream](internal::close_reason reason) {
+            countClosure(reason, *refused.at(stream));
+            endRefused(stream);
+        });
+    }
+
+    void endRefused(bufferevent* stream)
+    {
+        const auto found = refused.find(stream);
+        countEnd(*found->second);
+        refused.erase(found);
+        bufferevent_free(stream);
+    }
+
     void countClosure(internal::close_reason reason, const internal::request_gate& gate)
     {
         switch (reason) {
@@ -405,10 +431,14 @@
     http_server_requests requests() const
     {
         http_server_requests sums = requestsOfEndedConnections;
-        for (const auto& [connection, gate] : connections) {
-            sums.begun += gate->requestsBegun();
-            sums.handled += gate->requestsHandled();
-        }
+        const auto add = [&sums](const internal::request_gate& gate) {
+            sums.begun += gate.requestsBegun();
+            sums.handled += gate.requestsHandled();
+        };
+        for (const auto& [connection, gate] : connections)
+            add(*gate);
+        for (const auto& [stream, gate] : refused)
+            add(*gate);
         return sums;
     }
 
@@ -423,6 +453,8 @@
             if (const auto found = connections.find(connection); found != connections.end())
                 visitor(*found->second);
         }
+        for (auto next = refused.begin(); next != refused.end();)
+            visitor(*(next++)->second); // ends no other one
     }
 
     void checkTimes()
@@ -453,14 +485,14 @@
 
     void logRefusals(protocol::time_point now)
     {
-        const std::uint64_t sum = refusals.headers + refusals.bodies + refusals.timeouts + refusals.malformed + budget.evictions() + budget.refusedConnections();
+        const std::uint64_t sum = refusals.headers + refusals.bodies + refusals.timeouts + refusals.malformed + refusals.unhandled + budget.evictions() + budget.refusedConnections();
         if (sum == loggedRefusals || now - loggedAt < logInterval)
             return;
         loggedRefusals = sum;
         loggedAt = now;
         state::logEvent(state::log_level::warning, "requests_refused",
             { { "port", std::to_string(port) }, { "headers", std::to_string(refusals.headers) }, { "bodies", std::to_string(refusals.bodies) }, { "timeouts", std::to_string(refusals.timeouts) },
-                { "malformed", std::to_string(refusals.malformed) }, { "evicted", std::to_string(budget.evictions()) }, { "connections_refused", std::to_string(budget.refusedConnections()) } });
+                { "malformed", std::to_string(refusals.malformed) }, { "unhandled", std::to_string(refusals.unhandled) }, { "evicted", std::to_string(budget.evictions()) }, { "connections_refused", std::to_string(budget.refusedConnections()) } });
     }
 
     static evhtp_res onConnectionClosed(evhtp_connection_t* connection, void* self)
@@ -469,7 +501,14 @@
         const auto found = server.connections.find(connection);
         if (found == server.connections.end())
             return EVHTP_RES_OK;
-        if (!server.isClosing && !found->second->hasCallerEnded())
+        const bool isByLibrary = !server.isClosing && !server.isEnding && !found->second->hasCallerEnded();
+        if (isByLibrary && found->second->isReading()) {
+            std::unique_ptr<internal::request_gate> gate = std::move(found->second);
+            server.connections.erase(found);
+            server.refuseWithoutLibrary(connection, std::move(gate));
+            return EVHTP_RES_OK;
+        }
+        if (isByLibrary)
             ++server.closures.library;
         server.countEnd(*found->second);
         server.connections.erase(found);
@@ -494,12 +533,12 @@
     void handle(evhtp_request_t* request)
     {
         internal::request_gate* gate = gateOf(request);
+        if (gate && !gate->onRequestRead())
+            return;
         auto held = std::make_shared<responder>(request, gate, loop, budget, openRequests);
         // Owned by the library's request, released by onRequestFinished.
         auto* reference = new responder_reference(held);
         evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(&onRequestFinished), reference);
-        if (gate)
-            gate->onRequestRead();
         onRequest(readRequest(request, gate), held);
         if (held->hasReplied())
             return;
@@ -515,6 +554,7 @@
     evhtp_t* server;
     std::unique_ptr<event_loop::timer> sweep;
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
+    std::map<bufferevent*, std::unique_ptr<internal::request_gate>> refused; // whose connections libevhtp has given up; the streams are owned
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     http_server_refusals refusals;
     std::uint64_t loggedRefusals = 0; // sum of all counts in the last log line
@@ -526,6 +566,7 @@
     std::size_t openRequests = 0;
     bool isEnforcementPosted = false;
     bool isClosing = false; // a connection is being closed for a reason of the server's
+    bool isEnding = false;
     bool isListening = false;
     std::uint16_t port = 0;
 };
@@ -591,7 +632,7 @@
 
 std::size_t http_server::openConnections() const
 {
-    return m_impl->connections.size();
+    return m_impl->connections.size() + m_impl->refused.size();
 }
 
 } // namespace jackdaw::transport
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -45,6 +45,7 @@
     std::uint64_t bodies = 0; // 413
     std::uint64_t timeouts = 0; // 408
     std::uint64_t malformed = 0; // 400 and 501
+    std::uint64_t unhandled = 0; // 400: libevhtp was given the request and did not hand it over
 };
 
 // Connections that a server has closed of its own accord, by reason, and those that it has not accepted.
@@ -55,7 +56,7 @@
     std::uint64_t lastResponses = 0; // after a response that announced it
     std::uint64_t evicted = 0;
     std::uint64_t draining = 0;
-    std::uint64_t library = 0; // by libevhtp, without a reason of the server's
+    std::uint64_t library = 0; // by libevhtp, without a reason of the server's and with no request to refuse
     std::uint64_t notAccepted = 0;
     std::uint64_t withUnreadInput = 0; // of those that the server chose to close: the caller had sent bytes that were not read
     std::uint64_t withPartialRequest = 0; // not ended by the caller: a request had been read in part
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -21,6 +21,8 @@
     constexpr std::size_t maxCopiedBytes = 4096; // the size of libevent's read buffers
     constexpr std::size_t minBodyBytesPerSecond = 64 * 1024; // the slowest link of a host carries 2 MB/s
     constexpr protocol::duration lingerTime = std::chrono::seconds(1); // for a refusal to be read
+    constexpr protocol::duration handOverTime = std::chrono::milliseconds(100); // libevhtp hands a whole request over in the same pass of the loop
+    constexpr int notHandled = 400; // for a request that libevhtp does not take
 
     std::string refusalText(int status)
     {
@@ -82,10 +84,24 @@
     m_bodyBytesRead += length;
 }
 
-void request_gate::onRequestRead()
+bool request_gate::onRequestRead()
 {
+    if (m_phase == phase::refused)
+        return false;
     ++m_requestsHandled;
     enter(phase::handled);
+    return true;
+}
+
+void request_gate::refuseWithoutLibrary(std::function<void(close_reason reason)> close)
+{
+    m_hooks.close = std::move(close);
+    m_readable = nullptr;
+    m_written = nullptr;
+    m_event = nullptr;
+    m_headBytes = 0;
+    refuse(notHandled, true);
+    updateAccount();
 }
 
 void request_gate::onReplied(bool closesConnection)
@@ -121,7 +137,7 @@
         return;
     const std::shared_ptr<bool> isAlive = m_isAlive;
     m_isAdvancing = true;
-    while (m_phase < phase::handled && evbuffer_get_length(m_held) > m_scanned && m_scanner.at() != message_scanner::part::refused) {
+    while (m_phase < phase::handled && evbuffer_get_length(m_held) > m_scanned && m_scanner.at() < message_scanner::part::end) {
         if (!scanSome())
             break;
     }
@@ -166,7 +182,11 @@
         m_bodyBytesRead = 0;
         enter(phase::body);
     }
-    return passOn(std::exchange(m_scanned, 0));
+    if (!passOn(std::exchange(m_scanned, 0)))
+        return false;
+    if (m_phase == phase::body && m_scanner.at() == message_scanner::part::end)
+        m_phaseSince = protocol::steadyNow();
+    return true;
 }
 
 bool request_gate::passOn(std::size_t bytes)
@@ -181,7 +201,7 @@
     return *isAlive;
 }
 
-void request_gate::refuse(int status)
+void request_gate::refuse(int status, bool isUnhandled)
 {
     enter(phase::refused);
     evbuffer_drain(m_held, evbuffer_get_length(m_held));
@@ -190,7 +210,7 @@
     const std::string text = refusalText(status);
     bufferevent_write(m_stream, text.data(), text.size());
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
-    m_hooks.onRefused(status);
+    m_hooks.onRefused(status, isUnhandled);
 }
 
 std::size_t request_gate::heldBytes() const
@@ -311,6 +331,11 @@
             refuse(408);
         return;
     case phase::body:
+        if (m_scanner.at() == message_scanner::part::end) {
+            if (since >= handOverTime)
+                refuse(notHandled, true);
+            return;
+        }
         if (since >= m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
             refuse(408);
         return;
@@ -355,6 +380,8 @@
         gate.m_hasCallerEnded = true;
     if (gate.m_event)
         gate.m_event(stream, events, gate.m_argument);
+    else if (gate.m_hasCallerEnded)
+        gate.m_hooks.close(close_reason::refused);
 }
 
 } // namespace jackdaw::transport::internal
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -50,7 +50,8 @@
 class request_gate final : public memory_budget::holder {
 public:
     struct hooks {
-        std::function<void(int status)> onRefused; // the request was refused with this HTTP status; 0: closed without a response
+        // The request was refused with this HTTP status. Not handled: it was passed on to libevhtp, which did not hand it over.
+        std::function<void(int status, bool isUnhandled)> onRefused;
         std::function<void()> onOverBudget;
         std::function<void(close_reason reason)> close; // closes the connection and destroys the gate
     };
@@ -64,8 +65,15 @@
     void addBody(evbuffer* data);
     std::string takeBody() { return std::move(m_body); }
 
-    // The handler has been given the request.
-    void onRequestRead();
+    // The handler has been given the request. False if it has been refused meanwhile.
+    bool onRequestRead();
+
+    // Whether a request has begun, and the handler has not been given it.
+    bool isReading() const { return m_phase == phase::head || m_phase == phase::body; }
+
+    // libevhtp gives up the connection while a request is read: refuses the request without it. The stream is the caller's from now on, who
+    // closes it by the hook.
+    void refuseWithoutLibrary(std::function<void(close_reason reason)> close);
 
     // The response of the request that was read last has been queued.
     void onReplied(bool closesConnection);
@@ -84,7 +92,7 @@
 
     unfinished_work unfinishedWork() const;
 
-    // Since a request began, was read or answered, or its response made progress.
+    // Since a request began, its head or all of it was read, it was answered, or its response made progress.
     protocol::duration sinceLastChange() const { return protocol::steadyNow() - m_phaseSince; }
 
     // Requests of which the first byte has been read, and those that the handler has been given.
@@ -112,7 +120,7 @@
     void advance();
     bool passOn(std::size_t bytes);
     bool scanSome();
-    void refuse(int status);
+    void refuse(int status, bool isUnhandled = false);
     void updateAccount();
     void limitReading();
     void onSent();
--- a/src/transport/tests/http_form_tests.cpp
+++ b/src/transport/tests/http_form_tests.cpp
@@ -359,6 +359,35 @@
     checkForms(forms);
 }
 
+// The connection of a refused request, whose caller sends on until it has the refusal, and a little longer.
+void checkRefusalIsRead(const std::string& head, const http_server_refusals& expected)
+{
+    constexpr int maxBehind = 5; // bytes behind the response
+    http_fixture fixture;
+    fixture.serve(replyWithWhatWasRead);
+    const int descriptor = fixture.connectRaw();
+    std::string received;
+    std::string part = head;
+    int sentBehind = 0;
+    const auto steps = fixture.loop.every(milliseconds(1), [&] {
+        const bool isCutOff = send(descriptor, part.data(), part.size(), MSG_NOSIGNAL) < 0;
+        CHECK(!isCutOff);
+        part = "x";
+        std::array<char, 1024> bytes;
+        const ssize_t length = recv(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT);
+        received.append(bytes.data(), static_cast<std::size_t>(std::max<ssize_t>(length, 0)));
+        if (isCutOff || (!received.empty() && ++sentBehind == maxBehind))
+            fixture.finish();
+    });
+    fixture.run();
+    close(descriptor);
+    CHECK(received.starts_with("HTTP/1.1 400"));
+    CHECK(received.find("HTTP/1.1", 1) == std::string::npos);
+    CHECK(fixture.server->refusals().unhandled == expected.unhandled);
+    CHECK(fixture.server->refusals().malformed == expected.malformed);
+    CHECK(fixture.server->closures().library == 0);
+}
+
 } // namespace
 
 // Guards against empty lines that the parser is given with a request's head.
@@ -415,3 +444,11 @@
     for (const auto add : { addMethods, addTargets, addVersions, addFields, addBodies })
         checkForms(add);
 }
+
+// Guards against forms that nobody has thought of: the parser closes the connection.
+TEST_CASE("a request that the parser refuses is refused without a word, or while its body is sent")
+{
+    http_server_refusals expected;
+    expected.unhandled = 1;
+    checkRefusalIsRead(post("Content-Length: 00000000000000000000200\r\n", {}), expected); // too many digits for the parser
+}
