HTTP server: a connection whose request is refused stays open for its second, so that the refusal can be read

What callers saw: a reset while they still sent the rest of a request that had been refused, which may take the refusal with it. Cause: once the refusal was written, the gate told libevhtp, which closes a connection without a request of its own ("no request associated with connection"). The gate's linger never came into force for requests that libevhtp had not seen. They were counted as closures.library. Evidence, before: "a connection is closed as soon as its request is refused...": "CHECK( !isCutOff )" failed, closures().library 1. Why it works: from a refusal on, libevhtp is not told of what was written.

--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -367,7 +367,7 @@
 {
     auto& gate = *static_cast<request_gate*>(self);
     const std::shared_ptr<bool> isAlive = gate.m_isAlive;
-    if (gate.m_written)
+    if (gate.m_written && gate.m_phase != phase::refused)
         gate.m_written(stream, gate.m_argument);
     if (*isAlive && evbuffer_get_length(bufferevent_get_output(stream)) == 0)
         gate.onSent();
--- a/src/transport/tests/http_form_tests.cpp
+++ b/src/transport/tests/http_form_tests.cpp
@@ -452,3 +452,11 @@
     expected.unhandled = 1;
     checkRefusalIsRead(post("Content-Length: 00000000000000000000200\r\n", {}), expected); // too many digits for the parser
 }
+
+// Guards against a close while the caller sends, which may take the refusal with it.
+TEST_CASE("a connection is closed as soon as its request is refused, while the caller sends on")
+{
+    http_server_refusals expected;
+    expected.malformed = 1;
+    checkRefusalIsRead(post("Content-Length : 200\r\n", {}), expected);
+}
