--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -21,6 +21,7 @@
     constexpr std::size_t maxWriteBytes = 16 * 1024; // as much as libevent writes at once
     constexpr std::size_t maxCopiedBytes = 4096; // the size of libevent's read buffers
     constexpr std::size_t minBodyBytesPerSecond = 64 * 1024; // the slowest link of a host carries 2 MB/s
+    constexpr int notHandled = 400; // for a request that libevhtp does not take
 
     std::string refusalText(int status)
     {
@@ -73,6 +74,7 @@
         m_timesSpared = 0;
     m_phase = next;
     m_phaseSince = protocol::steadyNow();
+    m_isOverdue = false;
 }
 
 void request_gate::addBody(evbuffer* data)
@@ -84,10 +86,24 @@
     m_bodyBytesRead += length;
 }
 
-void request_gate::onRequestRead()
+bool request_gate::onRequestRead()
 {
+    if (m_phase == phase::refused)
+        return false;
     ++m_requestsHandled;
     enter(phase::handled);
+    return true;
+}
+
+void request_gate::refuseWithoutLibrary(std::function<void(close_reason reason)> close)
+{
+    m_hooks.close = std::move(close);
+    m_readable = nullptr;
+    m_written = nullptr;
+    m_event = nullptr;
+    m_headBytes = 0;
+    refuse(notHandled, true);
+    updateAccount();
 }
 
 void request_gate::onReplied(bool closesConnection)
@@ -123,7 +139,7 @@
         return;
     const std::shared_ptr<bool> isAlive = m_isAlive;
     m_isAdvancing = true;
-    while (m_phase < phase::handled && evbuffer_get_length(m_held) > m_scanned && m_scanner.at() != message_scanner::part::refused) {
+    while (m_phase < phase::handled && evbuffer_get_length(m_held) > m_scanned && m_scanner.at() < message_scanner::part::end) {
         if (!scanSome())
             break;
     }
@@ -139,10 +155,6 @@
 // Scans the next bytes that lie together. False if the connection has been closed.
 bool request_gate::scanSome()
 {
-    if (m_phase == phase::idle) {
-        ++m_requestsBegun;
-        enter(phase::head);
-    }
     evbuffer_ptr from {};
     evbuffer_ptr_set(m_held, &from, m_scanned, EVBUFFER_PTR_SET);
     evbuffer_iovec span {};
@@ -150,22 +162,33 @@
         return true;
     const bool isHead = m_scanner.at() == message_scanner::part::head;
     const std::size_t length = m_scanner.scan({ static_cast<const char*>(span.iov_base), span.iov_len }, m_currentLimits.message);
+    if (m_phase == phase::idle && m_scanner.hasBegun()) {
+        ++m_requestsBegun;
+        enter(phase::head);
+    }
     if (m_scanner.at() == message_scanner::part::refused)
         return true;
-    m_scanned += length;
-    if (m_scanner.at() == message_scanner::part::head) {
-        if (!m_scanner.hasBegun()) { // empty lines
-            evbuffer_drain(m_held, m_scanned);
-            m_scanned = 0;
-        }
+    if (m_scanner.isDropped()) {
+        evbuffer_drain(m_held, length);
         return true;
     }
+    m_scanned += length;
+    if (m_scanner.at() == message_scanner::part::head)
+        return true;
     if (isHead) {
+        const std::string head = m_scanner.takeHead();
+        evbuffer_drain(m_held, m_scanned);
+        evbuffer_prepend(m_held, head.data(), head.size());
+        m_scanned = head.size();
         m_headBytes = m_scanned;
         m_bodyBytesRead = 0;
         enter(phase::body);
     }
-    return passOn(std::exchange(m_scanned, 0));
+    if (!passOn(std::exchange(m_scanned, 0)))
+        return false;
+    if (m_phase == phase::body && m_scanner.at() == message_scanner::part::end)
+        m_phaseSince = protocol::steadyNow();
+    return true;
 }
 
 bool request_gate::passOn(std::size_t bytes)
@@ -180,7 +203,7 @@
     return *isAlive;
 }
 
-void request_gate::refuse(int status)
+void request_gate::refuse(int status, bool isUnhandled)
 {
     enter(phase::refused);
     evbuffer_drain(m_held, evbuffer_get_length(m_held));
@@ -189,7 +212,7 @@
     const std::string text = refusalText(status);
     bufferevent_write(m_stream, text.data(), text.size());
     bufferevent_enable(m_stream, EV_READ | EV_WRITE);
-    m_hooks.onRefused(status);
+    m_hooks.onRefused(status, isUnhandled);
 }
 
 std::size_t request_gate::heldBytes() const
@@ -330,6 +353,12 @@
         refuse(408);
         return true;
     case phase::body:
+        // libevhtp hands a whole request over in the pass that gives it the last byte. Two checks are never in one pass.
+        if (m_scanner.at() == message_scanner::part::end) {
+            if (std::exchange(m_isOverdue, true))
+                refuse(notHandled, true);
+            return true;
+        }
         if (since < m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
             return false;
         refuse(408);
@@ -374,6 +403,8 @@
         gate.m_hasCallerEnded = true;
     if (gate.m_event)
         gate.m_event(stream, events, gate.m_argument);
+    else if (gate.m_hasCallerEnded)
+        gate.m_hooks.close(close_reason::refused);
 }
 
 } // namespace jackdaw::transport::internal
