HTTP server: a caller that ends its sending side still gets a whole answer

What callers saw: after shutdown(SHUT_WR) behind a whole request the connection ended without a byte (DELETE, GET that waits, an open job), in the middle of a long response, and with the pipelined requests behind the first unread.

Cause: libevent reports the end of the input, libevhtp takes it for the end of the connection and frees it, whatever is unanswered.

Decision: TCP can't tell a half-close from a close, so the end stays the caller's leaving and its open job is cancelled.

Why it works: the gate holds an end without error back while a request is handled or its response unsent, and tells the responder. libevent has turned reading off with its report and reports the end again when reading is back on after the response: the next pipelined request is told in its turn, and once none is left libevhtp closes as before. Errors and resets go to libevhtp at once. A request whose responder is released unanswered gets 504, at the next pass or check of times (250 ms). Connections of callers that left while their request waits are evicted first. left_by_caller counts them when they leave.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -84,6 +84,14 @@
         return response;
     }
 
+    // Promises nothing: what the handler began for the request may go on.
+    http_response makeUnansweredResponse()
+    {
+        http_response response;
+        response.status = 504;
+        return response;
+    }
+
     void addHeader(evhtp_request_t* request, const std::string& name, const std::string& value)
     {
         evhtp_headers_add_header(request->headers_out, evhtp_header_new(name.c_str(), value.c_str(), 1, 1));
@@ -130,7 +138,7 @@
 
         void reply(http_response response) override
         {
-            if (!m_request || m_hasReplied)
+            if (!m_request || m_hasReplied || m_isConnectionLost)
                 return;
             m_hasReplied = true;
             m_goneHook = nullptr;
@@ -176,9 +184,25 @@
         {
             if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) == 0 || !m_request || !m_isPaused)
                 return;
+            m_isConnectionLost = true;
             callGoneHook();
         }
 
+        // The connection stays until the reply. Without a holder but these, there will be none.
+        static void onCallerEnded(const std::weak_ptr<responder>& answering)
+        {
+            const std::shared_ptr<responder> held = answering.lock();
+            if (!held)
+                return;
+            held->callGoneHook();
+            held->m_loop.post([answering] {
+                constexpr long ownHolders = 2; // the library's request and the next line
+                const std::shared_ptr<responder> waiting = answering.lock();
+                if (waiting && waiting.use_count() <= ownHolders)
+                    waiting->reply(makeUnansweredResponse());
+            });
+        }
+
         // Lets the library free a paused request whose connection was lost and that nobody answered.
         void abandon()
         {
@@ -227,6 +251,7 @@
         std::size_t& m_openRequests;
         bool m_isPaused = false;
         bool m_hasReplied = false;
+        bool m_isConnectionLost = false; // by an error; the library frees the request once it is resumed
         std::function<void()> m_goneHook;
     };
 
@@ -363,13 +388,11 @@
     {
         requestsOfEndedConnections.begun += gate.requestsBegun();
         requestsOfEndedConnections.handled += gate.requestsHandled();
-        const internal::unfinished_work work = gate.unfinishedWork();
-        if (work == internal::unfinished_work::none)
-            return;
-        if (gate.hasCallerEnded()) {
+        if (gate.hasCallerLeftEarly())
             ++requestsOfEndedConnections.leftByCaller;
+        const internal::unfinished_work work = gate.unfinishedWork();
+        if (work == internal::unfinished_work::none || gate.hasCallerEnded())
             return;
-        }
         std::string_view state;
         if (work == internal::unfinished_work::partial_request) {
             ++closures.withPartialRequest;
@@ -405,6 +428,7 @@
         for (const auto& [connection, gate] : connections) {
             sums.begun += gate->requestsBegun();
             sums.handled += gate->requestsHandled();
+            sums.leftByCaller += gate->hasCallerLeftEarly() ? 1 : 0;
         }
         return sums;
     }
@@ -502,6 +526,8 @@
             return;
         evhtp_connection_set_hook(evhtp_request_get_connection(request), evhtp_hook_on_event, toHook(&onConnectionEvent), reference);
         held->pause();
+        if (gate)
+            gate->onRequestWaits([waiting = std::weak_ptr<responder>(held)] { responder::onCallerEnded(waiting); });
     }
 
     event_loop& loop;
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -16,16 +16,17 @@
 
 namespace jackdaw::transport {
 
-// Answers one request, once. It may outlive the caller's connection: a reply to a caller who went away is dropped.
+// Answers one request, once. It may outlive the caller's connection: a reply to a caller who went away is dropped. A caller that has only ended
+// its sending side still gets the reply; if the responder is released without one, that is 504.
 class http_responder {
 public:
     virtual ~http_responder() = default;
     virtual void reply(http_response response) = 0;
 
-    // The hook runs when the caller closes the connection before the reply.
+    // The hook runs when the caller closes the connection, or its sending side, before the reply.
     virtual void onCallerGone(std::function<void()> hook) = 0;
 
-    // Whether the caller has closed the connection, also if that has not been read yet.
+    // Whether the caller has closed the connection, or its sending side, also if that has not been read yet.
     virtual bool isCallerGone() const = 0;
 };
 
@@ -68,7 +69,7 @@
     std::uint64_t connectionsAccepted = 0;
     std::uint64_t begun = 0; // the first byte was read
     std::uint64_t handled = 0; // the handler was given the request
-    std::uint64_t leftByCaller = 0; // the caller ended the connection before the response was sent
+    std::uint64_t leftByCaller = 0; // connections that the caller ended, or its sending side, before a response was sent
 };
 
 class http_server {
--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -91,6 +91,7 @@
 void request_gate::onReplied(bool closesConnection)
 {
     m_closesConnection = closesConnection;
+    m_onCallerEnded = nullptr;
     enter(phase::answering);
     updateAccount();
 }
@@ -241,7 +242,7 @@
         return 0;
     switch (m_phase) {
     case phase::handled:
-        return 0;
+        return m_hasCallerEnded ? 3 : 0;
     case phase::answering:
         return 1;
     default:
@@ -312,6 +313,8 @@
             refuse(408);
         return;
     case phase::handled:
+        if (m_hasCallerEnded)
+            tellCallerEnded();
         return;
     case phase::refused:
         if (since >= lingerTime)
@@ -345,11 +348,29 @@
         gate.onSent();
 }
 
+bool request_gate::mustAnswer() const
+{
+    return m_phase == phase::handled || (m_phase > phase::handled && evbuffer_get_length(bufferevent_get_output(m_stream)) > 0);
+}
+
+// The hook may reply, which removes it.
+void request_gate::tellCallerEnded() const
+{
+    if (const std::function<void()> hook = m_onCallerEnded)
+        hook();
+}
+
+// libevhtp closes a connection at the end of its input. That is held back until what was received before it is answered: libevent has
+// turned reading off, and reports the end again when the response is sent and reading is back on.
 void request_gate::onEvent(bufferevent* stream, short events, void* self)
 {
     auto& gate = *static_cast<request_gate*>(self);
-    if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0)
+    if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
         gate.m_hasCallerEnded = true;
+        gate.m_hasCallerLeftEarly = gate.m_hasCallerLeftEarly || gate.unfinishedWork() != unfinished_work::none;
+    }
+    if (events == (BEV_EVENT_READING | BEV_EVENT_EOF) && gate.mustAnswer())
+        return gate.tellCallerEnded();
     if (gate.m_event)
         gate.m_event(stream, events, gate.m_argument);
 }
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -67,6 +67,9 @@
     // The handler has been given the request.
     void onRequestRead();
 
+    // The handler answers later. The hook runs when the caller has ended its sending side, and at each check of times from then on to the reply.
+    void onRequestWaits(std::function<void()> onCallerEnded) { m_onCallerEnded = std::move(onCallerEnded); }
+
     // The response of the request that was read last has been queued.
     void onReplied(bool closesConnection);
 
@@ -94,9 +97,12 @@
     // Whether the caller has sent bytes that have not been read.
     bool hasUnreadInput() const;
 
-    // Whether the caller, or a failure of the connection, has ended it.
+    // Whether the caller has ended its sending side, or a failure has ended the connection.
     bool hasCallerEnded() const { return m_hasCallerEnded; }
 
+    // Whether that was before the present response was sent.
+    bool hasCallerLeftEarly() const { return m_hasCallerLeftEarly; }
+
 private:
     enum class phase {
         idle,
@@ -117,6 +123,8 @@
     void limitReading();
     void onSent();
     bool canSend() const;
+    bool mustAnswer() const;
+    void tellCallerEnded() const;
 
     static void onOutputChange(evbuffer* output, const evbuffer_cb_info* change, void* self);
     static void onReadable(bufferevent* stream, void* self);
@@ -145,6 +153,8 @@
     bool m_isAboutToMove = false; // the next pass of the loop reads a request or sends the response; not evicted until then
     bool m_closesConnection = false;
     bool m_hasCallerEnded = false;
+    bool m_hasCallerLeftEarly = false;
+    std::function<void()> m_onCallerEnded; // empty unless a request waits for its reply
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     bufferevent_data_cb m_readable = nullptr;
     bufferevent_data_cb m_written = nullptr;
--- a/src/transport/memory_budget.h
+++ b/src/transport/memory_budget.h
@@ -18,7 +18,7 @@
         virtual ~holder() = default;
         virtual std::size_t heldBytes() const = 0;
 
-        // How little is lost when it is closed; 0: a request was read in full and must be answered.
+        // How little is lost when it is closed; 0: a request was read in full and must be answered, since its caller waits.
         virtual int evictionRank() const = 0;
         virtual protocol::time_point idleSince() const = 0;
 
