--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -75,6 +75,9 @@
     // closes it by the hook.
     void refuseWithoutLibrary(std::function<void(close_reason reason)> close);
 
+    // The handler answers later. The hook runs when the caller has ended its sending side, and at each check of times from then on to the reply.
+    void onRequestWaits(std::function<void()> onCallerEnded) { m_onCallerEnded = std::move(onCallerEnded); }
+
     // The response of the request that was read last has been queued.
     void onReplied(bool closesConnection);
 
@@ -102,9 +105,12 @@
     // Whether the caller has sent bytes that the gate has not been given: they are in the socket or in the buffer of the library.
     bool hasUnreadInput() const;
 
-    // Whether the caller, or a failure of the connection, has ended it.
+    // Whether the caller has ended its sending side, or a failure has ended the connection.
     bool hasCallerEnded() const { return m_hasCallerEnded; }
 
+    // Whether that was before the present response was sent.
+    bool hasCallerLeftEarly() const { return m_hasCallerLeftEarly; }
+
 private:
     enum class phase {
         idle,
@@ -126,6 +132,8 @@
     void onSent();
     bool canSend() const;
     bool mayHaveArrived() const;
+    bool mustAnswer() const;
+    void tellCallerEnded() const;
 
     static void onOutputChange(evbuffer* output, const evbuffer_cb_info* change, void* self);
     static void onReadable(bufferevent* stream, void* self);
@@ -156,6 +164,8 @@
     bool m_isOverdue = false; // the last check found a whole request that libevhtp has not handed over
     bool m_closesConnection = false;
     bool m_hasCallerEnded = false;
+    bool m_hasCallerLeftEarly = false;
+    std::function<void()> m_onCallerEnded; // empty unless a request waits for its reply
     std::shared_ptr<bool> m_isAlive = std::make_shared<bool>(true);
     bufferevent_data_cb m_readable = nullptr;
     bufferevent_data_cb m_written = nullptr;
