Job router: each caller of a job is answered by its own deadline

Callers saw: a job that was sent again to the host that already had it was answered at the first submission's deadline. A second caller that waits less, as after a change of the configuration to a shorter timeout, heard nothing before its own; one that waits longer was answered 504 early, and the job was cancelled under it.

Cause: a job had one deadline, the first caller's; a later caller was only added to a list.

Change: each caller has its own time; the job ends with the last of them. The owner is told the time of the caller that waits longest: in the first order, each resent one and each hand-over. A caller that waits longer than all before makes the order go out again at once, as a new submission (a message of the present kind, only in this case), since an order that is resent under its number can only shorten. Answers to the earlier number are outdated then, but for a release, which names the runs of the cell.

Two runs of one task: a caller sends its job again only once it has given up the submission before. So when a later caller of a job was answered without a result, or has left, earlier ones keep the job for 700 ms at most, which leaves three cancellations before it is sent to any host 1.3 s later. Before, an earlier connection whose loss went unnoticed kept the job until its own deadline.

--- a/src/coordination/cells/job_router.cpp
+++ b/src/coordination/cells/job_router.cpp
@@ -16,6 +16,9 @@
     constexpr duration cancelGracePeriod = milliseconds(200); // for the owner to notice the deadline and end the job by itself
     constexpr duration resendInterval = milliseconds(500); // the order or its answer may have been lost with a connection
     constexpr duration cancelResendInterval = milliseconds(200); // several before callers send the job again, 1.3 s later
+    // Three cancellations before a caller that was answered without a result, or has left, sends the job again to any host, 1.3 s later.
+    constexpr duration earlierCallersStay = milliseconds(1300) - 3 * cancelResendInterval;
+    constexpr std::string_view overdueReason = "no answer before the caller's deadline";
     constexpr std::uint32_t retryWithoutOwnerMs = 1500; // a failed owner is replaced within this time
     // From a full cell to one whose zone is evacuated, and on; more happen only while hosts know of different orders.
     constexpr std::uint32_t maxMoves = 4;
@@ -36,10 +39,8 @@
 {
     m_jobOfCaller[caller] = order.id;
     const auto known = m_jobs.find(order.id);
-    if (known != m_jobs.end()) {
-        known->second.callers.push_back(caller);
-        return;
-    }
+    if (known != m_jobs.end())
+        return addCaller(now, known->second, caller, milliseconds(order.timeLeftMs));
     if (milliseconds(order.timeLeftMs) <= answerMargin) {
         m_jobOfCaller.erase(caller);
         m_actions.emplace_back(answer_callers { { caller }, protocol::makeOrderAnswer(order, job_outcome::rejected, "too little time is left before the caller's deadline", retryAfterDelayMs) });
@@ -58,21 +59,64 @@
     }
     pending_job job;
     job.deadline = now + milliseconds(order.timeLeftMs);
-    job.answerBy = job.deadline - answerMargin;
     job.arrivedAt = now;
-    job.callers = { caller };
+    job.callers = { { caller, job.deadline - answerMargin } };
     if (target)
         job.cell = *target;
     else
         job.cell = preferredCell.empty() ? m_homeCellOf(order.id) : std::move(preferredCell);
     job.order = std::move(order);
     job.order.submissionNumber = ++m_lastSubmission;
+    job.firstSubmission = m_lastSubmission;
     const std::string id = job.order.id;
     pending_job& added = m_jobs.emplace(id, std::move(job)).first->second;
     updateBytes(added);
     forwardToOwner(now, added);
 }
 
+time_point job_router::pending_job::answerBy() const
+{
+    return std::max_element(callers.begin(), callers.end(), [](const auto& left, const auto& right) { return left.answerBy < right.answerBy; })->answerBy;
+}
+
+void job_router::addCaller(time_point now, pending_job& job, caller_id caller, duration timeLeft)
+{
+    const time_point before = job.answerBy();
+    job.callers.push_back({ caller, now + timeLeft - answerMargin });
+    job.deadline = std::max(job.deadline, now + timeLeft);
+    if (job.answerBy() <= before || job.host.empty())
+        return;
+    // The owner ends the job at the time that it knows of. An order that is resent can't lengthen it, since it may have been under way for long.
+    job.order.submissionNumber = ++m_lastSubmission;
+    send(now, job);
+}
+
+// A caller sends its job again once it has given up the submission before. Those that came earlier are most likely of the same caller, on
+// connections whose loss is not known here, and must not keep the job until it runs elsewhere.
+void job_router::removeCaller(time_point now, pending_job& job, std::size_t index)
+{
+    job.callers.erase(job.callers.begin() + static_cast<std::ptrdiff_t>(index));
+    for (std::size_t earlier = 0; earlier < index; ++earlier)
+        job.callers[earlier].answerBy = std::min(job.callers[earlier].answerBy, now + earlierCallersStay);
+}
+
+void job_router::answerOverdueCallers(time_point now, pending_job& job)
+{
+    if (now >= job.answerBy())
+        return;
+    answer_callers overdue { {}, protocol::makeOrderAnswer(job.order, job_outcome::unfinished, overdueReason) };
+    for (std::size_t index = job.callers.size(); index-- > 0;) {
+        const waiting_caller caller = job.callers[index];
+        if (now < caller.answerBy)
+            continue;
+        m_jobOfCaller.erase(caller.id);
+        overdue.callers.push_back(caller.id);
+        removeCaller(now, job, index);
+    }
+    if (!overdue.callers.empty())
+        m_actions.emplace_back(std::move(overdue));
+}
+
 void job_router::updateBytes(pending_job& job)
 {
     m_bytes -= job.bytes;
@@ -117,7 +161,7 @@
     order.fencingToken = job.token;
     const auto age = std::chrono::duration_cast<milliseconds>(now - job.arrivedAt).count();
     // Callers that were answered send the job again as others do, so its owner must not count them as waiting until the deadline.
-    const auto left = std::chrono::duration_cast<milliseconds>(job.answerBy - now).count();
+    const auto left = std::chrono::duration_cast<milliseconds>(job.answerBy() - now).count();
     order.ageMs += static_cast<std::uint32_t>(age);
     order.timeLeftMs = static_cast<std::uint32_t>(std::max<std::int64_t>(left, 0));
     m_actions.emplace_back(forward_job { job.host, std::move(order) });
@@ -133,9 +177,14 @@
     const auto known = m_jobs.find(id);
     if (known == m_jobs.end())
         return;
-    std::erase(known->second.callers, caller);
-    if (known->second.callers.empty())
+    std::vector<waiting_caller>& callers = known->second.callers;
+    if (callers.size() == 1) {
+        callers.clear();
         cancel(now, id);
+        return;
+    }
+    const auto gone = std::find_if(callers.begin(), callers.end(), [caller](const waiting_caller& waiting) { return waiting.id == caller; });
+    removeCaller(now, known->second, static_cast<std::size_t>(gone - callers.begin()));
 }
 
 void job_router::sendCancel(time_point now, const pending_job& job)
@@ -172,9 +221,12 @@
 void job_router::finish(const std::string& id, order_answer answer)
 {
     const auto known = m_jobs.find(id);
-    for (const caller_id caller : known->second.callers)
-        m_jobOfCaller.erase(caller);
-    m_actions.emplace_back(answer_callers { std::move(known->second.callers), std::move(answer) });
+    std::vector<caller_id> callers;
+    for (const waiting_caller& caller : known->second.callers) {
+        m_jobOfCaller.erase(caller.id);
+        callers.push_back(caller.id);
+    }
+    m_actions.emplace_back(answer_callers { std::move(callers), std::move(answer) });
     m_bytes -= known->second.bytes;
     m_jobs.erase(known);
 }
@@ -188,7 +240,10 @@
         return;
     pending_job& job = known->second;
     const bool isResult = answer.outcome == job_outcome::completed || answer.outcome == job_outcome::failed;
-    const bool isOfThisOrder = job.host == host && answer.submissionNumber == job.order.submissionNumber && answer.handOverCount == job.order.handOverCount;
+    const bool isOfLatestSubmission = answer.submissionNumber == job.order.submissionNumber;
+    // An owner that released the cell refuses the later submissions as well.
+    const bool isRelease = answer.outcome == job_outcome::released && answer.submissionNumber >= job.firstSubmission && answer.submissionNumber <= job.order.submissionNumber;
+    const bool isOfThisOrder = job.host == host && (isOfLatestSubmission || isRelease) && answer.handOverCount == job.order.handOverCount;
     if (!isOfThisOrder && !isResult)
         return; // the answer is to an earlier order, not to the current one
     if (answer.outcome == job_outcome::moved) {
@@ -249,7 +304,8 @@
     }
     std::vector<std::string> overdue;
     for (auto& [id, job] : m_jobs) {
-        if (now >= job.answerBy) {
+        answerOverdueCallers(now, job);
+        if (now >= job.answerBy()) {
             overdue.push_back(id);
             continue;
         }
@@ -271,7 +327,7 @@
     for (const std::string& id : overdue) {
         const pending_job& job = m_jobs.at(id);
         sendCancel(now, job);
-        finish(id, protocol::makeOrderAnswer(job.order, job_outcome::unfinished, "no answer before the caller's deadline"));
+        finish(id, protocol::makeOrderAnswer(job.order, job_outcome::unfinished, overdueReason));
     }
 }
 
--- a/src/coordination/cells/job_router.h
+++ b/src/coordination/cells/job_router.h
@@ -61,8 +61,8 @@
     // maxBytes: what the jobs in progress may take together. Each is kept until it is answered, to be forwarded again if its owner is lost.
     job_router(cell_lookup homeCellOf, owner_lookup ownerOf, evacuation_lookup evacuationTargetOf = {}, std::size_t maxBytes = unlimited);
 
-    // A resubmission of a job in progress adds the caller to that job. A job with too little time left for an answer is rejected: its
-    // caller may have given up and sent it again elsewhere. So is one that would take more than maxBytes together with the others.
+    // A resubmission of a job in progress adds the caller to that job; each caller is answered in its own time. A job with too little time
+    // left for an answer is rejected: its caller may have given up and sent it again elsewhere. So is one that would take more than maxBytes together with the others.
     // preferredCell: the cell that a new job is forwarded to first; empty: its home cell.
     void submit(time_point now, protocol::job_order order, caller_id caller, std::string preferredCell = {});
 
@@ -88,10 +88,15 @@
     std::size_t size() const { return m_jobs.size(); }
 
 private:
+    struct waiting_caller {
+        caller_id id = 0;
+        time_point answerBy; // when it is answered at the latest
+    };
     struct pending_job {
-        protocol::job_order order;
+        protocol::job_order order; // with the number of the latest submission
+        std::uint64_t firstSubmission = 0; // number of the first one
         std::size_t bytes = 0; // that the order takes
-        std::vector<caller_id> callers;
+        std::vector<waiting_caller> callers; // in the order of their arrival; not empty
         std::string cell;
         std::string host; // the owner that the job was forwarded to; empty: none
         std::uint64_t token = 0; // of the ownership that the job was forwarded to
@@ -100,10 +105,12 @@
         std::uint32_t moveCount = 0; // how often an owner moved the job to another cell
         std::uint32_t sendCount = 0; // how often the order was sent under that ownership
         time_point arrivedAt;
-        time_point deadline; // when the callers stop waiting
-        time_point answerBy; // when they are answered at the latest
+        time_point deadline; // when the last of the callers stops waiting
         time_point sentAt; // valid while host is not empty
         bool mayHaveRun = false; // the order was sent to an owner that has not confirmed that no task ran
+
+        // When the last of its callers is answered.
+        time_point answerBy() const;
     };
 
     // A cancellation that its owner has not answered. While it is lost, the job's tasks run on.
@@ -114,6 +121,10 @@
     };
     using cancel_key = std::tuple<std::string, std::uint64_t, std::string>; // job, submission number and host
 
+    void addCaller(time_point now, pending_job& job, caller_id caller, duration timeLeft);
+    static void removeCaller(time_point now, pending_job& job, std::size_t index);
+    // Unless all of them are overdue: then the job ends.
+    void answerOverdueCallers(time_point now, pending_job& job);
     void sendCancel(time_point now, const pending_job& job);
     void forwardToOwner(time_point now, pending_job& job);
     // The owner that the job was sent to may have started tasks, and the next one has to know of them.
--- a/src/coordination/cells/tests/job_router_tests.cpp
+++ b/src/coordination/cells/tests/job_router_tests.cpp
@@ -5,6 +5,11 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <map>
+#include <optional>
+#include <vector>
+
 using namespace jackdaw::cells;
 using jackdaw::cells::tests::cell_simulation;
 using jackdaw::protocol::job_order;
@@ -311,6 +316,103 @@
     }
 }
 
+// A caller whose connection broke sends its job again on another one, under a configuration with another timeout.
+TEST_CASE("a second caller of a job hears nothing before its own deadline, or ends the job of one that waits longer")
+{
+    router_fixture f;
+    const time_point start = f.now;
+    job_order order = f.makeOrder("1");
+    order.timeLeftMs = 1000;
+    f.router.submit(f.now, order, 1);
+    f.now += milliseconds(200);
+    order.timeLeftMs = 400;
+    f.router.submit(f.now, order, 2);
+    order.timeLeftMs = 1400;
+    f.router.submit(f.now, order, 3);
+    std::map<caller_id, std::int64_t> answeredAfter; // ms
+    std::int64_t cancelledAfter = 0; // ms
+    for (; f.now < start + seconds(2); f.now += milliseconds(20)) {
+        f.router.advance(f.now);
+        const std::int64_t after = std::chrono::duration_cast<milliseconds>(f.now - start).count();
+        for (const router_action& action : f.router.takeActions()) {
+            if (const auto* answer = std::get_if<answer_callers>(&action)) {
+                CHECK(answer->answer.outcome == job_outcome::unfinished);
+                for (const caller_id caller : answer->callers)
+                    CHECK(answeredAfter.emplace(caller, after).second);
+            } else if (std::holds_alternative<forward_cancel>(action) && cancelledAfter == 0) {
+                cancelledAfter = after;
+            }
+        }
+    }
+    CHECK(answeredAfter[1] == 960);
+    CHECK(answeredAfter[2] == 560);
+    CHECK(answeredAfter[3] == 1560);
+    CHECK(cancelledAfter == 1560);
+}
+
+TEST_CASE("an owner ends a job at its first caller's deadline, though a second one waits longer")
+{
+    router_fixture f;
+    job_order order = f.makeOrder("1");
+    order.timeLeftMs = 600;
+    f.router.submit(f.now, order, 1);
+    const auto first = f.sent();
+    CHECK(first.at(0).order.timeLeftMs == 560);
+    f.now += milliseconds(100);
+    order.timeLeftMs = 300; // less than the first one has: nothing new for the owner
+    f.router.submit(f.now, order, 2);
+    CHECK(f.sent().empty());
+    order.timeLeftMs = 1500;
+    f.router.submit(f.now, order, 3);
+    const auto second = f.sent();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].order.timeLeftMs == 1460);
+    CHECK(second[0].order.submissionNumber > first[0].order.submissionNumber);
+    // The end of the first order is none of the second, which the owner may have begun since.
+    f.router.onAnswer(f.now, "h1", makeOrderAnswer(first[0].order, job_outcome::rejected, ""));
+    CHECK(f.router.size() == 1);
+    f.now += milliseconds(500);
+    f.router.advance(f.now);
+    CHECK(f.sent().at(0).order.timeLeftMs == 960);
+    // Released before the second order arrived.
+    order_answer released = makeOrderAnswer(first[0].order, job_outcome::released, "");
+    released.doneTasks = { "1.0.0.0" };
+    f.router.onAnswer(f.now, "h1", released);
+    f.owner = cell_owner { "h2", 12, false };
+    f.router.advance(f.now);
+    const auto third = f.sent();
+    REQUIRE(third.size() == 1);
+    CHECK(third[0].order.timeLeftMs == 960);
+    CHECK(third[0].order.doneTasks == released.doneTasks);
+    f.answers.clear();
+    f.router.onAnswer(f.now, "h2", makeOrderAnswer(third[0].order, job_outcome::completed, ""));
+    f.sent();
+    REQUIRE(f.answers.size() == 1);
+    CHECK(f.answers[0].callers == std::vector<caller_id> { 3 });
+}
+
+// Of two connections of one caller the earlier one may be lost unnoticed, and the job is sent to another zone 1.3 s after the later one's end.
+TEST_CASE("a job runs on for an earlier connection when its caller has given up the later one")
+{
+    for (const bool isDisconnected : { true, false }) {
+        CAPTURE(isDisconnected);
+        router_fixture f;
+        job_order order = f.makeOrder("1");
+        order.timeLeftMs = 5000;
+        f.router.submit(f.now, order, 1);
+        order.timeLeftMs = 500;
+        f.router.submit(f.now, order, 2);
+        f.now += milliseconds(460);
+        if (isDisconnected)
+            f.router.onCallerGone(f.now, 2);
+        f.router.advance(f.now);
+        CHECK(f.router.size() == 1);
+        f.now += milliseconds(700); // 600 ms before the caller sends it again
+        f.router.advance(f.now);
+        CHECK(f.router.size() == 0);
+    }
+}
+
 TEST_CASE("a job whose answer could not arrive in time is sent to an owner")
 {
     for (const std::uint32_t timeLeftMs : { 1, 20, 40 }) {
