Cell owner: an answer names the order of each host that it goes to

Callers saw: a job that two hosts had handed in (its caller sent it again to another one), and that was cancelled at its owner, was answered as cancelled, and was handed in once more 500 ms later by the second host: it could start after its cancelling was acknowledged. In the same way a rejection, a move or a release did not reach the second host's caller until the order was resent.

Cause: the owner put the number of the first host's order into the answer to each of them. A host takes an answer with the number of an order that is not its own for outdated.

Before: REQUIRE( answer->origins.size() == 1 ) values: REQUIRE( 2 == 1 ) (one answer, numbered 5, for the orders 5 and 9 of two hosts).

Change: the owner keeps each host's latest order and hand-over count, and answers each with its own. This also lets a host's later order, which the router sends for a caller that waits longer, be answered. Not changed: the answers that an owner keeps for 10 s for orders that are sent again are those to the first host; a second host whose answer was lost still has its job begun again.

Result: cells_tests pass.

--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -33,18 +33,11 @@
     }
 }
 
-void cell_job::addOrigin(std::string_view origin, std::uint64_t submissionNumber)
+void cell_job::addOrigin(std::string_view origin, const job_order& wanted)
 {
-    std::uint64_t& latest = origins[std::string(origin)];
-    latest = std::max(latest, submissionNumber);
-}
-
-std::vector<std::string> cell_job::originNames() const
-{
-    std::vector<std::string> names;
-    for (const auto& [origin, submission] : origins)
-        names.push_back(origin);
-    return names;
+    waiting_origin& latest = origins[std::string(origin)];
+    if (wanted.submissionNumber >= latest.submissionNumber)
+        latest = { wanted.submissionNumber, wanted.handOverCount };
 }
 
 bool cell_job::isReady(std::size_t step) const
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -38,6 +38,12 @@
     std::string lastUpstream; // where the last run was sent
 };
 
+// A host whose callers wait for the job.
+struct waiting_origin {
+    std::uint64_t submissionNumber = 0; // of its latest order
+    std::uint32_t handOverCount = 0; // in that order
+};
+
 struct cell_step {
     std::vector<cell_task> tasks;
     std::uint32_t waiting = 0;
@@ -51,7 +57,7 @@
 
     job_order order; // without the spec
     const std::shared_ptr<const std::string> spec;
-    std::map<std::string, std::uint64_t, std::less<>> origins; // with the number of each one's latest order
+    std::map<std::string, waiting_origin, std::less<>> origins;
     std::vector<cell_step> steps;
     std::size_t bytes = 0; // that it takes beside its tasks; valid once it is counted as work in hand
     time_point submittedAt;
@@ -76,8 +82,7 @@
     // Declared run time of the longest chain of dependent steps.
     duration declaredCriticalPath() const;
 
-    void addOrigin(std::string_view origin, std::uint64_t submissionNumber);
-    std::vector<std::string> originNames() const;
+    void addOrigin(std::string_view origin, const job_order& wanted);
     std::string taskName(std::size_t step, std::size_t index) const;
 
     void markDone(std::string_view task);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -52,7 +52,7 @@
         // The first order may have waited on a link that was full or cut.
         if (known->origins.contains(origin) && known->order.submissionNumber == order.submissionNumber)
             known->deadline = std::min(known->deadline, now + milliseconds(order.timeLeftMs));
-        known->addOrigin(origin, order.submissionNumber);
+        known->addOrigin(origin, order);
         return;
     }
     if (const order_answer* answer = findCachedAnswer(order)) {
@@ -68,7 +68,7 @@
         onReport(now, report);
     auto owned = std::make_unique<cell_job>(order, now);
     cell_job& job = *owned;
-    job.addOrigin(origin, order.submissionNumber);
+    job.addOrigin(origin, order);
     for (internal::cell_step& step : job.steps) {
         for (internal::cell_task& task : step.tasks)
             task.lastRun = order.handOverCount * runsPerHandOver;
@@ -254,6 +254,18 @@
     return lastWantedAt(job) + settings.resubmissionDelay - messageMargin;
 }
 
+// Each origin knows its own order only, and takes an answer to another one for outdated.
+void cell_dispatcher::impl::answerOrigins(const cell_job& job, order_answer answer)
+{
+    if (job.origins.empty())
+        actions.emplace_back(owner_answer { {}, std::move(answer) });
+    for (const auto& [origin, waiting] : job.origins) {
+        answer.submissionNumber = waiting.submissionNumber;
+        answer.handOverCount = waiting.handOverCount;
+        actions.emplace_back(owner_answer { { origin }, answer });
+    }
+}
+
 // Answers and removes the job, and stops its remaining runs.
 void cell_dispatcher::impl::finish(time_point now, cell_job& job, order_answer answer)
 {
@@ -274,7 +286,7 @@
         failures.forget(job.order.id + '.');
     answeredJobs[job.order.id] = { answer, now + answerRetention };
     note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " runs_left=" + std::to_string(left));
-    actions.emplace_back(owner_answer { job.originNames(), std::move(answer) });
+    answerOrigins(job, answer);
     removeWork(job);
     jobs.erase(jobs.find(job.order.id));
 }
@@ -336,7 +348,7 @@
     if (!known)
         return;
     if (const auto waiting = known->origins.find(origin); waiting != known->origins.end()) {
-        if (submissionNumber > 0 && waiting->second > submissionNumber)
+        if (submissionNumber > 0 && waiting->second.submissionNumber > submissionNumber)
             return; // the caller of the later order still waits
         known->abandonedAt = m_impl->lastWantedAt(*known);
         known->origins.erase(waiting);
@@ -455,7 +467,7 @@
         }
         answer.runsOn = m_impl->upstreamsWithRunsOf(*job);
         answer.areRunsKnown = m_impl->areEarlierRunsKnown(now, *job);
-        m_impl->actions.emplace_back(owner_answer { job->originNames(), std::move(answer) });
+        m_impl->answerOrigins(*job, answer);
     }
     m_impl->note("cell_released", m_impl->settings.cell, "jobs=" + std::to_string(m_impl->jobs.size()));
     m_impl->jobs.clear();
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -482,6 +482,32 @@
     }
 }
 
+TEST_CASE("a second host takes the end of a cancelled job for that of another order, and sends the job again")
+{
+    cell_dispatcher dispatcher({}, {}, {});
+    const cell_simulation sim(1);
+    job_order job = sim.makeJob("1", 2, 14000, 900);
+    job.handOverCount = 1;
+    job.submissionNumber = 5;
+    dispatcher.submit({}, job, "host");
+    job.handOverCount = 2;
+    job.submissionNumber = 9;
+    dispatcher.submit({}, job, "other");
+    dispatcher.takeActions();
+    REQUIRE(dispatcher.cancelForCaller({}, "1"));
+    std::size_t answers = 0;
+    for (const cell_action& action : dispatcher.takeActions()) {
+        if (const auto* answer = std::get_if<owner_answer>(&action)) {
+            ++answers;
+            REQUIRE(answer->origins.size() == 1);
+            CHECK(answer->answer.outcome == job_outcome::unfinished);
+            CHECK(answer->answer.submissionNumber == (answer->origins[0] == "host" ? 5 : 9));
+            CHECK(answer->answer.handOverCount == (answer->origins[0] == "host" ? 1 : 2));
+        }
+    }
+    CHECK(answers == 2);
+}
+
 // After a cut heals, the job may reach the next owner before the news of an upstream that only the earlier owner knew.
 TEST_CASE("the next owner starts a task that runs on an upstream of which only the releasing owner knew")
 {
