Cell owner: a job ends with the caller that waits longest

Callers saw: of two callers of a job that are connected to different hosts, or that wait longer at the same host, the second's job was stopped at the first one's deadline. Worse, the first host's resent order could shorten the second one's time.

Cause: an owner kept one deadline for a job, set by its first order and shortened by resent ones.

Before: CHECK( sim.runningTasksOf("1") == 2 ) values: CHECK( 0 == 2 ) at 1,100 ms, of a second order that has 2,000 ms, both for one host and for two; outcome unfinished.

Change: each host has its own deadline: the one of its latest order, the shorter one if that is sent again, since it may have waited on a link. The job's is the latest of them, and falls back when a host cancels. What keeps a run is as before whether a host waits that is heard; the caller that waits longest is one of those.

--- a/src/coordination/cells/internal/cell_job.cpp
+++ b/src/coordination/cells/internal/cell_job.cpp
@@ -33,11 +33,32 @@
     }
 }
 
-void cell_job::addOrigin(std::string_view origin, const job_order& wanted)
+void cell_job::addOrigin(std::string_view origin, const job_order& wanted, time_point now)
 {
-    waiting_origin& latest = origins[std::string(origin)];
-    if (wanted.submissionNumber >= latest.submissionNumber)
-        latest = { wanted.submissionNumber, wanted.handOverCount };
+    waiting_origin added { wanted.submissionNumber, wanted.handOverCount, now + milliseconds(wanted.timeLeftMs) };
+    const auto [found, isNew] = origins.try_emplace(std::string(origin), added);
+    waiting_origin& latest = found->second;
+    if (!isNew && added.submissionNumber >= latest.submissionNumber) {
+        // One of two equal orders may have waited on a link that was full or cut.
+        if (added.submissionNumber == latest.submissionNumber)
+            added.deadline = std::min(added.deadline, latest.deadline);
+        latest = added;
+    }
+    updateDeadline();
+}
+
+void cell_job::removeOrigin(std::string_view origin)
+{
+    if (const auto found = origins.find(origin); found != origins.end())
+        origins.erase(found);
+    updateDeadline();
+}
+
+void cell_job::updateDeadline()
+{
+    const auto isEarlier = [](const auto& left, const auto& right) { return left.second.deadline < right.second.deadline; };
+    if (!origins.empty())
+        deadline = std::max_element(origins.begin(), origins.end(), isEarlier)->second.deadline;
 }
 
 bool cell_job::isReady(std::size_t step) const
--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -42,6 +42,7 @@
 struct waiting_origin {
     std::uint64_t submissionNumber = 0; // of its latest order
     std::uint32_t handOverCount = 0; // in that order
+    time_point deadline; // when the last of its callers is answered
 };
 
 struct cell_step {
@@ -62,7 +63,7 @@
     std::size_t bytes = 0; // that it takes beside its tasks; valid once it is counted as work in hand
     time_point submittedAt;
     time_point objectiveEnd;
-    time_point deadline; // when the caller is answered at the latest
+    time_point deadline; // the latest one of the origins; of the last one that waited, if none does
     time_point abandonedAt; // valid once no origin waits: when the last one was known to wait
     bool hasBegun = false; // a start was sent, or an earlier owner's run was found
     std::vector<std::string> groups; // whose shares of accepted jobs are compared; empty if it was not admitted here
@@ -82,7 +83,9 @@
     // Declared run time of the longest chain of dependent steps.
     duration declaredCriticalPath() const;
 
-    void addOrigin(std::string_view origin, const job_order& wanted);
+    void addOrigin(std::string_view origin, const job_order& wanted, time_point now);
+    void removeOrigin(std::string_view origin);
+    void updateDeadline();
     std::string taskName(std::size_t step, std::size_t index) const;
 
     void markDone(std::string_view task);
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -49,10 +49,7 @@
     }
     originsHeardAt[std::string(origin)] = now;
     if (cell_job* known = findJob(order.id)) {
-        // The first order may have waited on a link that was full or cut.
-        if (known->origins.contains(origin) && known->order.submissionNumber == order.submissionNumber)
-            known->deadline = std::min(known->deadline, now + milliseconds(order.timeLeftMs));
-        known->addOrigin(origin, order);
+        known->addOrigin(origin, order, now);
         return;
     }
     if (const order_answer* answer = findCachedAnswer(order)) {
@@ -68,7 +65,7 @@
         onReport(now, report);
     auto owned = std::make_unique<cell_job>(order, now);
     cell_job& job = *owned;
-    job.addOrigin(origin, order);
+    job.addOrigin(origin, order, now);
     for (internal::cell_step& step : job.steps) {
         for (internal::cell_task& task : step.tasks)
             task.lastRun = order.handOverCount * runsPerHandOver;
@@ -351,7 +348,7 @@
         if (submissionNumber > 0 && waiting->second.submissionNumber > submissionNumber)
             return; // the caller of the later order still waits
         known->abandonedAt = m_impl->lastWantedAt(*known);
-        known->origins.erase(waiting);
+        known->removeOrigin(origin);
     }
     if (!known->origins.empty())
         return;
--- a/src/coordination/cells/tests/cell_dispatcher_tests.cpp
+++ b/src/coordination/cells/tests/cell_dispatcher_tests.cpp
@@ -482,6 +482,33 @@
     }
 }
 
+// A second caller of a job at the same host, or at another one, that waits for longer than the first.
+TEST_CASE("an owner ends a job at the deadline of the caller that waits least, or names the wrong order in its answer")
+{
+    for (const bool isOtherHost : { false, true }) {
+        CAPTURE(isOtherHost);
+        cell_simulation sim(1);
+        openCell(sim, { "u1" });
+        job_order job = sim.makeJob("1", 2, 14000, 400);
+        job.submissionNumber = 5;
+        job.timeLeftMs = 700;
+        sim.submit(0, job, 1200);
+        sim.runFor(milliseconds(100));
+        job_order later = job;
+        later.submissionNumber = isOtherHost ? 3 : 6;
+        later.timeLeftMs = 2000;
+        sim.submit(0, later, 1200, isOtherHost ? "other" : "host");
+        job.timeLeftMs = 500; // sent again, or overtaken by the later order
+        sim.submit(0, job, 1200);
+        sim.runFor(milliseconds(1000));
+        CHECK(sim.runningTasksOf("1") == 2);
+        sim.runFor(milliseconds(500));
+        CHECK(outcomeOf(sim, "1") == job_outcome::completed);
+        CHECK(sim.outcomes().at("1").answer.submissionNumber == later.submissionNumber);
+        checkSafe(sim);
+    }
+}
+
 TEST_CASE("a second host takes the end of a cancelled job for that of another order, and sends the job again")
 {
     cell_dispatcher dispatcher({}, {}, {});
