Cell host: hosts are not called silent on the word of a stall of one's own

Callers saw: 504 for jobs whose host was alive, when their owner had stood still for over a second; and 410 (no such job) for a cancellation that a host read after such a stall, while another host of the zone had the job, which ran on.

Cause: handleSilentHosts, and the list of hosts that a cancellation is searched at, went by what had been read. endSilentOrigins already waits until what came in during a stall was read.

Before: host_silent host=127.0.0.2 in the pass in which the loop woke up; CHECK( cancelled == cells::cancel_outcome::cancelled ) values: CHECK( {?} == 0 ) CHECK( hasJob() ) values: CHECK( false )

Change: no host is called silent until the input of the stall was read, and a search asks the hosts that were live before it.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -208,6 +208,8 @@
 
 void cell_host::impl::handleSilentHosts()
 {
+    if (stalls.maxInputDelay() > duration::zero())
+        return; // what they have sent may be unread
     const time_point now = steadyNow();
     std::set<std::string> silent;
     for (std::string& host : ownership.silentHosts(now))
--- a/src/apps/cell_host/internal/cell_host_messages.cpp
+++ b/src/apps/cell_host/internal/cell_host_messages.cpp
@@ -236,7 +236,8 @@
 
 std::vector<std::string> cell_host::impl::otherHostsOfZone() const
 {
-    std::vector<std::string> hosts = ownership.hostsOf(steadyNow(), settings.zone);
+    // While this host stood still it has heard from none.
+    std::vector<std::string> hosts = ownership.hostsOf(steadyNow() - stalls.maxInputDelay(), settings.zone);
     std::erase(hosts, settings.host);
     return hosts;
 }
