Mesh: a link is not called silent while the peer's bytes wait unread

Seen: after a timer that took long, a host dialled its links anew, since it judged their silence before it had read the acknowledgements. What the old link had in hand was lost; jobs recovered after 500 ms.

Before: CHECK( relay.connectionsTaken() == 1 ) values: CHECK( 2 == 1 )

Change: if the socket of the peer's connection has bytes to read, the link is judged at the next tick, a sixth of the silence limit later. Once only, so that a peer that sends without acknowledging is still dialled anew.

--- a/src/transport/internal/mesh_listener.cpp
+++ b/src/transport/internal/mesh_listener.cpp
@@ -11,6 +11,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -98,6 +99,13 @@
         connections.erase(found);
     }
 
+    static std::size_t unreadBytes(const connection& link)
+    {
+        int bytes = 0;
+        const bool isKnown = ioctl(bufferevent_getfd(link.stream), FIONREAD, &bytes) == 0;
+        return isKnown ? static_cast<std::size_t>(bytes) : 0;
+    }
+
     bool closeOldestStranger()
     {
         const auto found = std::find_if(connections.begin(), connections.end(), [](const auto& item) { return !item.second.hasDelivered; });
@@ -220,6 +228,12 @@
     return m_impl->connections.contains(connection);
 }
 
+bool mesh_listener::hasUnread(connection_id connection) const
+{
+    const auto found = m_impl->connections.find(connection);
+    return found != m_impl->connections.end() && impl::unreadBytes(found->second) > 0;
+}
+
 std::uint64_t mesh_listener::closedConnections() const
 {
     return m_impl->closedForLimit;
--- a/src/transport/internal/mesh_listener.h
+++ b/src/transport/internal/mesh_listener.h
@@ -38,6 +38,9 @@
     void close(connection_id connection);
 
     bool isConnected(connection_id connection) const;
+
+    // Whether bytes have arrived on the connection that were not read yet.
+    bool hasUnread(connection_id connection) const;
     std::size_t connections() const;
     std::uint64_t closedConnections() const; // because of a limit
 
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace jackdaw::transport {
@@ -30,6 +31,7 @@
         std::uint64_t lastSequence = 0; // of the frames with bodies that were sent
         std::uint64_t ackedSequence = 0; // never over lastSequence
         time_point unackedSince; // valid while ackedSequence < lastSequence
+        bool isInputAwaited = false; // the link looked silent at the last tick, while bytes of the peer were unread
         std::uint64_t heardIncarnation = 0;
         std::uint64_t heardSequence = 0;
         time_point dialledAt;
@@ -74,6 +76,7 @@
         peer.link = std::make_unique<internal::mesh_link>(loop, peer.address, internal::mesh_link::hooks { [this, host] { onSent(host); }, reportRefusal });
         peer.dialledAt = protocol::steadyNow();
         peer.hasSent = false;
+        peer.isInputAwaited = false;
     }
 
     bool send(std::string_view host, std::string_view body)
@@ -200,6 +203,14 @@
             return;
         peer.ackedSequence = std::min(frame.ackSequence, peer.lastSequence);
         peer.unackedSince = protocol::steadyNow();
+        peer.isInputAwaited = false;
+    }
+
+    // An acknowledgement may wait unread while this process is late. It is read before the next tick, or is not among those bytes.
+    bool awaitsInput(const std::string& host, peer& peer) const
+    {
+        const auto connection = inbound.find(host);
+        return !std::exchange(peer.isInputAwaited, true) && connection != inbound.end() && listener.hasUnread(connection->second);
     }
 
     // Sends the acknowledgements that no frame carried, and dials silent links anew.
@@ -212,7 +223,7 @@
             const bool isSilent = peer.ackedSequence < peer.lastSequence && now - peer.unackedSince >= settings.silenceLimit;
             if (isUnopened) {
                 dialUnopened(host, peer);
-            } else if (isSilent) {
+            } else if (isSilent && !awaitsInput(host, peer)) {
                 peer.ackedSequence = peer.lastSequence; // what is lost is lost: nobody sends it again
                 dial(host, peer);
             }
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -15,6 +15,8 @@
 #include <malloc.h>
 #include <netinet/in.h>
 
+#include <atomic>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -24,6 +26,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace jackdaw::transport;
@@ -381,6 +384,47 @@
     }
 }
 
+// The loop's timers run before it reads what has arrived while one of them took long.
+TEST_CASE("a host that stood still dials a link anew, though the peer's answer waits unread")
+{
+    mesh_fixture fixture;
+    event_loop peerLoop;
+    const std::string address = freeAddress();
+    const std::string peerAddress = freeAddress();
+    std::atomic<int> heardByPeer = 0;
+    std::atomic<std::uint64_t> sentByPeer = 0;
+    mesh peer(peerLoop, { "b", 2, peerAddress }, [&](const mesh_delivery&) { ++heardByPeer; });
+    REQUIRE(peer.listen());
+    tests::tcp_relay relay(peerLoop, portOf(peerAddress));
+    const auto count = peerLoop.every(std::chrono::milliseconds(1), [&] { sentByPeer = peer.sentMessages(); });
+    peer.setPeer("a", address);
+    int heard = 0;
+    const auto self = fixture.start("a", 1, address, [&](const mesh_delivery&) { ++heard; });
+    self->setPeer("b", "127.0.0.1:" + std::to_string(relay.port()));
+    peer.send("a", "hello");
+    std::thread peerThread([&] { peerLoop.run(); });
+    fixture.runUntil([&] { return heard == 1; });
+    self->send("b", "hello"); // acknowledged 500 ms later, since nothing else is sent
+    fixture.runUntil([&] { return heardByPeer == 1; });
+
+    std::unique_ptr<event_loop::timer> longTimer;
+    const auto timer = fixture.loop.after({}, [&] {
+        longTimer = fixture.loop.after({}, [&] {
+            const auto begin = std::chrono::steady_clock::now();
+            const std::uint64_t sentBefore = sentByPeer;
+            while (sentByPeer == sentBefore || std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(1000))
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(100)); // the links' timer is due within it
+    });
+    int rounds = 0;
+    const auto counter = fixture.loop.every(std::chrono::milliseconds(50), [&] { ++rounds; });
+    fixture.runUntil([&] { return longTimer && rounds >= 10; });
+    peerLoop.stop();
+    peerThread.join();
+    CHECK(relay.connectionsTaken() == 1);
+}
+
 TEST_CASE("a process of an earlier build, which speaks the pipeline protocol, is not understood")
 {
     mesh_fixture fixture;
