Mesh: a host's earlier connection is read before a later one replaces it

Seen: messages that a host had written to its earlier connection were dropped when the first frame of its later one was read before them: orders, answers and cancellations that came in during a stall of the reader, which makes the sender dial anew.

Before: CHECK( heard == { "first", "second", "third", "fourth" } ) fails: "second" is missing.

Change: what has arrived on the earlier connection is read and delivered first, so the sender's order is kept; then it is closed. Only what is there at that moment, so a sender that goes on can't hold the loop.

--- a/src/transport/internal/mesh_listener.cpp
+++ b/src/transport/internal/mesh_listener.cpp
@@ -135,9 +135,8 @@
     }
 
     // Returns false if the connection does not speak the links' protocol.
-    static bool readHeader(connection& link)
+    static bool readHeader(connection& link, evbuffer* input)
     {
-        evbuffer* input = bufferevent_get_input(link.stream);
         pipeline_header header {};
         if (evbuffer_get_length(input) < header.size())
             return true;
@@ -149,15 +148,43 @@
     void read(connection& link)
     {
         const connection_id id = link.id;
-        if (!link.isOpen && !readHeader(link))
-            return close(id);
-        evbuffer* input = bufferevent_get_input(link.stream);
+        if (!deliver(link, bufferevent_get_input(link.stream)))
+            close(id);
+        else if (connections.contains(id))
+            count(link);
+    }
+
+    void finish(connection_id id)
+    {
+        const auto found = connections.find(id);
+        if (found == connections.end())
+            return;
+        connection& link = found->second;
+        const std::unique_ptr<evbuffer, decltype(&evbuffer_free)> input(evbuffer_new(), &evbuffer_free);
+        evbuffer_add_buffer(input.get(), bufferevent_get_input(link.stream));
+        // Only what is there now: a peer that goes on sending must not keep the loop.
+        for (std::size_t unread = unreadBytes(link); unread > 0;) {
+            const int count = evbuffer_read(input.get(), bufferevent_getfd(link.stream), static_cast<int>(unread));
+            if (count <= 0)
+                break;
+            unread -= std::min(unread, static_cast<std::size_t>(count));
+        }
+        deliver(link, input.get());
+        close(id);
+    }
+
+    // Hands whole messages to the hook, which may close the connection. Returns false if the peer breaks the protocol.
+    bool deliver(connection& link, evbuffer* input)
+    {
+        const connection_id id = link.id;
+        if (!link.isOpen && !readHeader(link, input))
+            return false;
         while (link.isOpen && evbuffer_get_length(input) >= messageLengthBytes) {
             message_length prefix {};
             evbuffer_copyout(input, prefix.data(), prefix.size());
             const std::uint64_t length = decodeMessageLength(prefix);
             if (length > limits.maxMessageBytes)
-                return close(id);
+                return false;
             if (evbuffer_get_length(input) < messageLengthBytes + length)
                 break;
             evbuffer_drain(input, messageLengthBytes);
@@ -165,10 +192,10 @@
             evbuffer_remove(input, message.data(), message.size());
             onBytes(id, message);
             if (!connections.contains(id))
-                return; // the hook has closed it
+                return true;
             link.hasDelivered = true;
         }
-        count(link);
+        return true;
     }
 
     static void onReadable(bufferevent*, void* argument)
@@ -218,9 +245,9 @@
     return boost::outcome_v2::success();
 }
 
-void mesh_listener::close(connection_id connection)
+void mesh_listener::finish(connection_id connection)
 {
-    m_impl->close(connection);
+    m_impl->finish(connection);
 }
 
 bool mesh_listener::isConnected(connection_id connection) const
--- a/src/transport/internal/mesh_listener.h
+++ b/src/transport/internal/mesh_listener.h
@@ -34,8 +34,9 @@
     // The address is "ip:port".
     protocol::result<void> listen(const std::string& address);
 
-    // Closes a connection whose peer has opened a new one. May be called from the hook.
-    void close(connection_id connection);
+    // Reads what has arrived on a connection whose peer has opened a new one, and closes it. May be called from the hook of a later
+    // connection, and runs the hook for each message that was still unread.
+    void finish(connection_id connection);
 
     bool isConnected(connection_id connection) const;
 
--- a/src/transport/mesh.cpp
+++ b/src/transport/mesh.cpp
@@ -181,9 +181,9 @@
         connection_id& latest = inbound[sender];
         if (connection <= latest)
             return;
-        if (latest != 0)
-            listener.close(latest);
-        latest = connection;
+        // What the sender wrote on the earlier one comes first.
+        if (const connection_id earlier = std::exchange(latest, connection); earlier != 0)
+            listener.finish(earlier);
     }
 
     void note(const internal::mesh_frame& frame)
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -425,6 +425,43 @@
     CHECK(relay.connectionsTaken() == 1);
 }
 
+TEST_CASE("of two connections of a host the earlier one is closed with messages that wait unread")
+{
+    mesh_fixture fixture;
+    const std::string address = freeAddress();
+    std::vector<std::string> heard;
+    const auto receiver = fixture.start("b", 1, address, [&](const mesh_delivery& delivery) { heard.emplace_back(delivery.body); });
+    const std::string header("\0SP\0\0\x50\0\0", 8);
+    const auto makeMessage = [](std::uint64_t sequence, const std::string& body) {
+        const std::string frame = internal::encodeFrame({ 1, "a", 2, sequence, 0, 0, { body } });
+        return std::string(7, '\0') + static_cast<char>(frame.size()) + frame;
+    };
+    const auto dial = [&address] {
+        const sockaddr_in name = parseAddress(address);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0);
+        return descriptor;
+    };
+    const auto write = [](int descriptor, std::string_view bytes) { REQUIRE(send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); };
+    const std::string third = makeMessage(3, "third");
+    const std::string fourth = makeMessage(4, "fourth");
+    const int earlier = dial();
+    write(earlier, header + makeMessage(1, "first"));
+    fixture.runUntil([&] { return heard.size() == 1; });
+    const int later = dial();
+    write(later, header + third.substr(0, 10));
+    int rounds = 0;
+    fixture.runUntil([&] { return receiver->acceptedConnections() == 2 && ++rounds > 50; });
+    // The loop reads the connections in the order in which they have become readable.
+    write(later, third.substr(10) + fourth);
+    write(earlier, makeMessage(2, "second") + "\x00");
+    fixture.runUntil([&] { return heard.back() == "fourth"; });
+    CHECK(heard == std::vector<std::string> { "first", "second", "third", "fourth" });
+    CHECK(receiver->acceptedConnections() == 1);
+    close(earlier);
+    close(later);
+}
+
 TEST_CASE("a process of an earlier build, which speaks the pipeline protocol, is not understood")
 {
     mesh_fixture fixture;
