Cell host: a cancellation is not answered 410 by a host that knows of no other

Callers saw: a host that has just started, or is cut off, and knows neither another host of its zone nor an owner, said that no such job exists. Its caller takes that for the end of the job, which runs on.

Cause: an empty list of hosts to ask counted as every host having answered.

Before: CHECK( outcome == cells::cancel_outcome::unanswered ) values: CHECK( {?} == 2 ) (unknown job)

Change: without a known owner in the zone the answer is 504. A host that owns the zone's cells alone still answers 410.

--- a/src/apps/cell_host/cell_host.cpp
+++ b/src/apps/cell_host/cell_host.cpp
@@ -397,7 +397,10 @@
         self.performActions();
         return done(cells::cancel_outcome::cancelled);
     }
-    self.cancelSearch.begin(now, job, self.otherHostsOfZone(), now + patience, std::move(done));
+    const std::vector<std::string> hosts = self.otherHostsOfZone();
+    if (hosts.empty() && !self.hasOwnerInZone())
+        return done(cells::cancel_outcome::unanswered); // this host has not heard from those that may have the job
+    self.cancelSearch.begin(now, job, hosts, now + patience, std::move(done));
     self.performActions();
 }
 
--- a/src/apps/cell_host/tests/stalled_host_tests.cpp
+++ b/src/apps/cell_host/tests/stalled_host_tests.cpp
@@ -1,4 +1,4 @@
-// A cell host on loopback that stands still while another host of its zone goes on.
+// A cell host on loopback that knows less than it should: it has just started, or stood still while another host of its zone went on.
 #include "apps/cell_host/cell_host.h"
 #include "protocol/config_messages.h"
 #include "transport/mesh.h"
@@ -159,3 +159,15 @@
     runUntil([&] { return other.gossips() >= sent + 20; });
     CHECK(hasJob());
 }
+
+TEST_CASE("a host that has just started says of a job that nobody has it, before it knows of an owner")
+{
+    transport::event_loop loop;
+    cell_host::cell_host_settings settings;
+    settings.host = hostAddress;
+    settings.zone = "a";
+    cell_host::cell_host host(loop, settings, 1, { {}, [](const protocol::configuration_push&) { return true; } });
+    std::optional<cells::cancel_outcome> outcome;
+    host.cancel(jobElsewhere, milliseconds(5000), [&](cells::cancel_outcome result) { outcome = result; });
+    CHECK(outcome == cells::cancel_outcome::unanswered);
+}
