--- a/src/coordination/cells/internal/cell_dispatcher_impl.h
+++ b/src/coordination/cells/internal/cell_dispatcher_impl.h
@@ -130,7 +130,7 @@
     std::ptrdiff_t countRuns(std::string_view task) const; // of a task, on all upstreams
     void requeue(cell_job& job, std::size_t step, std::size_t index);
     void requeueRun(const run_record& record);
-    void answerOrigins(const cell_job& job, protocol::order_answer answer);
+    void answerOrigins(const cell_job& job, const protocol::order_answer& answer);
     void finish(time_point now, cell_job& job, protocol::order_answer answer);
     void finishIfDone(time_point now, cell_job& job);
     // Until when a run of the job is certain to be over before a caller that has left sends the job again.
--- a/src/coordination/cells/internal/cell_jobs.cpp
+++ b/src/coordination/cells/internal/cell_jobs.cpp
@@ -252,14 +252,15 @@
 }
 
 // Each origin knows its own order only, and takes an answer to another one for outdated.
-void cell_dispatcher::impl::answerOrigins(const cell_job& job, order_answer answer)
+void cell_dispatcher::impl::answerOrigins(const cell_job& job, const order_answer& answer)
 {
     if (job.origins.empty())
-        actions.emplace_back(owner_answer { {}, std::move(answer) });
+        actions.emplace_back(owner_answer { {}, answer });
     for (const auto& [origin, waiting] : job.origins) {
-        answer.submissionNumber = waiting.submissionNumber;
-        answer.handOverCount = waiting.handOverCount;
-        actions.emplace_back(owner_answer { { origin }, answer });
+        owner_answer own { { origin }, answer };
+        own.answer.submissionNumber = waiting.submissionNumber;
+        own.answer.handOverCount = waiting.handOverCount;
+        actions.emplace_back(std::move(own));
     }
 }
 
@@ -281,9 +282,9 @@
     }
     if (answer.outcome == job_outcome::completed)
         failures.forget(job.order.id + '.');
-    answeredJobs[job.order.id] = { answer, now + answerRetention };
     note("job_ended", job.order.id, "outcome=" + std::string(protocol::toText(answer.outcome)) + " after_ms=" + toMs(now - job.submittedAt) + " until_objective_ms=" + toMs(job.objectiveEnd - now) + " runs_left=" + std::to_string(left));
     answerOrigins(job, answer);
+    answeredJobs[job.order.id] = { std::move(answer), now + answerRetention };
     removeWork(job);
     jobs.erase(jobs.find(job.order.id));
 }
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -454,7 +454,7 @@
     fixture.runUntil([&] { return receiver->acceptedConnections() == 2 && ++rounds > 50; });
     // The loop reads the connections in the order in which they have become readable.
     write(later, third.substr(10) + fourth);
-    write(earlier, makeMessage(2, "second") + "\x00");
+    write(earlier, makeMessage(2, "second") + std::string(1, '\0')); // and a part of one that never ends
     fixture.runUntil([&] { return heard.back() == "fourth"; });
     CHECK(heard == std::vector<std::string> { "first", "second", "third", "fourth" });
     CHECK(receiver->acceptedConnections() == 1);
