--- a/src/coordination/cells/internal/cell_job.h
+++ b/src/coordination/cells/internal/cell_job.h
@@ -38,6 +38,13 @@
     std::string lastUpstream; // where the last run was sent
 };
 
+// A host whose callers wait for the job.
+struct waiting_origin {
+    std::uint64_t submissionNumber = 0; // of its latest order
+    std::uint32_t handOverCount = 0; // in that order
+    time_point deadline; // when the last of its callers is answered
+};
+
 struct cell_step {
     std::vector<cell_task> tasks;
     std::uint32_t waiting = 0;
@@ -51,12 +58,12 @@
 
     job_order order; // without the spec
     const std::shared_ptr<const std::string> spec;
-    std::map<std::string, std::uint64_t, std::less<>> origins; // with the number of each one's latest order
+    std::map<std::string, waiting_origin, std::less<>> origins;
     std::vector<cell_step> steps;
     std::size_t bytes = 0; // that it takes beside its tasks; valid once it is counted as work in hand
     time_point submittedAt;
     time_point objectiveEnd;
-    time_point deadline; // when the caller is answered at the latest
+    time_point deadline; // the latest one of the origins; of the last one that waited, if none does
     time_point abandonedAt; // valid once no origin waits: when the last one was known to wait
     bool hasBegun = false; // a start was sent, or an earlier owner's run was found
     std::vector<std::string> groups; // whose shares of accepted jobs are compared; empty if it was not admitted here
@@ -76,8 +83,9 @@
     // Declared run time of the longest chain of dependent steps.
     duration declaredCriticalPath() const;
 
-    void addOrigin(std::string_view origin, std::uint64_t submissionNumber);
-    std::vector<std::string> originNames() const;
+    void addOrigin(std::string_view origin, const job_order& wanted, time_point now);
+    void removeOrigin(std::string_view origin);
+    void updateDeadline();
     std::string taskName(std::size_t step, std::size_t index) const;
 
     void markDone(std::string_view task);
--- a/src/transport/tests/mesh_tests.cpp
+++ b/src/transport/tests/mesh_tests.cpp
@@ -15,6 +15,8 @@
 #include <malloc.h>
 #include <netinet/in.h>
 
+#include <atomic>
+#include <chrono>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -24,6 +26,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace jackdaw::transport;
@@ -381,6 +384,84 @@
     }
 }
 
+// The loop's timers run before it reads what has arrived while one of them took long.
+TEST_CASE("a host that stood still dials a link anew, though the peer's answer waits unread")
+{
+    mesh_fixture fixture;
+    event_loop peerLoop;
+    const std::string address = freeAddress();
+    const std::string peerAddress = freeAddress();
+    std::atomic<int> heardByPeer = 0;
+    std::atomic<std::uint64_t> sentByPeer = 0;
+    mesh peer(peerLoop, { "b", 2, peerAddress }, [&](const mesh_delivery&) { ++heardByPeer; });
+    REQUIRE(peer.listen());
+    tests::tcp_relay relay(peerLoop, portOf(peerAddress));
+    const auto count = peerLoop.every(std::chrono::milliseconds(1), [&] { sentByPeer = peer.sentMessages(); });
+    peer.setPeer("a", address);
+    int heard = 0;
+    const auto self = fixture.start("a", 1, address, [&](const mesh_delivery&) { ++heard; });
+    self->setPeer("b", "127.0.0.1:" + std::to_string(relay.port()));
+    peer.send("a", "hello");
+    std::thread peerThread([&] { peerLoop.run(); });
+    fixture.runUntil([&] { return heard == 1; });
+    self->send("b", "hello"); // acknowledged 500 ms later, since nothing else is sent
+    fixture.runUntil([&] { return heardByPeer == 1; });
+
+    std::unique_ptr<event_loop::timer> longTimer;
+    const auto timer = fixture.loop.after({}, [&] {
+        longTimer = fixture.loop.after({}, [&] {
+            const auto begin = std::chrono::steady_clock::now();
+            const std::uint64_t sentBefore = sentByPeer;
+            while (sentByPeer == sentBefore || std::chrono::steady_clock::now() - begin < std::chrono::milliseconds(1000))
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        });
+        std::this_thread::sleep_for(std::chrono::milliseconds(100)); // the links' timer is due within it
+    });
+    int rounds = 0;
+    const auto counter = fixture.loop.every(std::chrono::milliseconds(50), [&] { ++rounds; });
+    fixture.runUntil([&] { return longTimer && rounds >= 10; });
+    peerLoop.stop();
+    peerThread.join();
+    CHECK(relay.connectionsTaken() == 1);
+}
+
+TEST_CASE("of two connections of a host the earlier one is closed with messages that wait unread")
+{
+    mesh_fixture fixture;
+    const std::string address = freeAddress();
+    std::vector<std::string> heard;
+    const auto receiver = fixture.start("b", 1, address, [&](const mesh_delivery& delivery) { heard.emplace_back(delivery.body); });
+    const std::string header("\0SP\0\0\x50\0\0", 8);
+    const auto makeMessage = [](std::uint64_t sequence, const std::string& body) {
+        const std::string frame = internal::encodeFrame({ 1, "a", 2, sequence, 0, 0, { body } });
+        return std::string(7, '\0') + static_cast<char>(frame.size()) + frame;
+    };
+    const auto dial = [&address] {
+        const sockaddr_in name = parseAddress(address);
+        const int descriptor = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        REQUIRE(connect(descriptor, reinterpret_cast<const sockaddr*>(&name), sizeof(name)) == 0);
+        return descriptor;
+    };
+    const auto write = [](int descriptor, std::string_view bytes) { REQUIRE(send(descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(bytes.size())); };
+    const std::string third = makeMessage(3, "third");
+    const std::string fourth = makeMessage(4, "fourth");
+    const int earlier = dial();
+    write(earlier, header + makeMessage(1, "first"));
+    fixture.runUntil([&] { return heard.size() == 1; });
+    const int later = dial();
+    write(later, header + third.substr(0, 10));
+    int rounds = 0;
+    fixture.runUntil([&] { return receiver->acceptedConnections() == 2 && ++rounds > 50; });
+    // The loop reads the connections in the order in which they have become readable.
+    write(later, third.substr(10) + fourth);
+    write(earlier, makeMessage(2, "second") + std::string(1, '\0')); // and a part of one that never ends
+    fixture.runUntil([&] { return heard.back() == "fourth"; });
+    CHECK(heard == std::vector<std::string> { "first", "second", "third", "fourth" });
+    CHECK(receiver->acceptedConnections() == 1);
+    close(earlier);
+    close(later);
+}
+
 TEST_CASE("a process of an earlier build, which speaks the pipeline protocol, is not understood")
 {
     mesh_fixture fixture;
