HTTP server: a listener closes once its queue is empty, and new connections have time for their first request

What callers saw: a request that was sent to a host as it stopped ended without an answer, a few milliseconds after it was sent, and the host never logged it.

Cause: stopAccepting() closed the listener at once, and the system resets what lies in its queue. closeIdleConnections() took a connection that had just been accepted for one that is not used any more, and closed it before its first request arrived.

Why it works: if connections wait, the system drops new handshakes (a socket filter that drops SYN), so that the queue cannot fill up again; libevhtp's listener accepts what waits, and the listener closes in the first check, each 5 ms, that finds the queue empty, after 500 ms in any case. A caller whose SYN is dropped is not connected and sends nothing; its system tries again 1 s later and finds the port closed. If nothing waits, as usual, the listener closes at once and nobody is dropped. Connections are closed as idle after 500 ms without a request only. endConnections() is what a program that stops calls until it is true; it makes each response announce the end of its connection.

Not covered: between the look and the close (microseconds, unless the process is preempted there) a connection can still arrive where none waited before; a handshake whose last segment is on its way when the listener closes is reset.

--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -10,7 +10,9 @@
 #include <event2/bufferevent.h>
 
 #include <arpa/inet.h>
+#include <linux/filter.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -31,8 +33,33 @@
     constexpr int listenBacklog = 1024;
     constexpr protocol::duration logInterval = std::chrono::seconds(5); // between two log lines on what limits have refused
     constexpr std::size_t maxUncheckedBytes = 16 * 1024; // of a response: about what a connection counts for at least
+    constexpr protocol::duration queueCheckInterval = std::chrono::milliseconds(5); // of a listener that is to close; a fraction of a slow pass of the loop
+    constexpr protocol::duration maxQueueTime = std::chrono::milliseconds(500); // until then the listener is closed whatever waits: two long passes of the loop
     constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this
 
+    bool hasWaitingConnections(int listener)
+    {
+        pollfd descriptor { listener, POLLIN, 0 };
+        return poll(&descriptor, 1, 0) > 0;
+    }
+
+    // The system drops what would begin a connection, so that the queue gets empty and a caller that comes now is not connected:
+    // its system tries again after a second and is told that the port is closed. Handshakes that have begun are completed.
+    bool dropNewConnections(int listener)
+    {
+        constexpr std::uint32_t flagsOffset = 13; // in a TCP header
+        constexpr std::uint32_t synFlag = 2;
+        constexpr std::uint32_t wholePacket = 0xffffffff;
+        std::array<sock_filter, 4> program { {
+            BPF_STMT(BPF_LD | BPF_B | BPF_ABS, flagsOffset),
+            BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, synFlag, 0, 1),
+            BPF_STMT(BPF_RET | BPF_K, 0),
+            BPF_STMT(BPF_RET | BPF_K, wholePacket),
+        } };
+        const sock_fprog filter { static_cast<unsigned short>(program.size()), program.data() };
+        return setsockopt(listener, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter)) == 0;
+    }
+
     // The library takes hooks of all types as one function type.
     template <typename Function>
     evhtp_hook toHook(Function* function)
@@ -115,12 +142,13 @@
     // The library's hooks keep a reference as long as the library's request lives.
     class responder final : public http_responder {
     public:
-        responder(evhtp_request_t* request, internal::request_gate* gate, event_loop& loop, const memory_budget& budget, std::size_t& openRequests)
+        responder(evhtp_request_t* request, internal::request_gate* gate, event_loop& loop, const memory_budget& budget, std::size_t& openRequests, const bool& isEnding)
             : m_request(request)
             , m_gate(gate)
             , m_loop(loop)
             , m_budget(budget)
             , m_openRequests(openRequests)
+            , m_isEnding(isEnding)
         {
             ++m_openRequests;
         }
@@ -136,6 +164,7 @@
             m_goneHook = nullptr;
             if (isTooLarge(response))
                 response = makeBusyResponse();
+            response.closesConnection = response.closesConnection || m_isEnding;
             if (!m_isPaused) {
                 sendResponse(m_request, response);
                 noteReply(response);
@@ -225,6 +254,7 @@
         event_loop& m_loop;
         const memory_budget& m_budget;
         std::size_t& m_openRequests;
+        const bool& m_isEnding; // of the server
         bool m_isPaused = false;
         bool m_hasReplied = false;
         std::function<void()> m_goneHook;
@@ -267,7 +297,7 @@
 
     ~impl()
     {
-        stopAccepting();
+        closeListener();
         while (!connections.empty())
             evhtp_connection_free(connections.begin()->first); // removes it from the map
         evhtp_free(server);
@@ -278,6 +308,26 @@
 
     void stopAccepting()
     {
+        if (!isListening || queueCheck)
+            return;
+        const int listener = evconnlistener_get_fd(server->server);
+        if (!hasWaitingConnections(listener))
+            return closeListener();
+        if (!dropNewConnections(listener))
+            state::logEvent(state::log_level::warning, "listener_not_filtered", { { "port", std::to_string(port) }, { "error", std::to_string(errno) } });
+        queueCheck = loop.every(queueCheckInterval, [this, listener, end = protocol::steadyNow() + maxQueueTime] {
+            const bool isEmpty = !hasWaitingConnections(listener);
+            if (!isEmpty && protocol::steadyNow() < end)
+                return;
+            if (!isEmpty)
+                state::logEvent(state::log_level::warning, "connections_not_accepted", { { "port", std::to_string(port) }, { "reason", "the listener closes" } });
+            closeListener();
+        });
+    }
+
+    void closeListener()
+    {
+        queueCheck.reset();
         if (isListening)
             evhtp_unbind_socket(server);
         isListening = false;
@@ -491,7 +541,7 @@
     void handle(evhtp_request_t* request)
     {
         internal::request_gate* gate = gateOf(request);
-        auto held = std::make_shared<responder>(request, gate, loop, budget, openRequests);
+        auto held = std::make_shared<responder>(request, gate, loop, budget, openRequests, isEnding);
         // Owned by the library's request, released by onRequestFinished.
         auto* reference = new responder_reference(held);
         evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(&onRequestFinished), reference);
@@ -511,6 +561,7 @@
     handler onRequest;
     evhtp_t* server;
     std::unique_ptr<event_loop::timer> sweep;
+    std::unique_ptr<event_loop::timer> queueCheck; // set while the listener closes
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     http_server_refusals refusals;
@@ -524,6 +575,7 @@
     bool isEnforcementPosted = false;
     bool isClosing = false; // a connection is being closed for a reason of the server's
     bool isListening = false;
+    bool isEnding = false; // each response is the last one of its connection
     std::uint16_t port = 0;
 };
 
@@ -556,9 +608,25 @@
     m_impl->stopAccepting();
 }
 
-void http_server::closeIdleConnections()
+bool http_server::isAccepting() const
+{
+    return m_impl->isListening;
+}
+
+void http_server::closeIdleConnections(protocol::duration minIdleTime)
+{
+    m_impl->forEachGate([minIdleTime](internal::request_gate& gate) {
+        if (gate.sinceLastChange() >= minIdleTime)
+            gate.closeIfIdle();
+    });
+}
+
+bool http_server::endConnections()
 {
-    m_impl->forEachGate([](internal::request_gate& gate) { gate.closeIfIdle(); });
+    m_impl->isEnding = true;
+    stopAccepting();
+    closeIdleConnections(firstRequestTime);
+    return !isAccepting() && openConnections() == 0;
 }
 
 std::size_t http_server::openRequests() const
--- a/src/transport/http_server.h
+++ b/src/transport/http_server.h
@@ -84,11 +84,22 @@
     protocol::result<void> listen(const std::string& address, std::uint16_t port);
     std::uint16_t port() const;
 
-    // Stops accepting; open requests are still answered.
+    // Stops accepting; open requests are still answered. Connections that wait in the listener's queue are accepted first, so the
+    // listener may stay open for some passes of the loop, at most half a second.
     void stopAccepting();
 
-    // Closes the connections that are between two requests and whose callers have sent nothing.
-    void closeIdleConnections();
+    // Whether the listener is open.
+    bool isAccepting() const;
+
+    // A caller that has connected sends its first request within this time: packets wait up to half a second at a link in good order.
+    static constexpr protocol::duration firstRequestTime = std::chrono::milliseconds(500);
+
+    // Closes the connections that have been without a request for so long, and whose callers have sent nothing.
+    void closeIdleConnections(protocol::duration minIdleTime = protocol::duration::zero());
+
+    // For a planned end, to be called again and again: stops accepting, makes each response the last one of its connection, and closes
+    // connections after firstRequestTime without a request. True once the listener and all connections are closed.
+    bool endConnections();
 
     std::size_t openRequests() const;
     std::size_t openConnections() const;
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -372,3 +372,46 @@
     CHECK(std::count_if(readers.begin(), readers.end(), [](const auto& caller) { return caller->receive().starts_with("HTTP/1.1 503"); }) == 20 - full);
     CHECK(changing.isAnswered());
 }
+
+// Guards against a listener that is closed while callers wait in its queue.
+TEST_CASE("a server that stops accepting cuts off requests on connections that it has not accepted")
+{
+    http_fixture fixture;
+    fixture.serve(replyAtOnce);
+    std::vector<std::unique_ptr<raw_caller>> waiting;
+    const auto stopping = fixture.loop.after(milliseconds(50), [&] {
+        waiting = connectCallers(fixture, 20);
+        for (const auto& caller : waiting)
+            caller->send(request);
+        fixture.server->stopAccepting();
+    });
+    const auto check = fixture.loop.every(milliseconds(10), [&] {
+        if (countAnswered(waiting) == 20 && !fixture.server->isAccepting())
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(countAnswered(waiting) == 20);
+}
+
+// Guards against a stop that takes a connection whose first request is on its way for one that is not used any more.
+TEST_CASE("a server that ends closes a connection that has just been opened")
+{
+    http_fixture fixture;
+    fixture.serve(replyAtOnce);
+    raw_caller caller(fixture);
+    bool hasSent = false;
+    const auto ending = fixture.loop.every(milliseconds(10), [&] {
+        if (!hasSent && fixture.server->openConnections() == 0)
+            return; // not accepted yet
+        if (!std::exchange(hasSent, true)) {
+            fixture.server->closeIdleConnections(std::chrono::hours(1));
+            caller.send(request);
+        }
+        if (fixture.server->endConnections())
+            fixture.finish();
+    });
+    fixture.run();
+    CHECK(caller.receive().starts_with("HTTP/1.1 200"));
+    CHECK(caller.receive().find("Connection: close") != std::string::npos);
+    CHECK(fixture.server->closures().draining == 0);
+}
