Request gate: a request that was read in the same pass of the loop counts as input

What callers saw: a connection closed as idle without an answer, although the request had arrived; on a host whose loop had been held up, for several callers at once.

Cause: libevent reads a request into the connection's buffer and calls the gate later in the same pass. Whatever closes connections and runs in between (timers do) found the gate idle and the socket empty. It concerns planned stops, the idle time and evictions alike.

Evidence, before: "a server that drains closes a connection whose request has just arrived": CHECK( 0 == 20 ), each of the 20 requests that arrive in the pass of the close was cut off.

Why it works: hasUnreadInput() looks at libevent's buffer first. With it alone the test passes (20 of 20).

transport_tests, "a server that drains*": 2 of 2 passed.

--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -217,6 +217,8 @@
 
 bool request_gate::hasUnreadInput() const
 {
+    if (evbuffer_get_length(bufferevent_get_input(m_stream)) > 0)
+        return true; // read in this pass of the loop; its callback is still to come
     char next = 0;
     return recv(bufferevent_getfd(m_stream), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT) > 0;
 }
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -415,3 +415,20 @@
     CHECK(caller.receive().find("Connection: close") != std::string::npos);
     CHECK(fixture.server->closures().draining == 0);
 }
+
+// Guards against a look at the socket alone, where a request may have been read in the same pass of the loop.
+TEST_CASE("a server that drains closes a connection whose request has just arrived")
+{
+    http_fixture fixture;
+    fixture.serve(replyAtOnce);
+    const auto callers = connectCallers(fixture, 20);
+    std::unique_ptr<event_loop::timer> draining;
+    const auto sending = fixture.loop.after(milliseconds(100), [&] {
+        for (const auto& caller : callers)
+            caller->send(request);
+        draining = fixture.loop.after(milliseconds(0), [&] { fixture.server->closeIdleConnections(); });
+    });
+    const auto end = fixture.loop.after(milliseconds(500), [&] { fixture.finish(); });
+    fixture.run();
+    CHECK(countAnswered(callers) == 20);
+}
