--- a/src/transport/http_server.cpp
+++ b/src/transport/http_server.cpp
@@ -13,6 +13,7 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -33,11 +34,19 @@
     constexpr int listenBacklog = 1024;
     constexpr protocol::duration logInterval = std::chrono::seconds(5); // between two log lines on what limits have refused
     constexpr std::size_t maxUncheckedBytes = 16 * 1024; // of a response: about what a connection counts for at least
+    constexpr protocol::duration queueCheckInterval = std::chrono::milliseconds(5); // of a listener that is to close; a fraction of a slow pass of the loop
+    constexpr protocol::duration maxQueueTime = std::chrono::milliseconds(500); // two long passes of the loop, in which all that waits is accepted
     constexpr protocol::duration sweepInterval = std::chrono::milliseconds(250); // a time-out is late by at most this and the sweep's passes
     constexpr std::size_t maxHalfClosed = 256; // a twelfth of the usual max_descriptors, of which connections take half
     constexpr std::size_t maxRefused = 64; // kept for a second; a storm of connections takes neither descriptors nor time from others
     constexpr std::size_t maxDuePerPass = 64; // connections; some milliseconds at a tenth of a processor, as requests wait meanwhile
 
+    bool hasWaitingConnections(int listener)
+    {
+        pollfd descriptor { listener, POLLIN, 0 };
+        return poll(&descriptor, 1, 0) > 0;
+    }
+
     // The library takes hooks of all types as one function type.
     template <typename Function>
     evhtp_hook toHook(Function* function)
@@ -133,12 +142,13 @@
     // The library's hooks keep a reference as long as the library's request lives.
     class responder final : public http_responder {
     public:
-        responder(evhtp_request_t* request, internal::request_gate* gate, event_loop& loop, const memory_budget& budget, std::size_t& openRequests)
+        responder(evhtp_request_t* request, internal::request_gate* gate, event_loop& loop, const memory_budget& budget, std::size_t& openRequests, const bool& isEnding)
             : m_request(request)
             , m_gate(gate)
             , m_loop(loop)
             , m_budget(budget)
             , m_openRequests(openRequests)
+            , m_isEnding(isEnding)
         {
             ++m_openRequests;
         }
@@ -154,6 +164,7 @@
             m_goneHook = nullptr;
             if (isTooLarge(response))
                 response = makeBusyResponse();
+            response.closesConnection = response.closesConnection || m_isEnding;
             if (!m_isPaused) {
                 sendResponse(m_request, response);
                 noteReply(response);
@@ -259,6 +270,7 @@
         event_loop& m_loop;
         const memory_budget& m_budget;
         std::size_t& m_openRequests;
+        const bool& m_isEnding; // of the server
         bool m_isPaused = false;
         bool m_hasReplied = false;
         bool m_isConnectionLost = false; // by an error; the library frees the request once it is resumed
@@ -304,8 +316,8 @@
 
     ~impl()
     {
-        stopAccepting();
-        isEnding = true;
+        closeListener();
+        isBeingDestroyed = true;
         while (!connections.empty())
             evhtp_connection_free(connections.begin()->first); // removes it from the map
         while (!refused.empty())
@@ -318,6 +330,33 @@
 
     void stopAccepting()
     {
+        if (!isListening || queueCheck)
+            return;
+        const int listener = evconnlistener_get_fd(server->server);
+        if (!hasWaitingConnections(listener))
+            return closeListener();
+        queueCheck = loop.every(queueCheckInterval, [this, listener, end = protocol::steadyNow() + maxQueueTime] {
+            const bool isEmpty = !hasWaitingConnections(listener);
+            if (!isEmpty && protocol::steadyNow() < end)
+                return;
+            if (!isEmpty)
+                refuseWaitingConnections(listener);
+            closeListener();
+        });
+    }
+
+    void refuseWaitingConnections(int listener)
+    {
+        for (int waiting = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC); waiting >= 0; waiting = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)) {
+            ++closures.notAccepted;
+            refuseConnection(waiting, refusedConnections);
+            ::close(waiting);
+        }
+    }
+
+    void closeListener()
+    {
+        queueCheck.reset();
         if (isListening)
             evhtp_unbind_socket(server);
         isListening = false;
@@ -576,7 +615,7 @@
         const auto found = server.connections.find(connection);
         if (found == server.connections.end())
             return EVHTP_RES_OK;
-        const bool isByLibrary = !server.isClosing && !server.isEnding && !found->second->hasCallerEnded();
+        const bool isByLibrary = !server.isClosing && !server.isBeingDestroyed && !found->second->hasCallerEnded();
         if (isByLibrary && found->second->isReading()) {
             std::unique_ptr<internal::request_gate> gate = std::move(found->second);
             server.connections.erase(found);
@@ -610,7 +649,7 @@
         internal::request_gate* gate = gateOf(request);
         if (gate && !gate->onRequestRead())
             return;
-        auto held = std::make_shared<responder>(request, gate, loop, budget, openRequests);
+        auto held = std::make_shared<responder>(request, gate, loop, budget, openRequests, isEnding);
         // Owned by the library's request, released by onRequestFinished.
         auto* reference = new responder_reference(held);
         evhtp_request_set_hook(request, evhtp_hook_on_request_fini, toHook(&onRequestFinished), reference);
@@ -632,6 +671,7 @@
     internal::half_closed_connections halfClosed; // after a last response or a refusal
     internal::half_closed_connections refusedConnections; // for which there was no room
     std::unique_ptr<event_loop::timer> sweep;
+    std::unique_ptr<event_loop::timer> queueCheck; // set while the listener closes
     std::map<evhtp_connection_t*, std::unique_ptr<internal::request_gate>> connections;
     evhtp_connection_t* lastSwept = nullptr; // the connections behind it are still to be looked at; null before the first
     bool isSweeping = false;
@@ -647,8 +687,9 @@
     std::size_t openRequests = 0;
     bool isEnforcementPosted = false;
     bool isClosing = false; // a connection is being closed for a reason of the server's
-    bool isEnding = false;
+    bool isBeingDestroyed = false;
     bool isListening = false;
+    bool isEnding = false; // each response is the last one of its connection
     std::uint16_t port = 0;
 };
 
@@ -681,9 +722,25 @@
     m_impl->stopAccepting();
 }
 
-void http_server::closeIdleConnections()
+bool http_server::isAccepting() const
+{
+    return m_impl->isListening;
+}
+
+void http_server::closeIdleConnections(protocol::duration minIdleTime)
+{
+    m_impl->forEachGate([minIdleTime](internal::request_gate& gate) {
+        if (gate.sinceLastChange() >= minIdleTime)
+            gate.closeIfIdle();
+    });
+}
+
+bool http_server::endConnections()
 {
-    m_impl->forEachGate([](internal::request_gate& gate) { gate.closeIfIdle(); });
+    m_impl->isEnding = true;
+    stopAccepting();
+    closeIdleConnections(firstRequestTime);
+    return !isAccepting() && openConnections() == 0;
 }
 
 std::size_t http_server::openRequests() const
