Event loop: a signal's hook learns when the signal was raised

The handler stores the time and wakes the loop through an eventfd, in place of libevent's own handler, which stores none.

Test: event_loop_tests, a signal raised while the loop is busy.

--- a/src/transport/event_loop.cpp
+++ b/src/transport/event_loop.cpp
@@ -6,6 +6,10 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <csignal>
 #include <mutex>
 #include <stdexcept>
 #include <vector>
@@ -20,6 +24,29 @@
         return { microseconds / microsecondsPerSecond, microseconds % microsecondsPerSecond };
     }
 
+    // What the handler of a signal shares with the loop that takes it. The handler may run on any thread.
+    struct signal_mailbox {
+        static constexpr std::int64_t none = -1;
+        std::atomic<std::int64_t> raisedAt { none }; // since the steady clock's epoch, in its ticks; none: the hook has been called
+        std::atomic<int> descriptor { -1 }; // an eventfd
+    };
+
+    std::array<signal_mailbox, NSIG> signalMailboxes;
+
+    static_assert(std::atomic<std::int64_t>::is_always_lock_free && std::atomic<int>::is_always_lock_free, "the handler of a signal must not wait for a lock");
+
+    // Calls only functions that are safe in a handler: clock_gettime, by the steady clock, and write.
+    void onRaisedSignal(int signalNumber)
+    {
+        const int lastError = errno;
+        signal_mailbox& mailbox = signalMailboxes[static_cast<std::size_t>(signalNumber)];
+        std::int64_t expected = signal_mailbox::none;
+        mailbox.raisedAt.compare_exchange_strong(expected, protocol::steadyNow().time_since_epoch().count());
+        const std::uint64_t one = 1;
+        [[maybe_unused]] const ssize_t written = write(mailbox.descriptor.load(), &one, sizeof(one));
+        errno = lastError;
+    }
+
     // A libevent event that calls a hook; freed with this object.
     class hook_event final : public event_loop::timer {
     public:
@@ -53,6 +80,51 @@
         event* m_event;
     };
 
+    // Takes a signal while it exists; afterwards the signal is ignored, as the process ends by itself.
+    class signal_event {
+    public:
+        signal_event(event_base* base, int signalNumber, event_loop::signal_hook hook)
+            : m_signalNumber(signalNumber)
+            , m_descriptor(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC))
+            , m_hook(std::move(hook))
+            , m_event(base, m_descriptor, EV_READ | EV_PERSIST, [this] { callHook(); })
+        {
+            mailbox().descriptor = m_descriptor;
+            m_event.add();
+            struct sigaction action { };
+            action.sa_handler = &onRaisedSignal;
+            action.sa_flags = SA_RESTART;
+            sigfillset(&action.sa_mask);
+            if (m_descriptor < 0 || sigaction(signalNumber, &action, nullptr) != 0)
+                throw std::runtime_error("the handler of a signal could not be installed");
+        }
+        ~signal_event()
+        {
+            std::signal(m_signalNumber, SIG_IGN);
+            mailbox().descriptor = -1;
+            close(m_descriptor);
+        }
+        signal_event(const signal_event&) = delete;
+        signal_event& operator=(const signal_event&) = delete;
+
+    private:
+        signal_mailbox& mailbox() const { return signalMailboxes[static_cast<std::size_t>(m_signalNumber)]; }
+
+        void callHook()
+        {
+            eventfd_t count = 0;
+            eventfd_read(m_descriptor, &count);
+            const std::int64_t raisedAt = mailbox().raisedAt.exchange(signal_mailbox::none);
+            if (raisedAt != signal_mailbox::none)
+                m_hook(protocol::time_point(protocol::time_point::duration(raisedAt)));
+        }
+
+        const int m_signalNumber;
+        const int m_descriptor;
+        const event_loop::signal_hook m_hook;
+        hook_event m_event;
+    };
+
 } // namespace
 
 class event_loop::impl {
@@ -112,7 +184,7 @@
     event_base* base = nullptr;
     int wakeDescriptor = -1;
     std::unique_ptr<hook_event> wakeEvent;
-    std::vector<std::unique_ptr<hook_event>> signalEvents;
+    std::vector<std::unique_ptr<signal_event>> signalEvents;
     std::mutex mutex;
     std::vector<task> posted; // guarded by mutex; the eventfd was written when it is not empty
 };
@@ -155,9 +227,12 @@
 
 void event_loop::onSignal(int signalNumber, task hook)
 {
-    auto event = std::make_unique<hook_event>(m_impl->base, signalNumber, EV_SIGNAL | EV_PERSIST, std::move(hook));
-    event->add();
-    m_impl->signalEvents.push_back(std::move(event));
+    onSignal(signalNumber, [hook = std::move(hook)](protocol::time_point) { hook(); });
+}
+
+void event_loop::onSignal(int signalNumber, signal_hook hook)
+{
+    m_impl->signalEvents.push_back(std::make_unique<signal_event>(m_impl->base, signalNumber, std::move(hook)));
 }
 
 event_base* event_loop::base()
--- a/src/transport/event_loop.h
+++ b/src/transport/event_loop.h
@@ -42,6 +42,11 @@
     // Calls the hook on a signal. One loop of a process may take signals.
     void onSignal(int signalNumber, task hook);
 
+    // The same, with the time at which the signal reached the process: a busy loop calls the hook later. Of signals that were raised
+    // before the hook could be called, the time of the first.
+    using signal_hook = std::function<void(protocol::time_point raisedAt)>;
+    void onSignal(int signalNumber, signal_hook hook);
+
     event_base* base();
 
 private:
--- a/src/transport/tests/event_loop_tests.cpp
+++ b/src/transport/tests/event_loop_tests.cpp
@@ -3,10 +3,14 @@
 
 #include <doctest/doctest.h>
 
+#include <chrono>
 #include <csignal>
+#include <optional>
 #include <thread>
 #include <vector>
 
+using jackdaw::protocol::steadyNow;
+using jackdaw::protocol::time_point;
 using jackdaw::transport::event_loop;
 
 TEST_CASE("tasks of one thread run in order on the loop's thread")
@@ -58,3 +62,27 @@
     loop.run();
     CHECK(seen);
 }
+
+// Guards against a bound on a planned stop that counts from when a busy loop gets to the signal.
+TEST_CASE("a signal that is raised while the loop is busy passes for one that was raised later")
+{
+    event_loop loop;
+    std::optional<time_point> seen;
+    loop.onSignal(SIGUSR1, [&](time_point raisedAt) {
+        seen = raisedAt;
+        loop.stop();
+    });
+    time_point before;
+    time_point after;
+    loop.post([&] {
+        before = steadyNow();
+        std::raise(SIGUSR1);
+        after = steadyNow();
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        std::raise(SIGUSR1);
+    });
+    loop.run();
+    REQUIRE(seen);
+    CHECK(*seen >= before);
+    CHECK(*seen <= after);
+}
