Control host: a planned stop answers what arrives until its end, also after it was held up

What callers saw: requests on connections that were open when the stop looked at them as idle, or lay in the listener's queue, ended without an answer; and after a stall of the process during its stop all requests that waited did.

The bound on open requests, 2 s, was counted on the clock: a process that had been held up for longer (an fsync, a frozen machine) ended in its first check, before it had read what arrived meanwhile.

Why it works: the hook is http_server::endConnections(); the bound counts at most 100 ms between two checks, so it is time in which requests could be read.

--- a/src/apps/control/planned_stop.h
+++ b/src/apps/control/planned_stop.h
@@ -27,6 +27,8 @@
 
     control_node& m_node;
     time_point m_transferEnd; // until then a leader waits for its successor
+    time_point m_checkedAt;
+    duration m_requestTime {}; // that open requests have had
     bool m_isLeaving = false; // the removal is requested, and not committed yet
     bool m_hasAskedToLeave = false;
 };
