jackdaw-entry and jackdaw-control: a planned stop answers requests that are being sent

What callers saw: a request that was being sent, lay in the listener's queue or whose response was not sent yet ended with the process.

Cause: jackdaw-entry ended once no job and no request that its handler had was open; jackdaw-control ended 0.5 s after the signal (at once if it did not lead), whatever was open, an operator's change too.

--- a/src/apps/control/control_process.cpp
+++ b/src/apps/control/control_process.cpp
@@ -29,6 +29,7 @@
     constexpr protocol::duration helloInterval = std::chrono::milliseconds(500);
     constexpr protocol::duration pushAgainInterval = std::chrono::milliseconds(200);
     constexpr protocol::duration handOverTime = std::chrono::milliseconds(500); // for the transfer of leadership at a stop
+    constexpr protocol::duration stopCheckInterval = std::chrono::milliseconds(50);
 
     std::vector<std::string> entryNames(const control_settings& settings)
     {
@@ -225,7 +226,12 @@
         return;
     const bool isLeader = node.status().role == coordination::raft_role::leader;
     node.transferLeadership(steadyNow());
-    stopTimer = loop.after(isLeader ? handOverTime : protocol::duration::zero(), [this] { loop.stop(); });
+    const protocol::time_point handedOver = steadyNow() + (isLeader ? handOverTime : protocol::duration::zero());
+    // An open change is answered within its time-out.
+    stopTimer = loop.every(stopCheckInterval, [this, handedOver, end = handedOver + settings.changeTimeout + stopCheckInterval] {
+        if (steadyNow() >= handedOver && (server.endConnections() || steadyNow() >= end))
+            loop.stop();
+    });
 }
 
 control_process::control_process(control_settings settings, operator_tokens tokens, control_storage storage, std::uint64_t seed)
--- a/src/apps/control/control_process.h
+++ b/src/apps/control/control_process.h
@@ -19,7 +19,7 @@
     // Opens the ports.
     protocol::result<void> open();
 
-    // Runs until SIGTERM or SIGINT; leadership is handed on first.
+    // Runs until SIGTERM or SIGINT; leadership is handed on and open requests are answered first.
     void run();
 
 private:
--- a/src/apps/control/tests/control_group_test.sh
+++ b/src/apps/control/tests/control_group_test.sh
@@ -117,9 +117,18 @@
 start "$other"
 everyone_has_version "$version"
 
-echo "== a planned stop ends with 0"
+echo "== a planned stop ends with 0, and answers a request that is being sent"
 host=$(leader)
+exec 5<>"/dev/tcp/127.0.0.1/${operator_port[$host]}"
+printf 'GET /v1/status HTTP/1.1\r\nHo' >&5
+sleep 0.3 # until it is read
 kill -TERM "${pid[$host]}"
+sleep 1 # a leader takes 0.5 s to hand over
+(printf 'st: x\r\n\r\n' >&5) || true
+line=""
+read -r -t 5 line <&5 || true
+[[ "$line" == "HTTP/1.1 200"* ]] || fail "a request was cut off: '$line'"
+exec 5>&-
 status=0
 wait "${pid[$host]}" || status=$?
 unset "pid[$host]"
--- a/src/apps/entry/entry_process.cpp
+++ b/src/apps/entry/entry_process.cpp
@@ -23,6 +23,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <optional>
 #include <random>
 #include <utility>
 
@@ -36,6 +37,7 @@
 namespace {
 
     constexpr std::chrono::seconds leaveLimit { 3 }; // for leaving the claim groups
+    constexpr std::chrono::seconds connectionLimit { 3 }; // for responses to be sent and requests to be refused once no job is open; as for leaving
     constexpr protocol::duration tickInterval = std::chrono::milliseconds(100);
     constexpr protocol::duration rulesPullInterval = std::chrono::seconds(1);
     constexpr std::size_t maxSmallBodyBytes = 64 * 1024; // of upstreams' and operators' requests
@@ -152,6 +154,7 @@
     std::unique_ptr<transport::event_loop::timer> m_pullTimer;
     std::unique_ptr<transport::event_loop::timer> m_drainTimer;
     protocol::time_point m_leaveDeadline; // then the process ends also as a voter; set with the refusal of new jobs
+    std::optional<protocol::time_point> m_endDeadline; // then the process ends with connections open; set once no job is open
 };
 
 entry_process::impl::impl(entry_settings entrySettings, std::string file)
@@ -347,9 +350,16 @@
 {
     if (m_jobs.openJobs() > 0 || (!m_claims.hasLeft() && protocol::steadyNow() < m_leaveDeadline))
         return;
-    m_callers.loop().post([this] {
-        if (m_callerServer.openRequests() == 0)
-            m_decisions.stop();
+    if (!m_endDeadline)
+        m_endDeadline = protocol::steadyNow() + connectionLimit;
+    m_callers.loop().post([this, deadline = *m_endDeadline] {
+        const bool haveCallersEnded = m_callerServer.endConnections();
+        m_operators.loop().post([this, deadline, haveCallersEnded] {
+            const bool haveUpstreamsEnded = m_upstreamServer.endConnections();
+            const bool haveOperatorsEnded = m_operatorServer.endConnections();
+            if ((haveCallersEnded && haveUpstreamsEnded && haveOperatorsEnded) || protocol::steadyNow() >= deadline)
+                m_decisions.stop();
+        });
     });
 }
 
--- a/src/apps/entry/tests/processes/entry_process_tests.cpp
+++ b/src/apps/entry/tests/processes/entry_process_tests.cpp
@@ -3,7 +3,16 @@
 
 #include <doctest/doctest.h>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <chrono>
 #include <csignal>
+#include <string>
+#include <string_view>
+#include <thread>
 
 using namespace jackdaw;
 using tests::cluster;
@@ -56,6 +65,33 @@
     CHECK(processes.host("a1").exitCode() == 0);
 }
 
+// Guards against an end of the process while a connection is open on which a request may be read.
+TEST_CASE("a host that drains cuts off a request that is being sent")
+{
+    cluster processes { { "a", { "a1" } } };
+    processes.startHosts({ "a1" });
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(processes.callerPort("a1"));
+    inet_pton(AF_INET, "127.0.0.1", &address.sin_addr);
+    const int caller = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    constexpr timeval answerTime { 5, 0 };
+    setsockopt(caller, SOL_SOCKET, SO_RCVTIMEO, &answerTime, sizeof(answerTime));
+    REQUIRE(connect(caller, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0);
+    constexpr std::string_view request = "GET /v1/jobs/unknown HTTP/1.1\r\nHost: x\r\n\r\n";
+    constexpr std::size_t half = request.size() / 2;
+    CHECK(send(caller, request.data(), half, MSG_NOSIGNAL) == static_cast<ssize_t>(half));
+    processes.host("a1").signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1300)); // the host refuses jobs after 0.3 s, and may end then
+    [[maybe_unused]] const ssize_t sent = send(caller, request.data() + half, request.size() - half, MSG_NOSIGNAL);
+    std::string answer(9, '\0');
+    CHECK(recv(caller, answer.data(), answer.size(), MSG_WAITALL) == static_cast<ssize_t>(answer.size()));
+    CHECK(answer == "HTTP/1.1 ");
+    close(caller);
+    processes.waitUntil([&] { return processes.host("a1").exitCode().has_value(); }, "the host ends");
+    CHECK(processes.host("a1").exitCode() == 0);
+}
+
 TEST_CASE("a host that drains refuses new work once the balancer's lag is over")
 {
     cluster processes { { "a", { "a1" } } };
