--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -320,8 +320,8 @@
         for (const auto& responder : waiting)
             responder->reply({});
     });
-    const auto end = fixture.loop.every(milliseconds(300), [&] {
-        if (further)
+    const auto end = fixture.loop.every(milliseconds(10), [&] {
+        if (further && countAnswered(callers) == 10)
             fixture.finish();
     });
     fixture.run();
@@ -565,7 +565,7 @@
     int refusals = 0;
     std::vector<internal::close_reason> closes;
     {
-        internal::request_gate gate(stream, limits, budget, { [&](int) { ++refusals; }, [] {}, [&](internal::close_reason reason) { closes.push_back(reason); } });
+        internal::request_gate gate(stream, limits, budget, { [&](int, bool) { ++refusals; }, [] {}, [&](internal::close_reason reason) { closes.push_back(reason); } });
         bufferevent_enable(stream, EV_READ | EV_WRITE);
         REQUIRE(send(ends[1], "\x01\r\n\r\n", 5, MSG_NOSIGNAL) == 5);
         std::string received;
