--- a/src/transport/internal/request_gate.cpp
+++ b/src/transport/internal/request_gate.cpp
@@ -331,6 +331,13 @@
         m_hooks.close(close_reason::draining);
 }
 
+// The rest of a request may wait while the loop is busy: it has until the next check to be read. A caller that always sends some more
+// gains no more than that.
+bool request_gate::isSparedOnce()
+{
+    return hasUnreadInput() && !std::exchange(m_isOverdue, true);
+}
+
 bool request_gate::checkTime(protocol::time_point now)
 {
     const protocol::duration since = now - m_phaseSince;
@@ -351,7 +358,8 @@
     case phase::head:
         if (since < m_limits.headerTimeout)
             return false;
-        refuse(408);
+        if (!isSparedOnce())
+            refuse(408);
         return true;
     case phase::body:
         // libevhtp hands a whole request over in the pass that gives it the last byte. Two checks are never in one pass.
@@ -362,7 +370,8 @@
         }
         if (since < m_limits.bodyTimeout + std::chrono::seconds(m_bodyBytesRead / minBodyBytesPerSecond))
             return false;
-        refuse(408);
+        if (!isSparedOnce())
+            refuse(408);
         return true;
     case phase::handled:
         if (m_hasCallerEnded)
--- a/src/transport/internal/request_gate.h
+++ b/src/transport/internal/request_gate.h
@@ -132,6 +132,7 @@
     void onSent();
     bool canSend() const;
     bool mayHaveArrived() const;
+    bool isSparedOnce();
     bool mustAnswer() const;
     void tellCallerEnded() const;
 
@@ -161,7 +162,7 @@
     bool m_isReadingOff = false;
     bool m_isAdvancing = false;
     bool m_isAboutToMove = false; // the next pass of the loop reads a request or sends the response; not evicted until then
-    bool m_isOverdue = false; // the last check found a whole request that libevhtp has not handed over
+    bool m_isOverdue = false; // the last check found a request whose time is over, or a whole one that libevhtp has not handed over
     bool m_closesConnection = false;
     bool m_hasCallerEnded = false;
     bool m_hasCallerLeftEarly = false;
--- a/src/transport/tests/http_closing_tests.cpp
+++ b/src/transport/tests/http_closing_tests.cpp
@@ -212,6 +212,30 @@
     CHECK(countAnswered(callers) == 20);
 }
 
+// Guards against a refusal for lateness of a request whose rest has arrived while the loop was busy.
+TEST_CASE("the time of a request ends while its rest waits unread, and it is refused as late")
+{
+    http_fixture fixture;
+    http_server_limits limits;
+    limits.headerTimeout = milliseconds(200);
+    fixture.serve(replyAtOnce, limits);
+    const auto callers = connectCallers(fixture, 20);
+    for (const auto& caller : callers)
+        caller->send(request.substr(0, 20));
+    bool isStalled = false;
+    const auto stalling = fixture.loop.every(milliseconds(1), [&] {
+        if (fixture.server->requests().begun < callers.size() || std::exchange(isStalled, true))
+            return;
+        for (const auto& caller : callers)
+            caller->send(request.substr(20));
+        std::this_thread::sleep_for(milliseconds(600));
+    });
+    const auto end = fixture.loop.after(milliseconds(1500), [&] { fixture.finish(); });
+    fixture.run();
+    CHECK(countAnswered(callers) == 20);
+    CHECK(fixture.server->refusals().timeouts == 0);
+}
+
 // Guards against an eviction or a planned stop that misses a request which the library has read and not handed on yet.
 TEST_CASE("a connection is evicted or drained after its request was read and before it is handed on")
 {
