--- a/src/apps/cell_host/tests/stop_schedule_tests.cpp
+++ b/src/apps/cell_host/tests/stop_schedule_tests.cpp
@@ -16,8 +16,8 @@
     std::optional<duration> refusal, closing, abandonment, end; // after the signal
 };
 
-// Plays a stop with a grace period of 6 s; the load says what is open and has been accepted at a time.
-stop_times replay(std::uint32_t millicores, const std::function<stop_schedule::state(duration since)>& load)
+// Plays a stop with a grace period of 6 s; the load says what is open and has been accepted at a time. The loop is held up until the first check.
+stop_times replay(std::uint32_t millicores, const std::function<stop_schedule::state(duration since)>& load, duration firstCheck = {})
 {
     stop_schedule schedule(milliseconds(6000), millicores);
     stop_times out;
@@ -25,7 +25,7 @@
         if (isDue && !time)
             time = since;
     };
-    for (duration since {}; !out.end && since < milliseconds(7000); since += stop_schedule::checkInterval) {
+    for (duration since = firstCheck; !out.end && since < milliseconds(7000); since += stop_schedule::checkInterval) {
         stop_schedule::state state = load(since);
         state.since = since;
         state.isAccepting = !out.closing;
@@ -74,3 +74,15 @@
     CHECK(abandonment(90, 200) > milliseconds(5200));
     CHECK(abandonment(10, 4000) == milliseconds(4700));
 }
+
+// Guards against a stop whose steps wait for others that a late loop has missed.
+TEST_CASE("a stopping host that is held up takes the rest of its steps late")
+{
+    const auto load = [](duration since) { return stop_schedule::state { .openJobs = 1, .openConnections = 30, .connectionsAccepted = static_cast<std::uint64_t>(since / milliseconds(10)) }; };
+    const stop_times times = replay(1000, load, milliseconds(4500));
+    CHECK(times.refusal.value() == milliseconds(4500));
+    CHECK(times.closing.value() == milliseconds(5200));
+    CHECK(times.abandonment.value() == milliseconds(5700));
+    CHECK(times.end.value() == milliseconds(5900));
+    CHECK(replay(1000, load, milliseconds(6000)).end.value() == milliseconds(6000));
+}
