--- a/src/transport/stall_watch.cpp
+++ b/src/transport/stall_watch.cpp
@@ -20,16 +20,17 @@
 
 class stall_watch::impl {
 public:
-    impl(event_loop& eventLoop, stall_hook hook)
+    impl(event_loop& eventLoop, stall_hook hook, clock clockHook)
         : loop(eventLoop)
         , onStall(std::move(hook))
+        , readClock(std::move(clockHook))
         , timer(loop.every(beatInterval, [this] { beat(); }))
     {
     }
 
     void beat()
     {
-        const time_point now = protocol::steadyNow();
+        const time_point now = readClock();
         const time_point before = std::exchange(lastBeat, now);
         if (stalledSince || now - before < stallLimit)
             return;
@@ -53,14 +54,15 @@
 
     event_loop& loop;
     const stall_hook onStall;
-    time_point lastBeat = protocol::steadyNow();
+    const clock readClock;
+    time_point lastBeat = readClock();
     std::optional<time_point> stalledSince; // while input of that time may be unread
     std::shared_ptr<bool> aliveToken = std::make_shared<bool>(true);
     std::unique_ptr<event_loop::timer> timer;
 };
 
-stall_watch::stall_watch(event_loop& loop, stall_hook onStall)
-    : m_impl(std::make_unique<impl>(loop, std::move(onStall)))
+stall_watch::stall_watch(event_loop& loop, stall_hook onStall, clock readClock)
+    : m_impl(std::make_unique<impl>(loop, std::move(onStall), std::move(readClock)))
 {
 }
 
@@ -69,7 +71,7 @@
 // The input may be read before the beat that is late.
 duration stall_watch::maxInputDelay() const
 {
-    const duration delay = protocol::steadyNow() - m_impl->stalledSince.value_or(m_impl->lastBeat);
+    const duration delay = m_impl->readClock() - m_impl->stalledSince.value_or(m_impl->lastBeat);
     return m_impl->stalledSince || delay >= stallLimit ? delay : duration::zero();
 }
 
--- a/src/transport/stall_watch.h
+++ b/src/transport/stall_watch.h
@@ -13,9 +13,11 @@
 class stall_watch {
 public:
     using stall_hook = std::function<void(protocol::duration length)>;
+    using clock = std::function<protocol::time_point()>;
 
-    // Starts with the loop's first pass. Belongs to the loop's thread, as all functions do. The hook runs once after each stall.
-    explicit stall_watch(event_loop& loop, stall_hook onStall = {});
+    // Starts with the loop's first pass. Belongs to the loop's thread, as all functions do. The hook runs once after each stall. The
+    // clock never goes back.
+    explicit stall_watch(event_loop& loop, stall_hook onStall = {}, clock readClock = &protocol::steadyNow);
     ~stall_watch();
     stall_watch(const stall_watch&) = delete;
     stall_watch& operator=(const stall_watch&) = delete;
