Owner of a cell: a late start that the next life of an upstream carried out is not kept beside another run of its task

Cause: a start without an answer is kept in the state "starting" that it had when it was stored. When the upstream's next life lists its run, onRestart leaves it alone, claimRuns stops surplus runs in the state "running" only, and reconcileRunning takes each listed run in the state "starting" for wanted. If the next list comes before the timer finds the start unanswered, both runs go on.

Fix: what a new life lists does run. onRestart takes such a run as running, and stops it at once unless it is the only run of its task and a job wants it. Its lease may be the late start's own, so a whole lease is noted.

The overlap until the stop arrives is not prevented here.

--- a/src/coordination/cells/internal/cell_upstreams.cpp
+++ b/src/coordination/cells/internal/cell_upstreams.cpp
@@ -110,7 +110,7 @@
 }
 
 // Runs that the earlier incarnation listed are gone. A start that it may not have carried out is stopped in the new one before its
-// task starts again, unless the new one lists the run. running: the list of the new incarnation.
+// task starts again. If the new one lists the run, it stays only as the one run of its task. running: the list of the new incarnation.
 void cell_dispatcher::impl::onRestart(time_point now, upstream_record& upstream, const upstream_report& report, std::span<const running_task> running)
 {
     if (!upstream.needsNewConnection)
@@ -132,10 +132,18 @@
         found->second.keptUntil = now + settings.maxLease;
     }
     const auto isListed = [running](const run_id& name) { return std::any_of(running.begin(), running.end(), [&name](const running_task& task) { return task.run == name; }); };
+    if (!running.empty())
+        upstream.noteLease(now, settings.maxLease); // late starts bring their own lease
     for (auto& [name, record] : upstream.runs) {
         record.isStopConfirmed = false;
-        if (isListed(name))
+        if (isListed(name)) {
+            record.state = run_state::running;
+            record.hasBegun = true;
+            record.isListed = true;
+            record.confirmedAt = now;
+            upstream.unansweredStarts.erase(name);
             continue;
+        }
         record.state = run_state::uncertain;
         stopRun(now, upstream, name, record);
     }
@@ -149,6 +157,11 @@
     }
     for (const auto& [id, job] : jobs)
         claimRuns(now, *job);
+    for (auto& [name, record] : upstream.runs) {
+        const bool isWanted = !record.job.empty() && countRuns(name.task) == 1;
+        if (record.state == run_state::running && !isWanted)
+            stopRun(now, upstream, name, record);
+    }
     if (wasLeaving)
         return dismissLosses(upstream);
     addLosses(now, upstream, lost);
